--- /dev/null
+++ b/sprucepost/brain.py
@@ -0,0 +1,482 @@
+"""The decisions of sprucepost. Settings, events and actions: ``sprucepost/interface.py``.
+
+Mechanism (ordinary path). Each service holds a ranking of machines, its target first. Time is cut into
+intervals; in the interval whose index modulo N is this scheduler's number, it revises the rankings of its
+services while the other schedulers hold theirs. A revision ranks the machines that pass the filters by the
+larger of the cores and memory shares asked for, after the service's expected binds of one interval, plus BETA on
+overflow of what the machine accepts; a random draw orders those near the best. What is asked is the late view
+plus this scheduler's own later changes. Between turns a task goes to its target, or to the next ranked machine
+that passes. Everything else here is a filter or a bounded penalty on that path, or keeps one of the rules.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from sprucepost import interface as i
+from sprucepost.interface import Effect, Ending, Place, Reason
+
+INTERVAL = 2000.0  # ms between turns of two schedulers: longer than the view lags, so a turn sees the last one
+BETA = 120.0  # cost of one whole machine of overflow: any overflow outranks every other difference
+NEAR = 0.06  # share within which machines count as equally good; wider than one task, narrower than a trend
+VIEW_LAG = 1500.0  # ms until list or report shows a bind: accept, refresh and delivery, each a good part of 1 s
+SUSPECT = 1000.0  # ms of first suspicion after silence; doubles with each further silence
+SUSPECT_MOST = 16000.0  # ms: a machine that is back is tried again within this
+DISBELIEVE = 0.7  # share of machines suspected at which the fault is more likely ours than theirs
+RECHECK = 100.0  # ms between looks for room for a held task: well inside any aim, cheap enough
+STRAIN_LASTS = 2500.0  # ms: notes on strain repeat every second, so two missed ones mean it is over
+STRAIN_COST = 0.3  # most that strain adds to a share: enough to steer away, never to outrank overflow
+AVOID = 3000.0  # ms to leave a machine that says the task does not belong there (it may be draining)
+CROSS_ZONE = 4.0  # share of a machine for one unit of the price of running in another zone
+MEMORY_TIGHT = 0.85  # share of a machine's memory in use from which it counts as strained
+
+
+@dataclass
+class Machine:
+    """One machine as this scheduler sees it."""
+
+    entry: i.MachineEntry
+    started: float = 0.0
+    room: tuple[float, float] | None = None
+    asked: tuple[float, float] | None = None
+    ledger: list[tuple[float, float, float, Attempt]] = field(default_factory=list)
+    attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
+    offers: deque[float] = field(default_factory=deque)
+    silences: int = 0
+    suspect_until: float = 0.0
+    full_until: float = 0.0
+    strain: float = 0.0
+    strain_until: float = 0.0
+
+
+def _unlisted(name: str) -> i.MachineEntry:
+    return i.MachineEntry(name, i.MachineState.GONE, zone=-1, cell=-1, kind=0)
+
+
+@dataclass
+class Service:
+    """One service: its held ranking and how often it asks."""
+
+    ranking: list[Machine] = field(default_factory=list)
+    attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
+    count: float = 0.0
+    counted: float = 0.0
+    last: i.TaskRequest | None = None
+
+
+@dataclass
+class Task:
+    """One request from its arrival until its end."""
+
+    ask: i.TaskRequest
+    cls: i.TaskClass
+    deadline: float
+    sent: int = 0
+    out: Attempt | None = None
+    may_run: Attempt | None = None
+    answered: bool = False
+    look_at: float = 0.0
+
+
+@dataclass(eq=False)
+class Attempt:
+    """One offer of a task to a machine, until its outcome."""
+
+    task: Task
+    machine: Machine
+    sent: float
+    accepted: bool = False
+    running: bool = False
+
+
+class Scheduler:
+    """The decisions of one instance. Feed ``handle`` with events; carry out the actions that it returns."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.born: float | None = None
+        self.actions: list[i.Action] = []
+        self.machines: dict[str, Machine] = {}
+        self.services: dict[str, Service] = {}
+        self.tasks: dict[int, Task] = {}
+        self.waiting: dict[int, Task] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}
+        self.accept_mean = min(cls.aim for cls in settings.classes) / 4
+        self.accept_dev = self.accept_mean / 4
+        self.held = [0.0] * max(1, len(settings.tenants))  # cores of own tasks, by tenant
+        self.list_failures = 0
+        self.looking = False
+        self.disbelieving = False
+        self.on: dict[type, Callable[[Any], None]] = {
+            i.TaskRequest: self._on_request, i.TaskFound: self._on_found, i.Accepted: self._on_accepted,
+            i.Note: self._on_note, i.Outcome: self._on_outcome, i.Gone: self._on_gone,
+            i.MachineList: self._on_list, i.TimerFired: self._on_timer}
+
+    def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        """Take the events of one moment and return what to do, in order."""
+        self.now, self.actions = now, []
+        if self.born is None:
+            self.born = now
+            self._set_turn()
+            if self.settings.list_mode is i.ListMode.ASK:
+                self.actions.append(i.Subscribe())
+        for event in events:
+            self.on[type(event)](event)
+        self._place_waiting()
+        return self.actions
+
+    # Events
+
+    def _on_request(self, ask: i.TaskRequest) -> None:
+        task = Task(ask, self.settings.classes[ask.task_class], self.now + ask.left)
+        self.tasks[ask.request] = self.waiting[ask.request] = task
+        service = self.services.setdefault(ask.service, Service())
+        service.count = self._recent(service) + 1.0
+        service.counted, service.last = self.now, ask
+        # Whatever happens to the task, this timer answers it in time.
+        self.actions.append(i.SetTimer(max(0.0, ask.left - self.settings.tick), f"answer:{ask.request}"))
+
+    def _on_found(self, event: i.TaskFound) -> None:
+        task = Task(event.request, self.settings.classes[event.request.task_class], math.inf, 1, answered=True)
+        machine = self.machines.setdefault(event.machine, Machine(_unlisted(event.machine)))
+        self.tasks[event.request.request] = task
+        self._record(Attempt(task, machine, self.now, accepted=True, running=True), 0)
+        self.services[event.request.service].last = event.request
+
+    def _on_gone(self, event: i.Gone) -> None:
+        if event.request in self.tasks:
+            self._close(self.tasks[event.request])
+
+    def _on_accepted(self, event: i.Accepted) -> None:
+        attempt = self.attempts.get((event.request, event.attempt))
+        if attempt is None or attempt.accepted:
+            return
+        attempt.accepted, attempt.running = True, self.settings.runs_when_accepted
+        self._trust(attempt.machine)
+        self.accept_dev += (abs(event.elapsed - self.accept_mean) - self.accept_dev) / 16
+        self.accept_mean += (event.elapsed - self.accept_mean) / 16
+        attempt.task.answered, attempt.task.out = True, None
+        self.waiting.pop(event.request, None)
+
+    def _on_note(self, event: i.Note) -> None:
+        attempt = self.attempts.get((event.request, event.attempt))
+        if attempt is None:
+            return
+        if event.kind is i.NoteKind.RUNNING:
+            attempt.running = True
+        elif event.kind is i.NoteKind.SERVED_SHARE:
+            self._strain(attempt.machine, 1.0 - event.value)
+        elif event.kind is i.NoteKind.MACHINE_MEMORY:
+            self._strain(attempt.machine, self._tight(event.value))
+
+    def _on_outcome(self, event: i.Outcome) -> None:
+        attempt = self.attempts.pop((event.request, event.attempt), None)
+        if attempt is None:
+            return
+        task, machine = attempt.task, attempt.machine
+        key = (event.request, event.attempt)
+        machine.attempts.pop(key)
+        machine.asked = None
+        self.services[task.ask.service].attempts.pop(key)
+        self.held[task.ask.tenant] -= task.ask.cores
+        if attempt.accepted:
+            machine.ledger.append((self.now, -task.ask.cores, -task.ask.memory, attempt))
+        else:
+            machine.ledger = [entry for entry in machine.ledger if entry[3] is not attempt]
+        if task.out is attempt:
+            task.out = None
+        silent = event.ending in (Ending.TIMEOUT, Ending.CONNECT_FAILED) or (
+            event.ending is Ending.RESET and event.reason is Reason.UNTOLD)
+        if silent:
+            self._suspect(machine, attempt)
+        elif event.ending is Ending.FULL:
+            self._trust(machine)
+            self._refused(machine, event.reason)
+        elif event.reason in (Reason.EVICTED, Reason.PUSHED_OUT):
+            self._strain(machine, 1.0)
+        elif event.reason is Reason.SENT_AWAY:
+            self._refused(machine, Reason.NOT_HERE)
+        if event.report is not None:
+            self._on_report(machine, event.report)
+        if event.closed or attempt.accepted:
+            self._close(task)
+        elif not task.answered:
+            if event.ending not in (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT) and task.may_run is None:
+                task.may_run = attempt
+            task.look_at = self.now
+            self.waiting[event.request] = task
+
+    def _on_report(self, machine: Machine, report: i.LoadReport) -> None:
+        if report.free_cores is None or report.free_memory is None:
+            return
+        if self.settings.report_counts is i.Counts.ASKED:
+            self._see_room(machine, report.free_cores, report.free_memory)
+        else:
+            memory = self.settings.kinds[machine.entry.kind].memory
+            self._strain(machine, self._tight(1.0 - report.free_memory / memory))
+
+    def _on_list(self, event: i.MachineList) -> None:
+        if event.kind is i.ListKind.FAILED:
+            self.list_failures += 1
+            # Jittered back-off: a list that is down is not stormed by all schedulers at once.
+            wait = min(SUSPECT * 2.0 ** (self.list_failures - 1), self.settings.ask_every / 4)
+            self.actions.append(i.SetTimer(wait * self.rng.uniform(0.5, 1.0), "list"))
+            if self.list_failures == 1:
+                self.actions.append(i.Log("list: call failed; going by the old list and own evidence"))
+            return
+        if self.list_failures and event.kind is not i.ListKind.CACHED:
+            self.actions.append(i.Log(f"list: back after {self.list_failures} failed calls"))
+            self.list_failures = 0
+        if event.kind is not i.ListKind.DELTA:
+            named = {entry.machine for entry in event.entries}
+            for name, machine in self.machines.items():
+                if name not in named:
+                    machine.entry = _unlisted(name)
+        for entry in event.entries:
+            machine = self.machines.setdefault(entry.machine, Machine(entry))
+            machine.entry, machine.asked = entry, None
+            if entry.started > machine.started:
+                machine.started = entry.started
+                self._trust(machine)
+                machine.full_until = 0.0
+            if self.settings.room_in_list and entry.state is not i.MachineState.GONE:
+                self._see_room(machine, entry.free_cores, entry.free_memory)
+
+    def _on_timer(self, event: i.TimerFired) -> None:
+        word, _, rest = event.name.partition(":")
+        if word == "answer":
+            if int(rest) in self.tasks and not self.tasks[int(rest)].answered:
+                self._give_up(self.tasks[int(rest)])
+        elif word == "turn":
+            self._revise()
+            self._set_turn()
+        elif word == "list":
+            self.actions.append(i.Subscribe())
+        elif word == "look":
+            self.looking = False
+
+    # What is known of a machine
+
+    def _see_room(self, machine: Machine, cores: float, memory: float) -> None:
+        """Take a newer view of the room; keep own changes only as long as the late view may lack them."""
+        machine.room, machine.asked = (cores, memory), None
+        machine.ledger = [entry for entry in machine.ledger if entry[0] > self.now - VIEW_LAG]
+
+    def _asked(self, machine: Machine) -> tuple[float, float]:
+        """Cores and memory asked for on a machine: the late view and own later changes."""
+        if machine.asked is None and machine.room is not None:
+            kind = self.settings.kinds[machine.entry.kind]
+            machine.asked = (kind.cores - machine.room[0] + sum(entry[1] for entry in machine.ledger),
+                             kind.memory - machine.room[1] + sum(entry[2] for entry in machine.ledger))
+        elif machine.asked is None:  # no view at all: the others are taken to do as we do
+            own, others = [a.task.ask for a in machine.attempts.values()], self.settings.n_instances
+            machine.asked = sum(ask.cores for ask in own) * others, sum(ask.memory for ask in own) * others
+        return machine.asked
+
+    def _suspect(self, machine: Machine, attempt: Attempt) -> None:
+        """Silence of any cause: leave the machine for a while that grows, then try it with one offer."""
+        if attempt.accepted:
+            machine.started = max(machine.started, self.now)  # its tasks died with it: cold when it is back
+        if self.now >= machine.suspect_until:
+            machine.suspect_until = self.now + min(SUSPECT * 2.0 ** machine.silences, SUSPECT_MOST)
+            machine.silences += 1
+
+    def _trust(self, machine: Machine) -> None:
+        machine.silences, machine.suspect_until = 0, 0.0
+
+    def _refused(self, machine: Machine, reason: Reason) -> None:
+        """A refusal teaches: no room until the view can be newer, a queue to drain, or a machine to avoid."""
+        pause = {Reason.QUEUE_FULL: 2 * self.accept_mean, Reason.NOT_HERE: AVOID}.get(reason, VIEW_LAG)
+        machine.full_until = self.now + pause
+
+    def _strain(self, machine: Machine, level: float) -> None:
+        machine.strain, machine.strain_until = min(max(level, 0.0), 1.0), self.now + STRAIN_LASTS
+
+    def _tight(self, memory_used: float) -> float:
+        return (memory_used - MEMORY_TIGHT) / (1.0 - MEMORY_TIGHT)
+
+    def _cold(self, machine: Machine) -> bool:
+        return 0 < machine.started and self.now < machine.started + self.settings.warm_after
+
+    def _cold_room(self, machine: Machine) -> bool:
+        """Whether a cold machine bears one more offer of ours, refused ones counted too (rule 4)."""
+        if not self._cold(machine):
+            return True
+        if self.born is not None and machine.started < self.born and self.now < self.born + self.settings.fall:
+            return False  # an earlier life of this scheduler may have spent the allowance
+        while machine.offers and machine.offers[0] <= self.now - self.settings.fall:
+            machine.offers.popleft()
+        return len(machine.offers) < int(self.settings.cold_bears / self.settings.n_instances)
+
+    def _same_place(self, place: Place, one: Machine, other: Machine) -> bool:
+        if place is Place.MACHINE:
+            return one is other
+        if place is Place.CELL:
+            return one.entry.cell == other.entry.cell or -1 in (one.entry.cell, other.entry.cell)
+        return place is Place.ALL or one.entry.zone == other.entry.zone or -1 in (one.entry.zone, other.entry.zone)
+
+    def _fits(self, machine: Machine, task: Task) -> bool:
+        """The filters: list, kind, room, refusals, suspicion, cold allowance, spread and key group."""
+        cls, ask = task.cls, task.ask
+        if machine.entry.state is not i.MachineState.READY or cls.kind not in (-1, machine.entry.kind):
+            return False
+        if self.now < machine.full_until or not self._cold_room(machine):
+            return False
+        if not self.disbelieving and machine.silences and (
+                self.now < machine.suspect_until or any(not a.accepted for a in machine.attempts.values())):
+            return False
+        cores, memory = self._asked(machine)
+        kind = self.settings.kinds[machine.entry.kind]
+        if (cores + ask.cores > kind.cores * self.settings.accepts_cores
+                or memory + ask.memory > kind.memory * self.settings.accepts_memory):
+            return False
+        if (task.may_run is not None and cls.effect is not Effect.SAFE
+                and not self._same_place(cls.group, machine, task.may_run.machine)):
+            return False
+        if cls.spread is Place.NONE:
+            return True
+        held = self.services[ask.service].attempts.values()
+        return sum(self._same_place(cls.spread, machine, a.machine) for a in held) < cls.most
+
+    # The ordinary path
+
+    def _set_turn(self) -> None:
+        turns = self.settings.n_instances
+        index = math.floor(self.now / INTERVAL) + 1
+        index += (self.settings.number - index) % turns
+        self.actions.append(i.SetTimer(index * INTERVAL - self.now, "turn"))
+
+    def _recent(self, service: Service) -> float:
+        """Requests of the service in about one round of turns, older ones fading."""
+        return service.count * math.exp((service.counted - self.now) / (INTERVAL * self.settings.n_instances))
+
+    def _rank(self, task: Task) -> list[Machine]:
+        """Machines that pass the filters, cheapest first, those near each other in random order."""
+        fit = [machine for machine in self.machines.values() if self._fits(machine, task)]
+        expected = max(1.0, self._recent(self.services[task.ask.service]) / self.settings.n_instances)
+        costs = {machine.entry.machine: self._cost(machine, task, expected) for machine in fit}
+        average = sum(costs.values()) / max(1, len(costs))
+        for machine in fit:
+            if self._cold(machine):
+                costs[machine.entry.machine] = max(costs[machine.entry.machine], average)  # empty because new, not because good
+            costs[machine.entry.machine] += self.rng.uniform(0.0, NEAR)
+        return sorted(fit, key=lambda machine: (costs[machine.entry.machine], machine.entry.machine))
+
+    def _cost(self, machine: Machine, task: Task, expected: float) -> float:
+        kind, settings = self.settings.kinds[machine.entry.kind], self.settings
+        cores, memory = self._asked(machine)
+        cores = (cores + expected * task.ask.cores) / kind.cores
+        memory = (memory + expected * task.ask.memory) / kind.memory
+        cost = max(cores, memory)
+        cost += BETA * max(0.0, cores - settings.accepts_cores, memory - settings.accepts_memory)
+        if machine.entry.zone != settings.zone:
+            cost += CROSS_ZONE * settings.cross_zone_fee
+        if self.now < machine.strain_until:
+            cost += STRAIN_COST * machine.strain
+        return cost
+
+    def _revise(self) -> None:
+        """Our turn: revise every service that still asks, and forget those that do not."""
+        for name, service in list(self.services.items()):
+            service.ranking = []
+            if service.last is not None and self._recent(service) >= 0.1:
+                cls = self.settings.classes[service.last.task_class]
+                service.ranking = self._rank(Task(service.last, cls, 0.0))
+            elif not service.attempts and not any(t.ask.service == name for t in self.waiting.values()):
+                del self.services[name]
+
+    def _choose(self, task: Task) -> Machine | None:
+        service = self.services[task.ask.service]
+        for machine in service.ranking:
+            if self._fits(machine, task):
+                return machine
+        ranking = self._rank(task)
+        if ranking and task.may_run is None:
+            service.ranking = ranking
+        return ranking[0] if ranking else None
+
+    def _place_waiting(self) -> None:
+        """Place what waits, dearest first; what finds no room is held and looked at again."""
+        if not self.waiting:
+            return
+        ready = [machine for machine in self.machines.values() if machine.entry.state is i.MachineState.READY]
+        suspected = sum(1 for machine in ready if self.now < machine.suspect_until)
+        disbelieving = suspected >= DISBELIEVE * max(1, len(ready))
+        if disbelieving and not self.disbelieving:
+            self.actions.append(i.Log(f"suspicion: {suspected} of {len(ready)} machines silent; not believed"))
+        self.disbelieving = disbelieving
+        due = [task for task in self.waiting.values() if task.look_at <= self.now]
+        no_room: set[str] = set()  # services just found without room: alike tasks need not look again
+        for task in sorted(due, key=self._worth, reverse=True):
+            if task.ask.service in no_room or not self._place(task):
+                no_room.add(task.ask.service)
+                task.look_at = self.now + RECHECK
+        if self.waiting and not self.looking:
+            self.looking = True
+            self.actions.append(i.SetTimer(RECHECK, "look"))
+
+    def _worth(self, task: Task) -> float:
+        """Worth of the task, less beyond its tenant's share, as far as own traffic tells."""
+        tenants, tenant = self.settings.tenants, task.ask.tenant
+        over = tenants and self.held[tenant] * self.settings.n_instances > tenants[tenant].quota_cores
+        return task.cls.worth * (1 + task.cls.priority) * (self.settings.over_share_worth if over else 1.0)
+
+    def _place(self, task: Task) -> bool:
+        """Offer the task, or answer it where that is no longer allowed; False where there is no room."""
+        spent = task.sent >= self.settings.max_attempts
+        if task.may_run is not None and task.cls.effect is not Effect.SAFE:
+            spent = spent or task.cls.effect is Effect.UNSAFE or (
+                self.now >= task.may_run.sent + task.cls.window)
+        left = task.deadline - self.now - 2 * self.settings.tick
+        if spent or left <= 0:
+            self._give_up(task)
+            return True
+        machine = self._choose(task)
+        if machine is None:
+            return False
+        timeout = min(left, self._timeout(task))
+        self.waiting.pop(task.ask.request)
+        attempt = Attempt(task, machine, self.now)
+        task.out = attempt
+        machine.offers.append(self.now)
+        machine.ledger.append((self.now, task.ask.cores, task.ask.memory, attempt))
+        self._record(attempt, task.sent)
+        task.sent += 1
+        self.actions.append(i.Offer(task.ask.request, machine.entry.machine, timeout))
+        return True
+
+    def _timeout(self, task: Task) -> float:
+        """Patience with one offer, from seen accept times; more where a further attempt is not free."""
+        if task.cls.effect is Effect.UNSAFE:
+            return task.deadline - self.now
+        usual = min(max(self.accept_mean + 4 * self.accept_dev, task.cls.aim / 4), task.cls.aim * 2)
+        return usual if task.cls.group is Place.ALL or task.cls.effect is Effect.SAFE else 2 * usual
+
+    def _record(self, attempt: Attempt, number: int) -> None:
+        key = (attempt.task.ask.request, number)
+        self.attempts[key] = attempt.machine.attempts[key] = attempt
+        attempt.machine.asked = None
+        self.services.setdefault(attempt.task.ask.service, Service()).attempts[key] = attempt
+        self.held[attempt.task.ask.tenant] += attempt.task.ask.cores
+
+    def _give_up(self, task: Task) -> None:
+        """The final answer: refused only where a retry does no harm, else failed."""
+        doubtful = task.out is not None or task.may_run is not None
+        if doubtful and task.cls.effect is not Effect.SAFE:
+            self.actions.append(i.Fail(task.ask.request))
+        else:
+            wait = self.rng.uniform(0.0, min(task.cls.aim, self.settings.max_retry_after))
+            self.actions.append(i.Refuse(task.ask.request, wait))
+        self._close(task)
+
+    def _close(self, task: Task) -> None:
+        task.answered = True
+        self.waiting.pop(task.ask.request, None)
+        self.tasks.pop(task.ask.request, None)
