--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,198 @@
+"""The ordinary path and the guards around it."""
+
+from __future__ import annotations
+
+from sprucepost import interface as i
+from tests.support import Cluster, answers, entry, full_list, offers, settings, task_class, timers
+
+
+def test_a_service_keeps_its_target_between_turns() -> None:
+    cluster = Cluster(settings(), *(entry(f"m{n}") for n in range(6)))
+    seen = {offer.machine for offer in (cluster.place("s") for _ in range(8)) if offer}
+    assert len(seen) == 1
+
+
+def test_turns_come_in_the_interval_with_the_own_number() -> None:
+    for number in range(3):
+        cluster = Cluster(settings(number=number), entry("m"))
+        turn = cluster.now + timers(cluster.first)["turn"]
+        assert turn > cluster.now
+        assert (turn / 2000.0) % 3 == number
+        assert timers(cluster.at(turn - cluster.now, i.TimerFired("turn")))["turn"] == 6000.0
+
+
+def test_a_turn_leaves_a_target_that_filled_up() -> None:
+    cluster = Cluster(settings(), entry("m"), entry("n"))
+    offer = cluster.place("s", cores=0.1, memory=0.1)
+    assert offer is not None
+    other = "n" if offer.machine == "m" else "m"
+    cluster.at(2000.0, full_list(entry(offer.machine, free_cores=8.0), entry(other)))
+    again = cluster.place("s", cores=0.1, memory=0.1)
+    assert again is not None and again.machine == offer.machine
+    cluster.at(100.0, i.TimerFired("turn"))
+    moved = cluster.place("s", cores=0.1, memory=0.1)
+    assert moved is not None and moved.machine == other
+
+
+def test_the_emptier_machine_by_the_tighter_of_cores_and_memory_is_taken() -> None:
+    machines = (
+        entry("cores", free_cores=4.0),
+        entry("memory", free_memory=8.0),
+        entry("even", free_cores=20.0),
+    )
+    picks = {Cluster(settings(), *machines, seed=seed).place().machine for seed in range(20)}  # type: ignore[union-attr]
+    assert picks == {"even"}
+
+
+def test_near_equal_machines_are_drawn_at_random_and_far_ones_never() -> None:
+    machines = [entry(f"m{n}") for n in range(4)] + [entry("busy", free_cores=16.0)]
+    picks = {Cluster(settings(), *machines, seed=seed).place().machine for seed in range(60)}  # type: ignore[union-attr]
+    assert picks == {"m0", "m1", "m2", "m3"}
+
+
+def test_own_binds_count_until_the_late_view_can_show_them() -> None:
+    cluster = Cluster(settings(), entry("m", free_cores=2.0))
+    assert cluster.place("a", cores=2.0) is not None
+    assert cluster.place("b", cores=1.0) is None
+    cluster.at(100.0, full_list(entry("m", free_cores=2.0)))  # too soon to show the bind
+    assert cluster.place("c", cores=1.0) is None
+    cluster.at(4000.0, full_list(entry("m", free_cores=2.0)))  # late enough: the room is real
+    assert cluster.place("d", cores=1.0) is not None
+
+
+def test_an_offer_that_was_turned_down_takes_no_room() -> None:
+    cluster = Cluster(settings(), entry("m", free_cores=2.0))
+    offer = cluster.place("a", cores=2.0)
+    assert offer is not None
+    cluster.end(offer, i.Ending.FULL, reason=i.Reason.QUEUE_FULL)
+    cluster.at(1000.0)
+    assert cluster.place("b", cores=2.0) is not None
+
+
+def test_a_refusal_for_room_holds_until_the_view_can_be_newer() -> None:
+    cluster = Cluster(settings(), entry("m"))
+    offer = cluster.place("a")
+    assert offer is not None
+    assert not offers(cluster.end(offer, i.Ending.FULL, reason=i.Reason.NO_MEMORY))
+    assert not offers(cluster.at(500.0, i.TimerFired("look")))
+    assert len(offers(cluster.at(4000.0, i.TimerFired("look")))) == 1
+
+
+def test_a_silent_machine_is_left_alone_then_tried_with_one_offer() -> None:
+    cluster = Cluster(settings(), entry("m"), *(entry(f"o{n}", free_cores=8.0) for n in range(4)))
+    offer = cluster.place("a")
+    assert offer is not None and offer.machine == "m"
+    retry = offers(cluster.end(offer, i.Ending.TIMEOUT))
+    assert len(retry) == 1 and retry[0].machine != "m"
+    assert all(cluster.place(f"b{n}").machine != "m" for n in range(4))  # type: ignore[union-attr]
+    cluster.at(1500.0)
+    tried = [cluster.place(f"c{n}") for n in range(4)]
+    assert sum(offer is not None and offer.machine == "m" for offer in tried) == 1
+
+
+def test_suspicion_of_nearly_all_machines_is_not_believed() -> None:
+    cluster = Cluster(settings(max_attempts=9), *(entry(f"m{n}") for n in range(3)))
+    for n in range(3):
+        offer = cluster.place(f"s{n}")
+        assert offer is not None
+        cluster.at(1.0, i.Outcome(offer.request, 0, i.Ending.TIMEOUT, True))
+    assert cluster.place("again") is not None
+
+
+def test_a_machine_that_lost_its_tasks_is_cold_when_it_is_back() -> None:
+    cluster = Cluster(settings(), entry("m"), now=500000.0)
+    offer = cluster.place("a")
+    assert offer is not None
+    cluster.accept(offer)
+    cluster.end(offer, i.Ending.RESET, closed=True)
+    cluster.at(5000.0)
+    sent = [cluster.place(f"s{n}") for n in range(1)]
+    answer = sent[0]
+    assert answer is not None
+    cluster.at(5.0, i.Accepted(answer.request, 0, 5.0))
+    more = [cluster.place(f"t{n}") for n in range(10)]
+    assert sum(offer is not None for offer in more) == 12 // 3 - 1
+
+
+def test_strain_steers_away_and_passes() -> None:
+    cluster = Cluster(settings(), entry("m"), entry("n", free_cores=30.0))
+    cluster.at(0.0, i.TaskFound(cluster.ask("old"), "m"))
+    cluster.at(0.0, i.Note(1, 0, i.NoteKind.SERVED_SHARE, 0.4))
+    strained = cluster.place("a")
+    assert strained is not None and strained.machine == "n"
+    cluster.at(5000.0, full_list(entry("m"), entry("n", free_cores=20.0)))
+    later = cluster.place("b")
+    assert later is not None and later.machine == "m"
+
+
+def test_memory_in_use_strains_but_never_counts_as_asked() -> None:
+    cluster = Cluster(settings(), entry("m"), entry("n", free_cores=30.0))
+    offer = cluster.place("a", cores=0.1, memory=0.1)
+    assert offer is not None
+    report = i.LoadReport(free_cores=0.0, free_memory=0.0)
+    cluster.end(offer, i.Ending.OK, closed=True, report=report)
+    other = cluster.place("b", cores=0.1, memory=0.1)
+    assert other is not None and other.machine != offer.machine
+    cluster.at(0.0, full_list(entry(offer.machine)))
+    assert cluster.place("c") is not None
+
+
+def test_the_service_returns_to_the_machine_that_holds_its_program() -> None:
+    machines = [entry(f"m{n}", free_cores=29.0) for n in range(6)]
+    for seed in range(10):
+        cluster = Cluster(settings(), *machines, seed=seed)
+        cluster.at(0.0, i.TaskFound(cluster.ask("s"), "m3"))
+        offer = cluster.place("s")
+        assert offer is not None and offer.machine == "m3"
+
+
+def test_scarce_room_goes_to_the_task_of_more_worth() -> None:
+    classes = task_class(worth=1.0), task_class(worth=9.0)
+    cluster = Cluster(settings(*classes), entry("m", free_cores=1.0))
+    cheap, dear = cluster.ask("a"), cluster.ask("b", task_class=1)
+    assert [offer.request for offer in offers(cluster.at(0.0, cheap, dear))] == [dear.request]
+
+
+def test_a_tenant_over_its_quota_comes_second() -> None:
+    tenants = i.Tenant("big", 0.5, quota_cores=3.0), i.Tenant("small", 0.5, quota_cores=30.0)
+    cluster = Cluster(settings(tenants=tenants, over_share_worth=0.2), entry("m", free_cores=3.0))
+    cluster.at(0.0, cluster.ask("a", tenant=0, cores=2.0))
+    over, within = cluster.ask("b", tenant=0), cluster.ask("c", tenant=1)
+    assert [offer.request for offer in offers(cluster.at(0.0, over, within))] == [within.request]
+
+
+def test_a_held_task_is_placed_as_soon_as_there_is_room() -> None:
+    cluster = Cluster(settings(), entry("m", free_cores=0.0))
+    asked = cluster.at(0.0, cluster.ask())
+    assert not offers(asked) and not answers(asked) and "look" in timers(asked)
+    cluster.at(300.0, full_list(entry("m")))
+    assert len(offers(cluster.at(100.0, i.TimerFired("look")))) == 1
+
+
+def test_time_outs_follow_seen_accept_times() -> None:
+    cluster = Cluster(settings(), entry("m"))
+    first = cluster.place("s")
+    assert first is not None
+    for _n in range(60):
+        offer = cluster.place("s", later=50.0, cores=0.01, memory=0.01)
+        assert offer is not None
+        cluster.at(20.0, i.Accepted(offer.request, 0, 20.0))
+    quick = cluster.place("s", cores=0.01, memory=0.01)
+    assert quick is not None and quick.timeout < first.timeout
+
+
+def test_late_duplicate_and_unknown_events_do_nothing() -> None:
+    cluster = Cluster(settings(), entry("m"))
+    offer = cluster.place()
+    assert offer is not None
+    cluster.accept(offer)
+    cluster.end(offer, i.Ending.OK, closed=True)
+    assert not cluster.end(offer, i.Ending.OK, closed=True)
+    assert not cluster.accept(offer)
+    assert not cluster.at(
+        0.0,
+        i.Note(99, 0, i.NoteKind.SERVED_SHARE, 0.5),
+        i.Gone(99),
+        i.TimerFired("answer:99"),
+        i.TimerFired("other"),
+    )
--- /dev/null
+++ b/tests/test_project.py
@@ -0,0 +1,38 @@
+"""The limits of the decision module, and the README's example."""
+
+from __future__ import annotations
+
+import ast
+import re
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+MODULE = ROOT / "sprucepost" / "brain.py"
+
+
+def test_the_module_stays_small() -> None:
+    lines = MODULE.read_text(encoding="utf-8").splitlines()
+    assert sum(bool(line.strip()) for line in lines) <= 400
+    assert max(map(len, lines)) <= 110
+    assert "sprucepost/interface.py" in (
+        ast.get_docstring(ast.parse(MODULE.read_text(encoding="utf-8"))) or ""
+    )
+
+
+def test_only_the_standard_library_is_used_and_no_wall_clock() -> None:
+    for path in (ROOT / "sprucepost").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            names = [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
+            names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
+            for name in names:
+                top = name.split(".")[0]
+                assert top == "sprucepost" or top in sys.stdlib_module_names
+                assert top not in ("time", "datetime")
+
+
+def test_the_example_in_the_readme_runs() -> None:
+    blocks = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(encoding="utf-8"), re.DOTALL)
+    scope: dict[str, object] = {}
+    exec(blocks[0], scope)
+    assert "Offer" in [type(action).__name__ for action in scope["actions"]]  # type: ignore[attr-defined]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,165 @@
+"""The five rules, each by what the scheduler does."""
+
+from __future__ import annotations
+
+import pytest
+
+from sprucepost import interface as i
+from tests.support import (
+    DRAINING,
+    GONE,
+    Cluster,
+    answers,
+    entry,
+    full_list,
+    offers,
+    settings,
+    task_class,
+    timers,
+)
+
+KEYED_CELL = {"effect": i.Effect.KEYED, "group": i.Place.CELL, "window": 5000.0}
+
+
+def test_a_task_that_finds_no_machine_is_refused_before_its_time_is_up() -> None:
+    cluster = Cluster(settings())
+    asked = cluster.at(0.0, cluster.ask(left=1000.0))
+    due = timers(asked)["answer:1"]
+    assert 990.0 <= due < 1000.0
+    assert not offers(asked)
+    final = answers(cluster.at(due, i.TimerFired("answer:1")))
+    assert [type(action) for action in final] == [i.Refuse]
+    assert not cluster.at(5.0, i.TimerFired("answer:1"), i.TimerFired("look"))
+
+
+def test_an_offer_without_an_outcome_is_answered_in_time_and_only_once() -> None:
+    cluster = Cluster(settings(task_class(effect=i.Effect.UNSAFE)), entry("m"))
+    offer = cluster.place(left=1000.0)
+    assert offer is not None and offer.timeout <= 1000.0
+    assert answers(cluster.at(998.0, i.TimerFired("answer:1"))) == [i.Fail(1)]
+    assert not cluster.end(offer, i.Ending.TIMEOUT)
+
+
+def test_an_accepted_task_gets_no_further_answer() -> None:
+    cluster = Cluster(settings(), entry("m"))
+    offer = cluster.place()
+    assert offer is not None
+    cluster.accept(offer)
+    assert not cluster.at(7993.0, i.TimerFired("answer:1"))
+    assert not cluster.end(offer, i.Ending.OK, closed=True)
+
+
+def test_attempts_used_up_end_in_an_answer() -> None:
+    cluster = Cluster(settings(max_attempts=2), entry("m"), entry("n"))
+    offer = cluster.place()
+    assert offer is not None
+    second = offers(cluster.end(offer, i.Ending.FULL, reason=i.Reason.NO_CORES))
+    assert len(second) == 1 and second[0].machine != offer.machine
+    last = cluster.end(second[0], i.Ending.FULL, attempt=1, reason=i.Reason.NO_CORES)
+    assert [type(action) for action in answers(last)] == [i.Refuse]
+
+
+@pytest.mark.parametrize("ending", [i.Ending.TIMEOUT, i.Ending.RESET, i.Ending.ERROR, i.Ending.CANCELLED])
+def test_an_unsafe_task_that_may_run_is_neither_tried_again_nor_refused(ending: i.Ending) -> None:
+    cluster = Cluster(settings(task_class(effect=i.Effect.UNSAFE)), entry("m"), entry("n"))
+    offer = cluster.place()
+    assert offer is not None
+    actions = cluster.end(offer, ending)
+    assert not offers(actions) and answers(actions) == [i.Fail(1)]
+
+
+@pytest.mark.parametrize("ending", [i.Ending.FULL, i.Ending.CONNECT_FAILED])
+def test_an_unsafe_task_that_never_ran_is_tried_again(ending: i.Ending) -> None:
+    cluster = Cluster(settings(task_class(effect=i.Effect.UNSAFE)), entry("m"), entry("n"))
+    offer = cluster.place()
+    assert offer is not None
+    assert len(offers(cluster.end(offer, ending, reason=i.Reason.UNTOLD))) == 1
+
+
+def test_a_keyed_task_that_may_run_stays_in_its_cell_and_its_window() -> None:
+    cluster = Cluster(settings(task_class(**KEYED_CELL)), entry("m", cell=1), entry("n", cell=2))
+    offer = cluster.place()
+    assert offer is not None
+    assert not offers(cluster.end(offer, i.Ending.TIMEOUT))
+    twin = entry("twin", cell=1 if offer.machine == "m" else 2)
+    cluster.at(0.0, full_list(entry("m", cell=1), entry("n", cell=2), twin))
+    again = offers(cluster.at(100.0, i.TimerFired("look")))
+    assert [action.machine for action in again] == ["twin"]
+    late = cluster.at(5000.0, i.Outcome(1, 1, i.Ending.TIMEOUT, False))
+    assert not offers(late) and answers(late) == [i.Fail(1)]
+
+
+def test_one_attempt_is_out_at_a_time() -> None:
+    cluster = Cluster(settings(), entry("m"), entry("n"))
+    assert cluster.place() is not None
+    assert not offers(cluster.at(100.0, i.TimerFired("look")))
+    assert not offers(cluster.at(100.0, i.TimerFired("turn")))
+
+
+@pytest.mark.parametrize("state", [DRAINING, GONE])
+def test_nothing_goes_to_a_machine_that_drains_or_is_gone(state: i.MachineState) -> None:
+    cluster = Cluster(settings(), entry("m"))
+    assert cluster.place() is not None
+    cluster.at(0.0, i.MachineList(i.ListKind.DELTA, (entry("m", state=state),)))
+    assert cluster.place() is None
+    cluster.at(0.0, i.MachineList(i.ListKind.DELTA, (entry("m"),)))
+    assert cluster.place() is not None
+
+
+def test_a_machine_missing_from_a_whole_list_is_gone() -> None:
+    cluster = Cluster(settings(), entry("m"))
+    cluster.at(0.0, full_list(entry("n", started=1.0)))
+    offer = cluster.place()
+    assert offer is not None and offer.machine == "n"
+
+
+def test_a_failed_list_leaves_the_old_one_in_force() -> None:
+    cluster = Cluster(settings(list_mode=i.ListMode.ASK), entry("m"))
+    assert i.Subscribe() in cluster.first
+    failed = cluster.at(0.0, i.MachineList(i.ListKind.FAILED))
+    wait = timers(failed)["list"]
+    assert 0.0 < wait < 10000.0
+    assert i.Subscribe() in cluster.at(wait, i.TimerFired("list"))
+    assert cluster.place() is not None
+
+
+def test_a_cold_machine_gets_its_share_in_any_window_refused_offers_too() -> None:
+    cluster = Cluster(settings(), entry("m", free_cores=0.0))
+    cluster.at(10.0, i.MachineList(i.ListKind.DELTA, (entry("cold", started=100005.0),)))
+    sent = []
+    for step in range(40):
+        offer = cluster.place(f"s{step}", later=100.0)
+        if offer is not None:
+            sent.append(cluster.now)
+            cluster.end(offer, i.Ending.FULL, later=0.0, reason=i.Reason.QUEUE_FULL)
+    assert sent
+    for first in sent:
+        assert sum(first <= moment < first + 2000.0 for moment in sent) <= 12 / 3
+
+
+def test_a_restarted_scheduler_counts_the_cold_allowance_as_spent() -> None:
+    cluster = Cluster(settings(), entry("cold", started=99000.0))
+    assert cluster.place() is None
+    assert len(offers(cluster.at(2000.0, i.TimerFired("look")))) == 1
+
+
+@pytest.mark.parametrize(("place", "most"), [(i.Place.MACHINE, 2), (i.Place.CELL, 3), (i.Place.ZONE, 4)])
+def test_spread_counts_offers_running_and_found_tasks(place: i.Place, most: int) -> None:
+    machines = [entry(f"m{n}", cell=n // 2, zone=n // 4) for n in range(8)]
+    cluster = Cluster(settings(task_class(spread=place, most=most)), *machines)
+    cluster.at(0.0, i.TaskFound(cluster.ask(), "m0"))
+    count: dict[object, int] = {"m0" if place is i.Place.MACHINE else 0: 1}
+    for _ in range(60):
+        offer = cluster.place()
+        if offer is None:
+            continue
+        number = int(offer.machine[1:])
+        where = {i.Place.MACHINE: offer.machine, i.Place.CELL: number // 2, i.Place.ZONE: number // 4}[place]
+        count[where] = count.get(where, 0) + 1
+    assert set(count.values()) == {most}
+
+
+def test_a_found_task_on_an_unlisted_machine_counts_everywhere() -> None:
+    cluster = Cluster(settings(task_class(spread=i.Place.ZONE, most=1)), entry("m"))
+    cluster.at(0.0, i.TaskFound(cluster.ask(), "unlisted"))
+    assert cluster.place() is None
