Schedulers lean alike for a service's program; the lean to the own zone is taken back

Cause: three schedulers that each start a service on machines of their own pay the first start three times. Change: where no own task shows the program on a machine, its penalty is SETUP_COST times a checksum of service and machine, the same at every scheduler; nothing is shared or sent. Harm to expect: a service whose favoured machine is out of reach pays its first start elsewhere.

--- a/sprucepost/adapter.py
+++ b/sprucepost/adapter.py
@@ -144,8 +144,6 @@
         report_counts=_choice("family_info.measured_by", {c.value: c for c in i.Counts},
                               family.get("measured_by", "used")),
         runs_when_accepted=family.get("yes_at") == "running",
-        cross_zone_fee=number("fees.cross_zone", 0.0),
-        move_fee=number("fees.moves", 0.0),
     )
 
 
--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -13,6 +13,7 @@
 
 import math
 import random
+import zlib
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -32,8 +33,7 @@
 STRAIN_LASTS = 2500.0  # ms: notes on strain repeat every second, so two missed ones mean it is over
 STRAIN_COST = 0.3  # most that strain adds to a share: enough to steer away, never to outrank overflow
 AVOID = 3000.0  # ms to leave a machine that says the task does not belong there (it may be draining)
-SETUP_COST = 0.6  # share that a machine without the service's program may be emptier and still come second
-CROSS_ZONE = 4.0  # share of a machine for one unit of the price of running in another zone
+SETUP_COST = 0.6  # most share by which a machine without the service's program must be emptier to be chosen
 MEMORY_TIGHT = 0.85  # share of a machine's memory in use from which it counts as strained
 
 
@@ -354,9 +354,9 @@
         overflow = max(0.0, cores - settings.accepts_cores, memory - settings.accepts_memory)
         cost = max(cores, memory) + BETA * overflow
         if all(a.machine is not machine for a in self.services[task.ask.service].attempts.values()):
-            cost += SETUP_COST  # the first start of a program is several times the work of the next
-        if machine.entry.zone != settings.zone:
-            cost += CROSS_ZONE * settings.cross_zone_fee
+            # The first start of a program is several times the work of the next. Another scheduler may have
+            # its program running already: all guess alike where, by a draw that the service and machine seed.
+            cost += SETUP_COST * zlib.crc32(f"{task.ask.service} {machine.entry.machine}".encode()) / 2**32
         if self.now < machine.strain_until:
             cost += STRAIN_COST * machine.strain
         return cost
--- a/sprucepost/interface.py
+++ b/sprucepost/interface.py
@@ -178,8 +178,6 @@
     room_in_list: bool = False
     report_counts: Counts = Counts.USED
     runs_when_accepted: bool = False
-    cross_zone_fee: float = 0.0
-    move_fee: float = 0.0
 
     def __post_init__(self) -> None:
         _check("n_instances", self.n_instances >= 1, "must be at least 1")
