--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -33,7 +33,7 @@
 STRAIN_LASTS = 2500.0  # ms: notes on strain repeat every second, so two missed ones mean it is over
 STRAIN_COST = 0.3  # most that strain adds to a share: enough to steer away, never to outrank overflow
 AVOID = 3000.0  # ms to leave a machine that says the task does not belong there (it may be draining)
-SETUP_COST = 0.6  # most share by which a machine without the service's program must be emptier to be chosen
+SETUP_COST = 1.2  # most share by which a machine without the service's program must be emptier to be chosen
 MEMORY_TIGHT = 0.85  # share of a machine's memory in use from which it counts as strained
 
 
