--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -14,7 +14,6 @@
 import math
 import random
 import zlib
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -33,6 +32,9 @@
 STRAIN_LASTS = 2500.0  # ms: notes on strain repeat every second, so two missed ones mean it is over
 STRAIN_COST = 0.3  # most that strain adds to a share: enough to steer away, never to outrank overflow
 AVOID = 3000.0  # ms to leave a machine that says the task does not belong there (it may be draining)
+START_COST = 0.05  # share that each own task still waiting to start on the machine counts as
+USE_NOTES = 200.0  # notes over which the use of what tasks ask for is learned: several hundred come a minute
+HEADROOM = 0.9  # share of a machine's memory to plan for: above it all tasks slow, at 1 it evicts
 SETUP_COST = 1.2  # most share by which a machine without the service's program must be emptier to be chosen
 MEMORY_TIGHT = 0.85  # share of a machine's memory in use from which it counts as strained
 
@@ -47,7 +49,7 @@
     asked: tuple[float, float] | None = None
     ledger: list[tuple[float, float, float, Attempt]] = field(default_factory=list)
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
-    offers: deque[float] = field(default_factory=deque)
+    offers: list[float] = field(default_factory=list)
     silences: int = 0
     suspect_until: float = 0.0
     full_until: float = 0.0
@@ -106,6 +108,7 @@
         self.accept_mean = min(cls.aim for cls in settings.classes) / 4
         self.accept_dev = self.accept_mean / 4
         self.held = [0.0] * max(1, len(settings.tenants))  # cores of own tasks, by tenant
+        self.use = [0.5, 0.5]  # share of the cores and memory asked for that own tasks use
         self.list_failures = 0
         self.looking = False
         self.disbelieving = False
@@ -164,6 +167,10 @@
             return
         if event.kind is i.NoteKind.RUNNING:
             attempt.running = True
+        elif event.kind is i.NoteKind.CORES_USED and attempt.task.ask.cores > 0:
+            self.use[0] += (event.value / attempt.task.ask.cores - self.use[0]) / USE_NOTES
+        elif event.kind is i.NoteKind.MEMORY_USED and attempt.task.ask.memory > 0:
+            self.use[1] += (event.value / attempt.task.ask.memory - self.use[1]) / USE_NOTES
         elif event.kind is i.NoteKind.SERVED_SHARE:
             self._strain(attempt.machine, 1.0 - event.value)
         elif event.kind is i.NoteKind.MACHINE_MEMORY:
@@ -193,8 +200,8 @@
             self._strain(machine, 1.0)
         elif event.reason is Reason.SENT_AWAY:
             self._refused(machine, Reason.NOT_HERE)
-        if event.report is not None:
-            self._on_report(machine, event.report)
+        if event.report is not None and self.settings.report_counts is i.Counts.ASKED:
+            self._see_room(machine, event.report.free_cores, event.report.free_memory)
         if event.closed or attempt.accepted:
             self.tasks.pop(event.request, None)
         elif event.request in self.tasks:
@@ -202,15 +209,6 @@
                 task.may_run = attempt
             self.due.append(task)
 
-    def _on_report(self, machine: Machine, report: i.LoadReport) -> None:
-        if report.free_cores is None or report.free_memory is None:
-            return
-        if self.settings.report_counts is i.Counts.ASKED:
-            self._see_room(machine, report.free_cores, report.free_memory)
-        else:
-            free = report.free_memory / self.settings.kinds[machine.entry.kind].memory
-            self._strain(machine, 1.0 - free / (1.0 - MEMORY_TIGHT))
-
     def _on_list(self, event: i.MachineList) -> None:
         if event.kind is i.ListKind.FAILED:
             self.list_failures += 1
@@ -221,11 +219,9 @@
                 self.actions.append(i.Log("list: call failed; going by the old list and own evidence"))
             return
         self.list_failures = 0
-        if event.kind is not i.ListKind.DELTA:
-            named = {entry.machine for entry in event.entries}
-            for name, machine in self.machines.items():
-                if name not in named:
-                    machine.entry = i.MachineEntry(name)
+        if event.kind is not i.ListKind.DELTA:  # a machine that a whole list does not name is gone
+            for name in sorted(self.machines.keys() - {entry.machine for entry in event.entries}):
+                self.machines[name].entry = i.MachineEntry(name)
         for entry in event.entries:
             machine = self.machines.setdefault(entry.machine, Machine(entry))
             machine.entry, machine.asked = entry, None
@@ -239,8 +235,8 @@
     def _on_timer(self, event: i.TimerFired) -> None:
         word, _, rest = event.name.partition(":")
         if word == "answer":
-            if int(rest) in self.tasks:
-                self._give_up(self.tasks[int(rest)])
+            if task := self.tasks.get(int(rest)):
+                self._give_up(task)
         elif word == "turn":
             self._revise()
             self._set_turn()
@@ -251,10 +247,11 @@
 
     # What is known of a machine
 
-    def _see_room(self, machine: Machine, cores: float, memory: float) -> None:
+    def _see_room(self, machine: Machine, cores: float | None, memory: float | None) -> None:
         """Take a newer view of the room; keep own changes only as long as the late view may lack them."""
-        machine.room, machine.asked = (cores, memory), None
-        machine.ledger = [entry for entry in machine.ledger if entry[0] > self.now - VIEW_LAG]
+        if cores is not None and memory is not None:
+            machine.room, machine.asked = (cores, memory), None
+            machine.ledger = [entry for entry in machine.ledger if entry[0] > self.now - VIEW_LAG]
 
     def _asked(self, machine: Machine) -> tuple[float, float]:
         """Cores and memory asked for on a machine: the late view and own later changes."""
@@ -295,9 +292,8 @@
             return True
         if machine.started < self.born and self.now < self.born + self.settings.fall:
             return False  # an earlier life of this scheduler may have spent the allowance
-        while machine.offers and machine.offers[0] <= self.now - self.settings.fall:
-            machine.offers.popleft()
-        return len(machine.offers) < int(self.settings.cold_bears / self.settings.n_instances)
+        recent = sum(sent > self.now - self.settings.fall for sent in machine.offers)
+        return recent < int(self.settings.cold_bears / self.settings.n_instances)
 
     def _fits(self, machine: Machine, task: Task) -> bool:
         """The filters: list, kind, room, refusals, suspicion, cold allowance, spread and key group."""
@@ -311,8 +307,10 @@
             return False
         cores, memory = self._asked(machine)
         kind = self.settings.kinds[machine.entry.kind]
-        if (cores + ask.cores > kind.cores * self.settings.accepts_cores
-                or memory + ask.memory > kind.memory * self.settings.accepts_memory):
+        # What the machine accepts, or less where the seen use says that so much would starve or evict tasks.
+        bears_cores = min(self.settings.accepts_cores, max(1.0, (cls.calm + cls.fade) / self.use[0]))
+        bears_memory = min(self.settings.accepts_memory, max(1.0, HEADROOM / self.use[1]))
+        if cores + ask.cores > kind.cores * bears_cores or memory + ask.memory > kind.memory * bears_memory:
             return False
         if (task.may_run is not None and cls.effect is not Effect.SAFE
                 and not machine.entry.shares(cls.group, task.may_run.machine.entry)):
@@ -353,6 +351,7 @@
         memory = (memory + expected * task.ask.memory) / kind.memory
         overflow = max(0.0, cores - settings.accepts_cores, memory - settings.accepts_memory)
         cost = max(cores, memory) + BETA * overflow
+        cost += START_COST * sum(not attempt.running for attempt in machine.attempts.values())
         if all(a.machine is not machine for a in self.services[task.ask.service].attempts.values()):
             # The first start of a program is several times the work of the next. Another scheduler may have
             # its program running already: all guess alike where, by a draw that the service and machine seed.
@@ -388,8 +387,7 @@
         suspected = sum(self.now < machine.suspect_until for machine in ready)
         disbelieving = suspected >= DISBELIEVE * max(1, len(ready))
         if disbelieving and not self.disbelieving:
-            text = f"suspicion: {suspected} of {len(ready)} machines silent; not believed"
-            self.actions.append(i.Log(text))
+            self.actions.append(i.Log(f"suspicion: {suspected} of {len(ready)} silent, not believed"))
         self.disbelieving = disbelieving
         due = [task for task in self.due if task.ask.request in self.tasks and task.out is None]
         self.due = []
@@ -422,7 +420,7 @@
             return False
         attempt = Attempt(task, machine, self.now)
         task.out = attempt
-        machine.offers.append(self.now)
+        machine.offers = [sent for sent in machine.offers if sent > self.now - self.settings.fall] + [self.now]
         machine.ledger.append((self.now, task.ask.cores, task.ask.memory, attempt))
         self._record(attempt, task.sent)
         task.sent += 1
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -152,15 +152,49 @@
 def test_memory_in_use_strains_but_never_counts_as_asked() -> None:
     cluster = Cluster(settings(), entry("m"), entry("n", free_cores=30.0))
     at_hand(cluster, "m", "n")
-    report = i.LoadReport(free_cores=0.0, free_memory=0.0)
-    cluster.at(0.0, i.Outcome(1, 0, i.Ending.OK, True, report=report))
-    at_hand(cluster, "m")
+    cluster.at(0.0, i.Note(1, 0, i.NoteKind.MACHINE_MEMORY, 1.0))
     other = cluster.place("s")
     assert other is not None and other.machine == "n"
     cluster.at(0.0, full_list(entry("m")))
     assert cluster.place("s") is not None
 
 
+def test_room_is_read_from_reports_of_what_was_asked_and_from_no_others() -> None:
+    for counts, placed in ((i.Counts.ASKED, False), (i.Counts.USED, True)):
+        cluster = Cluster(settings(report_counts=counts), entry("m"))
+        at_hand(cluster, "m")
+        report = i.LoadReport(free_cores=0.0, free_memory=0.0)
+        cluster.at(0.0, i.Outcome(1, 0, i.Ending.OK, True, report=report))
+        assert (cluster.place("s") is not None) is placed
+
+
+def test_tasks_still_to_start_weigh_on_a_machine() -> None:
+    cluster = Cluster(settings(), entry("m"), entry("n", free_cores=28.0))
+    at_hand(cluster, "m", "n")
+    for _ in range(4):
+        offer = cluster.place("s", cores=0.01, memory=0.01)
+        assert offer is not None and offer.machine == "m"
+    cluster.at(10.0, i.TimerFired("turn"))
+    waiting = cluster.place("s", cores=0.01, memory=0.01)
+    assert waiting is not None and waiting.machine == "n"
+
+
+def test_machines_are_filled_no_further_than_the_seen_use_lets_them_bear() -> None:
+    def placed(use: float) -> int:
+        cls = task_class(calm=0.8, fade=0.2)
+        cluster = Cluster(settings(cls, accepts_cores=2.5, accepts_memory=2.0), entry("m"))
+        cluster.at(0.0, i.TaskFound(cluster.ask("old"), "m"))
+        for _ in range(1500):
+            cluster.at(
+                0.0, i.Note(1, 0, i.NoteKind.CORES_USED, use), i.Note(1, 0, i.NoteKind.MEMORY_USED, 2 * use)
+            )
+        return sum(cluster.place(f"s{n}", memory=0.1) is not None for n in range(100))
+
+    assert placed(0.3) == 80
+    assert 38 <= placed(0.8) <= 41
+    assert placed(2.0) == 32  # never under what the machine has
+
+
 def test_the_service_returns_to_the_machine_that_holds_its_program() -> None:
     machines = [entry(f"m{n}", free_cores=29.0) for n in range(6)]
     for seed in range(10):
