--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -420,7 +420,7 @@
             return False
         attempt = Attempt(task, machine, self.now)
         task.out = attempt
-        machine.offers = [sent for sent in machine.offers if sent > self.now - self.settings.fall] + [self.now]
+        machine.offers = [at for at in machine.offers if at > self.now - self.settings.fall] + [self.now]
         machine.ledger.append((self.now, task.ask.cores, task.ask.memory, attempt))
         self._record(attempt, task.sent)
         task.sent += 1
