A machine that sends its tasks away drains, whatever the late list says

Cause: where a drain sends tasks away at once, the owner of a lost task is back before the list tells of the drain, and the pause of 3 s ended before a late or unreachable list did. Also guards against lists that lag by seconds. Harm: a machine that sent one task away for another cause rests for warm_after.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -193,13 +193,11 @@
         silent = event.ending in (Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET)
         if silent and event.reason is Reason.UNTOLD:
             self._suspect(machine, attempt)
-        elif event.ending is Ending.FULL:
+        elif event.ending is Ending.FULL or event.reason is Reason.SENT_AWAY:
             self._trust(machine)
             self._refused(machine, event.reason)
         elif event.reason is Reason.EVICTED:
             self._strain(machine, 1.0)
-        elif event.reason is Reason.SENT_AWAY:
-            self._refused(machine, Reason.NOT_HERE)
         if event.report is not None and self.settings.report_counts is i.Counts.ASKED:
             self._see_room(machine, event.report.free_cores, event.report.free_memory)
         if event.closed or attempt.accepted:
@@ -276,9 +274,11 @@
         machine.silences, machine.suspect_until = 0, 0.0
 
     def _refused(self, machine: Machine, reason: Reason) -> None:
-        """A refusal teaches: no room until the view can be newer, a queue to drain, or a machine to avoid."""
-        pause = {Reason.QUEUE_FULL: 2 * self.accept_mean, Reason.NOT_HERE: AVOID}.get(reason, VIEW_LAG)
-        machine.full_until = self.now + pause
+        """A refusal teaches: no room until the view can be newer, a queue to drain, or a machine to avoid; one
+        that sends its tasks away drains, whatever a late list says, until it starts afresh."""
+        pause = {Reason.QUEUE_FULL: 2 * self.accept_mean, Reason.NOT_HERE: AVOID,
+                 Reason.SENT_AWAY: self.settings.warm_after}.get(reason, VIEW_LAG)
+        machine.full_until = max(machine.full_until, self.now + pause)
 
     def _strain(self, machine: Machine, level: float) -> None:
         machine.strain, machine.strain_until = min(max(level, 0.0), 1.0), self.now + STRAIN_LASTS
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -254,3 +254,15 @@
         i.TimerFired("answer:99"),
         i.TimerFired("other"),
     )
+
+
+def test_a_machine_that_sends_tasks_away_drains_until_it_starts_afresh() -> None:
+    cluster = Cluster(settings(), entry("m"))
+    offer = cluster.place("a")
+    assert offer is not None
+    cluster.accept(offer)
+    cluster.end(offer, i.Ending.RESET, closed=True, reason=i.Reason.SENT_AWAY)
+    cluster.at(9000.0, full_list(entry("m")))  # the late list still says ready
+    assert cluster.place("b") is None
+    cluster.at(100.0, full_list(entry("m", started=cluster.now)))
+    assert cluster.place("c") is not None
