--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -274,8 +274,8 @@
         machine.silences, machine.suspect_until = 0, 0.0
 
     def _refused(self, machine: Machine, reason: Reason) -> None:
-        """A refusal teaches: no room until the view can be newer, a queue to drain, or a machine to avoid; one
-        that sends its tasks away drains, whatever a late list says, until it starts afresh."""
+        """A refusal teaches: no room until the view can be newer, a queue to drain, or a machine to avoid.
+        One that sends its tasks away drains, whatever a late list says, until it starts afresh."""
         pause = {Reason.QUEUE_FULL: 2 * self.accept_mean, Reason.NOT_HERE: AVOID,
                  Reason.SENT_AWAY: self.settings.warm_after}.get(reason, VIEW_LAG)
         machine.full_until = max(machine.full_until, self.now + pause)
