Evictions and push-outs close a machine for a moment, like refusals

One guard replaces two. Harm: where a machine evicts one task and has room for small ones, they wait a moment.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -193,11 +193,9 @@
         silent = event.ending in (Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET)
         if silent and event.reason is Reason.UNTOLD:
             self._suspect(machine, attempt)
-        elif event.ending is Ending.FULL or event.reason is Reason.SENT_AWAY:
+        elif event.ending in (Ending.FULL, Ending.RESET):
             self._trust(machine)
             self._refused(machine, event.reason)
-        elif event.reason is Reason.EVICTED:
-            self._strain(machine, 1.0)
         if event.report is not None and self.settings.report_counts is i.Counts.ASKED:
             self._see_room(machine, event.report.free_cores, event.report.free_memory)
         if event.closed or attempt.accepted:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -266,3 +266,14 @@
     assert cluster.place("b") is None
     cluster.at(100.0, full_list(entry("m", started=cluster.now)))
     assert cluster.place("c") is not None
+
+
+def test_a_machine_that_evicts_or_pushes_out_has_no_room_for_a_moment() -> None:
+    for reason in (i.Reason.EVICTED, i.Reason.PUSHED_OUT):
+        cluster = Cluster(settings(), entry("m"))
+        offer = cluster.place("a")
+        assert offer is not None
+        cluster.accept(offer)
+        cluster.end(offer, i.Ending.RESET, closed=True, reason=reason)
+        assert cluster.place("b") is None
+        assert len(offers(cluster.at(4000.0, i.TimerFired("look")))) == 1
