Own binds and refusals are believed for 2.5 s: the view lags more than assumed

Cause: with 1.5 s a scheduler forgot its own binds before list and reports showed them, and offered the same gap again. Harm: after a view catches up early, up to a second of own binds is counted twice.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -21,10 +21,10 @@
 from sprucepost import interface as i
 from sprucepost.interface import Effect, Ending, Place, Reason
 
-INTERVAL = 2000.0  # ms between two schedulers' turns: longer than the view lags, so a turn sees the last
+INTERVAL = 2000.0  # ms between two schedulers' turns: about what the view lags, so a turn sees the last
 BETA = 120.0  # cost of one whole machine of overflow: any overflow outranks every other difference
 NEAR = 0.06  # share within which machines are equally good: wider than a task, narrower than a trend
-VIEW_LAG = 1500.0  # ms until list or report shows a bind: its accept, refresh and delivery
+VIEW_LAG = 2500.0  # ms until list or report shows a bind: its accept, refresh and delivery
 SUSPECT = 1000.0  # ms of first suspicion after silence; doubles with each further silence
 SUSPECT_MOST = 16000.0  # ms: a machine that is back is tried again within this
 DISBELIEVE = 0.7  # share of machines suspected at which the fault is more likely ours than theirs
