--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -185,7 +185,7 @@
             index.pop((event.request, event.attempt))
         machine.asked = None
         self.held[task.ask.tenant] -= task.ask.cores
-        if attempt.accepted:
+        if attempt.accepted and machine.room is not None:
             machine.ledger.append((self.now, -task.ask.cores, -task.ask.memory, attempt))
         else:
             machine.ledger = [entry for entry in machine.ledger if entry[3] is not attempt]
@@ -419,7 +419,8 @@
         attempt = Attempt(task, machine, self.now)
         task.out = attempt
         machine.offers = [at for at in machine.offers if at > self.now - self.settings.fall] + [self.now]
-        machine.ledger.append((self.now, task.ask.cores, task.ask.memory, attempt))
+        if machine.room is not None:  # without any view there is nothing to correct
+            machine.ledger.append((self.now, task.ask.cores, task.ask.memory, attempt))
         self._record(attempt, task.sent)
         task.sent += 1
         self.actions.append(i.Offer(task.ask.request, machine.entry.machine, min(left, self._timeout(task))))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -277,3 +277,14 @@
         cluster.end(offer, i.Ending.RESET, closed=True, reason=reason)
         assert cluster.place("b") is None
         assert len(offers(cluster.at(4000.0, i.TimerFired("look")))) == 1
+
+
+def test_without_any_view_the_others_are_taken_to_do_as_we_do() -> None:
+    cluster = Cluster(settings(room_in_list=False), entry("m"))
+    placed = [offer for offer in (cluster.place(f"s{n}") for n in range(40)) if offer]
+    assert len(placed) == 11  # ten of ours count as thirty of 32 cores, eleven as more than all
+    for offer in placed:
+        cluster.accept(offer)
+        cluster.end(offer, i.Ending.OK, closed=True)
+    assert not cluster.scheduler.machines["m"].ledger
+    assert cluster.place("again") is not None
