--- a/sprucepost/adapter.py
+++ b/sprucepost/adapter.py
@@ -111,15 +111,10 @@
 def settings_from(info: Any) -> i.Settings:
     """Settings from the first message's object; ValueError names the key that is missing or senseless."""
 
-    def number(key: str, default: float | None = None) -> float:
-        try:
-            return _number(key, _need(info, key))
-        except ValueError:
-            if default is None or key.rsplit(".", 1)[-1] in (info.get(key.split(".")[0]) or {}):
-                raise
-            return default
+    def number(key: str) -> float:
+        return _number(key, _need(info, key))
 
-    family = _need(info, "family_info")
+    family, limits = _need(info, "family_info"), _need(info, "policy_limits")
     modes = {mode.value: mode for mode in i.ListMode}
     return i.Settings(
         number=int(number("me")),
@@ -139,7 +134,7 @@
         ask_every=number("rules.ask_every"),
         tick=number("granularity"),
         over_share_worth=_number("over_share_worth", info.get("over_share_worth", 1.0)),
-        max_retry_after=number("policy_limits.max_retry_after", 0.0),
+        max_retry_after=_number("policy_limits.max_retry_after", limits.get("max_retry_after", 0.0)),
         room_in_list=bool(family.get("free_in_list", False)),
         report_counts=_choice("family_info.measured_by", {c.value: c for c in i.Counts},
                               family.get("measured_by", "used")),
