A candidate set per service, in an order all schedulers share, replaces the first-start penalty

Cause: with 300 placers own tasks of a service are rare, so the penalty of 1.2 for a machine without the program fell on nearly every machine alike and a checksum decided; all placers met on the emptiest machine of the late view (a third of all offers refused, the busiest machine at 7.6 times the mean). Change: a revision compares the first 4 machines that pass in the service's own order (rendezvous hashing, weighted by size); a later one must be emptier by 0.2 of a machine for each place. Also guards against herds on any gap that all see; may harm where a service has more tasks than four machines bear: then machines further down the order come in as the first ones stop passing.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -2,20 +2,21 @@
 
 Mechanism (ordinary path). Each service holds a ranking of machines, its target first. Time is cut into
 intervals; in the interval whose index modulo N is this scheduler's number, it revises the rankings of its
-services while the others hold theirs. A revision ranks the machines that pass the filters by the larger of
-the cores and memory shares asked for (the late view plus own later changes) after the service's expected
-binds of one interval, plus BETA on overflow of what the machine accepts, in random order among near-best.
-Between turns a task goes to its target, or to the next ranked machine that passes. All else here is a filter
-or a bounded penalty on that path, or keeps one of the rules.
+services. A revision takes the first CANDIDATES machines that pass the filters, in an order of the service's
+own that all schedulers share, and ranks them by the larger of the cores and memory shares asked for (late
+view plus own later changes) after the expected binds of one interval, plus BETA on overflow of what the
+machine accepts, at random among near-best. Between turns a task goes to the first ranked that passes. All
+else here is a filter or a bounded penalty on that path, or keeps one of the rules.
 """
 
 from __future__ import annotations
 
+import hashlib
 import math
 import random
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Any
 
 from sprucepost import interface as i
@@ -35,7 +36,8 @@
 START_COST = 0.05  # share that each own task still waiting to start on the machine counts as
 USE_NOTES = 200.0  # notes over which the use of what tasks ask for is learned: several hundred come a minute
 HEADROOM = 0.9  # share of a machine's memory to plan for: above it all tasks slow, at 1 it evicts
-SETUP_COST = 1.2  # most share by which a machine without the service's program must be emptier to be chosen
+CANDIDATES = 4  # machines compared for a service: few keep its program, several leave asked room a choice
+LEAN = 0.2  # share by which a candidate must be emptier than the one before it: part of a first start's cost
 MEMORY_TIGHT = 0.85  # share of a machine's memory in use from which it counts as strained
 
 
@@ -59,12 +61,12 @@
 
 @dataclass
 class Service:
-    """One service: its held ranking and how often it asks."""
+    """One service: its held ranking, and the requests since it was last revised."""
 
     ranking: list[Machine] = field(default_factory=list)
+    order: list[Machine] = field(default_factory=list)
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
-    count: float = 0.0
-    counted: float = 0.0
+    asked: int = 0
     last: i.TaskRequest | None = None
 
 
@@ -83,7 +85,6 @@
 @dataclass(eq=False)
 class Attempt:
     """One offer of a task to a machine, until its outcome."""
-
     task: Task
     machine: Machine
     sent: float
@@ -137,8 +138,7 @@
         self.tasks[ask.request] = task
         self.due.append(task)
         service = self.services.setdefault(ask.service, Service())
-        service.count = self._recent(service) + 1.0
-        service.counted, service.last = self.now, ask
+        service.asked, service.last = service.asked + 1, ask
         # Whatever happens to the task, this timer answers it in time.
         self.actions.append(i.SetTimer(max(0.0, ask.left - self.settings.tick), f"answer:{ask.request}"))
 
@@ -190,8 +190,8 @@
         else:
             machine.ledger = [entry for entry in machine.ledger if entry[3] is not attempt]
         task.out = None
-        silent = event.ending in (Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET)
-        if silent and event.reason is Reason.UNTOLD:
+        if event.reason is Reason.UNTOLD and event.ending in (
+                Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET):
             self._suspect(machine, attempt)
         elif event.ending in (Ending.FULL, Ending.RESET):
             self._trust(machine)
@@ -320,27 +320,33 @@
     # The ordinary path
 
     def _set_turn(self) -> None:
-        turns = self.settings.n_instances
         index = math.floor(self.now / INTERVAL) + 1
-        index += (self.settings.number - index) % turns
+        index += (self.settings.number - index) % self.settings.n_instances
         self.actions.append(i.SetTimer(index * INTERVAL - self.now, "turn"))
 
-    def _recent(self, service: Service) -> float:
-        """Requests of the service in about one round of turns, older ones fading."""
-        return service.count * math.exp((service.counted - self.now) / (INTERVAL * self.settings.n_instances))
+    def order(self, name: str) -> list[Machine]:
+        """All machines, in an order the same at every scheduler: its first few keep the program, whose first
+        start costs several times the next, and the gap that a late view shows to all is not filled by all."""
+        def place(machine: Machine) -> float:
+            digest = hashlib.blake2b(f"{name} {machine.entry.machine}".encode(), digest_size=6).digest()
+            size = self.settings.kinds[machine.entry.kind].cores
+            return -math.log((int.from_bytes(digest, "big") + 1) / 2**48) / size
+
+        service = self.services[name]
+        if len(service.order) != len(self.machines):
+            service.order = sorted(self.machines.values(), key=place)
+        return service.order
 
     def _rank(self, task: Task) -> list[Machine]:
-        """Machines that pass the filters, cheapest first, those near each other in random order."""
-        fit = [machine for machine in self.machines.values() if self._fits(machine, task)]
-        expected = max(1.0, self._recent(self.services[task.ask.service]) / self.settings.n_instances)
-        costs = {machine.entry.machine: self._cost(machine, task, expected) for machine in fit}
-        average = sum(costs.values()) / max(1, len(costs))
-        for machine in fit:
-            name = machine.entry.machine
-            if self._cold(machine):  # empty because it is new, not because it is good
-                costs[name] = max(costs[name], average)
-            costs[name] += self.rng.uniform(0.0, NEAR)
-        return sorted(fit, key=lambda machine: costs[machine.entry.machine])
+        """The first of the service's order that pass the filters, cheapest first, near ones at random."""
+        passing = (machine for machine in self.order(task.ask.service) if self._fits(machine, task))
+        fit = list(islice(passing, CANDIDATES))
+        expected = max(1.0, self.services[task.ask.service].asked / self.settings.n_instances)
+        costs = [self._cost(machine, task, expected) + LEAN * n for n, machine in enumerate(fit)]
+        average = sum(costs) / max(1, len(costs))  # for cold ones: empty because they are new, not good
+        costs = [max(cost, average * self._cold(machine)) + self.rng.uniform(0.0, NEAR)
+                 for cost, machine in zip(costs, fit, strict=True)]
+        return [fit[n] for n in sorted(range(len(fit)), key=costs.__getitem__)]
 
     def _cost(self, machine: Machine, task: Task, expected: float) -> float:
         kind, settings = self.settings.kinds[machine.entry.kind], self.settings
@@ -350,10 +356,6 @@
         overflow = max(0.0, cores - settings.accepts_cores, memory - settings.accepts_memory)
         cost = max(cores, memory) + BETA * overflow
         cost += START_COST * sum(not attempt.running for attempt in machine.attempts.values())
-        if all(a.machine is not machine for a in self.services[task.ask.service].attempts.values()):
-            # The first start of a program is several times the work of the next. Another scheduler may have
-            # its program running already: all guess alike where, by a draw that the service and machine seed.
-            cost += SETUP_COST * zlib.crc32(f"{task.ask.service} {machine.entry.machine}".encode()) / 2**32
         if self.now < machine.strain_until:
             cost += STRAIN_COST * machine.strain
         return cost
@@ -362,9 +364,10 @@
         """Our turn: revise every service that still asks, and forget those that do not."""
         for name, service in list(self.services.items()):
             service.ranking = []
-            if service.last is not None and self._recent(service) >= 0.1:
+            if service.asked and service.last is not None:
                 cls = self.settings.classes[service.last.task_class]
                 service.ranking = self._rank(Task(service.last, cls, 0.0))
+                service.asked = 0
             elif not service.attempts and all(task.ask.service != name for task in self.tasks.values()):
                 del self.services[name]
 
@@ -372,16 +375,14 @@
         service = self.services[task.ask.service]
         held = next((machine for machine in service.ranking if self._fits(machine, task)), None)
         if held is None and (ranking := self._rank(task)):
-            held = ranking[0]
-            if task.may_run is None:
-                service.ranking = ranking
+            held, service.ranking = ranking[0], service.ranking if task.may_run else ranking
         return held
 
     def _place_waiting(self) -> None:
         """Place what waits, dearest first; what finds no room is held and looked at again."""
         if not self.due:
             return
-        ready = [machine for machine in self.machines.values() if machine.entry.state is i.MachineState.READY]
+        ready = [m for m in self.machines.values() if m.entry.state is i.MachineState.READY]
         suspected = sum(self.now < machine.suspect_until for machine in ready)
         disbelieving = suspected >= DISBELIEVE * max(1, len(ready))
         if disbelieving and not self.disbelieving:
