Cold offers by groups of numbers in turn where a machine bears fewer than there are schedulers

Change: groups no larger than cold_bears, rotating by machine, may offer once in a window of `fall`; one window's pause follows each, so a sliding window never sees two groups. A test runs 1, 3 and 300 schedulers together. Also serves mass restarts and growing fleets; with clocks apart by more than one `fall` the groups would overlap.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -14,6 +14,7 @@
 import hashlib
 import math
 import random
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import islice
@@ -48,7 +49,6 @@
     entry: i.MachineEntry
     started: float = 0.0
     room: tuple[float, float] | None = None
-    asked: tuple[float, float] | None = None
     ledger: list[tuple[float, float, float, Attempt]] = field(default_factory=list)
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     offers: list[float] = field(default_factory=list)
@@ -165,16 +165,17 @@
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is None:
             return
-        if event.kind is i.NoteKind.RUNNING:
+        kind, asked = event.kind, (attempt.task.ask.cores, attempt.task.ask.memory)
+        if kind is i.NoteKind.RUNNING:
             attempt.running = True
-        elif event.kind is i.NoteKind.CORES_USED and attempt.task.ask.cores > 0:
-            self.use[0] += (event.value / attempt.task.ask.cores - self.use[0]) / USE_NOTES
-        elif event.kind is i.NoteKind.MEMORY_USED and attempt.task.ask.memory > 0:
-            self.use[1] += (event.value / attempt.task.ask.memory - self.use[1]) / USE_NOTES
-        elif event.kind is i.NoteKind.SERVED_SHARE:
-            self._strain(attempt.machine, 1.0 - event.value)
-        elif event.kind is i.NoteKind.MACHINE_MEMORY:
-            self._strain(attempt.machine, (event.value - MEMORY_TIGHT) / (1.0 - MEMORY_TIGHT))
+        elif kind in (i.NoteKind.CORES_USED, i.NoteKind.MEMORY_USED):
+            which = kind - i.NoteKind.CORES_USED
+            if asked[which] > 0:
+                self.use[which] += (event.value / asked[which] - self.use[which]) / USE_NOTES
+        else:
+            level = 1 - event.value if kind is i.NoteKind.SERVED_SHARE else (
+                (event.value - MEMORY_TIGHT) / (1 - MEMORY_TIGHT))
+            attempt.machine.strain, attempt.machine.strain_until = level, self.now + STRAIN_LASTS
 
     def _on_outcome(self, event: i.Outcome) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
@@ -183,7 +184,6 @@
         task, machine = attempt.task, attempt.machine
         for index in (machine.attempts, self.services[task.ask.service].attempts):
             index.pop((event.request, event.attempt))
-        machine.asked = None
         self.held[task.ask.tenant] -= task.ask.cores
         if attempt.accepted and machine.room is not None:
             machine.ledger.append((self.now, -task.ask.cores, -task.ask.memory, attempt))
@@ -220,7 +220,7 @@
                 self.machines[name].entry = i.MachineEntry(name)
         for entry in event.entries:
             machine = self.machines.setdefault(entry.machine, Machine(entry))
-            machine.entry, machine.asked = entry, None
+            machine.entry = entry
             if entry.started > machine.started:
                 machine.started = entry.started
                 self._trust(machine)
@@ -246,19 +246,17 @@
     def _see_room(self, machine: Machine, cores: float | None, memory: float | None) -> None:
         """Take a newer view of the room; keep own changes only as long as the late view may lack them."""
         if cores is not None and memory is not None:
-            machine.room, machine.asked = (cores, memory), None
+            machine.room = cores, memory
             machine.ledger = [entry for entry in machine.ledger if entry[0] > self.now - VIEW_LAG]
 
     def _asked(self, machine: Machine) -> tuple[float, float]:
         """Cores and memory asked for on a machine: the late view and own later changes."""
-        if machine.asked is None and machine.room is not None:
-            kind = self.settings.kinds[machine.entry.kind]
-            machine.asked = (kind.cores - machine.room[0] + sum(entry[1] for entry in machine.ledger),
-                             kind.memory - machine.room[1] + sum(entry[2] for entry in machine.ledger))
-        elif machine.asked is None:  # no view at all: the others are taken to do as we do
+        if machine.room is None:  # no view at all: the others are taken to do as we do
             own, others = [a.task.ask for a in machine.attempts.values()], self.settings.n_instances
-            machine.asked = sum(ask.cores for ask in own) * others, sum(ask.memory for ask in own) * others
-        return machine.asked
+            return sum(ask.cores for ask in own) * others, sum(ask.memory for ask in own) * others
+        kind = self.settings.kinds[machine.entry.kind]
+        return (kind.cores - machine.room[0] + sum(entry[1] for entry in machine.ledger),
+                kind.memory - machine.room[1] + sum(entry[2] for entry in machine.ledger))
 
     def _suspect(self, machine: Machine, attempt: Attempt) -> None:
         """Silence of any cause: leave the machine for a while that grows, then try it with one offer."""
@@ -278,20 +276,22 @@
                  Reason.SENT_AWAY: self.settings.warm_after}.get(reason, VIEW_LAG)
         machine.full_until = max(machine.full_until, self.now + pause)
 
-    def _strain(self, machine: Machine, level: float) -> None:
-        machine.strain, machine.strain_until = min(max(level, 0.0), 1.0), self.now + STRAIN_LASTS
-
     def _cold(self, machine: Machine) -> bool:
         return machine.started > 0 and self.now < machine.started + self.settings.warm_after
 
     def _cold_room(self, machine: Machine) -> bool:
-        """Whether a cold machine bears one more offer of ours, refused ones counted too (rule 4)."""
+        """Whether a cold machine bears one more offer of ours, refused ones counted too (rule 4). If it bears
+        fewer offers than there are schedulers, groups of numbers take turns of a `fall`, a pause between."""
         if not self._cold(machine):
             return True
-        if machine.started < self.born and self.now < self.born + self.settings.fall:
+        fall, bears, instances = self.settings.fall, int(self.settings.cold_bears), self.settings.n_instances
+        if not bears or (machine.started < self.born and self.now < self.born + fall):
             return False  # an earlier life of this scheduler may have spent the allowance
-        recent = sum(sent > self.now - self.settings.fall for sent in machine.offers)
-        return recent < int(self.settings.cold_bears / self.settings.n_instances)
+        groups = math.ceil(instances / bears)
+        turn, between = divmod(math.floor(self.now / fall) + zlib.crc32(machine.entry.machine.encode()), 2)
+        if groups > 1 and (between or self.settings.number % groups != turn % groups):
+            return False
+        return sum(sent > self.now - fall for sent in machine.offers) < max(1, bears // instances)
 
     def _fits(self, machine: Machine, task: Task) -> bool:
         """The filters: list, kind, room, refusals, suspicion, cold allowance, spread and key group."""
@@ -357,7 +357,7 @@
         cost = max(cores, memory) + BETA * overflow
         cost += START_COST * sum(not attempt.running for attempt in machine.attempts.values())
         if self.now < machine.strain_until:
-            cost += STRAIN_COST * machine.strain
+            cost += STRAIN_COST * min(max(machine.strain, 0.0), 1.0)
         return cost
 
     def _revise(self) -> None:
@@ -437,7 +437,6 @@
     def _record(self, attempt: Attempt, number: int) -> None:
         key = (attempt.task.ask.request, number)
         self.attempts[key] = attempt.machine.attempts[key] = attempt
-        attempt.machine.asked = None
         self.services.setdefault(attempt.task.ask.service, Service()).attempts[key] = attempt
         self.held[attempt.task.ask.tenant] += attempt.task.ask.cores
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -137,6 +137,28 @@
         assert sum(first <= moment < first + 2000.0 for moment in sent) <= 12 / 3
 
 
+@pytest.mark.parametrize(
+    ("n", "bears"), [(1, 6.0), (3, 7.0), (3, 2.0), (3, 1.0), (300, 40.0), (300, 1.0), (300, 0.0)]
+)
+def test_all_schedulers_together_keep_to_the_cold_allowance_and_use_it(n: int, bears: float) -> None:
+    clusters = [
+        Cluster(settings(number=number, n_instances=n, cold_bears=bears), seed=number) for number in range(n)
+    ]
+    cold, sent = entry("cold", started=100001.0), []
+    for cluster in clusters:
+        cluster.at(10.0, full_list(cold))
+    for _ in range(56):
+        for cluster in clusters:
+            offer = cluster.place("s", later=250.0, cores=0.001, memory=0.001, left=150.0)
+            if offer is not None:
+                sent.append(cluster.now)
+                cluster.end(offer, i.Ending.FULL, later=0.0, reason=i.Reason.QUEUE_FULL)
+    sent.sort()
+    most = max((sum(first <= moment < first + 2000.0 for moment in sent) for first in sent), default=0)
+    assert most <= bears
+    assert len(sent) >= int(bears) * 14000 / 2000.0 / 2 * 0.75  # one pause for each turn
+
+
 def test_a_restarted_scheduler_counts_the_cold_allowance_as_spent() -> None:
     cluster = Cluster(settings(), entry("cold", started=99000.0))
     assert cluster.place() is None
