Four turns at most, several schedulers in each

Cause: one turn a number makes a round of ten minutes with 300 schedulers: no target was ever revised in turn. Change: number modulo min(n, 4). Expected binds come from the requests since the last turn.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -24,6 +24,7 @@
 from sprucepost.interface import Effect, Ending, Place, Reason
 
 INTERVAL = 2000.0  # ms between two schedulers' turns: about what the view lags, so a turn sees the last
+TURNS = 4  # turns in a round at most, several schedulers in each: a longer one would revise nothing in time
 BETA = 120.0  # cost of one whole machine of overflow: any overflow outranks every other difference
 NEAR = 0.06  # share within which machines are equally good: wider than a task, narrower than a trend
 VIEW_LAG = 2500.0  # ms until list or report shows a bind: its accept, refresh and delivery
@@ -108,6 +109,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.accept_mean = min(cls.aim for cls in settings.classes) / 4
         self.accept_dev = self.accept_mean / 4
+        self.turns = min(settings.n_instances, TURNS)
         self.held = [0.0] * max(1, len(settings.tenants))  # cores of own tasks, by tenant
         self.use = [0.5, 0.5]  # share of the cores and memory asked for that own tasks use
         self.list_failures = 0
@@ -321,7 +323,7 @@
 
     def _set_turn(self) -> None:
         index = math.floor(self.now / INTERVAL) + 1
-        index += (self.settings.number - index) % self.settings.n_instances
+        index += (self.settings.number - index) % self.turns
         self.actions.append(i.SetTimer(index * INTERVAL - self.now, "turn"))
 
     def order(self, name: str) -> list[Machine]:
@@ -341,7 +343,7 @@
         """The first of the service's order that pass the filters, cheapest first, near ones at random."""
         passing = (machine for machine in self.order(task.ask.service) if self._fits(machine, task))
         fit = list(islice(passing, CANDIDATES))
-        expected = max(1.0, self.services[task.ask.service].asked / self.settings.n_instances)
+        expected = max(1.0, self.services[task.ask.service].asked / self.turns)
         costs = [self._cost(machine, task, expected) + LEAN * n for n, machine in enumerate(fit)]
         average = sum(costs) / max(1, len(costs))  # for cold ones: empty because they are new, not good
         costs = [max(cost, average * self._cold(machine)) + self.rng.uniform(0.0, NEAR)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sprucepost import interface as i
-from sprucepost.brain import CANDIDATES, LEAN, NEAR
+from sprucepost.brain import CANDIDATES, INTERVAL, LEAN, NEAR, TURNS
 from tests.support import Cluster, answers, entry, full_list, offers, settings, task_class, timers
 
 
@@ -15,13 +15,14 @@
     assert len(seen) == 1
 
 
-def test_turns_come_in_the_interval_with_the_own_number() -> None:
-    for number in range(3):
-        cluster = Cluster(settings(number=number), entry("m"))
+@pytest.mark.parametrize(("n", "turns"), [(1, 1), (3, 3), (300, TURNS)])
+def test_turns_come_in_the_interval_with_the_own_number(n: int, turns: int) -> None:
+    for number in range(0, n, max(1, n // 7)):
+        cluster = Cluster(settings(number=number, n_instances=n), entry("m"))
         turn = cluster.now + timers(cluster.first)["turn"]
         assert turn > cluster.now
-        assert (turn / 2000.0) % 3 == number
-        assert timers(cluster.at(turn - cluster.now, i.TimerFired("turn")))["turn"] == 6000.0
+        assert (turn / INTERVAL) % turns == number % turns
+        assert timers(cluster.at(turn - cluster.now, i.TimerFired("turn")))["turn"] == turns * INTERVAL
 
 
 def test_a_turn_leaves_a_target_that_filled_up() -> None:
