List calls are spread over the schedulers; suspicion of 4 s at most replaces disbelief

Change: a call comes at a time drawn from 15 ms for each scheduler, later ones from the back-off as well. Fold: suspicion is no longer disbelieved when 70 % of the machines are suspected; it lasts 4 s at most, not 16. May harm a list that needs its first call at once where it is empty: the cached list serves until then.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -29,8 +29,7 @@
 NEAR = 0.06  # share within which machines are equally good: wider than a task, narrower than a trend
 VIEW_LAG = 2500.0  # ms until list or report shows a bind: its accept, refresh and delivery
 SUSPECT = 1000.0  # ms of first suspicion after silence; doubles with each further silence
-SUSPECT_MOST = 16000.0  # ms: a machine that is back is tried again within this
-DISBELIEVE = 0.7  # share of machines suspected at which the fault is more likely ours than theirs
+SUSPECT_MOST = 4000.0  # ms: a machine that is back is tried again within this
 RECHECK = 100.0  # ms between looks for room for a held task: well inside any aim, cheap enough
 STRAIN_LASTS = 2500.0  # ms: notes on strain repeat every second, so two missed ones mean it is over
 STRAIN_COST = 0.3  # most that strain adds to a share: enough to steer away, never to outrank overflow
@@ -39,6 +38,7 @@
 USE_NOTES = 200.0  # notes over which the use of what tasks ask for is learned: several hundred come a minute
 HEADROOM = 0.9  # share of a machine's memory to plan for: above it all tasks slow, at 1 it evicts
 CANDIDATES = 4  # machines compared for a service: few keep its program, several leave asked room a choice
+LIST_CALL = 15.0  # ms of the list's time to leave for each scheduler's call, so that they do not storm it
 LEAN = 0.2  # share by which a candidate must be emptier than the one before it: part of a first start's cost
 MEMORY_TIGHT = 0.85  # share of a machine's memory in use from which it counts as strained
 
@@ -114,7 +114,6 @@
         self.use = [0.5, 0.5]  # share of the cores and memory asked for that own tasks use
         self.list_failures = 0
         self.looking = False
-        self.disbelieving = False
         self.on: dict[type, Callable[[Any], None]] = {
             i.TaskRequest: self._on_request, i.TaskFound: self._on_found, i.Accepted: self._on_accepted,
             i.Note: self._on_note, i.Outcome: self._on_outcome, i.Gone: self._on_gone,
@@ -127,7 +126,7 @@
             self.born = now
             self._set_turn()
             if self.settings.list_mode is i.ListMode.ASK:
-                self.actions.append(i.Subscribe())
+                self._call_list(0.0)
         for event in events:
             self.on[type(event)](event)
         self._place_waiting()
@@ -210,9 +209,7 @@
     def _on_list(self, event: i.MachineList) -> None:
         if event.kind is i.ListKind.FAILED:
             self.list_failures += 1
-            # Jittered back-off: a list that is down is not stormed by all schedulers at once.
-            wait = min(SUSPECT * 2.0 ** (self.list_failures - 1), self.settings.ask_every / 4)
-            self.actions.append(i.SetTimer(wait * self.rng.uniform(0.5, 1.0), "list"))
+            self._call_list(min(SUSPECT * 2.0 ** (self.list_failures - 1), self.settings.ask_every / 4))
             if self.list_failures == 1:
                 self.actions.append(i.Log("list: call failed; going by the old list and own evidence"))
             return
@@ -230,6 +227,11 @@
             if self.settings.room_in_list and entry.state is not i.MachineState.GONE:
                 self._see_room(machine, entry.free_cores, entry.free_memory)
 
+    def _call_list(self, wait: float) -> None:
+        """Subscribe at a time drawn from the length of all schedulers' calls: they start together."""
+        spread = max(wait / 2, LIST_CALL * self.settings.n_instances)
+        self.actions.append(i.SetTimer(wait / 2 + self.rng.uniform(0.0, spread), "list"))
+
     def _on_timer(self, event: i.TimerFired) -> None:
         word, _, rest = event.name.partition(":")
         if word == "answer":
@@ -302,7 +304,7 @@
             return False
         if self.now < machine.full_until or not self._cold_room(machine):
             return False
-        if not self.disbelieving and machine.silences and (
+        if machine.silences and (
                 self.now < machine.suspect_until or any(not a.accepted for a in machine.attempts.values())):
             return False
         cores, memory = self._asked(machine)
@@ -384,12 +386,6 @@
         """Place what waits, dearest first; what finds no room is held and looked at again."""
         if not self.due:
             return
-        ready = [m for m in self.machines.values() if m.entry.state is i.MachineState.READY]
-        suspected = sum(self.now < machine.suspect_until for machine in ready)
-        disbelieving = suspected >= DISBELIEVE * max(1, len(ready))
-        if disbelieving and not self.disbelieving:
-            self.actions.append(i.Log(f"suspicion: {suspected} of {len(ready)} silent, not believed"))
-        self.disbelieving = disbelieving
         due = [task for task in self.due if task.ask.request in self.tasks and task.out is None]
         self.due = []
         no_room: set[str] = set()  # services just found without room: alike tasks need not look again
