Higher priorities are offered to full machines that preempt; suspicion by class

Cause: more is asked than there is room for; tasks of high priority were held for room although the machines would push lower ones out for them, and a refusal of a low task shut the machine for all. Excluded: refusals carry "no cores" or "no memory" (no queue), offers are answered in 0.2 s (not slow or silent). Change: where machines preempt (a start setting), a task above the lowest priority that finds no room goes to the best candidate all the same; a refusal for room shuts a machine for its priority and lower ones. Silence (time-outs) is held against the machine for its class only; failed connects and lost tasks for all. May harm where a push-out costs more than the wait it saves: its price is that of two moves.

--- a/sprucepost/adapter.py
+++ b/sprucepost/adapter.py
@@ -139,6 +139,7 @@
         report_counts=_choice("family_info.measured_by", {c.value: c for c in i.Counts},
                               family.get("measured_by", "used")),
         runs_when_accepted=family.get("yes_at") == "running",
+        preempts=bool(family.get("makes_room", False)),
     )
 
 
--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -29,6 +29,7 @@
 NEAR = 0.06  # share within which machines are equally good: wider than a task, narrower than a trend
 VIEW_LAG = 2500.0  # ms until list or report shows a bind: its accept, refresh and delivery
 SUSPECT = 1000.0  # ms of first suspicion after silence; doubles with each further silence
+ALL = -1  # stands for every class where silence speaks of the machine itself
 SUSPECT_MOST = 4000.0  # ms: a machine that is back is tried again within this
 RECHECK = 100.0  # ms between looks for room for a held task: well inside any aim, cheap enough
 STRAIN_LASTS = 2500.0  # ms: notes on strain repeat every second, so two missed ones mean it is over
@@ -45,25 +46,21 @@
 
 @dataclass
 class Machine:
-    """One machine as this scheduler sees it."""
-
+    """One machine as this scheduler sees it: shut up to a priority, doubted for a class (silences, until)."""
     entry: i.MachineEntry
     started: float = 0.0
     room: tuple[float, float] | None = None
     ledger: list[tuple[float, float, float, Attempt]] = field(default_factory=list)
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     offers: list[float] = field(default_factory=list)
-    silences: int = 0
-    suspect_until: float = 0.0
-    full_until: float = 0.0
-    strain: float = 0.0
-    strain_until: float = 0.0
+    doubts: dict[int, tuple[int, float]] = field(default_factory=dict)
+    shut: dict[float, float] = field(default_factory=dict)
+    strain: tuple[float, float] = (0.0, 0.0)
 
 
 @dataclass
 class Service:
     """One service: its held ranking, and the requests since it was last revised."""
-
     ranking: list[Machine] = field(default_factory=list)
     order: list[Machine] = field(default_factory=list)
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
@@ -74,7 +71,6 @@
 @dataclass
 class Task:
     """One request from its arrival until its end."""
-
     ask: i.TaskRequest
     cls: i.TaskClass
     deadline: float
@@ -114,10 +110,10 @@
         self.use = [0.5, 0.5]  # share of the cores and memory asked for that own tasks use
         self.list_failures = 0
         self.looking = False
-        self.on: dict[type, Callable[[Any], None]] = {
+        self.on: dict[type, Callable[[Any], object]] = {
             i.TaskRequest: self._on_request, i.TaskFound: self._on_found, i.Accepted: self._on_accepted,
-            i.Note: self._on_note, i.Outcome: self._on_outcome, i.Gone: self._on_gone,
-            i.MachineList: self._on_list, i.TimerFired: self._on_timer}
+            i.Note: self._on_note, i.Outcome: self._on_outcome, i.MachineList: self._on_list,
+            i.TimerFired: self._on_timer, i.Gone: lambda event: self.tasks.pop(event.request, None)}
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         """Take the events of one moment and return what to do, in order."""
@@ -140,7 +136,6 @@
         self.due.append(task)
         service = self.services.setdefault(ask.service, Service())
         service.asked, service.last = service.asked + 1, ask
-        # Whatever happens to the task, this timer answers it in time.
         self.actions.append(i.SetTimer(max(0.0, ask.left - self.settings.tick), f"answer:{ask.request}"))
 
     def _on_found(self, event: i.TaskFound) -> None:
@@ -149,15 +144,12 @@
         machine = self.machines.setdefault(event.machine, Machine(i.MachineEntry(event.machine)))
         self._record(Attempt(task, machine, self.now, accepted=True, running=True), 0)
 
-    def _on_gone(self, event: i.Gone) -> None:
-        self.tasks.pop(event.request, None)
-
     def _on_accepted(self, event: i.Accepted) -> None:
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is None or attempt.accepted:
             return
         attempt.accepted, attempt.running = True, self.settings.runs_when_accepted
-        self._trust(attempt.machine)
+        self._trust(attempt)
         self.accept_dev += (abs(event.elapsed - self.accept_mean) - self.accept_dev) / 16
         self.accept_mean += (event.elapsed - self.accept_mean) / 16
         self.tasks.pop(event.request, None)
@@ -176,7 +168,7 @@
         else:
             level = 1 - event.value if kind is i.NoteKind.SERVED_SHARE else (
                 (event.value - MEMORY_TIGHT) / (1 - MEMORY_TIGHT))
-            attempt.machine.strain, attempt.machine.strain_until = level, self.now + STRAIN_LASTS
+            attempt.machine.strain = min(max(level, 0.0), 1.0), self.now + STRAIN_LASTS
 
     def _on_outcome(self, event: i.Outcome) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
@@ -193,10 +185,10 @@
         task.out = None
         if event.reason is Reason.UNTOLD and event.ending in (
                 Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET):
-            self._suspect(machine, attempt)
+            self._suspect(attempt, task.ask.task_class if event.ending is Ending.TIMEOUT else ALL)
         elif event.ending in (Ending.FULL, Ending.RESET):
-            self._trust(machine)
-            self._refused(machine, event.reason)
+            self._trust(attempt)
+            self._refused(machine, task, event.reason)
         if event.report is not None and self.settings.report_counts is i.Counts.ASKED:
             self._see_room(machine, event.report.free_cores, event.report.free_memory)
         if event.closed or attempt.accepted:
@@ -222,8 +214,7 @@
             machine.entry = entry
             if entry.started > machine.started:
                 machine.started = entry.started
-                self._trust(machine)
-                machine.full_until = 0.0
+                machine.doubts, machine.shut = {}, {}
             if self.settings.room_in_list and entry.state is not i.MachineState.GONE:
                 self._see_room(machine, entry.free_cores, entry.free_memory)
 
@@ -262,23 +253,27 @@
         return (kind.cores - machine.room[0] + sum(entry[1] for entry in machine.ledger),
                 kind.memory - machine.room[1] + sum(entry[2] for entry in machine.ledger))
 
-    def _suspect(self, machine: Machine, attempt: Attempt) -> None:
-        """Silence of any cause: leave the machine for a while that grows, then try it with one offer."""
+    def _suspect(self, attempt: Attempt, cls: int) -> None:
+        """Silence of any cause: leave the machine for a while that grows, for the class that met it (one may
+        fail where others are served) or for all; then try it with one offer."""
+        machine = attempt.machine
         if attempt.accepted:
             machine.started = max(machine.started, self.now)  # its tasks died with it: cold when it is back
-        if self.now >= machine.suspect_until:
-            machine.suspect_until = self.now + min(SUSPECT * 2.0 ** machine.silences, SUSPECT_MOST)
-            machine.silences += 1
+        silences, until = machine.doubts.get(cls, (0, 0.0))
+        if self.now >= until:
+            machine.doubts[cls] = silences + 1, self.now + min(SUSPECT * 2.0 ** silences, SUSPECT_MOST)
 
-    def _trust(self, machine: Machine) -> None:
-        machine.silences, machine.suspect_until = 0, 0.0
+    def _trust(self, attempt: Attempt) -> None:
+        attempt.machine.doubts.pop(ALL, None)
+        attempt.machine.doubts.pop(attempt.task.ask.task_class, None)
 
-    def _refused(self, machine: Machine, reason: Reason) -> None:
+    def _refused(self, machine: Machine, task: Task, reason: Reason) -> None:
         """A refusal teaches: no room until the view can be newer, a queue to drain, or a machine to avoid.
         One that sends its tasks away drains, whatever a late list says, until it starts afresh."""
         pause = {Reason.QUEUE_FULL: 2 * self.accept_mean, Reason.NOT_HERE: AVOID,
                  Reason.SENT_AWAY: self.settings.warm_after}.get(reason, VIEW_LAG)
-        machine.full_until = max(machine.full_until, self.now + pause)
+        level = task.cls.priority if pause == VIEW_LAG and self.settings.preempts else math.inf
+        machine.shut[level] = max(machine.shut.get(level, 0.0), self.now + pause)
 
     def _cold(self, machine: Machine) -> bool:
         return machine.started > 0 and self.now < machine.started + self.settings.warm_after
@@ -297,29 +292,32 @@
             return False
         return sum(sent > self.now - fall for sent in machine.offers) < max(1, bears // instances)
 
-    def _fits(self, machine: Machine, task: Task) -> bool:
+    def _fits(self, machine: Machine, task: Task, push: bool = False) -> bool:
         """The filters: list, kind, room, refusals, suspicion, cold allowance, spread and key group."""
         cls, ask = task.cls, task.ask
         if machine.entry.state is not i.MachineState.READY or cls.kind not in (-1, machine.entry.kind):
             return False
-        if self.now < machine.full_until or not self._cold_room(machine):
+        if any(cls.priority <= level and self.now < until for level, until in machine.shut.items()):
+            return False
+        if not self._cold_room(machine):
             return False
-        if machine.silences and (
-                self.now < machine.suspect_until or any(not a.accepted for a in machine.attempts.values())):
+        until = max(machine.doubts.get(key, (0, 0.0))[1] for key in (ALL, ask.task_class))
+        if until and (self.now < until or any(not a.accepted for a in machine.attempts.values())):
             return False
         cores, memory = self._asked(machine)
         kind = self.settings.kinds[machine.entry.kind]
         # What the machine accepts, or less where the seen use says that so much would starve or evict tasks.
-        bears_cores = min(self.settings.accepts_cores, max(1.0, (cls.calm + cls.fade) / self.use[0]))
-        bears_memory = min(self.settings.accepts_memory, max(1.0, HEADROOM / self.use[1]))
-        if cores + ask.cores > kind.cores * bears_cores or memory + ask.memory > kind.memory * bears_memory:
+        bears = (min(self.settings.accepts_cores, max(1.0, (cls.calm + cls.fade) / self.use[0])),
+                 min(self.settings.accepts_memory, max(1.0, HEADROOM / self.use[1])))
+        over = cores + ask.cores > kind.cores * bears[0] or memory + ask.memory > kind.memory * bears[1]
+        if over and not push:
             return False
         if (task.may_run is not None and cls.effect is not Effect.SAFE
                 and not machine.entry.shares(cls.group, task.may_run.machine.entry)):
             return False
         held = self.services[ask.service].attempts.values()
-        near = sum(machine.entry.shares(cls.spread, a.machine.entry) for a in held)
-        return cls.spread is Place.NONE or near < cls.most
+        return cls.spread is Place.NONE or cls.most > sum(
+            machine.entry.shares(cls.spread, a.machine.entry) for a in held)
 
     # The ordinary path
 
@@ -341,9 +339,9 @@
             service.order = sorted(self.machines.values(), key=place)
         return service.order
 
-    def _rank(self, task: Task) -> list[Machine]:
+    def _rank(self, task: Task, push: bool = False) -> list[Machine]:
         """The first of the service's order that pass the filters, cheapest first, near ones at random."""
-        passing = (machine for machine in self.order(task.ask.service) if self._fits(machine, task))
+        passing = (machine for machine in self.order(task.ask.service) if self._fits(machine, task, push))
         fit = list(islice(passing, CANDIDATES))
         expected = max(1.0, self.services[task.ask.service].asked / self.turns)
         costs = [self._cost(machine, task, expected) + LEAN * n for n, machine in enumerate(fit)]
@@ -360,9 +358,7 @@
         overflow = max(0.0, cores - settings.accepts_cores, memory - settings.accepts_memory)
         cost = max(cores, memory) + BETA * overflow
         cost += START_COST * sum(not attempt.running for attempt in machine.attempts.values())
-        if self.now < machine.strain_until:
-            cost += STRAIN_COST * min(max(machine.strain, 0.0), 1.0)
-        return cost
+        return cost + STRAIN_COST * machine.strain[0] * (self.now < machine.strain[1])
 
     def _revise(self) -> None:
         """Our turn: revise every service that still asks, and forget those that do not."""
@@ -380,6 +376,10 @@
         held = next((machine for machine in service.ranking if self._fits(machine, task)), None)
         if held is None and (ranking := self._rank(task)):
             held, service.ranking = ranking[0], service.ranking if task.may_run else ranking
+        lowest = min(cls.priority for cls in self.settings.classes)
+        if held is None and self.settings.preempts and task.cls.priority > lowest:
+            # Full for us, but not for a machine that pushes lower priorities out: waiting would lose more.
+            held = next(iter(self._rank(task, push=True)), None)
         return held
 
     def _place_waiting(self) -> None:
--- a/sprucepost/interface.py
+++ b/sprucepost/interface.py
@@ -178,6 +178,7 @@
     room_in_list: bool = False
     report_counts: Counts = Counts.USED
     runs_when_accepted: bool = False
+    preempts: bool = False
 
     def __post_init__(self) -> None:
         _check("n_instances", self.n_instances >= 1, "must be at least 1")
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -139,6 +139,41 @@
     assert sum(offer is not None and offer.machine == "m" for offer in tried) == 1
 
 
+def test_silence_to_one_class_does_not_close_the_machine_to_the_others() -> None:
+    classes = task_class(), task_class()
+    cluster = Cluster(settings(*classes), entry("m"), entry("n", free_cores=1.0))
+    offer = cluster.place("a", cores=2.0)
+    assert offer is not None and offer.machine == "m"
+    assert not offers(cluster.end(offer, i.Ending.TIMEOUT))
+    assert cluster.place("b", task_class=1, cores=2.0) is not None
+    refused = cluster.place("c", later=SUSPECT, task_class=1, cores=2.0)
+    assert refused is not None
+    cluster.at(0.0, i.Outcome(refused.request, 0, i.Ending.CONNECT_FAILED, False))  # speaks of the machine
+    assert cluster.place("d", task_class=1, cores=2.0) is None
+
+
+def test_a_higher_priority_is_offered_to_a_full_machine_only_where_machines_preempt() -> None:
+    classes = task_class(), task_class(priority=1)
+    for preempts in (False, True):
+        cluster = Cluster(settings(*classes, preempts=preempts), entry("m", free_cores=0.0))
+        assert cluster.place("low") is None
+        offer = cluster.place("high", task_class=1)
+        assert (offer is not None) is preempts
+        if offer is not None:  # refused for room all the same: shut to this priority and below
+            cluster.end(offer, i.Ending.FULL, reason=i.Reason.NO_CORES)
+            assert cluster.place("again", task_class=1) is None
+
+
+def test_a_refusal_for_room_does_not_shut_out_a_higher_priority_where_machines_preempt() -> None:
+    classes = task_class(), task_class(priority=1)
+    cluster = Cluster(settings(*classes, preempts=True), entry("m"))
+    offer = cluster.place("low")
+    assert offer is not None
+    cluster.end(offer, i.Ending.FULL, reason=i.Reason.NO_CORES)
+    assert cluster.place("low too") is None
+    assert cluster.place("high", task_class=1) is not None
+
+
 def test_where_all_were_silent_offers_go_out_again_in_a_moment() -> None:
     cluster = Cluster(settings(max_attempts=9), *(entry(f"m{n}") for n in range(3)))
     for n in range(3):
