One time-out is not death; accept times learned from the first answers; gone machines are forgotten

And a scheduler with half a request a second kept its first guess of accept times (350 ms against 20). Changes: a class's first time-out at a machine costs it nothing but one offer at a time, the next try may go there; a failed connection still closes it at once. The mean accept time weighs its first 16 answers evenly. Time-outs of accepted tasks, connects and so on are all kept by machine and class. Gone machines without tasks of ours are forgotten, orders are made anew.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -16,7 +16,7 @@
 import random
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import islice
 from typing import Any
 
@@ -29,12 +29,9 @@
 NEAR = 0.06  # share within which machines are equally good: wider than a task, narrower than a trend
 VIEW_LAG = 2500.0  # ms until list or report shows a bind: its accept, refresh and delivery
 SUSPECT = 1000.0  # ms of first suspicion after silence; doubles with each further silence
-ALL = -1  # stands for every class where silence speaks of the machine itself
 SUSPECT_MOST = 4000.0  # ms: a machine that is back is tried again within this
 RECHECK = 100.0  # ms between looks for room for a held task: well inside any aim, cheap enough
-STRAIN_LASTS = 2500.0  # ms: notes on strain repeat every second, so two missed ones mean it is over
 STRAIN_COST = 0.3  # most that strain adds to a share: enough to steer away, never to outrank overflow
-AVOID = 3000.0  # ms to leave a machine that says the task does not belong there (it may be draining)
 START_COST = 0.05  # share that each own task still waiting to start on the machine counts as
 USE_NOTES = 200.0  # notes over which the use of what tasks ask for is learned: several hundred come a minute
 HEADROOM = 0.9  # share of a machine's memory to plan for: above it all tasks slow, at 1 it evicts
@@ -62,7 +59,6 @@
 class Service:
     """One service: its held ranking, and the requests since it was last revised."""
     ranking: list[Machine] = field(default_factory=list)
-    order: list[Machine] = field(default_factory=list)
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     asked: int = 0
     last: i.TaskRequest | None = None
@@ -100,12 +96,14 @@
         self.actions: list[i.Action] = []
         self.machines: dict[str, Machine] = {}
         self.services: dict[str, Service] = {}
+        self.orders: dict[str, list[Machine]] = {}
         self.tasks: dict[int, Task] = {}  # those without a final answer
         self.due: list[Task] = []  # those to find a machine for now
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.accept_mean = min(cls.aim for cls in settings.classes) / 4
         self.accept_dev = self.accept_mean / 4
         self.turns = min(settings.n_instances, TURNS)
+        self.accepts = 1
         self.held = [0.0] * max(1, len(settings.tenants))  # cores of own tasks, by tenant
         self.use = [0.5, 0.5]  # share of the cores and memory asked for that own tasks use
         self.list_failures = 0
@@ -149,9 +147,10 @@
         if attempt is None or attempt.accepted:
             return
         attempt.accepted, attempt.running = True, self.settings.runs_when_accepted
-        self._trust(attempt)
-        self.accept_dev += (abs(event.elapsed - self.accept_mean) - self.accept_dev) / 16
-        self.accept_mean += (event.elapsed - self.accept_mean) / 16
+        attempt.machine.doubts.pop(attempt.task.ask.task_class, None)
+        self.accepts = min(self.accepts + 1, 16)  # the first few count for more: they may be all there are
+        self.accept_dev += (abs(event.elapsed - self.accept_mean) - self.accept_dev) / self.accepts
+        self.accept_mean += (event.elapsed - self.accept_mean) / self.accepts
         self.tasks.pop(event.request, None)
 
     def _on_note(self, event: i.Note) -> None:
@@ -168,7 +167,7 @@
         else:
             level = 1 - event.value if kind is i.NoteKind.SERVED_SHARE else (
                 (event.value - MEMORY_TIGHT) / (1 - MEMORY_TIGHT))
-            attempt.machine.strain = min(max(level, 0.0), 1.0), self.now + STRAIN_LASTS
+            attempt.machine.strain = min(max(level, 0.0), 1.0), self.now + VIEW_LAG
 
     def _on_outcome(self, event: i.Outcome) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
@@ -185,9 +184,9 @@
         task.out = None
         if event.reason is Reason.UNTOLD and event.ending in (
                 Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET):
-            self._suspect(attempt, task.ask.task_class if event.ending is Ending.TIMEOUT else ALL)
+            self._suspect(attempt, certain=event.ending is not Ending.TIMEOUT)
         elif event.ending in (Ending.FULL, Ending.RESET):
-            self._trust(attempt)
+            machine.doubts.pop(task.ask.task_class, None)
             self._refused(machine, task, event.reason)
         if event.report is not None and self.settings.report_counts is i.Counts.ASKED:
             self._see_room(machine, event.report.free_cores, event.report.free_memory)
@@ -208,15 +207,22 @@
         self.list_failures = 0
         if event.kind is not i.ListKind.DELTA:  # a machine that a whole list does not name is gone
             for name in sorted(self.machines.keys() - {entry.machine for entry in event.entries}):
-                self.machines[name].entry = i.MachineEntry(name)
+                self._see_entry(replace(self.machines[name].entry, state=i.MachineState.GONE))
         for entry in event.entries:
-            machine = self.machines.setdefault(entry.machine, Machine(entry))
-            machine.entry = entry
-            if entry.started > machine.started:
-                machine.started = entry.started
-                machine.doubts, machine.shut = {}, {}
-            if self.settings.room_in_list and entry.state is not i.MachineState.GONE:
-                self._see_room(machine, entry.free_cores, entry.free_memory)
+            self._see_entry(entry)
+
+    def _see_entry(self, entry: i.MachineEntry) -> None:
+        machine = self.machines.get(entry.machine)
+        if machine is None or machine.entry.state is not entry.state:
+            self.orders = {}
+            machine = self.machines.setdefault(entry.machine, machine or Machine(entry))
+        machine.entry = entry
+        if entry.started > machine.started:
+            machine.started, machine.doubts, machine.shut = entry.started, {}, {}
+        if entry.state is i.MachineState.GONE and not machine.attempts:
+            del self.machines[entry.machine]
+        elif self.settings.room_in_list:
+            self._see_room(machine, entry.free_cores, entry.free_memory)
 
     def _call_list(self, wait: float) -> None:
         """Subscribe at a time drawn from the length of all schedulers' calls: they start together."""
@@ -253,25 +259,22 @@
         return (kind.cores - machine.room[0] + sum(entry[1] for entry in machine.ledger),
                 kind.memory - machine.room[1] + sum(entry[2] for entry in machine.ledger))
 
-    def _suspect(self, attempt: Attempt, cls: int) -> None:
-        """Silence of any cause: leave the machine for a while that grows, for the class that met it (one may
-        fail where others are served) or for all; then try it with one offer."""
-        machine = attempt.machine
+    def _suspect(self, attempt: Attempt, certain: bool) -> None:
+        """Silence of any cause: leave the machine for a while that grows, for that class alone (it may serve
+        others), then try it with one offer. A first time-out only says that an answer may be lost."""
+        machine, cls = attempt.machine, attempt.task.ask.task_class
         if attempt.accepted:
             machine.started = max(machine.started, self.now)  # its tasks died with it: cold when it is back
         silences, until = machine.doubts.get(cls, (0, 0.0))
         if self.now >= until:
-            machine.doubts[cls] = silences + 1, self.now + min(SUSPECT * 2.0 ** silences, SUSPECT_MOST)
-
-    def _trust(self, attempt: Attempt) -> None:
-        attempt.machine.doubts.pop(ALL, None)
-        attempt.machine.doubts.pop(attempt.task.ask.task_class, None)
+            wait = min(SUSPECT * 2.0 ** silences, SUSPECT_MOST) if silences or certain else 0.0
+            machine.doubts[cls] = silences + 1, self.now + wait
 
     def _refused(self, machine: Machine, task: Task, reason: Reason) -> None:
-        """A refusal teaches: no room until the view can be newer, a queue to drain, or a machine to avoid.
-        One that sends its tasks away drains, whatever a late list says, until it starts afresh."""
-        pause = {Reason.QUEUE_FULL: 2 * self.accept_mean, Reason.NOT_HERE: AVOID,
-                 Reason.SENT_AWAY: self.settings.warm_after}.get(reason, VIEW_LAG)
+        """A refusal teaches: no room, or not here, until the view can be newer, or a queue to drain. One that
+        sends its tasks away drains, whatever a late list says, until it starts afresh."""
+        pauses = {Reason.QUEUE_FULL: 2 * self.accept_mean, Reason.SENT_AWAY: self.settings.warm_after}
+        pause = pauses.get(reason, VIEW_LAG)
         level = task.cls.priority if pause == VIEW_LAG and self.settings.preempts else math.inf
         machine.shut[level] = max(machine.shut.get(level, 0.0), self.now + pause)
 
@@ -301,7 +304,7 @@
             return False
         if not self._cold_room(machine):
             return False
-        until = max(machine.doubts.get(key, (0, 0.0))[1] for key in (ALL, ask.task_class))
+        until = machine.doubts.get(ask.task_class, (0, 0.0))[1]
         if until and (self.now < until or any(not a.accepted for a in machine.attempts.values())):
             return False
         cores, memory = self._asked(machine)
@@ -334,10 +337,9 @@
             size = self.settings.kinds[machine.entry.kind].cores
             return -math.log((int.from_bytes(digest, "big") + 1) / 2**48) / size
 
-        service = self.services[name]
-        if len(service.order) != len(self.machines):
-            service.order = sorted(self.machines.values(), key=place)
-        return service.order
+        if name not in self.orders:
+            self.orders[name] = sorted(self.machines.values(), key=place)
+        return self.orders[name]
 
     def _rank(self, task: Task, push: bool = False) -> list[Machine]:
         """The first of the service's order that pass the filters, cheapest first, near ones at random."""
@@ -351,14 +353,13 @@
         return [fit[n] for n in sorted(range(len(fit)), key=costs.__getitem__)]
 
     def _cost(self, machine: Machine, task: Task, expected: float) -> float:
-        kind, settings = self.settings.kinds[machine.entry.kind], self.settings
-        cores, memory = self._asked(machine)
+        kind, (cores, memory) = self.settings.kinds[machine.entry.kind], self._asked(machine)
         cores = (cores + expected * task.ask.cores) / kind.cores
         memory = (memory + expected * task.ask.memory) / kind.memory
-        overflow = max(0.0, cores - settings.accepts_cores, memory - settings.accepts_memory)
-        cost = max(cores, memory) + BETA * overflow
-        cost += START_COST * sum(not attempt.running for attempt in machine.attempts.values())
-        return cost + STRAIN_COST * machine.strain[0] * (self.now < machine.strain[1])
+        overflow = max(0.0, cores - self.settings.accepts_cores, memory - self.settings.accepts_memory)
+        starting = START_COST * sum(not attempt.running for attempt in machine.attempts.values())
+        strain = STRAIN_COST * machine.strain[0] * (self.now < machine.strain[1])
+        return max(cores, memory) + BETA * overflow + starting + strain
 
     def _revise(self) -> None:
         """Our turn: revise every service that still asks, and forget those that do not."""
@@ -370,14 +371,14 @@
                 service.asked = 0
             elif not service.attempts and all(task.ask.service != name for task in self.tasks.values()):
                 del self.services[name]
+                self.orders.pop(name, None)
 
     def _choose(self, task: Task) -> Machine | None:
         service = self.services[task.ask.service]
         held = next((machine for machine in service.ranking if self._fits(machine, task)), None)
         if held is None and (ranking := self._rank(task)):
             held, service.ranking = ranking[0], service.ranking if task.may_run else ranking
-        lowest = min(cls.priority for cls in self.settings.classes)
-        if held is None and self.settings.preempts and task.cls.priority > lowest:
+        if held is None and self.settings.preempts and task.cls.priority > 0:
             # Full for us, but not for a machine that pushes lower priorities out: waiting would lose more.
             held = next(iter(self._rank(task, push=True)), None)
         return held
@@ -415,8 +416,7 @@
         machine = self._choose(task)
         if machine is None:
             return False
-        attempt = Attempt(task, machine, self.now)
-        task.out = attempt
+        attempt = task.out = Attempt(task, machine, self.now)
         machine.offers = [at for at in machine.offers if at > self.now - self.settings.fall] + [self.now]
         if machine.room is not None:  # without any view there is nothing to correct
             machine.ledger.append((self.now, task.ask.cores, task.ask.memory, attempt))
