--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -226,7 +226,7 @@
 
     def _call_list(self, wait: float) -> None:
         """Subscribe at a time drawn from the length of all schedulers' calls: they start together."""
-        spread = max(wait / 2, LIST_CALL * self.settings.n_instances)
+        spread = max(wait / 2, min(LIST_CALL * self.settings.n_instances, self.settings.ask_every / 2))
         self.actions.append(i.SetTimer(wait / 2 + self.rng.uniform(0.0, spread), "list"))
 
     def _on_timer(self, event: i.TimerFired) -> None:
--- a/sprucepost/interface.py
+++ b/sprucepost/interface.py
@@ -192,7 +192,7 @@
         _check("max_attempts", self.max_attempts >= 1, "must be at least 1")
         _check("accepts_cores", self.accepts_cores > 0, "must be above 0")
         _check("accepts_memory", self.accepts_memory > 0, "must be above 0")
-        _check("cold_bears", self.cold_bears >= 0, "must not be negative")
+        _check("cold_bears", 0 <= self.cold_bears < float("inf"), "must be finite and not negative")
         _check("fall", self.fall > 0, "must be above 0")
         _check("warm_after", self.warm_after >= 0, "must not be negative")
         _check("ask_every", self.ask_every > 0, "must be above 0")
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -191,6 +191,7 @@
         (("zone",), 5, "zone"),
         (("membership_mode",), "gossip", "membership_mode"),
         (("rules", "fall"), -1, "fall"),
+        (("family_info", "cold_bears"), float("inf"), "cold_bears"),
         (("granularity",), "soon", "granularity"),
         (("areas",), "a", "areas"),
         (("classes", 0, "effect"), "odd", "effect"),
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -194,6 +194,12 @@
     assert len(offers(cluster.at(4 * SUSPECT, i.TimerFired("look")))) == 1
 
 
+def test_the_list_is_asked_in_time_however_many_schedulers_there_are() -> None:
+    for seed in range(50):
+        config = settings(n_instances=5000, list_mode=i.ListMode.ASK, ask_every=10000.0)
+        assert timers(Cluster(config, entry("m"), seed=seed).first)["list"] <= 5000.0
+
+
 @pytest.mark.parametrize("n", [1, 3, 300])
 def test_list_calls_are_spread_over_the_schedulers(n: int) -> None:
     waits = []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -200,3 +200,22 @@
     cluster = Cluster(settings(task_class(spread=i.Place.ZONE, most=1)), entry("m"))
     cluster.at(0.0, i.TaskFound(cluster.ask(), "unlisted"))
     assert cluster.place() is None
+
+
+@pytest.mark.parametrize(("n", "number"), [(1, 0), (1, 5), (3, 3), (300, 299), (300, 300), (5000, 7)])
+@pytest.mark.parametrize("machines", [0, 1])
+def test_odd_sizes_and_everything_at_once_end_in_one_answer_each(n: int, number: int, machines: int) -> None:
+    config = settings(n_instances=n, number=number, cold_bears=2.0)
+    cluster = Cluster(config, *(entry(f"m{k}", started=99999.0) for k in range(machines)))
+    found = [i.TaskFound(cluster.ask("f", left=1.0), f"unknown{k}") for k in range(3)]
+    asks = [cluster.ask(f"s{k % 3}", left=500.0) for k in range(20)]
+    actions = cluster.at(0.0, *found, *asks)
+    due = [i.TimerFired(name) for name in timers(actions)]
+    sent = [offer.request for offer in offers(actions)]
+    accepted = set(sent[:1])
+    late: list[i.Event] = [i.Outcome(request, 0, i.Ending.TIMEOUT, False) for request in sent[1:]]
+    late += [i.Accepted(request, 0, 3000.0) for request in accepted]
+    late += [i.Outcome(event.request.request, 0, i.Ending.RESET, True) for event in found]
+    final = answers(cluster.at(3000.0, *late, *due, *late, *due))
+    assert sorted(a.request for a in final) == sorted({ask.request for ask in asks} - accepted)
+    assert not cluster.at(10.0, *late, *(timer for timer in due if timer.name != "turn"))
