--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -23,13 +23,13 @@
 from sprucepost import interface as i
 from sprucepost.interface import Effect, Ending, Place, Reason
 
-INTERVAL = 2000.0  # ms between two schedulers' turns: about what the view lags, so a turn sees the last
+INTERVAL = 2000.0  # ms between two turns: about what the view lags, so a turn sees the last one's binds
 TURNS = 4  # turns in a round at most, several schedulers in each: a longer one would revise nothing in time
 BETA = 120.0  # cost of one whole machine of overflow: any overflow outranks every other difference
 NEAR = 0.06  # share within which machines are equally good: wider than a task, narrower than a trend
-VIEW_LAG = 2500.0  # ms until list or report shows a bind: its accept, refresh and delivery
-SUSPECT = 1000.0  # ms of first suspicion after silence; doubles with each further silence
-SUSPECT_MOST = 4000.0  # ms: a machine that is back is tried again within this
+VIEW_LAG = 2500.0  # ms until list or report shows a bind (accept, refresh, delivery) and notes come again
+SUSPECT = 1000.0  # ms of suspicion, doubled for each silence before; four times that if surely lost
+SUSPECT_MOST = 4000.0  # ms, likewise: a machine that is back is tried again within this
 RECHECK = 100.0  # ms between looks for room for a held task: well inside any aim, cheap enough
 STRAIN_COST = 0.3  # most that strain adds to a share: enough to steer away, never to outrank overflow
 START_COST = 0.05  # share that each own task still waiting to start on the machine counts as
