--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -15,10 +15,11 @@
 from pathlib import Path
 from typing import Any
 
+from sprucepost.placer.ledger import Ledger, Outcome
+
 from sprucepost import interface as i
 from sprucepost.brain import Scheduler
 from sprucepost.door import Ask, Door, LagLimit
-from sprucepost.placer.ledger import Ledger, Outcome
 from tests.support import entry, full_list, settings
 
 
--- a/sprucepost/cli/badday.py
+++ b/sprucepost/cli/badday.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sprucepost.cli.fleet import Fleet, FleetError
+from sprucepost.cli.probe import probe
 from sprucepost.cli.tables import report
 from sprucepost.loop import Co, Scope, in_scope, sleep
 from sprucepost.loop.epoll import EpollLoop
@@ -39,7 +40,7 @@
     def note(self, what: str, more: dict[str, Any]) -> None:
         event = {"at": time.time() * 1000.0, "what": what, **more}
         self._events.write(json.dumps(event) + "\n")
-        if not self.quiet:
+        if not self.quiet and what != "placer_starved":
             words = " ".join(f"{key}={value}" for key, value in more.items())
             click.echo(f"{(self.loop.now() - self._began) / 1000.0:6.1f} s  {what} {words}", err=True)
 
@@ -75,13 +76,17 @@
         self._began = self.loop.now()
         self.note("started", {"placers": self.scenario.placers, "machines": len(director.machines)})
         director.play(scope)
+        probes = [
+            scope.spawn(probe(self.loop, fleet.placer_address(n), f"placer-{n}", self.note), f"probe {n}")
+            for n in range(self.scenario.placers)
+        ]
         end = self._began + self.scenario.length_s * 1000.0
         while self.loop.now() < end:
             yield from sleep(min(500.0, max(1.0, end - self.loop.now())))
             fleet.check_alive()
             self._progress()
         yield from fleet.owners("asking", on=False)
-        yield from scope.join()  # faults that reach past the end are lifted
+        yield from director.over()  # faults that reach past the end are lifted
         deadline = max(cls.deadline_ms for cls in self.scenario.cluster.classes)
         until = self.loop.now() + deadline + 1000.0
         result = yield from fleet.owners("result")
@@ -90,6 +95,8 @@
             result = yield from fleet.owners("result")
         fleet.check_alive()
         self.note("ended", {})
+        for task in probes:
+            task.cancel()
         machines = yield from fleet.field("state")
         fleet.stop("owners")
         fleet.stop("placer")
--- a/sprucepost/cli/fleet.py
+++ b/sprucepost/cli/fleet.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from sprucepost.loop import Co, Loop, sleep
+from sprucepost.loop import Address, Co, Loop, sleep
 from sprucepost.standin.orders import order
 from sprucepost.standin.scenario import Scenario
 from sprucepost.wire.client import ClientConnection, open_client
@@ -128,6 +128,10 @@
         self._spawn("owners", "owner watch", settings)
         yield from self._connect("owners", self.processes["owners"].announcement()["control"])
 
+    def placer_address(self, number: int) -> Address:
+        """Where the placer itself listens, beside the tap."""
+        return "127.0.0.1", self._placer_ports[number]
+
     def zone_of(self, number: int) -> str:
         zones = self.scenario.cluster.zones
         return zones[number % len(zones)]
--- a/sprucepost/cli/tables.py
+++ b/sprucepost/cli/tables.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import Any
 
+UNDECIDED_MOST = 0.01  # share of the verdicts of a day that may be undecided
 OUTCOMES = (
     "asked",
     "placed",
@@ -34,13 +35,36 @@
 
 
 def rules_table(rules: list[dict[str, Any]]) -> str:
-    rows = [[rule["rule"], rule["checked"], len(rule["broken"])] for rule in rules]
-    lines = [table(["rule", "checked", "broken"], rows)]
+    rows = [[rule["rule"], rule["checked"], len(rule["broken"]), len(rule["undecided"])] for rule in rules]
+    lines = [table(["rule", "checked", "broken", "undecided"], rows)]
     for rule in rules:
         lines += [f"  {rule['rule']}: {text}" for text in rule["broken"][:10]]
+        lines += [f"  {rule['rule']}: undecided: {text}" for text in rule["undecided"][:3]]
     return "\n".join(lines)
 
 
+def problems(result: dict[str, Any]) -> list[str]:
+    """What was wrong with a day, a few words for each; none where it was good."""
+    owners, rules, found = result["owners"], result["rules"], []
+    found += [f"rule {rule['rule']} is broken" for rule in rules if rule["broken"]]
+    checked, undecided = (
+        sum(of(rule) for rule in rules) for of in (lambda r: r["checked"], lambda r: len(r["undecided"]))
+    )
+    if undecided > UNDECIDED_MOST * checked:
+        found.append(f"{undecided} of {checked} verdicts undecided")
+    if owners["second_answers"]:
+        found.append(f"{owners['second_answers']} second answers")
+    if owners["open"]:
+        found.append(f"{owners['open']} asks without an answer")
+    fallen = [name for name, machine in result["machines"].items() if machine["fallen"]]
+    if fallen:
+        found.append(f"cold machines fell over: {', '.join(fallen)}")
+    wrong = {name: status for name, status in result["exits"].items() if status != 0}
+    if wrong:
+        found.append(f"exit statuses: {wrong}")
+    return found
+
+
 def report(result: dict[str, Any]) -> tuple[str, bool]:
     """The printed report, and whether the day was good: no rule broken, one outcome for each ask, clean exits."""
     owners = result["owners"]
@@ -63,18 +87,6 @@
     if refusals:
         parts += [table(["offers refused", "count"], [[name, count] for name, count in sorted(refusals.items())]), ""]
     parts += [rules_table(result["rules"]), ""]
-    problems = []
-    if any(rule["broken"] for rule in result["rules"]):
-        problems.append("a rule is broken")
-    if owners["second_answers"]:
-        problems.append(f"{owners['second_answers']} second answers")
-    if owners["open"]:
-        problems.append(f"{owners['open']} asks without an answer")
-    fallen = [name for name, machine in result["machines"].items() if machine["fallen"]]
-    if fallen:
-        problems.append(f"cold machines fell over: {', '.join(fallen)}")
-    wrong = {name: status for name, status in result["exits"].items() if status != 0}
-    if wrong:
-        problems.append(f"exit statuses: {wrong}")
-    parts.append("good: no rule broken, one outcome for each ask" if not problems else f"BAD: {'; '.join(problems)}")
-    return "\n".join(parts), not problems
+    wrong = problems(result)
+    parts.append("good: no rule broken, one outcome for each ask" if not wrong else f"BAD: {'; '.join(wrong)}")
+    return "\n".join(parts), not wrong
--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -77,6 +77,7 @@
         self.turns = 0
         self.blind_ms = 0.0  # what just became readable may have waited so long: the loop stood still, or was busy
         self._looked_at: float | None = None
+        self._gap: tuple[float, Callable[[float], None]] | None = None
         self.worst_late_ms = 0.0  # since whoever reads it has set it to 0
         self.late_ms = 0.0  # how late the latest turn's first due timer was: the loop's own lag
 
@@ -132,6 +133,9 @@
         stood = now - began - wait_ms if wait_ms is not None else 0.0
         self.blind_ms = max(0.0, busy) + max(0.0, stood)
         self._looked_at = now
+        if self._gap is not None and self.blind_ms >= self._gap[0]:
+            length = self.blind_ms
+            self.guard(lambda: self._gap[1](length) if self._gap is not None else None)
 
     # Shared by all
 
@@ -142,6 +146,11 @@
     def call_later(self, delay_ms: float, call: Call) -> Timer:
         return self._timers.add(self.now() + max(0.0, delay_ms), call)
 
+    def on_gap(self, least_ms: float, call: Callable[[float], None]) -> None:
+        """Call ``call(length_ms)`` when the loop has not looked at its sockets for ``least_ms`` or longer (a pause of the
+        process, a slow turn), ahead of what it then reads from them."""
+        self._gap = least_ms, call
+
     def at_turn_end(self, call: Call) -> None:
         """Once, after everything else in this turn."""
         self._turn_end.append(call)
--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -42,6 +42,11 @@
         """Begin to read, once the callbacks are set."""
         self.resume()
 
+    @property
+    def blocked(self) -> bool:
+        """Whether the system takes no more bytes for now."""
+        return self._blocked
+
     def pause(self) -> None:
         """Take no more bytes: the system's buffer fills and the peer has to wait."""
         if self._reading:
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -58,7 +58,7 @@
         self.incarnation = int(loop.wall()) << 16 | int.from_bytes(loop.token(2), "big")
         self.log = logs.log.bind(placer=options.number, incarnation=self.incarnation)
         self.engine = Engine(loop, cluster, options, lambda: self.fleet.ask(), self._info, file.generation())
-        self.owners = self.engine.owners = Owners(
+        self.owners = Owners(
             loop,
             options.number,
             self.incarnation,
@@ -66,7 +66,7 @@
             options.limits.unacknowledged,
             self.engine.from_owner,
         )
-        self.links = self.engine.links = Links(
+        self.links = Links(
             loop,
             scope,
             self.engine,
@@ -74,10 +74,10 @@
             self.incarnation,
             options.source,
             options.limits.dials,
-            self.engine.left_ms,
             lambda machine, text: self.log.error("newer_incarnation", machine=machine, text=text),
             self._taken,
         )
+        self.engine.connect(self.owners, self.links)
         self.fleet = FleetWatch(
             loop,
             scope,
@@ -86,9 +86,9 @@
             options.number,
             list(cluster.zones),
             [kind.name for kind in cluster.kinds],
-            self.engine.on_list,
+            self.engine.roster.on_list,
             lambda machine, address: self._see(machine, address),
-            self.engine.hear_time,
+            self.engine.hear_list,
         )
         self.health = Health()
         methods = {
@@ -175,7 +175,7 @@
     def _facts(self) -> Facts:
         return Facts(
             listening=self.http is not None,
-            listed=self.engine.listed,
+            listed=self.engine.roster.listed,
             conflict=self.conflict,
             told_to_stop=self.stopping,
             open_tasks=self.engine.ledger.open,
@@ -197,7 +197,7 @@
         self.log.info("state", was=before.value, now=self.state.value, why=why or None)
         for service in ("", SERVICE):
             self.health.set(service, SERVING if self.state is State.READY else NOT_SERVING)
-        self.engine.leaving = self.state not in (State.READY, State.JOINING, State.STARTING)
+        self.engine.intake.leaving = self.state not in (State.READY, State.JOINING, State.STARTING)
         self.notifier.tell(STATUS=f"{self.state.value} {why}".strip())
         if self.state is State.READY:
             self.notifier.tell(READY="1")
@@ -218,10 +218,10 @@
         if new.generation() != old.generation():
             # Who runs when a change is told was there before it; a rollback turns the sides round.
             flip = {Side.OLD: Side.NEW, Side.NEW: Side.OLD}
-            side = flip[self.engine.side] if new.generation().rollback else Side.OLD
+            side = flip[self.engine.desk.side] if new.generation().rollback else Side.OLD
             if new.generation().previous is None:
                 side = Side.NEW
-            self.engine.set_generation(new.generation(), side)
+            self.engine.desk.set_generation(new.generation(), side)
         return []
 
     def run(self) -> Co[int]:
@@ -243,16 +243,16 @@
         """Drain: owners are sent elsewhere, what no attempt waits for is handed back, attempts come to their end."""
         ledger, stop_ms = self.engine.ledger, self.file.placer.stop_ms
         taken = ledger.open
-        until = self.loop.now() + stop_ms if stop_ms is not None else self.engine.last_due() + LEAVE_MS
+        until = self.loop.now() + stop_ms if stop_ms is not None else self.engine.answers.last_due() + LEAVE_MS
         self._stop_at = until
         self._move()
         self.log.info("stopping", open=taken, at_most_ms=round(until - self.loop.now()))
         self.scope.spawn(self.server.drain(until - self.loop.now() + LEAVE_MS), "drain")
         handed_back = 0
         while ledger.open and self.loop.now() < until and not self._hurry:
-            handed_back += self.engine.hand_back()
+            handed_back += self.engine.answers.hand_back()
             yield from sleep(10.0)
-        forced = self.engine.answer_all()
+        forced = self.engine.answers.answer_all()
         self._move()
         yield from sleep(LEAVE_MS)
         self.report = {
--- a/sprucepost/placer/links.py
+++ b/sprucepost/placer/links.py
@@ -1,8 +1,8 @@
 """Streams to machines: one for each, attached at once and again after every break.
 
-A link numbers what it sends in a session that outlives its stream. Offers are never written late: what has not been
-written when its time-out falls due, or when the machine drains, is dropped and is known never to have run; what would
-be sent again after a break is sent only while its attempt still waits and the machine takes work.
+A link numbers what it sends in a session that outlives its stream. It holds no offers, only the attempts whose offers
+are to be written: the frame is made by ``Receiver.write`` at the moment at which it goes out, also when it goes out again
+after a break, and is left out where it must not.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from sprucepost.loop import Address, Cancelled, Co, Loop, Rng, Scope, Task, TimedOut, Timer, current, sleep, within
+from sprucepost.placing.ports import Key
 from sprucepost.v1 import machine_pb2 as pb
 from sprucepost.wire.client import ClientCall, ClientConnection, open_client
 from sprucepost.wire.connection import Options
@@ -24,10 +25,6 @@
 AGAIN_FIRST_MS = 50.0
 AGAIN_MOST_MS = 1000.0
 ACK_MS = 50.0
-BEHIND = 65_536  # bytes that the machine has not let out yet, over which offers are held back in the link
-
-Attempt = tuple[int, int]
-"""Request and attempt number."""
 
 
 class Receiver(Protocol):
@@ -37,6 +34,9 @@
     def resumed(self, machine: str, hello: pb.Attached) -> None: ...
     def detached(self, machine: str) -> None: ...
     def answer(self, machine: str, frame: pb.FromMachine) -> None: ...
+    def write(self, key: Key, life: int) -> pb.Offer | None:
+        """The offer as it may go out now to that life of its machine."""
+        ...
 
 
 class Gate:
@@ -74,9 +74,8 @@
         self._token = b""
         self.life = 0
         self.call: ClientCall | None = None
-        self._queue: dict[Attempt, pb.Offer] = {}  # not written yet
-        self.written: set[Attempt] = set()  # offers that went out and still wait
-        self.closed_to_offers = False  # it drains or is gone
+        self._queue: dict[Key, None] = {}  # attempts whose offers are not written yet, oldest first
+        self.closed_to_offers = False  # it takes nothing new
         self._ack_timer: Timer | None = None
         self.task: Task[None] = links.scope.spawn(self._keep(), f"link {machine}")
 
@@ -86,32 +85,29 @@
 
     # Out
 
-    def offer(self, offer: pb.Offer) -> None:
-        """Write an offer as soon as the stream takes it."""
-        self._queue[offer.request, offer.attempt] = offer
+    def offer(self, key: Key) -> None:
+        """Write that attempt's offer as soon as the stream takes it."""
+        self._queue[key] = None
         self._write_offers()
 
-    def drop(self, attempt: Attempt) -> bool:
-        """The attempt waits no more; whether its offer was ever written."""
-        if self._queue.pop(attempt, None) is not None:
-            return False
-        self.written.discard(attempt)
-        return True
+    def drop(self, key: Key) -> None:
+        """The attempt waits no more."""
+        self._queue.pop(key, None)
 
-    def close_to_offers(self, closed: bool) -> list[Attempt]:
-        """Whether the machine takes no new work; the offers that were waiting to be written, which never will be."""
+    def close_to_offers(self, closed: bool) -> None:
+        """Whether the machine takes no new work; what waited to be written is dropped."""
         self.closed_to_offers = closed
-        if not closed:
-            return []
-        dropped = list(self._queue)
-        self._queue.clear()
-        if self.call is not None:
-            connection = self.call.connection
-            if self.call.out_bytes or connection.transport.buffered:
-                # Offers may sit in our own buffers, to go out when the machine reads again: long after the grace
-                # (rule 3). Without the connection they are void; whatever else is owed goes out after the next attach.
-                connection.abort("the machine drains and has not read its offers")
-        return dropped
+        if closed:
+            self._queue.clear()
+            # Offers may sit in our own buffers, to go out when the machine reads again: long after the grace (rule 3).
+            self.give_up_buffered()
+
+    def give_up_buffered(self) -> None:
+        """What lies in our own buffers must not go out any more. Without the connection it is void; whatever else is owed
+        goes out after the next attach."""
+        if self.call is not None and self.call.behind:
+            self._links.counters["link_behind"] += 1
+            self.call.connection.abort("the machine has not read its offers in time")
 
     def send(self, frame: pb.ToMachine) -> None:
         """A numbered frame; it goes out now or after the next attach."""
@@ -126,11 +122,13 @@
             self.call.send(frame.SerializeToString())
 
     def _write_offers(self) -> None:
-        while self._queue and self.call is not None and self.call.out_bytes < BEHIND:
+        # Not into a stream that is behind: an offer there waits with a time that runs out unseen.
+        while self._queue and self.call is not None and not self.call.behind:
             key = next(iter(self._queue))
-            offer = self._queue.pop(key)
-            self.written.add(key)
-            self.send(pb.ToMachine(offer=offer))
+            del self._queue[key]
+            offer = self._links.receiver.write(key, self.life)
+            if offer is not None:
+                self.send(pb.ToMachine(offer=offer))
 
     def _restart(self, why: str) -> None:
         """Begin a new session: the machine names what it holds."""
@@ -252,14 +250,11 @@
         return call
 
     def _still_wanted(self, frame: pb.ToMachine) -> pb.ToMachine:
-        """What goes out again after a break: no offer that has been given up, or that the machine must not get."""
+        """What goes out again after a break: no offer that must not go out now, and none with its first time."""
         if frame.WhichOneof("body") != "offer":
             return frame
-        key = (frame.offer.request, frame.offer.attempt)
-        if key not in self.written or self.closed_to_offers:
-            return pb.ToMachine(nothing=pb.Nothing())
-        frame.offer.wait_ms = self._links.left_ms(key)
-        return frame
+        offer = self._links.receiver.write((frame.offer.request, frame.offer.attempt), self.life)
+        return pb.ToMachine(nothing=pb.Nothing()) if offer is None else pb.ToMachine(offer=offer)
 
     def _until_over(self, call: ClientCall) -> Co[None]:
         def trap(task: Task[None]) -> Callable[[], None]:
@@ -296,13 +291,12 @@
         incarnation: int,
         source: str | None,
         dials: int,
-        left_ms: Callable[[Attempt], float],
         on_newer: Callable[[str, str], None],
         on_taken: Callable[[str, str], None],
     ) -> None:
         self.loop, self.scope, self.receiver = loop, scope, receiver
         self.number, self.incarnation, self.source = number, incarnation, source
-        self.left_ms, self.on_newer, self.on_taken = left_ms, on_newer, on_taken
+        self.on_newer, self.on_taken = on_newer, on_taken
         self.suspended = False  # no link attaches
         self.options = Options(keepalive_ms=10_000.0, keepalive_wait_ms=5000.0)
         self.counters: Counter[str] = Counter()
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -55,7 +55,7 @@
             else:
                 events.add_metric([name.replace(" ", "_")], count)
         refusals = CounterMetricFamily("sprucepost_refused_offers", "Offers refused by machines", labels=["reason"])
-        for name, count in sorted(engine.refusals.items()):
+        for name, count in sorted(engine.attempts.refusals.items()):
             refusals.add_metric([name], count)
         peers = CounterMetricFamily(
             "sprucepost_peer_errors", "Errors of peers, by port and name", labels=["side", "error"]
--- /dev/null
+++ b/sprucepost/placing/answers.py
@@ -0,0 +1,108 @@
+"""The one outcome of each task: settled in the ledger, taken off its owner's share, told to all that asked."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from sprucepost import interface as i
+from sprucepost.door import Door
+from sprucepost.placing.desk import Desk
+from sprucepost.placing.ledger import Entry, Ledger, Outcome
+from sprucepost.placing.ports import OwnersPort
+from sprucepost.settings import Cluster, TaskClass
+from sprucepost.v1 import placer_pb2 as pb
+
+LATE_MS = 60_000.0  # how long an answered task is remembered for a machine's late word
+
+
+class Answers:
+    """``owners`` is set by whoever puts the parts together."""
+
+    owners: OwnersPort
+
+    def __init__(self, desk: Desk, ledger: Ledger, cluster: Cluster, door: Door, counters: Counter[str]) -> None:
+        self._desk, self.ledger, self._cluster, self.door, self.counters = desk, ledger, cluster, door, counters
+        self.on_settled: Callable[[], None] = lambda: None
+
+    def class_of(self, entry: Entry) -> TaskClass:
+        return self._cluster.classes[entry.task_class]
+
+    def tell(self, entry: Entry, **body: Any) -> None:
+        """A frame about the task to every session that asked for it."""
+        for token in entry.sessions:
+            self.owners.tell(token, pb.PlacerFrame(task=entry.name, **body))
+
+    def settle(self, entry: Entry, outcome: Outcome) -> None:
+        """The outcome, in the books only."""
+        self.ledger.settle(entry, outcome, self._desk.now())
+        if entry.owner is not None:
+            self.door.closed(entry.owner)
+            entry.owner = None
+        self.on_settled()
+        self.counters[f"outcome {outcome.value} {self.class_of(entry).name}"] += 1
+
+    def refuse(self, entry: Entry, why: str, retry_after_ms: float = 0.0) -> None:
+        self.settle(entry, Outcome.REFUSED)
+        self.tell(entry, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms))
+
+    def fail(self, entry: Entry, why: str) -> None:
+        self.settle(entry, Outcome.FAILED)
+        self.tell(entry, failed=pb.Failed(why=why))
+
+    def give_up(self, entry: Entry, why: str) -> None:
+        """Answer an open task that nobody here works on any more: refused where that is true, else failed."""
+        self._desk.push(i.Gone(entry.request))
+        if self.harmless(entry):
+            self.refuse(entry, why)
+        else:
+            self.fail(entry, why)
+
+    def decided(self, action: i.Refuse | i.Fail) -> None:
+        """The module's final answer."""
+        entry = self.ledger.by_request(action.request)
+        if entry is None or entry.outcome is not Outcome.OPEN:
+            self.counters["late_answers"] += 1  # the task was placed in the same turn
+        elif isinstance(action, i.Refuse):
+            self.refuse(entry, "no machine took it in time", action.retry_after)
+        else:
+            self.fail(entry, "an attempt may have run")
+
+    def harmless(self, entry: Entry) -> bool:
+        """Whether a refusal, which promises that asking again does no harm, is true of this task now."""
+        cls = self.class_of(entry)
+        if cls.effect == "safe" or (cls.effect == "keyed" and cls.group == "all"):
+            return True
+        return entry.out is None and not entry.may_run
+
+    def over(self, entry: Entry, ended: pb.Ended) -> None:
+        """A placed task has come to its end."""
+        self.counters[f"ended {pb.Ended.How.Name(ended.how).lower()}"] += 1
+        self.ledger.end(entry)
+        self.tell(entry, ended=ended)
+
+    # Stopping
+
+    def last_due(self) -> float:
+        """When the last owner of an open task gives up, on the loop's clock."""
+        return max((entry.due for entry in self.ledger.open_entries()), default=self._desk.loop.now())
+
+    def hand_back(self) -> int:
+        """Refuse every open task that no attempt waits for, where that does no harm: its owner can go elsewhere at once."""
+        chosen = [e for e in self.ledger.open_entries() if e.out is None and self.harmless(e)]
+        for entry in chosen:
+            self.give_up(entry, "this placer is leaving")
+        self.counters["handed_back"] += len(chosen)
+        return len(chosen)
+
+    def answer_all(self) -> int:
+        """At the end of a stop: an outcome for every task still open; how many there were."""
+        entries = self.ledger.open_entries()
+        for entry in entries:
+            self.give_up(entry, "this placer is leaving")
+        return len(entries)
+
+    def forget(self) -> None:
+        """Drop the answered tasks of which no late word is expected any more."""
+        self.ledger.forget(self._desk.now() - LATE_MS)
--- a/sprucepost/rules/checks.py
+++ b/sprucepost/rules/checks.py
@@ -1,8 +1,13 @@
 """The five rules, each as a checker that is fed events in order and asked for its verdict at the end.
 
-Times are those of the tap. Where two events on different connections are compared, ``SLACK_MS`` allows for what the tap
-itself was late. What the run did to a placer on purpose (killed, stopped it) is told by :class:`Run`, since a killed
-placer owes nothing and a stopped one owes its answers at once when it goes on.
+Times are those of the tap. Where two events on different connections are compared, ``SLACK_MS`` allows for what lies
+between a process and the tap. What the run did to a placer on purpose (killed, stopped it) is told by :class:`Run`, since
+a killed placer owes nothing and a stopped one owes its answers at once when it goes on.
+
+Three things can leave a verdict open, and then it is *undecided*, which is counted apart and never taken for good: the
+tap looked late, so that bytes may have been sent in time; the placer got no processor, as probes of its port saw; a word
+went out to the placer and its connection was reset before it can have read it. ``docs/scenarios.md`` lists what each rule
+takes as proof.
 """
 
 from __future__ import annotations
@@ -24,6 +29,7 @@
     rule: str
     checked: int = 0
     broken: list[str] = field(default_factory=list)
+    undecided: list[str] = field(default_factory=list)
 
 
 @dataclass
@@ -32,8 +38,22 @@
 
     killed: dict[str, list[float]] = field(default_factory=dict)  # by placer: moments
     stalled: dict[str, list[tuple[float, float]]] = field(default_factory=dict)  # by placer: from, to
+    starved: dict[str, list[tuple[float, float]]] = field(default_factory=dict)  # by placer: a probe waited from, to
     ended_at: float = float("inf")
 
+    def read(self, placer: str, at: float, until: float) -> bool:
+        """Whether a placer can be taken to have read what went out to it ``at`` on a connection that ended at ``until``."""
+        if until == float("inf"):
+            return True
+        pauses = [*self.stalled.get(placer, []), *self.starved.get(placer, [])]
+        return until - at - _overlap(pauses, at, until) > SLACK_MS
+
+    def starved_ms(self, placer: str, since: float, until: float) -> float:
+        """How long, of that time, the placer did not answer a probe of its port, though nobody had stopped it."""
+        starved, stalled = self.starved.get(placer, []), self.stalled.get(placer, [])
+        stopped = sum(_overlap(stalled, max(a, since), min(b, until)) for a, b in starved)
+        return max(0.0, _overlap(starved, since, until) - stopped)
+
     def killed_between(self, placer: str, since: float, until: float) -> bool:
         return any(since - SLACK_MS <= at <= until + SLACK_MS for at in self.killed.get(placer, []))
 
@@ -45,6 +65,16 @@
         return due
 
 
+def _overlap(spans: list[tuple[float, float]], since: float, until: float) -> float:
+    """Time of ``since`` to ``until`` that the spans cover, each moment once."""
+    covered, reached = 0.0, since
+    for start, end in sorted(spans):
+        start, end = max(start, reached), min(end, until)
+        if end > start:
+            covered, reached = covered + end - start, end
+    return covered
+
+
 class Checker:
     """``take`` each event, then ``finish``."""
 
@@ -64,6 +94,18 @@
     def broken(self, at: float, text: str) -> None:
         self.verdict.broken.append(f"{at:.0f} ms: {text}")
 
+    def undecided(self, at: float, text: str, why: str) -> None:
+        self.verdict.undecided.append(f"{at:.0f} ms: {text} ({why})")
+
+    def too_late(self, placer: str, since: float, at: float, late: float, due: float, text: str) -> None:
+        """Something came at ``at`` that was due, counted from ``since``; perhaps for a cause that is not the placer's."""
+        if at - late <= due:
+            self.undecided(at, text, f"the tap was {late:.0f} ms late")
+        elif (starved := self.run.starved_ms(placer, since, at)) >= at - late - due:
+            self.undecided(at, text, f"the placer had no processor for {starved:.0f} ms")
+        else:
+            self.broken(at, text)
+
 
 @dataclass
 class _Ask:
@@ -89,6 +131,9 @@
     def take(self, event: t.Event) -> None:
         if isinstance(event, t.Asked):
             key = (event.placer, event.session, event.task)
+            if event.again:  # it had not arrived before: the owner's time runs from now
+                self._asked_again(key, event)
+                return
             self._asks.setdefault(key, deque()).append(_Ask(event.at, event.at + event.left_ms, event.hand_over))
             self._cancelled.discard(key)
             if not event.hand_over:
@@ -111,6 +156,11 @@
                 if event.at > at + SLACK_MS:
                     self.broken(event.at, f"{event.placer} offers {event.name} after it was {kind} at {at:.0f} ms")
 
+    def _asked_again(self, key: tuple[str, bytes, str], event: t.Asked) -> None:
+        asks = self._asks.get(key)
+        if asks and not asks[-1].hand_over:
+            asks[-1].at, asks[-1].due = event.at, event.at + event.left_ms
+
     def _told(self, event: t.Told) -> None:
         if event.kind not in ("bound", "refused", "failed", "ended"):
             return
@@ -129,9 +179,8 @@
             return
         due = self._excused(event.placer, event.session, ask)
         if event.at > due + SLACK_MS:
-            self.broken(
-                event.at, f"{event.placer} tells {event.task} {event.kind} {event.at - ask.due:.0f} ms too late"
-            )
+            text = f"{event.placer} tells {event.task} {event.kind} {event.at - ask.due:.0f} ms too late"
+            self.too_late(event.placer, ask.at, event.at, event.late, due + SLACK_MS, text)
         if event.kind in ("refused", "failed"):
             self._answered[event.placer, event.task] = event.at, event.kind
         else:
@@ -181,6 +230,8 @@
         self._where: dict[tuple[str, str], t.Listed] = {}
         self._lives: dict[tuple[str, str], int] = {}
         self._out: dict[tuple[str, str], list[_Attempt]] = {}  # by placer and machine: not known to be over
+        self._asks: dict[tuple[str, int, str], int] = {}  # by placer, incarnation and task: asks without an outcome
+        self._before: dict[tuple[str, int, str], set[tuple[int, int, int]]] = {}  # requests of asks that are answered
 
     def take(self, event: t.Event) -> None:
         if isinstance(event, t.Offered) and not event.again:
@@ -192,10 +243,11 @@
                 return
             if event.kind == "refused":
                 attempt.refused_at = event.at
-            elif attempt.accepted_at is None:
-                attempt.accepted_at = event.at
+            elif attempt.accepted_at is None or event.again:
+                attempt.accepted_at = event.at if self.run.read(event.placer, event.at, event.until) else None
         elif isinstance(event, t.Listed):
             if event.state == 0:
+                # Also a word that may not have arrived ends the attempt here: the placer may act on it.
                 self._gone(event.placer, event.machine, event.at)
             else:
                 self._where[event.placer, event.machine] = event
@@ -204,8 +256,21 @@
             if before is not None and before != event.life:
                 self._gone(event.placer, event.machine, event.at)
             self._lives[event.placer, event.machine] = event.life
-        elif isinstance(event, t.Told) and event.kind == "refused":
-            self._refused(event)
+        elif isinstance(event, t.Asked) and not event.hand_over and not event.again:
+            self._asked(event)
+        elif isinstance(event, t.Told) and event.kind in ("bound", "refused", "failed"):
+            if event.kind == "refused":
+                self._refused(event)
+            ask = (event.placer, event.incarnation, event.task)
+            self._asks[ask] = max(0, self._asks.get(ask, 0) - 1)
+
+    def _asked(self, event: t.Asked) -> None:
+        """While an ask of a task is open, others join it, and one outcome speaks for all: attempts since the first of them
+        count. An ask that comes when none is open begins anew: what earlier ones left is not its attempts."""
+        ask = (event.placer, event.incarnation, event.task)
+        if not self._asks.get(ask):
+            self._before[ask] = {a.event.key[:3] for a in self._by_name.get((event.placer, event.task), [])}
+        self._asks[ask] = self._asks.get(ask, 0) + 1
 
     def _gone(self, placer: str, machine: str, at: float) -> None:
         for attempt in self._out.pop((placer, machine), []):
@@ -232,9 +297,13 @@
                     self.broken(event.at, f"{event.placer} offers {event.name} again though it was accepted")
                     break
             slack = min(SLACK_MS, earlier.event.wait_ms / 2)  # never so wide that it covers the attempt itself
-            if earlier.refused_at is None and event.at < self._ends(earlier) - slack:
-                self.broken(event.at, f"{event.placer} has two attempts of {event.name} out")
-                break
+            if earlier.refused_at is None and event.at - event.late < self._ends(earlier) + earlier.event.late - slack:
+                text = f"{event.placer} has two attempts of {event.name} out"
+                if event.at < self._ends(earlier) - slack:
+                    self.broken(event.at, text)
+                    break
+                late = max(event.late, earlier.event.late)
+                self.undecided(event.at, text, f"the tap was {late:.0f} ms late")
         may_run = [earlier for earlier in before if earlier.refused_at is None]
         if may_run and cls is not None:
             self._allowed(event, may_run[0].event, cls)
@@ -257,14 +326,18 @@
                     self.broken(event.at, f"{event.placer} offers {event.name} outside its key's {cls.group}")
 
     def _refused(self, event: t.Told) -> None:
-        """A refusal promises that a retry does no harm."""
-        attempts = [a for a in self._by_name.get((event.placer, event.task), []) if a.event.key[1] == event.incarnation]
+        """A refusal promises that a retry does no harm: that no attempt of this very ask may have run."""
+        before = self._before.get((event.placer, event.incarnation, event.task), set())
+        attempts = [
+            attempt
+            for attempt in self._by_name.get((event.placer, event.task), [])
+            if attempt.event.key[1] == event.incarnation and attempt.event.key[:3] not in before
+        ]
         if not attempts:
             return
-        latest = self._requests[attempts[-1].event.key[:3]]
         cls = self.classes.get(attempts[-1].event.task.task_class)
         harmless = cls is None or cls.effect == "safe" or (cls.effect == "keyed" and cls.group == "all")
-        if not harmless and any(attempt.refused_at is None for attempt in latest):
+        if not harmless and any(attempt.refused_at is None for attempt in attempts):
             self.broken(event.at, f"{event.placer} refuses {event.task} though it may have run")
 
 
@@ -275,25 +348,39 @@
 
     def __init__(self, cluster: Cluster, run: Run) -> None:
         super().__init__(cluster, run)
-        self._since: dict[tuple[str, str], float] = {}
+        self._since: dict[tuple[str, str], float] = {}  # word that the placer has read
+        self._perhaps: dict[tuple[str, str], float] = {}  # word that it may have read
 
     def take(self, event: t.Event) -> None:
         if isinstance(event, t.Listed):
+            key = (event.placer, event.machine)
             if event.state == 1:
-                self._since.pop((event.placer, event.machine), None)
+                self._since.pop(key, None)
+                self._perhaps.pop(key, None)
+            elif self.run.read(event.placer, event.at, event.until):
+                self._since.setdefault(key, event.at)
             else:
-                self._since.setdefault((event.placer, event.machine), event.at)
+                self._perhaps.setdefault(key, event.at)
         elif isinstance(event, t.Offered):
             self.verdict.checked += 1
-            since = self._since.get((event.placer, event.machine))
-            if since is not None:
-                due = self.run.awake(event.placer, since + self.cluster.drain_grace_ms)
-                if event.at > due + SLACK_MS / 5:
-                    self.broken(
-                        event.at,
-                        f"{event.placer} offers {event.name} to {event.machine} {event.at - since:.0f} ms after "
-                        "word that it drains or is gone",
-                    )
+            self._offered(event)
+
+    def _offered(self, event: t.Offered) -> None:
+        key = (event.placer, event.machine)
+        since = self._since.get(key)
+        if since is None:
+            perhaps = self._perhaps.get(key)
+            if perhaps is not None and event.at > self._due(event.placer, perhaps):
+                self.undecided(event.at, self._text(event, perhaps), "the word may not have arrived")
+        elif event.at > (due := self._due(event.placer, since)):
+            self.too_late(event.placer, since, event.at, event.late, due, self._text(event, since))
+
+    def _due(self, placer: str, since: float) -> float:
+        return self.run.awake(placer, since + self.cluster.drain_grace_ms) + SLACK_MS / 5
+
+    def _text(self, event: t.Offered, since: float) -> str:
+        after = f"{event.at - since:.0f} ms after word that it drains or is gone"
+        return f"{event.placer} offers {event.name} to {event.machine} {after}"
 
 
 class ColdKept(Checker):
@@ -304,26 +391,34 @@
     def __init__(self, cluster: Cluster, run: Run) -> None:
         super().__init__(cluster, run)
         self._started: dict[tuple[str, str], float] = {}
-        self._recent: dict[str, deque[float]] = {}
+        self._recent: dict[str, deque[tuple[float, float]]] = {}  # when, and how much earlier it may have been
         self.most = 0
 
     def take(self, event: t.Event) -> None:
-        if isinstance(event, t.Listed):
-            self._started[event.placer, event.machine] = event.started_ms
+        if isinstance(event, (t.Listed, t.Attached)):
+            if self.run.read(event.placer, event.at, event.until):
+                self._told(event.placer, event.machine, event.started_ms)
         elif isinstance(event, t.Offered) and not event.again:
             started = self._started.get((event.placer, event.machine), 0.0)
             if not started or not started <= event.at < started + self.cluster.warm_after_ms:
                 return
             self.verdict.checked += 1
             recent = self._recent.setdefault(event.machine, deque())
-            recent.append(event.at)
-            while recent[0] <= event.at - self.cluster.fall_ms:
+            recent.append((event.at, event.late))
+            while recent[0][0] <= event.at - self.cluster.fall_ms:
                 recent.popleft()
             self.most = max(self.most, len(recent))
             if len(recent) > self.cluster.cold_bears:
-                self.broken(
-                    event.at, f"{event.machine} is cold and gets {len(recent)} offers in {self.cluster.fall_ms:g} ms"
-                )
+                text = f"{event.machine} is cold and gets {len(recent)} offers in {self.cluster.fall_ms:g} ms"
+                surely = [at for at, late in recent if at - late > event.at - self.cluster.fall_ms]
+                if len(surely) > self.cluster.cold_bears:
+                    self.broken(event.at, text)
+                else:
+                    self.undecided(event.at, text, f"the tap was {max(late for _, late in recent):.0f} ms late")
+
+    def _told(self, placer: str, machine: str, started_ms: float) -> None:
+        """A later start counts; a list that is behind takes nothing back."""
+        self._started[placer, machine] = max(self._started.get((placer, machine), 0.0), started_ms)
 
 
 class SpreadKept(Checker):
--- a/sprucepost/rules/record.py
+++ b/sprucepost/rules/record.py
@@ -34,6 +34,8 @@
             stopped[placer] = event["at"]
         elif what == "placer_continued" and placer in stopped:
             run.stalled.setdefault(placer, []).append((stopped.pop(placer), event["at"]))
+        elif what == "placer_starved":
+            run.starved.setdefault(placer, []).append((event["since"], event["at"]))
         elif what == "ended":
             run.ended_at = event["at"]
     return run
--- a/sprucepost/rules/trace.py
+++ b/sprucepost/rules/trace.py
@@ -1,10 +1,16 @@
 """What the messages of a capture say: submissions and outcomes, offers and answers, word of machines.
 
-Repeats (frames sent again after a broken stream) are dropped by their session and number, as each end does.
+Repeats (frames sent again after a broken stream) are known by their session and number, as to each end. A frame that a
+placer is sent again had not reached it before: the other end repeats only what the placer has not seen. So the repeat,
+marked ``again``, is when the placer was told.
+
+Bytes that went out to a placer have not been read by it for that: a socket that is reset loses what lies in it. ``until``
+of every word to a placer is when its connection ended; :meth:`sprucepost.rules.checks.Run.read` makes proof of it.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -30,6 +36,8 @@
     task: str
     left_ms: float
     hand_over: bool
+    incarnation: int = 0
+    again: bool = False
 
 
 @dataclass(frozen=True)
@@ -42,6 +50,7 @@
     session: bytes
     task: str
     kind: str
+    late: float = 0.0  # ms by which it may have been sent earlier: the tap looked late
 
 
 @dataclass(frozen=True)
@@ -86,6 +95,8 @@
     machine: str
     key: Key
     kind: str
+    until: float = math.inf
+    again: bool = False
 
 
 @dataclass(frozen=True)
@@ -108,6 +119,8 @@
     machine: str
     life: int
     incarnation: int
+    started_ms: float = 0.0
+    until: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -121,6 +134,7 @@
     zone: str
     cell: str
     started_ms: float
+    until: float = math.inf
 
 
 Event = Asked | Told | Stream | Cancelled | Offered | Answered | Adopted | Attached | Listed
@@ -153,14 +167,14 @@
 
 
 class Tracer:
-    """Messages in, events out."""
+    """Messages in, events out. ``ends``: when each connection ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, ends: dict[int, float] | None = None) -> None:
+        self._ends = ends or {}
         self._owner: dict[tuple[int, int], _OwnerStream] = {}
         self._machine: dict[tuple[int, int], _MachineStream] = {}
-        self._from_owner, self._to_owner = _Seen(), _Seen()
+        self._from_owner, self._to_owner, self._from_machine = _Seen(), _Seen(), _Seen()
         self._offers: set[Key] = set()
-        self._answers: dict[bytes, int] = {}
         self._known: dict[str, set[str]] = {}  # by placer: machines that the list has named
 
     def take(self, message: Message | Closed) -> Iterator[Event]:
@@ -182,13 +196,15 @@
         if message.from_client:
             frame = placer_pb2.OwnerFrame.FromString(message.data)
             kind = frame.WhichOneof("body")
-            if kind in (None, "hello") or not self._from_owner.fresh(stream.session, frame.seq):
+            if kind in (None, "hello") or not frame.seq:
                 return
+            again, session = not self._from_owner.fresh(stream.session, frame.seq), stream.session
             if kind == "submit":
-                yield Asked(at, placer, stream.session, frame.task, frame.submit.left_ms, False)
-            elif kind == "hand_over":
-                yield Asked(at, placer, stream.session, frame.task, 0.0, True)
-            elif kind == "cancel":
+                left = frame.submit.left_ms
+                yield Asked(at, placer, session, frame.task, left, False, stream.incarnation, again)
+            elif kind == "hand_over" and not again:
+                yield Asked(at, placer, session, frame.task, 0.0, True, stream.incarnation)
+            elif kind == "cancel" and not again:
                 yield Cancelled(at, placer, stream.session, frame.task)
             return
         answer = placer_pb2.PlacerFrame.FromString(message.data)
@@ -197,11 +213,12 @@
             stream.session, stream.incarnation = answer.welcome.session, answer.welcome.incarnation
             yield Stream(at, placer, stream.session, True)
         elif kind is not None and self._to_owner.fresh(stream.session, answer.seq):
-            yield Told(at, placer, stream.incarnation, stream.session, answer.task, str(kind))
+            yield Told(at, placer, stream.incarnation, stream.session, answer.task, str(kind), message.late)
 
     def _offer(self, message: Message) -> Iterator[Event]:
         stream = self._machine.setdefault((message.connection, message.stream), _MachineStream())
         placer, machine, at = message.client, message.target, message.at
+        until = self._ends.get(message.connection, math.inf)
         if message.from_client:
             frame = machine_pb2.ToMachine.FromString(message.data)
             kind = frame.WhichOneof("body")
@@ -223,30 +240,33 @@
         kind = answer.WhichOneof("body")
         if kind == "attached":
             stream.session = answer.attached.session
-            yield Attached(at, placer, machine, answer.attached.life, stream.incarnation)
+            told = answer.attached
+            yield Attached(at, placer, machine, told.life, stream.incarnation, told.started_ms, until)
             for held in answer.attached.held:
                 if held.incarnation == stream.incarnation:
                     key = (stream.number, stream.incarnation, held.request, held.attempt)
-                    yield Answered(at, placer, machine, key, "accepted")
-        elif kind is not None and answer.seq > self._answers.get(stream.session, 0):
-            self._answers[stream.session] = answer.seq
+                    yield Answered(at, placer, machine, key, "accepted", until)
+        elif kind is not None and answer.seq:
+            again = not self._from_machine.fresh(stream.session, answer.seq)
             key = (stream.number, stream.incarnation, answer.request, answer.attempt)
-            yield Answered(at, placer, machine, key, str(kind))
+            yield Answered(at, placer, machine, key, str(kind), until, again)
 
     def _listed(self, message: Message) -> Iterator[Event]:
         update = fleet_pb2.FleetUpdate.FromString(message.data)
         placer, at = message.client, message.at
+        until = self._ends.get(message.connection, math.inf)
         known = self._known.setdefault(placer, set())
         if update.whole:
             for machine in sorted(known - {entry.name for entry in update.entries}):
-                yield Listed(at, placer, machine, 0, "", "", 0.0)
+                yield Listed(at, placer, machine, 0, "", "", 0.0, until)
         for entry in update.entries:
             known.add(entry.name)
-            yield Listed(at, placer, entry.name, entry.state, entry.zone, entry.cell, entry.started_ms)
+            yield Listed(at, placer, entry.name, entry.state, entry.zone, entry.cell, entry.started_ms, until)
 
 
 def trace(records: Iterator[Record]) -> Iterator[Event]:
     """The events of a capture, in order."""
-    tracer = Tracer()
-    for message in messages(records):
+    found = list(messages(records))
+    tracer = Tracer({message.connection: message.at for message in found if isinstance(message, Closed)})
+    for message in found:
         yield from tracer.take(message)
--- a/sprucepost/standin/machines.py
+++ b/sprucepost/standin/machines.py
@@ -140,6 +140,7 @@
         reply = Frame(load=self._load(), ack=link.session.ack())
         attached = reply.attached
         attached.machine, attached.life, attached.session = self.model.model.name, self.life, link.token
+        attached.started_ms = self.model.started
         attached.resumed, attached.last_seen, attached.resume_ms = resumed, link.session.seen, RESUME_MS
         for task in self.model.held(hello.number):
             attached.held.append(_held(task))
--- a/sprucepost/wire/call.py
+++ b/sprucepost/wire/call.py
@@ -141,6 +141,11 @@
         """Whether more waits than a careful sender adds to."""
         return self.out_bytes >= OUT_MOST
 
+    @property
+    def behind(self) -> bool:
+        """Whether bytes of this call wait for the peer, beyond what this turn wrote."""
+        return self.over is None and self.connection.behind(self)
+
     def send_wait(self, message: bytes, compress: bool | None = None) -> Co[None]:
         """Send a message and wait while the buffer is full. RpcError where the call has ended."""
         if self.over is not None:
--- a/sprucepost/wire/connection.py
+++ b/sprucepost/wire/connection.py
@@ -149,6 +149,10 @@
         self._dirty[call] = None
         self.flush_soon()
 
+    def behind(self, call: Call) -> bool:
+        """Whether the peer's window or the socket holds the call's bytes back."""
+        return call in self._stuck or self.transport.blocked
+
     def call_over(self) -> None:
         self._calls_until = self.loop.now()
 
--- a/tests/placer/test_ledger.py
+++ b/tests/placing/test_ledger.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sprucepost.placer.ledger import Entry, LateWord, Ledger, Outcome, SecondAnswer, late_word
+from sprucepost.placing.ledger import Entry, LateWord, Ledger, Outcome, SecondAnswer, late_word
 
 ANSWERS = (Outcome.PLACED, Outcome.REFUSED, Outcome.FAILED)
 
--- /dev/null
+++ b/tests/placing/test_wake.py
@@ -0,0 +1,97 @@
+"""After a pause of its own a placer places nothing on what it can only believe, and answers every owner all the same."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucepost import interface as i
+from sprucepost.placing.wake import Wake
+from sprucepost.v1 import machine_pb2
+from tests.placing.support import Walk
+
+FAILED = i.MachineList(i.ListKind.FAILED)
+
+
+def test_after_a_pause_nothing_is_offered_until_the_list_has_spoken() -> None:
+    walk = Walk()
+    link = walk.machine()
+    walk.loop.stand_still(4000.0)
+    walk.submit()
+    walk.loop.pass_ms(300.0)
+    assert not link.offers and walk.logs["paused"] == 1
+    walk.engine.hear_list(walk.loop.wall())  # a beat: nothing that was told before has been missed
+    walk.loop.pass_ms(150.0)
+    assert len(link.offers) == 1
+
+
+def test_a_pause_shorter_than_the_grace_changes_nothing() -> None:
+    walk = Walk()
+    link = walk.machine()
+    walk.loop.stand_still(walk.cluster.drain_grace_ms - 50.0)
+    walk.submit()
+    assert len(link.offers) == 1
+
+
+def test_with_the_list_out_of_reach_a_machine_that_speaks_is_there() -> None:
+    walk = Walk()
+    link, other = walk.machine(), walk.machine("m2")
+    walk.loop.stand_still(4000.0)
+    walk.engine.roster.on_list(FAILED)
+    walk.engine.answer("m2", machine_pb2.FromMachine(request=99, running=machine_pb2.TaskRunning()))
+    walk.submit()
+    assert not link.offers and len(other.offers) == 1
+
+
+def test_owners_are_answered_in_time_though_nothing_is_heard() -> None:
+    walk = Walk()
+    link = walk.machine()
+    walk.loop.stand_still(4000.0)
+    walk.submit(left_ms=900.0)
+    walk.loop.pass_ms(900.0)
+    assert walk.outcomes() == ["refused"] and not link.offers
+
+
+def test_a_pause_is_not_remembered_for_ever() -> None:
+    walk = Walk()
+    link = walk.machine()
+    walk.loop.stand_still(4000.0)
+    walk.engine.roster.on_list(FAILED)
+    walk.loop.pass_ms(walk.cluster.list_ask_every_ms + 10.0)
+    walk.submit()
+    assert len(link.offers) == 1
+
+
+def test_a_machine_that_the_list_closed_meanwhile_stays_closed() -> None:
+    walk = Walk()
+    link = walk.machine()
+    walk.loop.stand_still(4000.0)
+    walk.loop.pass_ms(0.0)
+    walk.tell_list("m1", state=2)
+    walk.submit()
+    walk.loop.pass_ms(500.0)
+    assert not link.offers
+
+
+STEPS = st.lists(st.tuples(st.sampled_from(["pause", "list", "failed", "a", "b"]), st.floats(0.0, 3000.0)), max_size=30)
+
+
+@given(STEPS)
+def test_doubt_ends_by_itself_and_only_a_pause_begins_it(steps: list[tuple[str, float]]) -> None:
+    wake, now, paused_at = Wake(1000.0, 2000.0), 0.0, None
+    for what, ms in steps:
+        now += ms
+        if what == "pause":
+            if wake.paused(now, ms):
+                assert ms >= 1000.0
+                paused_at = now
+        elif what == "list":
+            wake.list_spoke()
+            paused_at = None
+        elif what == "failed":
+            wake.list_failed()
+        else:
+            wake.machine_spoke(what)
+        doubted = [name for name in ("a", "b") if wake.in_doubt(name, now)]
+        assert not doubted or (paused_at is not None and now < paused_at + 2000.0)
+    assert not wake.in_doubt("a", now + 2000.0)
--- /dev/null
+++ b/tests/rules/test_judge.py
@@ -0,0 +1,144 @@
+"""What the judge takes as proof: it errs neither way where words are lost, asks come again, or the tap is late."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+from sprucepost.rules import trace as t
+from sprucepost.rules.checks import Run, Verdict, judge
+from sprucepost.v1 import common_pb2
+from tests.placer.support import cluster
+
+P, M, S = "placer-0", "m1", b"s"
+
+
+def asked(at: float, task: str = "t", left: float = 2000.0, session: bytes = S, again: bool = False) -> t.Asked:
+    return t.Asked(at, P, session, task, left, False, 5, again)
+
+
+def told(at: float, kind: str, task: str = "t", session: bytes = S, late: float = 0.0) -> t.Told:
+    return t.Told(at, P, 5, session, task, kind, late)
+
+
+def offered(at: float, request: int = 1, attempt: int = 0, cls: str = "once", **more: Any) -> t.Offered:
+    task = common_pb2.Task(task_class=cls, service="s", cores=1, memory=1)
+    return replace(t.Offered(at, P, M, (0, 5, request, attempt), "t", task, 300.0, False), **more)
+
+
+def listed(at: float, state: int = 2, until: float = float("inf"), started: float = 0.0) -> t.Listed:
+    return t.Listed(at, P, M, state, "room-a", "c", started, until)
+
+
+def verdict(rule: str, events: Sequence[t.Event], run: Run | None = None) -> Verdict:
+    return next(v for v in judge(events, cluster(), run or Run(ended_at=1e6)) if v.rule.startswith(rule))
+
+
+# Rule 2: which ask a refusal speaks of
+
+EARLIER: list[t.Event] = [
+    asked(0),
+    offered(10),
+    t.Answered(20, P, M, (0, 5, 1, 0), "accepted"),
+    told(21, "bound"),
+    told(500, "ended"),
+]
+
+
+def test_a_refusal_at_once_is_not_judged_by_an_earlier_ask_of_that_name() -> None:
+    assert not verdict("2", [*EARLIER, asked(2000), told(2001, "refused")]).broken
+
+
+def test_a_refusal_after_an_attempt_of_this_very_ask_is_a_break() -> None:
+    assert verdict("2", [*EARLIER, asked(2000), offered(2010, 2), told(3900, "refused")]).broken
+
+
+def test_a_joined_ask_is_judged_by_the_attempts_of_the_ask_that_it_joined() -> None:
+    events: list[t.Event] = [
+        asked(0),
+        offered(10),
+        asked(400, session=b"other"),
+        told(900, "refused", session=b"other"),
+    ]
+    assert verdict("2", events).broken
+
+
+def test_of_two_askers_the_second_answer_is_judged_like_the_first() -> None:
+    events = [
+        asked(0),
+        asked(5, session=b"other"),
+        offered(10),
+        told(900, "failed"),
+        told(901, "refused", session=b"other"),
+    ]
+    assert verdict("2", events).broken
+
+
+def test_an_ask_after_a_failed_one_begins_anew() -> None:
+    assert not verdict("2", [asked(0), offered(10), told(900, "failed"), asked(950), told(951, "refused")]).broken
+
+
+# Words that may not have arrived
+
+GONE = listed(1000, state=0, until=1010)
+
+
+def test_a_drain_that_went_out_to_a_socket_that_was_reset_at_once_is_no_proof() -> None:
+    found = verdict("3", [GONE, offered(3000)])
+    assert not found.broken and len(found.undecided) == 1
+    assert verdict("3", [replace(GONE, until=2000), offered(3000)]).broken
+
+
+def test_a_stopped_placer_has_read_nothing_before_it_went_on() -> None:
+    stopped = Run(stalled={P: [(900, 3000)]}, ended_at=1e6)
+    assert not verdict("3", [replace(GONE, until=3010), offered(5000)], stopped).broken
+    assert verdict("3", [replace(GONE, until=4000), offered(5000)], stopped).broken
+
+
+def test_an_acceptance_that_never_arrived_was_not_told() -> None:
+    events: list[t.Event] = [asked(0), offered(10, cls="web"), t.Answered(20, P, M, (0, 5, 1, 0), "accepted", until=25)]
+    assert not verdict("2", [*events, offered(400, attempt=1, cls="web")]).broken
+    events[-1] = t.Answered(20, P, M, (0, 5, 1, 0), "accepted")
+    assert verdict("2", [*events, offered(400, attempt=1, cls="web")]).broken
+
+
+def test_an_ask_that_was_sent_again_counts_from_then() -> None:
+    events: list[t.Event] = [asked(0, left=1000), asked(900, left=1000, again=True), told(1800, "refused")]
+    assert not verdict("1", events).broken
+    assert verdict("1", [events[0], events[2]]).broken
+
+
+def test_a_machine_s_own_word_tells_that_it_is_cold() -> None:
+    many: list[t.Event] = [offered(5000 + n, request=n) for n in range(20)]
+    assert verdict("4", [t.Attached(4000, P, M, 2, 5, 3900.0), listed(4100, 1), *many]).broken
+    assert not verdict("4", [listed(4100, 1), *many]).broken
+
+
+# Lateness that is not the placer's
+
+
+def test_where_the_tap_was_late_there_is_no_verdict() -> None:
+    drain: list[t.Event] = [listed(0)]
+    assert verdict("3", [*drain, offered(1400)]).broken
+    found = verdict("3", [*drain, offered(1400, late=500.0)])
+    assert not found.broken and "the tap was 500 ms late" in found.undecided[0]
+    found = verdict("1", [asked(0, left=500), told(1000, "refused", late=400.0)])
+    assert not found.broken and len(found.undecided) == 1
+    twice: list[t.Event] = [offered(0), t.Answered(5, P, M, (0, 5, 1, 0), "refused")]
+    assert not verdict("2", [*twice, offered(20, attempt=1)]).undecided
+    found = verdict("2", [offered(0, cls="web"), offered(200, attempt=1, cls="web", late=100.0)])
+    assert not found.broken and len(found.undecided) == 1
+
+
+def test_where_a_placer_had_no_processor_there_is_no_verdict_but_a_stop_is_no_excuse() -> None:
+    late: list[t.Event] = [listed(0), offered(2000)]
+    found = verdict("3", late, Run(starved={P: [(700, 1900)]}, ended_at=1e6))
+    assert not found.broken and "no processor" in found.undecided[0]
+    assert verdict("3", late, Run(starved={P: [(700, 900)]}, ended_at=1e6)).broken
+    stopped = Run(starved={P: [(100, 600)]}, stalled={P: [(100, 600)]}, ended_at=1e6)
+    assert verdict("3", late, stopped).broken
+
+
+def test_two_attempts_out_are_caught_whatever_the_tap_says() -> None:
+    assert verdict("2", [offered(0, cls="web"), offered(10, attempt=1, cls="web")]).broken
