--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -65,7 +65,7 @@
 
 
 def test_of_two_askers_the_second_answer_is_judged_like_the_first() -> None:
-    events = [
+    events: list[t.Event] = [
         asked(0),
         asked(5, session=b"other"),
         offered(10),
