--- a/sprucepost/cli/badday.py
+++ b/sprucepost/cli/badday.py
@@ -46,6 +46,7 @@
 
     def run(self) -> dict[str, Any]:
         """Play it; the result as it is written down. FleetError where a process fails."""
+        (self.folder / record.SCENARIO).write_bytes(msgspec.json.format(msgspec.json.encode(self.scenario), indent=1))
         (self.folder / record.CLUSTER).write_text(json.dumps(msgspec.to_builtins(self.scenario.cluster), indent=1))
         fleet = Fleet(self.loop, self.scenario, self.folder, self.note)
         try:
--- a/sprucepost/cli/fleet.py
+++ b/sprucepost/cli/fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import os
+import resource
 import select
 import signal
 import subprocess
@@ -80,7 +82,11 @@
         self._control: dict[str, ClientConnection] = {}
         self._placer_ports: dict[int, int] = {}
         self._list_port = 0
+        self._size = scenario.placers
+        self._generation: dict[str, Any] = {}
+        self._limits: dict[int, tuple[int, int]] = {}
         self.exits: dict[str, int | None] = {}
+        self._leaving: set[str] = set()  # processes that were told to stop while the day goes on
 
     # Start
 
@@ -108,16 +114,16 @@
         fronts = []
         for number in range(scenario.placers):
             yield from self._placer_up(number)
-            front = yield from self.tap(
-                "add",
-                name=f"placer-{number}",
-                target=f"127.0.0.1:{self._placer_ports[number]}",
-                zone=self.zone_of(number),
-            )
-            fronts.append(f"127.0.0.1:{front['port']}")
+            fronts.append((yield from self._front(number)))
         yield from self.tap("name", ip="127.0.2.1", name="owners")
         self._fronts = fronts
 
+    def _front(self, number: int) -> Co[str]:
+        """The tap's port before that placer."""
+        target = f"127.0.0.1:{self._placer_ports[number]}"
+        front = yield from self.tap("add", name=f"placer-{number}", target=target, zone=self.zone_of(number))
+        return f"127.0.0.1:{front['port']}"
+
     def start_owners(self) -> Co[None]:
         scenario = self.scenario
         settings = {
@@ -139,14 +145,15 @@
     def _spawn(self, name: str, command: str, settings: dict[str, Any]) -> None:
         self.processes[name] = Process(self.folder, name, command, settings)
 
-    def _spawn_placer(self, number: int) -> None:
-        port = self._placer_ports.get(number, 0)
+    def _spawn_placer(self, number: int, name: str = "", source: str = "") -> None:
+        port = 0 if name else self._placer_ports.get(number, 0)
         placer = {
-            "number": number, "instances": self.scenario.placers, "zone": self.zone_of(number),
-            "list": f"127.0.0.1:{self._list_port}", "listen": f"127.0.0.1:{port}", "source": f"127.0.1.{number + 1}",
-            "seed": self.scenario.seed * 1000 + number,
+            "number": number, "instances": self._size, "zone": self.zone_of(number), "generation": self._generation,
+            "list": f"127.0.0.1:{self._list_port}", "listen": f"127.0.0.1:{port}",
+            "source": source or f"127.0.1.{number + 1}", "seed": self.scenario.seed * 1000 + number,
         }  # fmt: skip
-        self._spawn(f"placer-{number}", "placer", {"cluster": self._cluster, "placer": placer})
+        # Through `host`, whose wall clock can be stepped: the placer's own code is what `sprucepost placer` runs.
+        self._spawn(name or f"placer-{number}", "host", {"cluster": self._cluster, "placer": placer})
 
     def _placer_up(self, number: int) -> Co[None]:
         told = self.processes[f"placer-{number}"].announcement()
@@ -180,17 +187,25 @@
     def kill_placer(self, number: int) -> None:
         name = f"placer-{number}"
         self.note("placer_killed", placer=name)
-        self.processes[name].stop(signal.SIGKILL)
-        self.processes.pop(name).wait(5.0)
+        process = self.processes.pop(name, None)  # none where it has stopped by itself by now
+        if process is not None:
+            process.stop(signal.SIGKILL)
+            process.wait(5.0)
+        self._leaving.discard(name)
+        self._limits.pop(number, None)
 
     def start_placer(self, number: int) -> Co[None]:
         self._spawn_placer(number)
-        out = self.processes[f"placer-{number}"].child.stdout
-        while out is not None and not select.select([out], [], [], 0)[0]:
-            yield from sleep(20.0)  # the day goes on while it starts
+        yield from self._announced(self.processes[f"placer-{number}"])
         yield from self._placer_up(number)
         self.note("placer_started", placer=f"placer-{number}")
 
+    def _announced(self, process: Process) -> Co[None]:
+        """Until the process has a word to say; the day goes on meanwhile."""
+        out = process.child.stdout
+        while out is not None and not select.select([out], [], [], 0)[0]:
+            yield from sleep(20.0)
+
     def stall_placer(self, number: int, stalled: bool) -> None:
         name = f"placer-{number}"
         process = self.processes.get(name)
@@ -198,6 +213,68 @@
             self.note("placer_stopped" if stalled else "placer_continued", placer=name)
             process.stop(signal.SIGSTOP if stalled else signal.SIGCONT)
 
+    def term_placer(self, number: int) -> None:
+        name = f"placer-{number}"
+        self.note("placer_asked_to_stop", placer=name)
+        self.processes[name].stop(signal.SIGTERM)
+        self._leaving.add(name)
+
+    def limit_descriptors(self, number: int, limited: bool) -> None:
+        process = self.processes.get(f"placer-{number}")
+        if process is None or process.child.poll() is not None:
+            return
+        soft, hard = resource.prlimit(process.child.pid, resource.RLIMIT_NOFILE)
+        if limited:
+            self._limits.setdefault(number, (soft, hard))
+            in_use = len(os.listdir(f"/proc/{process.child.pid}/fd"))
+            resource.prlimit(process.child.pid, resource.RLIMIT_NOFILE, (in_use, hard))
+        elif number in self._limits:
+            resource.prlimit(process.child.pid, resource.RLIMIT_NOFILE, self._limits.pop(number))
+
+    def step_clock(self, number: int, by_ms: float) -> None:
+        name = f"placer-{number}"
+        (self.folder / f"{name}.clock").write_text(f"{by_ms}\n")
+        process = self.processes.get(name)
+        if process is not None:
+            process.stop(signal.SIGUSR2)
+
+    def start_twin(self, number: int) -> Co[None]:
+        name, ip = f"twin-{number}", f"127.0.3.{number + 1}"
+        if name in self.processes:
+            return
+        yield from self.tap("name", ip=ip, name=name, zone=self.zone_of(number))
+        self._spawn_placer(number, name, ip)
+        yield from self._announced(self.processes[name])
+
+    def stop_twin(self, number: int) -> None:
+        process = self.processes.get(f"twin-{number}")
+        if process is not None:
+            process.stop(signal.SIGTERM)
+            self._leaving.add(process.name)
+
+    def resize(self, size: int, lead_ms: float, overlap_ms: float) -> Co[None]:
+        before, self._size = self._size, size
+        self._generation = {
+            "number": 1, "previous_instances": before, "begins_ms": time.time() * 1000.0 + lead_ms,
+            "overlap_ms": overlap_ms, "announced": True,
+        }  # fmt: skip
+        for number in range(before):
+            path = self.folder / f"placer-{number}.json"
+            raw = json.loads(path.read_text())
+            raw["placer"].update(instances=size, generation=self._generation)
+            path.with_suffix(".new").write_text(json.dumps(raw, indent=1))
+            path.with_suffix(".new").replace(path)
+            process = self.processes.get(f"placer-{number}")
+            if process is not None:
+                process.stop(signal.SIGHUP)
+        yield from sleep(lead_ms)
+        for number in range(before, size):
+            yield from self.tap("name", ip=f"127.0.1.{number + 1}", name=f"placer-{number}", zone=self.zone_of(number))
+            self._spawn_placer(number)
+            yield from self._announced(self.processes[f"placer-{number}"])
+            yield from self._placer_up(number)
+            yield from self.owners("placer", address=(yield from self._front(number)))
+
     def note(self, what: str, **more: Any) -> None:
         self._note(what, more)
 
@@ -205,8 +282,11 @@
 
     def check_alive(self) -> None:
         """FleetError where a process ended by itself."""
-        for name, process in self.processes.items():
-            if process.child.poll() is not None:
+        for name, process in list(self.processes.items()):
+            if process.child.poll() is not None and name in self._leaving:
+                self._leaving.discard(name)
+                self.exits[name] = self.processes.pop(name).wait(1.0)
+            elif process.child.poll() is not None:
                 raise FleetError(f"{name} ended with status {process.child.returncode}; see {self.folder / name}.log")
 
     def stop(self, first: str, limit_s: float = 20.0) -> None:
--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -28,13 +28,15 @@
         sys.exit(2)
 
 
-def run_daemon(body: Callable[[Any, Any, Any, Callable[[str], None]], Any], file: Any, seed: int | None) -> None:
+def run_daemon(
+    body: Callable[[Any, Any, Any, Callable[[str], None]], Any], file: Any, seed: int | None, loop: Any = None
+) -> None:
     """Run a daemon's coroutine on a real loop; exit with the status that it returns."""
     from sprucepost.loop import in_scope
     from sprucepost.loop.epoll import EpollLoop
     from sprucepost.settings import SettingsError
 
-    loop = EpollLoop(seed)
+    loop = loop or EpollLoop(seed)
 
     def announce(line: str) -> None:
         print(line, flush=True)
@@ -79,6 +81,24 @@
     run_daemon(body, settings, settings.placer.seed)
 
 
+@main.command(hidden=True)
+@_FILE
+def host(file: Path) -> None:
+    """Run one placer on a host whose wall clock a test can step."""
+    from sprucepost.cli.host import SteppedLoop
+    from sprucepost.placer.daemon import serve
+    from sprucepost.settings import PlacerFile
+
+    settings = read_or_exit(file, PlacerFile)
+    clock = SteppedLoop(settings.placer.seed, file.with_suffix(".clock"))
+
+    def body(loop: Any, scope: Any, settings: Any, announce: Any) -> Any:
+        clock.obey()
+        return serve(loop, scope, settings, announce, file)
+
+    run_daemon(body, settings, settings.placer.seed, clock)
+
+
 @main.command()
 @_FILE
 def machine(file: Path) -> None:
@@ -182,26 +202,96 @@
     click.echo(json.dumps(msgspec.to_builtins(read_or_exit(file, PlacerFile)), indent=1))
 
 
-@main.command()
+class _ByDefault(click.Group):
+    """A group whose own name plays a day: ``badday FILE`` is ``badday play FILE``."""
+
+    def resolve_command(self, ctx: click.Context, args: list[str]) -> Any:
+        if args and args[0] not in self.commands:
+            args = ["play", *args]
+        return super().resolve_command(ctx, args)
+
+    def parse_args(self, ctx: click.Context, args: list[str]) -> list[str]:
+        if not args or (args[0] not in self.commands and args[0] != "--help"):
+            args = ["play", *args]
+        return super().parse_args(ctx, args)
+
+
+@main.group(cls=_ByDefault)
+def badday() -> None:
+    """Bad days on loopback, judged by the five rules from the traffic. Without a command: play."""
+
+
+@badday.command("play")
 @click.argument("scenario", type=click.Path(path_type=Path), required=False)
 @click.option("--seed", type=int, help="Another draw of the same day.")
+@click.option("--seeds", help="A..B, or seeds with commas: play them all, and say which are bad.")
+@click.option("--random", "random_day", is_flag=True, help="Draw the whole day from the seed.")
+@click.option("--jobs", type=click.IntRange(1), default=1, show_default=True, help="Days at a time, with --seeds.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    default=Path("found"),
+    show_default=True,
+    help="With --seeds: where results and the records of bad days are kept; what is there is not played again.",
+)
 @click.option("--length", "length_s", type=float, help="Seconds; the faults' times scale with it.")
 @click.option("--record", "keep", type=click.Path(path_type=Path), help="Keep bytes, logs and result in this folder.")
 @click.option("--quiet", is_flag=True, help="No progress.")
-def badday(scenario: Path | None, seed: int | None, length_s: float | None, keep: Path | None, quiet: bool) -> None:
-    """Play a scripted bad day on loopback and judge the five rules from the traffic; exit status 1 if one broke."""
+def badday_play(
+    scenario: Path | None, seed: int | None, seeds: str | None, random_day: bool, jobs: int, out: Path,
+    length_s: float | None, keep: Path | None, quiet: bool,
+) -> None:  # fmt: skip
+    """Play a bad day; exit status 1 if a rule broke, 3 if the run itself failed."""
     from msgspec import structs
 
     from sprucepost.cli.badday import default_scenario, play
+    from sprucepost.cli.search import drawn, parse_seeds, search
     from sprucepost.settings.reading import decode
     from sprucepost.standin.scenario import Scenario
 
-    day = read_or_exit(scenario, Scenario) if scenario else decode(default_scenario(), Scenario)
-    if seed is not None:
-        day = structs.replace(day, seed=seed)
-    if length_s is not None:
-        day = day.scaled(length_s)
-    sys.exit(play(day, keep, quiet))
+    if random_day and scenario is not None:
+        raise click.UsageError("--random draws the day: give no scenario with it")
+    if seeds is not None and seed is not None:
+        raise click.UsageError("--seed and --seeds: give one of them")
+    if random_day:
+        day_of = drawn(length_s or 24.0)
+    else:
+        base = read_or_exit(scenario, Scenario) if scenario else decode(default_scenario(), Scenario)
+        base = base.scaled(length_s) if length_s is not None else base
+
+        def day_of(seed: int) -> Scenario:
+            return structs.replace(base, seed=seed)
+
+    if seeds is not None:
+        try:
+            chosen = parse_seeds(seeds)
+        except ValueError as error:
+            click.echo(f"sprucepost: --seeds: {error}", err=True)
+            sys.exit(2)
+        sys.exit(search(chosen, jobs, out, day_of, quiet))
+    if seed is None:
+        seed = 1 if random_day else base.seed
+    sys.exit(play(day_of(seed), keep, quiet))
+
+
+@badday.command("shrink")
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--jobs", type=click.IntRange(1), default=3, show_default=True, help="Plays at a time.")
+@click.option("--tries", type=click.IntRange(1), default=3, show_default=True, help="Plays of each candidate.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("found"), show_default=True)
+def badday_shrink(scenario: Path, jobs: int, tries: int, out: Path) -> None:
+    """Cut the day in SCENARIO (a file, or a bad day's record) to the fewest faults that still break it, and print it."""
+    import msgspec
+
+    from sprucepost.cli.search import shrink
+    from sprucepost.standin.scenario import Scenario
+
+    day = read_or_exit(scenario / "scenario.json" if scenario.is_dir() else scenario, Scenario)
+    small = shrink(day, out, jobs, tries, lambda text: click.echo(text, err=True))
+    if small is None:
+        click.echo(f"sprucepost: {scenario}: {tries} plays broke nothing", err=True)
+        sys.exit(1)
+    click.echo(msgspec.json.format(msgspec.json.encode(small), indent=1).decode())
 
 
 @main.group()
@@ -260,6 +350,18 @@
     click.echo(default_scenario().decode(), nl=False)
 
 
+@scenario.command("draw")
+@click.option("--seed", type=int, required=True)
+@click.option("--length", "length_s", type=click.FloatRange(0, min_open=True), default=24.0, show_default=True)
+def scenario_draw(seed: int, length_s: float) -> None:
+    """Print the day that `badday --random --seed` plays."""
+    import msgspec
+
+    from sprucepost.standin.drawing import draw
+
+    click.echo(msgspec.json.format(msgspec.json.encode(draw(seed, length_s)), indent=1).decode())
+
+
 @scenario.command("import")
 @click.argument("day", type=click.Path(path_type=Path))
 @click.option("--scale", type=click.FloatRange(0, 1, min_open=True), default=1.0, show_default=True,
--- a/sprucepost/rules/record.py
+++ b/sprucepost/rules/record.py
@@ -1,7 +1,7 @@
 """The folder that a recorded run leaves, and judging it again.
 
-``capture.bin`` (bytes at the tap), ``cluster.json`` (the deployment's settings), ``events.jsonl`` (what the run did, with
-times), ``result.json`` (the figures that were printed).
+``scenario.json`` (the day), ``capture.bin`` (bytes at the tap), ``cluster.json`` (the deployment's settings),
+``events.jsonl`` (what the run did, with times), ``result.json`` (the figures that were printed).
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from sprucepost.wire.capture import read_capture
 
 CAPTURE, CLUSTER, EVENTS, RESULT = "capture.bin", "cluster.json", "events.jsonl", "result.json"
+SCENARIO = "scenario.json"
 
 
 class RecordError(Exception):
--- a/sprucepost/standin/director.py
+++ b/sprucepost/standin/director.py
@@ -34,8 +34,29 @@
         ...
 
     def kill_placer(self, number: int) -> None: ...
+    def term_placer(self, number: int) -> None:
+        """Ask it to stop, and wait for nothing."""
+        ...
+
     def start_placer(self, number: int) -> Co[None]: ...
     def stall_placer(self, number: int, stalled: bool) -> None: ...
+    def limit_descriptors(self, number: int, limited: bool) -> None:
+        """No new descriptor for that placer's process, or as many as before."""
+        ...
+
+    def step_clock(self, number: int, by_ms: float) -> None:
+        """The wall clock of that placer's host is off by so much from now on."""
+        ...
+
+    def start_twin(self, number: int) -> Co[None]:
+        """A second process with that placer's number."""
+        ...
+
+    def stop_twin(self, number: int) -> None: ...
+    def resize(self, size: int, lead_ms: float, overlap_ms: float) -> Co[None]:
+        """Another number of placers, by an announced generation; returns when the new ones run."""
+        ...
+
     def note(self, what: str, **more: Any) -> None:
         """Something happened, for the run's own record."""
         ...
@@ -55,8 +76,13 @@
             "burst": self._burst, "hot_key": self._hot_key, "heavy_tail": self._heavy_tail, "zone_cut": self._zone_cut,
             "deploy": self._deploy, "shrink": self._shrink, "grow": self._grow, "discovery_down": self._list_down,
             "discovery_stale": self._list_stale, "reconnect": self._reconnect, "placer_kill": self._placer_kill,
-            "reset": self._reset,
+            "reset": self._reset, "list_empty": self._list_empty, "list_back": self._list_back, "list_gone": self._list_gone,
+            "one_way_cut": self._one_way_cut, "slow_link": self._slow_link, "descriptors": self._descriptors,
+            "clock_step": self._clock_step, "same_number": self._same_number, "placer_stop": self._placer_stop,
+            "resize": self._resize,
         }  # fmt: skip
+        self._hit: set[str] = set()  # machines that a fault has taken down or is about to
+        self._away: set[int] = set()  # placers that are not up
 
     def setup(self) -> Co[None]:
         """The machines of the start."""
@@ -90,11 +116,21 @@
     def _some(self, fault: Fault, number: int, share: float | None = None) -> list[str]:
         """The machines that a fault meets: a share of those up, of its room where it names one."""
         rng = self.scenario.rng(f"fault {number}")
-        up = [name for name, model in self.machines.items() if fault.zone in (None, model["zone"])]
+        up = [
+            name
+            for name, model in self.machines.items()
+            if fault.zone in (None, model["zone"]) and name not in self._hit
+        ]
         return rng.sample(up, min(len(up), max(1, round((fault.part if share is None else share) * len(up)))))
 
+    def _down(self, fault: Fault, number: int, share: float | None = None) -> list[str]:
+        """The same for a fault that takes machines down: none that another one has in hand. One machine at least stays."""
+        some = self._some(fault, number, share)[: max(0, len(self.machines) - len(self._hit) - 1)]
+        self._hit.update(some)
+        return some
+
     def _crash(self, fault: Fault, number: int) -> Co[None]:
-        some = self._some(fault, number)
+        some = self._down(fault, number)
         for name in some:
             yield from self.stage.field("crash", machine=name)
         yield from sleep(fault.len_s * 1000.0)
@@ -102,11 +138,12 @@
             yield from self._up_again(name)
 
     def _up_again(self, name: str) -> Co[None]:
+        self._hit.discard(name)
         if name in self.machines:
             yield from self.stage.field("up", machine=name)
 
     def _vanish(self, fault: Fault, number: int) -> Co[None]:
-        some = self._some(fault, number)
+        some = self._down(fault, number)
         for name in some:
             yield from self.stage.tap("set", name=f"vanish {name}", target=name, hold=True)
             yield from self.stage.field("mute", machine=name)
@@ -126,7 +163,7 @@
             yield from self.stage.field("set", machine=name, slow=1.0)
 
     def _ageing(self, fault: Fault, number: int) -> Co[None]:
-        some = self._some(fault, number)
+        some = self._down(fault, number)
         steps = 10
         for step in range(1, steps + 1):
             slow = max(1.0, fault.size) ** (step / steps)
@@ -146,7 +183,7 @@
             yield from self.stage.field("set", machine=name, deaf_class=cls)
         yield from sleep(fault.len_s * 1000.0)
         for name in some:
-            yield from self.stage.field("set", machine=name, deaf_class=None)
+            yield from self.stage.field("set", machine=name, deaf_class="")
 
     def _answer_lost(self, fault: Fault, number: int) -> Co[None]:
         some = self._some(fault, number)
@@ -156,16 +193,22 @@
         for name in some:
             yield from self.stage.field("set", machine=name, answer_loss=0.0)
 
+    def _placers(self, fault: Fault, number: int) -> list[int]:
+        """The placers that a fault meets, of those that are up."""
+        rng = self.scenario.rng(f"fault {number}")
+        up = [placer for placer in range(self.scenario.placers) if placer not in self._away]
+        return rng.sample(up, min(len(up), max(1, round(fault.part * self.scenario.placers))))
+
     def _stall(self, fault: Fault, number: int) -> Co[None]:
         """``size``: ms that each stall lasts; ``extra``: seconds between two, 0 for a single one."""
-        rng = self.scenario.rng(f"fault {number}")
-        some = rng.sample(range(self.scenario.placers), max(1, round(fault.part * self.scenario.placers)))
+        some = self._placers(fault, number)
         until = self.loop.now() + fault.len_s * 1000.0
         while True:
-            for placer in some:
+            met = [placer for placer in some if placer not in self._away]
+            for placer in met:
                 self.stage.stall_placer(placer, True)
             yield from sleep(fault.size)
-            for placer in some:
+            for placer in met:
                 self.stage.stall_placer(placer, False)
             if not fault.extra or self.loop.now() + fault.extra * 1000.0 >= until:
                 return
@@ -205,10 +248,11 @@
         yield from sleep(drain_s * 1000.0)
         for name in names:
             yield from self.stage.field("crash", machine=name)
+            self._hit.discard(name)
 
     def _deploy(self, fault: Fault, number: int) -> Co[None]:
         """``size``: share of the fleet replaced at a time; ``extra``: seconds of drain."""
-        some = self._some(fault, number)
+        some = self._down(fault, number)
         batch = max(1, round(fault.size * len(self.machines)))
         batches = math.ceil(len(some) / batch)
         for n in range(batches):
@@ -219,7 +263,7 @@
             yield from sleep(max(0.0, fault.len_s / batches - fault.extra) * 1000.0)
 
     def _shrink(self, fault: Fault, number: int) -> Co[None]:
-        some = self._some(fault, number, 1.0 - 1.0 / max(1.0, fault.size))
+        some = self._down(fault, number, 1.0 - 1.0 / max(1.0, fault.size))
         yield from self.stage.owners("rate", factor=1.0 / max(1.0, fault.size))
         for name in some:
             yield from self._retire([name], fault.len_s / max(1, len(some)))
@@ -245,13 +289,101 @@
         yield from self.stage.owners("restart", share=fault.part, within_ms=fault.len_s * 1000.0)
 
     def _placer_kill(self, fault: Fault, number: int) -> Co[None]:
-        rng = self.scenario.rng(f"fault {number}")
-        some = rng.sample(range(self.scenario.placers), max(1, round(fault.part * self.scenario.placers)))
+        some = self._placers(fault, number)
+        self._away.update(some)
         for placer in some:
             self.stage.kill_placer(placer)
         yield from sleep(fault.len_s * 1000.0)
+        yield from self._start_placers(some)
+
+    def _start_placers(self, some: list[int]) -> Co[None]:
         for placer in some:
             yield from self.stage.start_placer(placer)
+            self._away.discard(placer)
+
+    def _placer_stop(self, fault: Fault, number: int) -> Co[None]:
+        """SIGTERM, and ``size`` ms later, in the midst of the stop, SIGKILL."""
+        some = self._placers(fault, number)
+        self._away.update(some)
+        for placer in some:
+            self.stage.term_placer(placer)
+        yield from sleep(fault.size)
+        for placer in some:
+            self.stage.kill_placer(placer)
+        yield from sleep(fault.len_s * 1000.0)
+        yield from self._start_placers(some)
+
+    def _descriptors(self, fault: Fault, number: int) -> Co[None]:
+        some = self._placers(fault, number)
+        for placer in some:
+            self.stage.limit_descriptors(placer, True)
+        yield from sleep(fault.len_s * 1000.0)
+        for placer in some:
+            self.stage.limit_descriptors(placer, False)
+
+    def _clock_step(self, fault: Fault, number: int) -> Co[None]:
+        """``size``: ms by which the host's clock is off while it lasts."""
+        some = self._placers(fault, number)
+        for placer in some:
+            self.stage.step_clock(placer, fault.size)
+        yield from sleep(fault.len_s * 1000.0)
+        for placer in some:
+            self.stage.step_clock(placer, 0.0)
+
+    def _same_number(self, fault: Fault, number: int) -> Co[None]:
+        some = self._placers(fault, number)[:1]
+        for placer in some:
+            yield from self.stage.start_twin(placer)
+        yield from sleep(fault.len_s * 1000.0)
+        for placer in some:
+            self.stage.stop_twin(placer)
+
+    def _resize(self, fault: Fault, number: int) -> Co[None]:
+        """``size``: times as many placers."""
+        more = max(self.scenario.placers + 1, round(self.scenario.placers * fault.size))
+        yield from self.stage.resize(more, 1500.0, fault.len_s * 1000.0)
+
+    # The list's errors, one at a time: the latest holds, and its end brings the truth back
+
+    def _lie(self, fault: Fault, **what: Any) -> Co[None]:
+        yield from self.stage.listing("lie", **what)
+        yield from sleep(fault.len_s * 1000.0)
+        yield from self.stage.listing("truth")
+
+    def _list_empty(self, fault: Fault, number: int) -> Co[None]:
+        yield from self._lie(fault, kind="empty")
+
+    def _list_back(self, fault: Fault, number: int) -> Co[None]:
+        """``size``: seconds back."""
+        yield from self._lie(fault, kind="back", back_ms=fault.size * 1000.0)
+
+    def _list_gone(self, fault: Fault, number: int) -> Co[None]:
+        """``part`` of the machines are named gone."""
+        yield from self._lie(fault, kind="gone", machines=self._some(fault, number))
+
+    # Links
+
+    def _one_way_cut(self, fault: Fault, number: int) -> Co[None]:
+        """``extra`` 0: nothing passes out of ``zone``; else nothing passes into it."""
+        out = not fault.extra
+        inside = [name for name, model in self.machines.items() if model["zone"] == fault.zone]
+        for name in inside:  # a machine is a target: what leaves it goes down
+            yield from self.stage.tap(
+                "set", name=f"one way {number} {name}", target=name, up=not out, down=out, hold=True
+            )
+        yield from sleep(fault.len_s * 1000.0)
+        for name in inside:
+            yield from self.stage.tap("lift", name=f"one way {number} {name}")
+
+    def _slow_link(self, fault: Fault, number: int) -> Co[None]:
+        """``size``: ms more each way to some machines; ``extra``: bytes a second, 0 for no limit."""
+        some = self._some(fault, number)
+        for name in some:
+            slow = {"delay_ms": fault.size, "rate": fault.extra}
+            yield from self.stage.tap("set", name=f"slow {number} {name}", target=name, **slow)
+        yield from sleep(fault.len_s * 1000.0)
+        for name in some:
+            yield from self.stage.tap("lift", name=f"slow {number} {name}")
 
     def _reset(self, fault: Fault, number: int) -> Co[None]:
         """Every connection to some machines, and to all placers, is reset once."""
--- a/sprucepost/standin/listing.py
+++ b/sprucepost/standin/listing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from typing import Any
 
 from sprucepost.loop import Loop, Timer
@@ -16,6 +17,7 @@
 from sprucepost.wire.status import Code, RpcError
 
 BEAT_MS = 1000.0
+PAST_MS = 60_000.0  # how far back it remembers what it showed
 CALL_LINES = 20.0  # a call costs as much as so many entries
 
 
@@ -35,6 +37,8 @@
         self._free_at = 0.0
         self._timer: Timer | None = None
         self.down = False
+        self._lie: list[pb.ListedMachine] | None = None  # what it tells instead of the truth
+        self._past: deque[tuple[float, str, pb.ListedMachine | None]] = deque()  # what was shown before each change
         loop.call_later(BEAT_MS, self._beat)
 
     def methods(self) -> dict[str, Method]:
@@ -73,11 +77,14 @@
         while self._coming and self._coming[0][0] <= self.loop.now():
             entry = heapq.heappop(self._coming)[2]
             changed[entry.name] = entry
+            self._past.append((self.loop.now(), entry.name, self._entries.get(entry.name)))
             if entry.state == pb.MACHINE_STATE_GONE:
                 self._entries.pop(entry.name, None)
             else:
                 self._entries[entry.name] = entry
-        if changed:
+        while self._past and self._past[0][0] < self.loop.now() - PAST_MS:
+            self._past.popleft()
+        if changed and self._lie is None:
             self._tell(
                 pb.FleetUpdate(entries=list(changed.values()), beat_ms=BEAT_MS, now_ms=self.loop.wall()), len(changed)
             )
@@ -99,7 +106,7 @@
         self._tell(pb.FleetUpdate(beat_ms=BEAT_MS, now_ms=self.loop.wall()), 0)
 
     def _whole(self) -> bytes:
-        entries = list(self._entries.values())
+        entries = list(self._entries.values()) if self._lie is None else self._lie
         return pb.FleetUpdate(whole=True, entries=entries, beat_ms=BEAT_MS, now_ms=self.loop.wall()).SerializeToString()
 
     def _admit(self, call: ServerCall, answer: Any) -> None:
@@ -134,7 +141,38 @@
     # Orders
 
     def orders(self) -> Orders:
-        return Orders({"down": self._down, "late": self._late})
+        return Orders({"down": self._down, "late": self._late, "lie": self._tell_lie, "truth": self._tell_truth})
+
+    def _tell_lie(self, kind: str, back_ms: float = 0.0, machines: list[str] | None = None) -> dict[str, Any]:
+        """``empty``; ``back``: as it was so long ago; ``gone``: without those machines. All watchers hear it at once."""
+        if kind == "empty":
+            self._lie = []
+        elif kind == "back":
+            then = dict(self._entries)
+            for at, name, before in reversed(self._past):
+                if at < self.loop.now() - back_ms:
+                    break
+                if before is None:
+                    then.pop(name, None)
+                else:
+                    then[name] = before
+            self._lie = list(then.values())
+        elif kind == "gone":
+            self._lie = [entry for name, entry in self._entries.items() if name not in (machines or [])]
+        else:
+            raise ValueError(f"no lie {kind!r}")
+        self._tell_whole()
+        return {"named": len(self._lie)}
+
+    def _tell_truth(self) -> dict[str, Any]:
+        self._lie = None
+        self._tell_whole()
+        return {}
+
+    def _tell_whole(self) -> None:
+        data = self._whole()
+        for call in list(self._watchers):
+            call.send(data)
 
     def _down(self, down: bool) -> dict[str, Any]:
         self.down = down
--- a/sprucepost/standin/machines.py
+++ b/sprucepost/standin/machines.py
@@ -447,7 +447,8 @@
             host.model.slow = slow
         if answer_loss is not None:
             host.answer_loss = answer_loss
-        host.model.deaf_class = deaf_class
+        if deaf_class is not None:
+            host.model.deaf_class = deaf_class or None  # "": it hears every class again
         return {}
 
     def _use(self, what: str, factor: float) -> dict[str, Any]:
--- a/sprucepost/standin/owners.py
+++ b/sprucepost/standin/owners.py
@@ -91,17 +91,27 @@
         self.tasks: dict[str, Wanted] = {}
         self.tally: dict[str, Tally] = {cls.name: Tally() for cls in cluster.classes}
         self.second_answers = 0
-        self.asking = True
+        self.asking = True  # else nothing is asked for, also not again
         self._count = 0
-        self.links = [
+        self._source = source
+        self.links: list[OwnerLink] = []
+        for address in placers:
+            self.link(address)
+
+    def link(self, address: Address) -> None:
+        """A session with one more placer."""
+        n = len(self.links)
+        self.links.append(
             OwnerLink(
-                loop, scope, address, "owners",
-                lambda frame, n=n: self._frame(n, frame),  # type: ignore[misc]
-                lambda resumed, n=n: self._session(n, resumed),  # type: ignore[misc]
-                source=source,
+                self.loop,
+                self.scope,
+                address,
+                "owners",
+                lambda frame: self._frame(n, frame),
+                lambda resumed: self._session(n, resumed),
+                source=self._source,
             )
-            for n, address in enumerate(placers)
-        ]  # fmt: skip
+        )
 
     # Asking
 
@@ -139,7 +149,7 @@
     def _ask(self, wanted: Wanted) -> None:
         wanted.again = None
         now, cls = self.loop.now(), self._classes[wanted.service.task_class]
-        if wanted.over or now >= wanted.until:
+        if wanted.over or now >= wanted.until or not self.asking:
             self._finish(wanted, "given up")
             return
         placer = self._front()
@@ -300,7 +310,13 @@
     # Orders
 
     def orders(self) -> Orders:
-        return Orders({"rate": self._set_rate, "restart": self._restart, "asking": self._asking, "result": self.result})
+        return Orders({"rate": self._set_rate, "restart": self._restart, "asking": self._asking, "result": self.result,
+                       "placer": self._placer})  # fmt: skip
+
+    def _placer(self, address: str) -> dict[str, Any]:
+        host, _, port = address.rpartition(":")
+        self.link((host, int(port)))
+        return {"placers": len(self.links)}
 
     def _set_rate(self, factor: float) -> dict[str, Any]:
         self.factor = factor
--- a/sprucepost/standin/scenario.py
+++ b/sprucepost/standin/scenario.py
@@ -12,6 +12,8 @@
 Kind = Literal[
     "crash", "vanish", "slow", "ageing", "class_fail", "answer_lost", "balancer_stall", "burst", "hot_key", "heavy_tail",
     "zone_cut", "deploy", "shrink", "grow", "discovery_down", "discovery_stale", "reconnect", "placer_kill", "reset",
+    "list_empty", "list_back", "list_gone", "one_way_cut", "slow_link", "descriptors", "clock_step", "same_number",
+    "placer_stop", "resize",
 ]  # fmt: skip
 Share = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(ge=0)]
@@ -80,8 +82,10 @@
                 found.append(f"faults[{n}].zone: {fault.zone!r} is none of cluster.zones")
             if fault.task_class is not None and fault.task_class not in classes:
                 found.append(f"faults[{n}].task_class: no class is named {fault.task_class!r}")
-            if fault.kind == "zone_cut" and fault.zone is None:
-                found.append(f"faults[{n}].zone: needed for a zone_cut")
+            if fault.kind in ("zone_cut", "one_way_cut") and fault.zone is None:
+                found.append(f"faults[{n}].zone: needed for a {fault.kind}")
+            if fault.kind == "resize" and any(other.kind == "resize" for other in self.faults[:n]):
+                found.append(f"faults[{n}].kind: a day has one resize at most")
             if fault.at_s > self.length_s:
                 found.append(f"faults[{n}].at_s: after the end of the day")
         return found
--- a/sprucepost/wire/call.py
+++ b/sprucepost/wire/call.py
@@ -125,7 +125,7 @@
 
     def send(self, message: bytes, compress: bool | None = None) -> None:
         """Send a message; it waits in this call's buffer where the peer's window or the socket is full."""
-        if self.over is not None or self._end_due or self._closing is not None:
+        if self.over is not None or self._end_due or self.end_sent or self._closing is not None:
             return
         data = encode(message, self.gzip_out if compress is None else compress and self.gzip_out)
         self.start_sending()
--- a/sprucepost/wire/client.py
+++ b/sprucepost/wire/client.py
@@ -27,8 +27,8 @@
         self._initial_waiter: Task[Any] | None = None
 
     def end(self) -> None:
-        """No more messages from us."""
-        if self.over is None:
+        """No more messages from us; said once, however often it is asked for: a second END_STREAM is a protocol error."""
+        if self.over is None and not self.end_sent:
             self._end_due = True
             self.connection.dirty(self)
 
--- /dev/null
+++ b/tests/test_search.py
@@ -0,0 +1,106 @@
+"""Searching many days and cutting a bad one down, with days that are not played but told."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from sprucepost.cli import search as s
+from sprucepost.standin.drawing import draw, kinds_of
+from sprucepost.standin.scenario import Scenario
+
+
+def tell(monkeypatch: pytest.MonkeyPatch, verdict: Any) -> list[int]:
+    """Days end at once, as ``verdict(scenario)`` says; the seeds that were played."""
+    played: list[int] = []
+
+    def play_all(days: Any, jobs: int, done: Any) -> None:
+        for seed, scenario, folder in days:
+            played.append(seed)
+            folder.mkdir(parents=True, exist_ok=True)
+            broken = verdict(scenario)
+            result = {
+                "seed": seed, "faults": kinds_of(scenario.faults), "verdict": "bad" if broken else "good",
+                "wrong": ["rule broken"] if broken else [], "broken": broken, "asked": 10, "checked": 100, "undecided": 1,
+                "first": [],
+            }  # fmt: skip
+            done(SimpleNamespace(folder=folder), result)
+
+    monkeypatch.setattr(s, "play_all", play_all)
+    return played
+
+
+def test_seeds_are_ranges_and_lists() -> None:
+    assert s.parse_seeds("3..5,9,4") == [3, 4, 5, 9]
+    for wrong in ("", "a", "5..3", "1..b"):
+        with pytest.raises(ValueError):
+            s.parse_seeds(wrong)
+
+
+def test_a_search_names_bad_seeds_keeps_their_records_only_and_goes_on_where_it_was(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    played = tell(monkeypatch, lambda scenario: {"3": 1} if scenario.seed == 8 else {})
+    assert s.search([7, 8], 2, tmp_path, s.drawn(24.0), True) == 1
+    out = capsys.readouterr().out
+    assert "seed 8: bad: rule broken" in out and "2 days: 1 good, 1 bad, 0 failed; 20 asks" in out
+    assert not (tmp_path / "7").exists() and (tmp_path / "8").exists()
+    with (tmp_path / s.DAYS).open("a") as log:
+        log.write('{"seed": 9, "verd')  # interrupted in the midst of a line
+    assert s.search([7, 8, 9], 2, tmp_path, s.drawn(24.0), True) == 1
+    assert played == [7, 8, 9]
+    monkeypatch.undo()
+    assert s.search([7], 2, tmp_path, s.drawn(24.0), True) == 0
+
+
+def test_a_day_that_could_not_be_played_is_neither_good_nor_kept_as_played(tmp_path: Path) -> None:
+    day = SimpleNamespace(seed=1, scenario=draw(1), folder=tmp_path, child=SimpleNamespace(returncode=3))
+    (tmp_path / "printed.txt").write_text("sprucepost: placer-1 ended with status 1\n")
+    result = s.outcome(day)  # type: ignore[arg-type]
+    assert result["verdict"] == "failed" and result["wrong"] == ["sprucepost: placer-1 ended with status 1"]
+    (tmp_path / s.DAYS).write_text(json.dumps(result) + "\n")
+    assert s.already(tmp_path) == {}
+
+
+def test_shrinking_leaves_the_faults_that_break_together(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    day = next(draw(seed) for seed in range(1000) if len(draw(seed).faults) >= 8)
+    guilty = [day.faults[1], day.faults[6]]
+
+    def verdict(scenario: Scenario) -> dict[str, int]:
+        return (
+            {"2": 1} if all(fault in scenario.faults for fault in guilty) else {"5": 1} if not scenario.faults else {}
+        )
+
+    tell(monkeypatch, verdict)
+    small = s.shrink(day, tmp_path, 1, 1, lambda text: None)
+    assert small is not None and small.faults == guilty
+    tell(monkeypatch, lambda scenario: {})
+    assert s.shrink(day, tmp_path, 1, 1, lambda text: None) is None
+
+
+def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "sprucepost", *arguments], capture_output=True, text=True, timeout=120, check=False
+    )
+
+
+def test_wrong_seeds_are_one_line_and_a_drawn_day_is_a_scenario_file(tmp_path: Path) -> None:
+    wrong = run("badday", "--seeds", "5..x", "--random")
+    assert wrong.returncode == 2 and wrong.stderr == "sprucepost: --seeds: '5..x' is neither a seed nor A..B\n"
+    file = tmp_path / "day.json"
+    file.write_text(run("scenario", "draw", "--seed", "4").stdout)
+    assert run("scenario", "check", str(file)).stdout == f"{file}: good\n"
+
+
+def test_two_drawn_days_played_as_a_search_break_no_rule(tmp_path: Path) -> None:
+    done = run(
+        "badday", "--seeds", "11..12", "--random", "--length", "10", "--jobs", "2", "--out", str(tmp_path), "--quiet"
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "2 days: 2 good, 0 bad, 0 failed" in done.stdout and not (tmp_path / "11").exists()
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -19,7 +19,7 @@
 from sprucepost.wire.metadata import Headers, decode_metadata, encode_metadata, format_timeout, parse_timeout
 from sprucepost.wire.server import Method, Server, ServerCall
 from sprucepost.wire.status import Code, RpcError, percent_decode, percent_encode
-from tests.wire.support import serve, wait_for
+from tests.wire.support import echo, serve, wait_for
 
 
 def test_many_messages_both_ways_with_small_windows() -> None:
@@ -60,6 +60,26 @@
     assert serve(body, {"/t.T/Slow": Method(handler)}) is Code.UNAVAILABLE
 
 
+def test_a_call_that_is_ended_twice_or_written_to_after_its_end_leaves_its_connection_whole() -> None:
+    """Each machine that objects to a number has all streams ended: the second END_STREAM ended the whole process."""
+
+    def body(loop: EpollLoop, server: Server, address: Address) -> Co[Any]:
+        client = yield from open_client(loop, address)
+        call = client.call("/t.T/Hold")
+        call.send(b"a")
+        call.end()
+        yield from sleep(30)
+        call.end()
+        call.send(b"b")
+        yield from sleep(30)
+        assert call.over is None and not client.closed
+        return (yield from client.unary("/t.T/Echo", b"whole"))
+
+    held: list[ServerCall] = []
+    methods = {"/t.T/Hold": Method(attach=held.append), "/t.T/Echo": Method(attach=echo)}
+    assert serve(body, methods) == b"whole"
+
+
 def test_a_handlers_defect_ends_its_call_and_is_counted() -> None:
     def handler(call: ServerCall) -> Co[None]:
         raise KeyError("planted")
