--- a/sprucepost/cli/search.py
+++ b/sprucepost/cli/search.py
@@ -37,8 +37,9 @@
     until: float
 
 
-def start(seed: int, scenario: Scenario, folder: Path) -> Day:
-    """Play it, quietly; its record goes to ``folder``."""
+def start(seed: int, scenario: Scenario, folder: Path, source: Path | None = None) -> Day:
+    """Play it, quietly; its record goes to ``folder``. ``source``: run the package that lies there, not this one."""
+    folder = folder.absolute()
     folder.mkdir(parents=True, exist_ok=True)
     file = folder / SCENARIO
     file.write_bytes(msgspec.json.format(msgspec.json.encode(scenario), indent=1))
@@ -47,6 +48,7 @@
             [sys.executable, "-m", "sprucepost", "badday", str(file), "--quiet", "--record", str(folder)],
             stdout=out,
             stderr=subprocess.STDOUT,
+            cwd=source,
         )
     return Day(seed, scenario, folder, child, time.monotonic() + scenario.length_s + PATIENCE_S)
 
@@ -70,7 +72,10 @@
 
 
 def play_all(
-    days: Iterator[tuple[int, Scenario, Path]], jobs: int, done: Callable[[Day, dict[str, Any]], None]
+    days: Iterator[tuple[int, Scenario, Path]],
+    jobs: int,
+    done: Callable[[Day, dict[str, Any]], None],
+    source: Path | None = None,
 ) -> None:
     """Play days, ``jobs`` at a time; ``done`` hears of each as it ends. No child outlives this."""
     running: list[Day] = []
@@ -82,7 +87,7 @@
                 if chosen is None:
                     more = False
                 else:
-                    running.append(start(*chosen))
+                    running.append(start(*chosen, source))
             for day in list(running):
                 if day.child.poll() is None and time.monotonic() > day.until:
                     day.child.terminate()
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -104,3 +104,14 @@
     )
     assert done.returncode == 0, done.stdout + done.stderr
     assert "2 days: 2 good, 0 bad, 0 failed" in done.stdout and not (tmp_path / "11").exists()
+
+
+def test_every_planted_defect_still_finds_its_place(tmp_path: Path) -> None:
+    from tools.mutants import ROOT, mutations, plant
+
+    found = mutations()
+    assert len(found) >= 20 and {mutation.rule for mutation in found} == set("12345")
+    for mutation in found:
+        assert (ROOT / mutation.file).read_text().count(mutation.old) == 1, mutation.name
+    plant(found[0], tmp_path)
+    assert found[0].new in (tmp_path / found[0].file).read_text()
