--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -20,7 +20,7 @@
     """Days end at once, as ``verdict(scenario)`` says; the seeds that were played."""
     played: list[int] = []
 
-    def play_all(days: Any, jobs: int, done: Any) -> None:
+    def play_all(days: Any, jobs: int, done: Any, source: Any = None) -> None:
         for seed, scenario, folder in days:
             played.append(seed)
             folder.mkdir(parents=True, exist_ok=True)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -89,10 +89,10 @@
             kept = [other for other in before if other["name"] != mutation.name]
             out.write_text(json.dumps([*kept, row], indent=1) + "\n")
     head = ["defect", "against rule", "caught", "days", "by rules"]
-    shown = [
-        [r["name"], r["rule"], "yes" if r["caught"] else "NO", r["days"], "".join(r.get("broken", {})) or "-"]
-        for r in rows
-    ]
+    shown = []
+    for row in rows:
+        by = "".join(row.get("broken", {})) or "; ".join(row.get("wrong", ["-"]))
+        shown.append([row["name"], row["rule"], "yes" if row["caught"] else "NO", row["days"], by])
     click.echo(table(head, shown))
     sys.exit(0 if all(row["caught"] for row in rows) else 1)
 
