No circles in the loop, on the wire and around the daemon

Need: three pairs of modules imported each other, two of them behind TYPE_CHECKING, where the import contracts did not look.

--- a/sprucepost/loop/task.py
+++ b/sprucepost/loop/task.py
@@ -16,10 +16,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Generator
-from typing import TYPE_CHECKING, Any, Generic, TypeVar
+from typing import Any, Generic, Protocol, TypeVar
 
-if TYPE_CHECKING:
-    from sprucepost.loop.core import Loop
+from sprucepost.loop.timers import Timer
 
 T = TypeVar("T")
 
@@ -28,6 +27,13 @@
 Co = Generator[Trap, Any, T]
 
 
+class Turns(Protocol):
+    """What a task needs of its loop."""
+
+    def call_soon(self, call: Callable[[], None]) -> None: ...
+    def call_later(self, delay_ms: float, call: Callable[[], None]) -> Timer: ...
+
+
 class Cancelled(BaseException):
     """The task is to end. ``token`` tells whose wish it was."""
 
@@ -43,7 +49,7 @@
 class Task(Generic[T]):
     """One running coroutine. Made by :meth:`Scope.spawn` and :meth:`Loop.run` only."""
 
-    def __init__(self, loop: Loop, co: Co[T], name: str, ended: Callable[[Task[T]], None] | None = None) -> None:
+    def __init__(self, loop: Turns, co: Co[T], name: str, ended: Callable[[Task[T]], None] | None = None) -> None:
         self.loop, self.name = loop, name
         self._co, self._ended = co, ended
         self._undo: Undo | None = None
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -3,15 +3,30 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+from sprucepost.loop import Loop
+from sprucepost.placer.engine import Engine
+from sprucepost.placer.links import Links
+from sprucepost.placer.owners import Owners
 from sprucepost.wire.http1 import Page
+from sprucepost.wire.server import Server
 
-if TYPE_CHECKING:
-    from sprucepost.placer.daemon import Placer
 
+class Shown(Protocol):
+    """What is shown of a placer."""
 
-def pages(placer: Placer) -> dict[str, Page]:
+    loop: Loop
+    engine: Engine
+    owners: Owners
+    links: Links
+    server: Server
+
+    def not_ready(self) -> str: ...
+    def list_age_ms(self) -> float: ...
+
+
+def pages(placer: Shown) -> dict[str, Page]:
     """The paths that the HTTP port serves."""
 
     def ready() -> tuple[int, str, bytes]:
@@ -24,7 +39,7 @@
     return {"/healthz": healthy, "/readyz": ready, "/metrics": _metrics(placer)}
 
 
-def _metrics(placer: Placer) -> Callable[[], tuple[int, str, bytes]]:
+def _metrics(placer: Shown) -> Callable[[], tuple[int, str, bytes]]:
     # Imported here: only who scrapes pays for it, not each of hundreds of daemons at its start.
     def page() -> tuple[int, str, bytes]:
         from prometheus_client import CollectorRegistry, exposition
@@ -39,7 +54,7 @@
 class _Collector:
     """Reads the placer's own counters at the moment of the scrape."""
 
-    def __init__(self, placer: Placer) -> None:
+    def __init__(self, placer: Shown) -> None:
         self._placer = placer
 
     def collect(self) -> Iterator[Any]:
--- a/sprucepost/wire/call.py
+++ b/sprucepost/wire/call.py
@@ -4,20 +4,40 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-from sprucepost.loop import Co, Task, Timer, park
+from sprucepost.loop import Co, Loop, Task, Timer, Transport, park
 from sprucepost.loop.task import Undo
 from sprucepost.wire.framing import Decoder, encode
+from sprucepost.wire.http2 import Http2
 from sprucepost.wire.status import Code, RpcError
 
-if TYPE_CHECKING:
-    from sprucepost.wire.connection import Connection
-
 HELD_MOST = 65_536  # bytes of messages waiting for receive() over which the peer's window is not opened again
 OUT_MOST = 262_144  # bytes that may wait on one call before a sender has to wait, or a callback sender sees it full
 
 
+class Carrier(Protocol):
+    """What a call needs of the connection that it is on."""
+
+    loop: Loop
+    http2: Http2
+    transport: Transport
+    calls: dict[int, Call]
+
+    def consumed(self, call: Call, size: int) -> None:
+        """The peer may send so many more bytes."""
+        ...
+
+    def dirty(self, call: Call) -> None:
+        """The call has something to send."""
+        ...
+
+    def behind(self, call: Call) -> bool: ...
+    def call_over(self) -> None: ...
+    def flush_soon(self) -> None: ...
+    def abort(self, text: str) -> None: ...
+
+
 class Call:
     """The part of a call that both ends share.
 
@@ -26,7 +46,7 @@
     nothing is called after that. Set the callbacks before the next turn of the loop.
     """
 
-    def __init__(self, connection: Connection, message_most: int) -> None:
+    def __init__(self, connection: Carrier, message_most: int) -> None:
         self.connection = connection
         self.stream = 0
         self.on_message: Callable[[bytes], None] | None = None
--- a/sprucepost/wire/client.py
+++ b/sprucepost/wire/client.py
@@ -8,7 +8,7 @@
 
 from sprucepost.loop import Address, Co, Loop, Task, Transport, connect, current, park
 from sprucepost.loop.task import Undo
-from sprucepost.wire.call import Call
+from sprucepost.wire.call import Call, Carrier
 from sprucepost.wire.connection import Connection, Options
 from sprucepost.wire.http2 import Broken
 from sprucepost.wire.http2 import Code as H2Code
@@ -19,7 +19,7 @@
 class ClientCall(Call):
     """A call that this client makes. ``on_initial(metadata)`` comes before the first message, ``over`` at the end."""
 
-    def __init__(self, connection: Connection, message_most: int) -> None:
+    def __init__(self, connection: Carrier, message_most: int) -> None:
         super().__init__(connection, message_most)
         self.on_initial: Callable[[Metadata], None] | None = None
         self.initial: Metadata | None = None
--- a/tests/interop/serving.py
+++ b/tests/interop/serving.py
@@ -16,11 +16,11 @@
 from tests.interop.service import METHODS
 
 
-def _serve(scope: Scope) -> Co[None]:
+def _serve(loop: EpollLoop, scope: Scope) -> Co[None]:
     health = Health()
     health.set("", SERVING)
     methods = {**METHODS, **health.methods(), **Reflection(["grpc.testing.TestService"]).methods()}
-    server = Server(scope.loop, scope, methods, Options(message_most=8 * 1024 * 1024, keepalive_ms=500.0))
+    server = Server(loop, scope, methods, Options(message_most=8 * 1024 * 1024, keepalive_ms=500.0))
     address = server.listen(("127.0.0.1", 0))
     print(address[1], flush=True)
     yield from sleep(120_000)
@@ -38,5 +38,5 @@
 
 
 if __name__ == "__main__":
-    loop = EpollLoop()
-    loop.run(lambda: in_scope(_serve))
+    main = EpollLoop()
+    main.run(lambda: in_scope(lambda scope: _serve(main, scope)))
