Without a descriptor left a notification is dropped and the placer goes on

Change: the guard comes first; the stand-in host tries again. Measured: the test fails without the change.

--- a/sprucepost/cli/host.py
+++ b/sprucepost/cli/host.py
@@ -7,6 +7,8 @@
 
 from sprucepost.loop.epoll import EpollLoop
 
+AGAIN_MS = 50.0
+
 
 class SteppedLoop(EpollLoop):
     """The real loop, with a wall clock that is off by what ``file`` says (ms), read at SIGUSR2. The monotonic clock is not
@@ -22,8 +24,12 @@
         self._read()
 
     def _read(self) -> None:
-        if self._file.exists():
+        try:
             self._off = float(self._file.read_text())
+        except FileNotFoundError:
+            return
+        except OSError:  # no descriptor is left, which is another fault of the same day
+            self.call_later(AGAIN_MS, self._read)
 
     def wall(self) -> float:
         return super().wall() + self._off
--- a/sprucepost/loop/epoll.py
+++ b/sprucepost/loop/epoll.py
@@ -120,8 +120,8 @@
 
     def send_datagram(self, path: str, data: bytes) -> None:
         with (
+            contextlib.suppress(OSError),  # first: without a descriptor left there is no socket, and the loop goes on
             socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK) as sock,
-            contextlib.suppress(OSError),
         ):
             sock.sendto(data, "\0" + path[1:] if path.startswith("@") else path)
 
--- a/tests/loop/test_net.py
+++ b/tests/loop/test_net.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import resource
 import signal
@@ -203,3 +204,20 @@
             child.wait()
             child.stdout.close()
             peer.close()
+
+
+def test_without_a_descriptor_left_a_datagram_is_dropped_and_nothing_else(loop: EpollLoop) -> None:
+    """The watchdog's beat of a placer whose owners had taken every descriptor ended the placer."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    highest = max(int(name) for name in os.listdir("/proc/self/fd"))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 1, hard))
+    filled = []
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                filled.append(os.dup(0))
+        loop.send_datagram("/none/there", b"WATCHDOG=1")
+    finally:
+        for fd in filled:
+            os.close(fd)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
