--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -60,7 +60,8 @@
         def done(day: Day, result: dict[str, Any]) -> None:
             row["days"] += 1
             shutil.rmtree(day.folder, ignore_errors=True)
-            if result["verdict"] != "good" and not row["caught"]:
+            row["failed"] = row.get("failed", 0) + (result["verdict"] == "failed")
+            if result["verdict"] == "bad" and not row["caught"]:
                 row.update(caught=True, seed=day.seed, broken=result.get("broken", {}), wrong=result["wrong"])
 
         chosen = iter(range(seed, seed + days))
