--- a/sprucepost/cli/badday.py
+++ b/sprucepost/cli/badday.py
@@ -4,6 +4,7 @@
 
 import json
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -113,6 +114,8 @@
 
 def play(scenario: Scenario, keep: Path | None, quiet: bool) -> int:
     """Play a day and print its table; 0 good, 1 a rule or an outcome broke, 3 the run itself failed."""
+    # So that a search that is ended ends its days with all their processes: those have sessions of their own.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     folder = keep or Path(tempfile.mkdtemp(prefix="sprucepost-badday-"))
     folder.mkdir(parents=True, exist_ok=True)
     try:
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 
@@ -35,3 +37,24 @@
     check = run("rules", "check", str(tmp_path))
     out, _ = check.communicate(timeout=60)
     assert check.returncode == 2 and out.count("\n") == 1 and "No such file" in out
+
+
+def test_a_day_that_is_ended_leaves_no_process_behind(tmp_path: Path) -> None:
+    day = run("badday", "--length", "24", "--quiet", "--record", str(tmp_path))
+    ours = str(tmp_path).encode()
+
+    def left() -> int:
+        count = 0
+        for entry in Path("/proc").iterdir():
+            with contextlib.suppress(OSError):
+                line = (entry / "cmdline").read_bytes() if entry.name.isdigit() else b""
+                count += ours in line and b"badday" not in line
+        return count
+
+    until = time.monotonic() + 60.0
+    while left() < 10 and time.monotonic() < until:
+        time.sleep(0.1)
+    assert left() >= 10
+    day.terminate()
+    assert day.wait(60) != 0
+    assert left() == 0
