--- a/sprucepost/cli/fleet.py
+++ b/sprucepost/cli/fleet.py
@@ -86,6 +86,7 @@
         self._generation: dict[str, Any] = {}
         self._limits: dict[int, tuple[int, int]] = {}
         self.exits: dict[str, int | None] = {}
+        self._starting: set[str] = set()  # placers that cannot hear a signal yet
         self._leaving: set[str] = set()  # processes that were told to stop while the day goes on
 
     # Start
@@ -196,10 +197,20 @@
 
     def start_placer(self, number: int) -> Co[None]:
         self._spawn_placer(number)
-        yield from self._announced(self.processes[f"placer-{number}"])
+        process = self.processes[f"placer-{number}"]
+        self._starting.add(process.name)
+        yield from self._announced(process)
         yield from self._placer_up(number)
+        self._starting.discard(process.name)
+        self._tell(process, signal.SIGUSR2)  # what was told while it could not hear
+        self._tell(process, signal.SIGHUP)
         self.note("placer_started", placer=f"placer-{number}")
 
+    def _tell(self, process: Process | None, number: int) -> None:
+        """A signal to a placer, unless it has no handler for it yet."""
+        if process is not None and process.name not in self._starting:
+            process.stop(number)
+
     def _announced(self, process: Process) -> Co[None]:
         """Until the process has a word to say; the day goes on meanwhile."""
         out = process.child.stdout
@@ -234,9 +245,7 @@
     def step_clock(self, number: int, by_ms: float) -> None:
         name = f"placer-{number}"
         (self.folder / f"{name}.clock").write_text(f"{by_ms}\n")
-        process = self.processes.get(name)
-        if process is not None:
-            process.stop(signal.SIGUSR2)
+        self._tell(self.processes.get(name), signal.SIGUSR2)
 
     def start_twin(self, number: int) -> Co[None]:
         name, ip = f"twin-{number}", f"127.0.3.{number + 1}"
@@ -264,9 +273,7 @@
             raw["placer"].update(instances=size, generation=self._generation)
             path.with_suffix(".new").write_text(json.dumps(raw, indent=1))
             path.with_suffix(".new").replace(path)
-            process = self.processes.get(f"placer-{number}")
-            if process is not None:
-                process.stop(signal.SIGHUP)
+            self._tell(self.processes.get(f"placer-{number}"), signal.SIGHUP)
         yield from sleep(lead_ms)
         for number in range(before, size):
             yield from self.tap("name", ip=f"127.0.1.{number + 1}", name=f"placer-{number}", zone=self.zone_of(number))
