The soak finds the ledger again; a test imports every benchmark and tool

Found when reading over: benchmarks/soak.py still imported the ledger from where it was before the engine was taken apart.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from sprucepost.placer.ledger import Ledger, Outcome
+from sprucepost.placing.ledger import Ledger, Outcome
 
 from sprucepost import interface as i
 from sprucepost.brain import Scheduler
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -15,9 +15,7 @@
     lines = MODULE.read_text(encoding="utf-8").splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 550
     assert max(map(len, lines)) <= 110
-    assert "sprucepost/interface.py" in (
-        ast.get_docstring(ast.parse(MODULE.read_text(encoding="utf-8"))) or ""
-    )
+    assert "sprucepost/interface.py" in (ast.get_docstring(ast.parse(MODULE.read_text(encoding="utf-8"))) or "")
 
 
 def test_only_the_standard_library_is_used_and_no_wall_clock() -> None:
@@ -36,3 +34,15 @@
     scope: dict[str, object] = {}
     exec(blocks[0], scope)
     assert "Offer" in [type(action).__name__ for action in scope["actions"]]  # type: ignore[attr-defined]
+
+
+def test_every_benchmark_and_tool_still_finds_what_it_imports() -> None:
+    """They are run by hand: a module that moved would be missed only then."""
+    import importlib
+
+    names = [
+        f"{folder}.{path.stem}" for folder in ("benchmarks", "tools") for path in sorted((ROOT / folder).glob("*.py"))
+    ]
+    assert len(names) > 8
+    for name in names:
+        importlib.import_module(name)
