--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -15,11 +15,10 @@
 from pathlib import Path
 from typing import Any
 
-from sprucepost.placing.ledger import Ledger, Outcome
-
 from sprucepost import interface as i
 from sprucepost.brain import Scheduler
 from sprucepost.door import Ask, Door, LagLimit
+from sprucepost.placing.ledger import Ledger, Outcome
 from tests.support import entry, full_list, settings
 
 
