What a pause kept from going out to a machine does not go out

Change: a connection may be told how old its messages may be when they go out (two answer margins, to machines). Right before what a turn wrote is sent that is asked, and if it is too old the connection is reset instead; the session goes on and each offer is written anew with what is left, or not.

Measured: the test, which stands still between decision and write, fails without it.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -26,6 +26,9 @@
         self.on_end: Callable[[], None] = lambda: None
         self.on_lost: Callable[[OSError | None], None] = lambda error: None
         self.on_room: Callable[[], None] | None = None
+        self.may_go: Callable[[], bool] = lambda: (
+            True
+        )  # asked right before what this turn wrote goes out; else it is reset
         self._out: list[bytes] = []
         self.buffered = 0  # bytes written and not yet taken by the system
         self._reading = False
@@ -65,7 +68,7 @@
         self.buffered += len(data)
         if not self._flush_due and not self._blocked:
             self._flush_due = True
-            self._loop.at_turn_end(self._flush)
+            self._loop.at_turn_end(self._first_flush)
 
     def shutdown_write(self) -> None:
         """Send the stream's end after what is buffered."""
@@ -124,6 +127,12 @@
         if not self._blocked and not self.closed:
             self._rewatch()
 
+    def _first_flush(self) -> None:
+        if not self.closed and not self.may_go():
+            self._lost(OSError("stood still with bytes that must not be late"))
+            return
+        self._flush()
+
     def _flush(self) -> None:
         self._flush_due = False
         if self.closed or self._blocked:
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -74,6 +74,7 @@
             self.incarnation,
             options.source,
             options.limits.dials,
+            2 * options.answer_margin_ms,
             lambda machine, text: self.log.error("newer_incarnation", machine=machine, text=text),
             self._taken,
         )
--- a/sprucepost/placer/links.py
+++ b/sprucepost/placer/links.py
@@ -291,6 +291,7 @@
         incarnation: int,
         source: str | None,
         dials: int,
+        stale_ms: float,
         on_newer: Callable[[str, str], None],
         on_taken: Callable[[str, str], None],
     ) -> None:
@@ -298,7 +299,8 @@
         self.number, self.incarnation, self.source = number, incarnation, source
         self.on_newer, self.on_taken = on_newer, on_taken
         self.suspended = False  # no link attaches
-        self.options = Options(keepalive_ms=10_000.0, keepalive_wait_ms=5000.0)
+        # Offers in a stream tell the time that is left of them: what a pause kept from going out is void.
+        self.options = Options(keepalive_ms=10_000.0, keepalive_wait_ms=5000.0, stale_ms=stale_ms)
         self.counters: Counter[str] = Counter()
         self.rng: Rng = loop.rng()
         self.gate = Gate(dials)
--- a/sprucepost/wire/connection.py
+++ b/sprucepost/wire/connection.py
@@ -34,6 +34,9 @@
     stall_ms: float = 30_000.0  # a call whose data the peer has not let out for so long is ended
     transport_most: int = 1_048_576  # bytes waiting for the socket before calls have to wait
     ping_least_ms: float = 10_000.0
+    stale_ms: float | None = (
+        None  # messages that could not go out so soon after they were sent are not to go out at all
+    )
 
 
 class Connection:
@@ -72,6 +75,9 @@
         self.transport.on_end = self._on_end
         self.transport.on_lost = lambda error: self.lost(str(error) if error else "connection lost")
         self.transport.on_room = self._on_room
+        self._dirty_since = 0.0
+        if options.stale_ms is not None:
+            self.transport.may_go = self._fresh
         self.transport.start()
         self._flush()
 
@@ -146,6 +152,8 @@
         self.flush_soon()
 
     def dirty(self, call: Call) -> None:
+        if not self._dirty:
+            self._dirty_since = self.loop.now()
         self._dirty[call] = None
         self.flush_soon()
 
@@ -153,6 +161,16 @@
         """Whether the peer's window or the socket holds the call's bytes back."""
         return call in self._stuck or self.transport.blocked
 
+    def _fresh(self) -> bool:
+        """A process that was stopped in the midst of a turn sends its messages when it goes on, and they are then as old as
+        the pause was long."""
+        late = self.loop.now() - self._dirty_since if self._dirty_since else 0.0
+        self._dirty_since = 0.0
+        if late <= (self.options.stale_ms or 0.0):
+            return True
+        self.counters["stale"] += 1
+        return False
+
     def call_over(self) -> None:
         self._calls_until = self.loop.now()
 
--- a/tests/placer/test_path.py
+++ b/tests/placer/test_path.py
@@ -393,6 +393,35 @@
     assert play(body) == (True, {1})
 
 
+def test_an_offer_that_a_pause_kept_from_going_out_does_not_go_out() -> None:
+    """Stopped between a decision and the write, a placer sent offers seconds later, with the time of before the stop."""
+
+    def body(world: World) -> Co[Any]:
+        import time
+
+        host = world.machine("m1")
+        placer = world.placer()
+        owner, followed = world.owner(placer.listen)
+        yield from world.ready(placer, 1)
+        real = placer.engine.attempts.offer
+
+        def offer(action: Any) -> None:
+            real(action)
+            time.sleep(0.4)
+
+        placer.engine.attempts.offer = offer  # type: ignore[method-assign]
+        owner.submit("t", task("once"), 1000)
+        yield from wait_for(lambda: placer.engine.counters["offers"])
+        placer.engine.attempts.offer = real  # type: ignore[method-assign]
+        yield from wait_for(lambda: followed.outcomes("t"))
+        yield from wait_for(lambda: placer.links.counters["link_resumed"])
+        owner.submit("u", task("once"), 1000)
+        yield from wait_for(lambda: followed.outcomes("u"))
+        return followed.outcomes("u"), host.counts["offers"]
+
+    assert play(body) == (["bound"], 2)
+
+
 def test_the_list_can_go_and_come_back() -> None:
     def body(world: World) -> Co[Any]:
         world.machine("m1")
