A cancelled scope cancels what its timers still start

While a scope ends, timers run on; the module's timer for the list then started a watch in the cancelled scope, which nobody cancelled, and the scope waited for it for ever. A daemon that had stopped could hang in the same way.

Change: a scope that has been cancelled cancels whatever is started in it afterwards.

--- a/sprucepost/loop/task.py
+++ b/sprucepost/loop/task.py
@@ -200,7 +200,12 @@
         return task
 
     def cancel(self) -> None:
-        """Cancel every task of the scope; the body goes on."""
+        """Cancel every task of the scope, and whatever is started in it from now on; the body goes on.
+
+        Timers run on while a scope ends: a task that one of them started after the cancellation was never cancelled, and
+        the scope, and the process with it, waited for it for ever.
+        """
+        self._closing = True
         for task in list(self._tasks):
             task.cancel(self)
 
@@ -209,17 +214,13 @@
         error = task.error
         if error is not None and not (isinstance(error, Cancelled) and error.token in (self, None)):
             self._errors.append(error)
-            self._close()
+            self.cancel()
             if self._host is not None:
                 self._host.cancel(self)
         if not self._tasks and self._joined is not None:
             joined, self._joined = self._joined, None
             joined()
 
-    def _close(self) -> None:
-        self._closing = True
-        self.cancel()
-
     def join(self) -> Co[None]:
         """Wait until no task of the scope runs."""
         while self._tasks:
@@ -246,17 +247,17 @@
     except Cancelled as cancelled:
         if cancelled.token is not scope:
             outside = cancelled
-        scope._close()
+        scope.cancel()
     except BaseException as error:
         scope._errors.insert(0, error)
-        scope._close()
+        scope.cancel()
     while scope._tasks:
         try:
             yield from scope.join()
         except Cancelled as cancelled:
             if cancelled.token is not scope:
                 outside = cancelled
-            scope._close()
+            scope.cancel()
     scope._host = None
     host.forget(scope)
     if len(scope._errors) > 1:
--- a/tests/loop/test_task.py
+++ b/tests/loop/test_task.py
@@ -234,3 +234,33 @@
         return task.error
 
     assert isinstance(loop.run(lambda: in_scope(outer)), Cancelled)
+
+
+def test_what_a_timer_starts_in_a_cancelled_scope_is_cancelled_too(loop: EpollLoop) -> None:
+    ended: list[str] = []
+
+    def forever(name: str) -> Co[None]:
+        try:
+            while True:
+                yield from sleep(10_000)
+        finally:
+            ended.append(name)
+
+    def slow_to_end() -> Co[None]:
+        try:
+            yield from sleep(10_000)
+        finally:
+            yield from sleep(30)  # the loop runs on meanwhile
+
+    def main(scope: Scope) -> Co[str]:
+        scope.spawn(slow_to_end(), "slow")
+        scope.spawn(forever("before"), "before")
+        yield from sleep(1)
+        loop.call_later(5, lambda: scope.spawn(forever("after"), "after"))
+        scope.cancel()
+        return "over"
+
+    def limited() -> Co[str]:
+        return (yield from within((yield from current()), 2000, in_scope(main)))
+
+    assert loop.run(limited) == "over" and ended == ["before"]  # the other never began
