--- a/sprucepost/rules/record.py
+++ b/sprucepost/rules/record.py
@@ -32,7 +32,7 @@
         if what == "placer_killed":
             run.killed.setdefault(placer, []).append(event["at"])
         elif what == "placer_stopped":
-            stopped[placer] = event["at"]
+            stopped.setdefault(placer, event["at"])  # two stops that overlap end with the first that is lifted
         elif what == "placer_continued" and placer in stopped:
             run.stalled.setdefault(placer, []).append((stopped.pop(placer), event["at"]))
         elif what == "placer_starved":
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -10,6 +10,7 @@
 
 from sprucepost.rules import trace as t
 from sprucepost.rules.checks import Run, Verdict, judge
+from sprucepost.rules.record import run_of
 from sprucepost.v1 import common_pb2
 from tests.placer.support import cluster
 
@@ -158,3 +159,15 @@
     assert judge([*first, again], spread, run)[4].broken
     assert not judge([*first, t.Attached(1000, P, M, 2, 5), again], spread, run)[4].broken
     assert judge([*first, t.Attached(1000, P, M, 1, 5), again], spread, run)[4].broken
+
+
+def test_two_stops_that_overlap_are_one_from_the_first_on() -> None:
+    events = [
+        {"what": "placer_stopped", "placer": P, "at": 10.0},
+        {"what": "placer_stopped", "placer": P, "at": 50.0},
+        {"what": "placer_continued", "placer": P, "at": 90.0},
+        {"what": "placer_continued", "placer": P, "at": 120.0},
+        {"what": "placer_starved", "placer": P, "since": 5.0, "at": 95.0},
+    ]
+    run = run_of(events)
+    assert run.stalled == {P: [(10.0, 90.0)]} and run.starved_ms(P, 0.0, 200.0) == 10.0
