A test of the loop sets its timer once its coroutine runs

On a busy machine the timer was due before the coroutine had begun, which then had nothing to clean up: failed once beside eight busy processes.

--- a/tests/loop/test_task.py
+++ b/tests/loop/test_task.py
@@ -207,6 +207,7 @@
     cleaned: list[bool] = []
 
     def main() -> Co[None]:
+        loop.call_later(1, broken)  # not before main has begun: a task that never began has nothing to clean up
         try:
             yield from sleep(60_000)
         finally:
@@ -215,7 +216,6 @@
     def broken() -> None:
         raise RuntimeError("planted")
 
-    loop.call_later(1, broken)
     with pytest.raises(RuntimeError, match="planted"):
         loop.run(main)
     assert cleaned
