--- a/sprucepost/cli/fleet.py
+++ b/sprucepost/cli/fleet.py
@@ -147,10 +147,9 @@
         self.processes[name] = Process(self.folder, name, command, settings)
 
     def _spawn_placer(self, number: int, name: str = "", source: str = "") -> None:
-        port = 0 if name else self._placer_ports.get(number, 0)
         placer = {
             "number": number, "instances": self._size, "zone": self.zone_of(number), "generation": self._generation,
-            "list": f"127.0.0.1:{self._list_port}", "listen": f"127.0.0.1:{port}",
+            "list": f"127.0.0.1:{self._list_port}", "listen": "127.0.0.1:0",
             "source": source or f"127.0.1.{number + 1}", "seed": self.scenario.seed * 1000 + number,
         }  # fmt: skip
         # Through `host`, whose wall clock can be stepped: the placer's own code is what `sprucepost placer` runs.
@@ -201,6 +200,7 @@
         self._starting.add(process.name)
         yield from self._announced(process)
         yield from self._placer_up(number)
+        yield from self._front(number)  # it has another port than before
         self._starting.discard(process.name)
         self._tell(process, signal.SIGUSR2)  # what was told while it could not hear
         self._tell(process, signal.SIGHUP)
--- a/sprucepost/standin/director.py
+++ b/sprucepost/standin/director.py
@@ -140,7 +140,9 @@
     def _up_again(self, name: str) -> Co[None]:
         self._hit.discard(name)
         if name in self.machines:
-            yield from self.stage.field("up", machine=name)
+            told = yield from self.stage.field("up", machine=name)
+            if "moved" in told:
+                yield from self.stage.tap("add", name=name, target=told["moved"], zone=self.machines[name]["zone"])
 
     def _vanish(self, fault: Fault, number: int) -> Co[None]:
         some = self._down(fault, number)
--- a/sprucepost/standin/machines.py
+++ b/sprucepost/standin/machines.py
@@ -66,7 +66,10 @@
         self.server = Server(
             self.loop, self.field.scope, {PATH: Method(attach=self._attach)}, Options(keepalive_ms=5000)
         )
-        self.address = self._wanted = self.server.listen(self._wanted)
+        try:
+            self.address = self._wanted = self.server.listen(self._wanted)
+        except OSError:  # while it was down another process of this host has got its port
+            self.address = self._wanted = self.server.listen(("127.0.0.1", 0))
 
     def up(self, cold: bool) -> None:
         """Start the process again, empty."""
@@ -422,8 +425,11 @@
         return {}
 
     def _up(self, machine: str, cold: bool = True) -> dict[str, Any]:
-        self.hosts[machine].up(cold)
-        return {}
+        host = self.hosts[machine]
+        before = host.address
+        host.up(cold)
+        assert isinstance(host.address, tuple)
+        return {} if host.address == before else {"moved": f"{host.address[0]}:{host.address[1]}"}
 
     def _crash(self, machine: str) -> dict[str, Any]:
         self.hosts[machine].crash()
