--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -74,7 +74,7 @@
             self.incarnation,
             options.source,
             options.limits.dials,
-            2 * options.answer_margin_ms,
+            max(2 * options.answer_margin_ms, cluster.drain_grace_ms / 4),
             lambda machine, text: self.log.error("newer_incarnation", machine=machine, text=text),
             self._taken,
         )
