--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -52,7 +52,7 @@
     own: list[float] = field(default_factory=lambda: [0.0, 0.0])  # cores and memory that the ledger comes to
     tidy_at: int = 64  # length of the ledger at which pairs are looked for
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
-    offers: list[float] = field(default_factory=list)
+    offers: deque[float] = field(default_factory=deque)
     doubts: dict[int, tuple[int, float]] = field(default_factory=dict)
     shut: dict[float, float] = field(default_factory=dict)
     strain: tuple[float, float] = (0.0, 0.0)
@@ -467,7 +467,9 @@
         if machine is None:
             return False
         attempt = task.out = Attempt(task, machine, self.now)
-        machine.offers = [at for at in machine.offers if at > self.now - 2 * self.settings.fall] + [self.now]
+        while machine.offers and machine.offers[0] <= self.now - 2 * self.settings.fall:
+            machine.offers.popleft()
+        machine.offers.append(self.now)
         if machine.room is not None:  # without any view there is nothing to correct
             machine.enter(self.now, 1, attempt)
         self._record(attempt, task.sent)
