A list that is behind takes no machine's own start back

A machine tells its start at the attach; the next update of a late list overwrote it in the roster (not in the module). The guard that writes to a cold machine only in the turn of the decision was lifted by that, and the next new session of the same life counted as another life: an offer that was out there was given up, and a further attempt could go out beside it. And what the attempts keep of a cold machine goes with the machine: a placer with ever new machines had grown by an entry for each.

Measured: both tests fail without their line.

--- a/sprucepost/placing/roster.py
+++ b/sprucepost/placing/roster.py
@@ -58,7 +58,8 @@
                     self._see(replace(self._entries[machine], state=i.MachineState.GONE))
             for entry in change.entries:
                 self._see(entry)
-            change = replace(change, entries=tuple(self._shown(entry) for entry in change.entries))
+            known = (self._entries.get(entry.machine, entry) for entry in change.entries)
+            change = replace(change, entries=tuple(self._shown(entry) for entry in known))
             if not self.listed:
                 self.listed = True
                 self.on_listed()
@@ -72,6 +73,8 @@
 
     def _see(self, entry: i.MachineEntry) -> None:
         machine, before = entry.machine, self._entries.get(entry.machine)
+        if before is not None and before.started > entry.started:  # its own word: a list behind takes nothing back
+            entry = replace(entry, started=before.started)
         self._entries[machine] = entry
         self._warms(entry)
         if before is None or before.state is not entry.state:
@@ -88,6 +91,7 @@
         self.machines.gone(machine)
         self._attempts.buried(machine)
         self._attempts.closed.discard(machine)
+        self._attempts.cold_until.pop(machine, None)
         self._late.not_held(machine)
 
     # The machines themselves
--- a/tests/placing/test_attempts.py
+++ b/tests/placing/test_attempts.py
@@ -150,3 +150,28 @@
     assert walk.outcomes() == []
     walk.answer("m1", link.offers[0], accepted=machine_pb2.Accepted())
     assert walk.outcomes() == ["bound"]
+
+
+def test_a_list_that_is_behind_takes_no_start_back() -> None:
+    """It did, and the next attach of the same life then counted as another one: what was out there was given up."""
+    walk = Walk()
+    walk.loop.pass_ms(3 * walk.cluster.fall_ms)
+    link = walk.machine()
+    started = walk.loop.wall() - 100.0
+    walk.attach("m1", 2, started_ms=started)
+    walk.tell_list("m1", started=0.0)
+    assert walk.engine.attempts.cold_until["m1"] == started + walk.cluster.warm_after_ms
+    walk.loop.pass_ms(0.0)
+    walk.submit(task_class="once")
+    key = (link.offers[0].request, link.offers[0].attempt)
+    walk.attach("m1", 2, started_ms=started)
+    assert walk.engine.attempts.get(key) is not None and walk.logs["fresh_start"] == 1
+
+
+def test_of_a_machine_that_is_gone_nothing_is_kept() -> None:
+    walk = Walk()
+    walk.machine(started=walk.loop.wall() - 10.0)
+    walk.engine.detached("m1")
+    walk.streams.links["m1"].attached = False
+    walk.tell_list("m1", state=0)
+    assert not walk.engine.attempts.cold_until and not walk.engine.attempts.closed
