Messages that wait for the peer's window make no later write stale

Found when reading the change over. What bounds the age of messages to a machine counted from the moment at which they were sent, also where the machine's window let nothing out; the next write of another kind, a ping some seconds later, then had the connection reset. The count ends with a turn that had nothing to write.

Measured: the test fails without the change (connection closed, counted as stale).

--- a/sprucepost/wire/connection.py
+++ b/sprucepost/wire/connection.py
@@ -192,7 +192,12 @@
                     self._stuck.pop(call, None)
                 elif call not in self._stuck or call.out_bytes < before:
                     self._stuck[call] = self.loop.now()
-        self.transport.write(self.http2.outgoing())
+        data = self.http2.outgoing()
+        if (
+            not data
+        ):  # what was sent waits for the peer's window: that is no pause of ours, and not a later write's fault
+            self._dirty_since = 0.0
+        self.transport.write(data)
 
     # Time
 
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -80,6 +80,25 @@
     assert serve(body, methods) == b"whole"
 
 
+def test_messages_that_wait_for_the_peer_s_window_do_not_make_a_later_ping_stale() -> None:
+    def body(loop: EpollLoop, server: Server, address: Address) -> Co[Any]:
+        client = yield from open_client(loop, address, options=Options(stale_ms=100.0))
+        call = client.call("/t.T/Hold")
+        for _ in range(6):
+            call.send(bytes(200_000))  # the server keeps some and opens no more window
+        yield from sleep(50)
+        assert call.behind
+        call.send(b"waits")  # nothing of it can go out
+        yield from sleep(250)
+        client.http2.ping(b"12345678")
+        client.flush_soon()
+        yield from sleep(50)
+        return client.closed, client.counters["stale"]
+
+    held: list[ServerCall] = []
+    assert serve(body, {"/t.T/Hold": Method(attach=held.append)}) == (False, 0)
+
+
 def test_a_handlers_defect_ends_its_call_and_is_counted() -> None:
     def handler(call: ServerCall) -> Co[None]:
         raise KeyError("planted")
