A malformed request ends its stream, not its connection; conformance by RFC 9113

Cause: h2 checks the declared length of a body, but DATA goes around it, and it saw an empty one at the end: any request with content-length ended the connection (InvalidBodyLengthError). A malformed list of fields ended it too, though RFC 9113 8.1.1 makes both the end of the stream.

Change: wire/fields.py judges lists of fields and is h2's decoder, so that h2 neither sees content-length nor judges fields; Http2 counts declared bodies down. wire/frames.py has the kinds of frames and what is wrong with a frame's head. A stream that a peer makes us reset costs it a token, else it opens as many as it likes while it never has more than a hundred open. Found by the cases: SETTINGS was not required first; WINDOW_UPDATE by 0 on a stream ended the connection; DATA after END_STREAM was taken silently; wrong sizes were PROTOCOL_ERROR; an overflowing stream window stayed in h2 and the next SETTINGS ended the connection; a server refused the calls of a client that had sent GOAWAY; priority fields that name their own stream ended the connection; a client took HEADERS on an even stream for a request.

--- a/sprucepost/wire/client.py
+++ b/sprucepost/wire/client.py
@@ -237,7 +237,7 @@
             call.finish_over(RpcError(status, f"reset by the server ({code})", unprocessed=code == REFUSED_STREAM))
 
     def on_goaway(self, code: int, last: int, text: bytes) -> None:
-        super().on_goaway(code, last, text)
+        self.draining = True
         word = f"the server is leaving ({code}{': ' + text.decode('latin-1') if text else ''})"
         for call in list(self.calls.values()):
             if call.stream > last:
--- a/sprucepost/wire/connection.py
+++ b/sprucepost/wire/connection.py
@@ -133,6 +133,11 @@
     def on_reset(self, stream: int, code: int) -> None:
         raise NotImplementedError
 
+    def on_error(self, stream: int, name: str, code: int) -> None:
+        """The peer broke a rule on that stream, which has been reset; the others go on."""
+        self.counters[name] += 1
+        self.on_reset(stream, code)
+
     def on_window(self) -> None:
         for call in self._stuck:
             self._dirty[call] = None
@@ -140,7 +145,8 @@
         self.flush_soon()
 
     def on_goaway(self, code: int, last: int, text: bytes) -> None:
-        self.draining = True
+        """The peer takes no more streams that this end opens (RFC 9113 6.8): for a server that means nothing, since it
+        opens none, and the calls that such a peer still opens are served."""
 
     def on_ping_ack(self, payload: bytes) -> None:
         """The peer answered a ping; that it sent anything is noted already."""
--- /dev/null
+++ b/sprucepost/wire/frames.py
@@ -0,0 +1,60 @@
+"""HTTP/2 frames as RFC 9113 lays them out: kinds, flags, and what is wrong with a frame before anyone reads it."""
+
+from __future__ import annotations
+
+import struct
+
+from h2.errors import ErrorCodes as Code
+
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+DATA, HEADERS, PRIORITY, RST_STREAM, SETTINGS, PUSH_PROMISE, PING, GOAWAY, WINDOW_UPDATE, CONTINUATION = range(10)
+NAMES = (
+    "DATA", "HEADERS", "PRIORITY", "RST_STREAM", "SETTINGS", "PUSH_PROMISE", "PING", "GOAWAY", "WINDOW_UPDATE",
+    "CONTINUATION",
+)  # fmt: skip
+END_STREAM, END_HEADERS, ACK, PADDED, WITH_PRIORITY = 1, 4, 1, 8, 0x20
+FRAME_MOST = 16384  # bytes of payload that this side allows, RFC 9113 6.5.2
+LAST_STREAM = 2**31 - 1
+_ON_A_STREAM = frozenset((DATA, HEADERS, PRIORITY, RST_STREAM, PUSH_PROMISE, CONTINUATION))
+_ON_THE_CONNECTION = frozenset((SETTINGS, PING, GOAWAY))
+_SIZES = {RST_STREAM: 4, PING: 8, WINDOW_UPDATE: 4}
+
+
+def encode(kind: int, flags: int, stream: int, payload: bytes = b"") -> bytes:
+    """A frame as it goes on the wire."""
+    return struct.pack(">IBI", len(payload) << 8 | kind, flags, stream) + payload
+
+
+def window_update(stream: int, size: int) -> bytes:
+    return struct.pack(">IBII", 4 << 8 | WINDOW_UPDATE, 0, stream, size)
+
+
+def problem(kind: int, flags: int, stream: int, size: int) -> tuple[Code, str] | None:
+    """What ends the connection in a frame's head: its code and text, or None. RFC 9113 section 6, kind by kind.
+
+    A wrong size is FRAME_SIZE_ERROR even where a parser would call it a protocol error.
+    """
+    name = NAMES[kind] if kind < len(NAMES) else ""
+    if kind in _ON_A_STREAM and not stream:
+        return Code.PROTOCOL_ERROR, f"{name} on stream 0"
+    if kind in _ON_THE_CONNECTION and stream:
+        return Code.PROTOCOL_ERROR, f"{name} on stream {stream}"
+    if size != _SIZES.get(kind, size):
+        return Code.FRAME_SIZE_ERROR, f"{name} of {size} bytes"
+    if kind == SETTINGS and (size if flags & ACK else size % 6):
+        return Code.FRAME_SIZE_ERROR, f"SETTINGS of {size} bytes"
+    if kind == GOAWAY and size < 8:
+        return Code.FRAME_SIZE_ERROR, f"GOAWAY of {size} bytes"
+    return None
+
+
+def without_priority(frame: bytes) -> bytes | None:
+    """A HEADERS frame without the deprecated priority fields (RFC 9113 5.3.2); None where they are cut short.
+
+    What they say is ignored, and so must their mistakes be: a stream that depends on itself would end the connection.
+    """
+    flags, pad = frame[4], 1 if frame[4] & PADDED else 0
+    if len(frame) < 9 + pad + 5:
+        return None
+    stream = int.from_bytes(frame[5:9], "big")
+    return encode(HEADERS, flags & ~WITH_PRIORITY, stream, frame[9 : 9 + pad] + frame[14 + pad :])
--- a/sprucepost/wire/http2.py
+++ b/sprucepost/wire/http2.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable
 from typing import Protocol
 
 import h2.config
@@ -20,29 +19,38 @@
 import h2.exceptions
 import h2.settings
 from h2.settings import SettingCodes
-
+from h2.stream import StreamState
+
+from sprucepost.wire import fields, frames
+from sprucepost.wire.frames import (
+    ACK,
+    CONTINUATION,
+    DATA,
+    END_HEADERS,
+    END_STREAM,
+    FRAME_MOST,
+    GOAWAY,
+    HEADERS,
+    LAST_STREAM,
+    NAMES,
+    PADDED,
+    PING,
+    PREFACE,
+    PRIORITY,
+    SETTINGS,
+    WINDOW_UPDATE,
+    WITH_PRIORITY,
+)
 from sprucepost.wire.guard import Budget, PingPolicy
 from sprucepost.wire.metadata import Headers
 
-PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-DATA, HEADERS, PRIORITY, RST_STREAM, SETTINGS, PUSH_PROMISE, PING, GOAWAY, WINDOW_UPDATE, CONTINUATION = range(10)
-END_STREAM, END_HEADERS, ACK, PADDED = 1, 4, 1, 8
-NAMES = (
-    "DATA",
-    "HEADERS",
-    "PRIORITY",
-    "RST_STREAM",
-    "SETTINGS",
-    "PUSH_PROMISE",
-    "PING",
-    "GOAWAY",
-    "WINDOW_UPDATE",
-    "CONTINUATION",
-)
 _TWO = struct.Struct(">II")
-_FRAME_MOST = 16384
-_LAST_STREAM = 2**31 - 1
 Code = h2.errors.ErrorCodes
+_KINDS = {
+    h2.events.RequestReceived: fields.Kind.REQUEST,
+    h2.events.ResponseReceived: fields.Kind.RESPONSE,
+    h2.events.TrailersReceived: fields.Kind.TRAILERS,
+}
 
 
 class Broken(Exception):
@@ -59,6 +67,7 @@
     def on_headers(self, stream: int, headers: Headers, end: bool) -> None: ...
     def on_data(self, stream: int, data: bytes, end: bool) -> None: ...
     def on_reset(self, stream: int, code: int) -> None: ...
+    def on_error(self, stream: int, name: str, code: int) -> None: ...
     def on_window(self) -> None: ...
     def on_goaway(self, code: int, last: int, text: bytes) -> None: ...
     def on_ping_ack(self, payload: bytes) -> None: ...
@@ -82,7 +91,7 @@
         header_bytes: int = 16_384,
         ping_policy: PingPolicy | None = None,
     ) -> None:
-        config = h2.config.H2Configuration(client_side=client, header_encoding=False, validate_inbound_headers=True)
+        config = h2.config.H2Configuration(client_side=client, header_encoding=False, validate_inbound_headers=False)
         self._h2 = h2.connection.H2Connection(config)
         self._client, self._sink = client, sink
         self._h2.local_settings = h2.settings.Settings(
@@ -92,15 +101,18 @@
                 SettingCodes.MAX_CONCURRENT_STREAMS: streams,
                 SettingCodes.INITIAL_WINDOW_SIZE: stream_window,
                 SettingCodes.MAX_HEADER_LIST_SIZE: header_bytes,
-                SettingCodes.MAX_FRAME_SIZE: _FRAME_MOST,
+                SettingCodes.MAX_FRAME_SIZE: FRAME_MOST,
             },
         )
-        self._h2.decoder.max_header_list_size = header_bytes
+        self._fields = self._h2.decoder = fields.Decoder(client, header_bytes)
         self._stream_window, self._connection_window = stream_window, connection_window
         self._header_bytes = header_bytes
         self._in = bytearray()
         self._out: list[bytes] = []
         self._preface = b"" if client else PREFACE
+        self._settled = False  # the peer's first frame, its SETTINGS, has come
+        self._lengths: dict[int, int] = {}  # what is still to come of bodies whose length was declared, by stream
+        self._endless: set[int] = set()  # a second list without END_STREAM came on these
         self._block = 0  # bytes of a header block that goes on in CONTINUATION; 0 outside one
         self._owed: dict[int, int] = {}  # taken and not yet granted again, by stream
         self._windows: dict[int, int] = {}  # what the peer may still send, by open stream
@@ -112,7 +124,7 @@
         self._h2.initiate_connection()
         self._take()
         if connection_window > 65_535:
-            self._out.append(_window_update(0, connection_window - 65_535))
+            self._out.append(frames.window_update(0, connection_window - 65_535))
 
     # Receiving
 
@@ -135,22 +147,29 @@
         try:
             while len(buffer) - at >= 9:
                 size = (buffer[at] << 16) | (buffer[at + 1] << 8) | buffer[at + 2]
-                if size > _FRAME_MOST:
+                if size > FRAME_MOST:
                     raise Broken("frame_size", f"frame of {size} bytes", Code.FRAME_SIZE_ERROR)
                 end = at + 9 + size
                 if len(buffer) < end:
                     break
                 kind, flags = buffer[at + 3], buffer[at + 4]
+                stream = int.from_bytes(buffer[at + 5 : at + 9], "big") & LAST_STREAM
+                wrong = frames.problem(kind, flags, stream, size)
+                if wrong is not None:
+                    raise Broken("protocol", wrong[1], wrong[0])
+                if not self._settled:
+                    if kind != SETTINGS or flags & ACK:
+                        raise Broken("preface", "SETTINGS must come first")
+                    self._settled = True
                 if kind == DATA and not self._block:
-                    stream = int.from_bytes(buffer[at + 5 : at + 9], "big") & _LAST_STREAM
                     payload, at = bytes(buffer[at + 9 : end]), end
                     self._data(stream, flags, payload, now)
-                elif kind == WINDOW_UPDATE and not self._block and size == 4:
-                    stream, more = _TWO.unpack_from(buffer, at + 5)
+                elif kind == WINDOW_UPDATE and not self._block:
+                    more = int.from_bytes(buffer[at + 9 : end], "big")
                     at = end
                     if not self._budget.spend(now):
                         raise Broken("flood_window_update", "too many WINDOW_UPDATE frames", Code.ENHANCE_YOUR_CALM)
-                    self._open_window(stream & _LAST_STREAM, more & _LAST_STREAM)
+                    self._open_window(stream, more & LAST_STREAM, now)
                 else:
                     frame, at = bytes(buffer[at:end]), end
                     self._control(kind, flags, frame, now)
@@ -163,14 +182,14 @@
         finally:
             del buffer[:at]
 
-    def _open_window(self, stream: int, more: int) -> None:
+    def _open_window(self, stream: int, more: int, now: float) -> None:
         """The peer takes so many bytes more, on a stream or (0) on the connection."""
-        if not more:
-            raise Broken("protocol", "WINDOW_UPDATE by 0")
         self._opened = True
         if not stream:
+            if not more:
+                raise Broken("protocol", "WINDOW_UPDATE by 0")
             self._h2.outbound_flow_control_window += more
-            if self._h2.outbound_flow_control_window > _LAST_STREAM:
+            if self._h2.outbound_flow_control_window > LAST_STREAM:
                 raise Broken("window", "the connection's window overflows", Code.FLOW_CONTROL_ERROR)
             return
         state = self._h2.streams.get(stream)
@@ -178,10 +197,22 @@
             if (stream % 2 == 1) != self._client and stream > self._highest:
                 raise Broken("protocol", "WINDOW_UPDATE on a stream that is not open")
             return  # closed already
+        if not more:
+            self._stream_error(stream, "window_by_0", Code.PROTOCOL_ERROR, now)
+            return
+        if state.outbound_flow_control_window + more > LAST_STREAM:
+            # Not added: h2 goes on with a stream that is reset, and its next SETTINGS would overflow the connection.
+            self._stream_error(stream, "window", Code.FLOW_CONTROL_ERROR, now)
+            return
         state.outbound_flow_control_window += more
-        if state.outbound_flow_control_window > _LAST_STREAM:
-            self.reset(stream, Code.FLOW_CONTROL_ERROR)
-            self._sink.on_reset(stream, Code.FLOW_CONTROL_ERROR)
+
+    def _stream_error(self, stream: int, name: str, code: int, now: float) -> None:
+        """The peer broke a rule on one stream, and only that ends. It costs as much as the peer's own RST_STREAM:
+        else a peer that makes us reset its streams opens as many as it likes, whatever it may have open at a time."""
+        if not self._budget.spend(now):
+            raise Broken("flood_stream_errors", "too many broken streams", Code.ENHANCE_YOUR_CALM)
+        self.reset(stream, code)
+        self._sink.on_error(stream, name, code)
 
     def _data(self, stream: int, flags: int, payload: bytes, now: float) -> None:
         size, data = len(payload), payload
@@ -198,8 +229,11 @@
             raise Broken("window", "DATA beyond the connection's window", Code.FLOW_CONTROL_ERROR)
         left = self._windows.get(stream)
         if left is None:
-            if stream == 0 or (not self._client and stream > self._highest) or (self._client and stream % 2 == 0):
+            if (not self._client and stream > self._highest) or (self._client and stream % 2 == 0):
                 raise Broken("protocol", "DATA on a stream that is not open")
+            state = self._h2.streams.get(stream)
+            if state is not None and state.state_machine.state is StreamState.HALF_CLOSED_REMOTE:
+                self._stream_error(stream, "stream_closed", Code.STREAM_CLOSED, now)
             self._replenish()  # a stream that we have closed: its bytes still count for the connection
             return
         if size > left:
@@ -208,8 +242,14 @@
         self._replenish()
         if padding := size - len(data):
             self.consumed(stream, padding)
+        if stream in self._lengths:
+            self._lengths[stream] -= len(data)
+            if self._lengths[stream] < 0 or (flags & END_STREAM and self._lengths[stream]):
+                self._stream_error(stream, "content_length", Code.PROTOCOL_ERROR, now)
+                return
         if flags & END_STREAM:
             self._windows.pop(stream, None)
+            self._lengths.pop(stream, None)
             self._feed(struct.pack(">IBI", DATA, END_STREAM, stream))
             self._take()
             self._sink.on_data(stream, data, True)
@@ -221,7 +261,7 @@
         used = self._connection_window - self._window
         if used * 2 >= self._connection_window:
             self._window += used
-            self._out.append(_window_update(0, used))
+            self._out.append(frames.window_update(0, used))
 
     def consumed(self, stream: int, size: int) -> None:
         """Bytes of that stream's DATA have been taken: the peer may send as many again."""
@@ -232,7 +272,7 @@
         if owed * 2 >= self._stream_window:
             self._owed.pop(stream, None)
             self._windows[stream] = left + owed
-            self._out.append(_window_update(stream, owed))
+            self._out.append(frames.window_update(stream, owed))
         else:
             self._owed[stream] = owed
 
@@ -259,15 +299,36 @@
             raise Broken("too_many_pings", "too_many_pings", Code.ENHANCE_YOUR_CALM)
         if kind == GOAWAY and not self._block:
             # Not for h2, which takes a GOAWAY for the end: calls that are open go on after it.
-            if len(frame) < 17:
-                raise Broken("protocol", "GOAWAY too short", Code.FRAME_SIZE_ERROR)
-            last, code = struct.unpack(">II", frame[9:17])
-            self._sink.on_goaway(code, last & _LAST_STREAM, frame[17:])
+            last, code = _TWO.unpack_from(frame, 9)
+            self._sink.on_goaway(code, last & LAST_STREAM, frame[17:])
+            return
+        if kind == PRIORITY:  # deprecated (5.3.2): nothing in it means anything here, whatever stream it names
+            if len(frame) != 14:
+                self._stream_error(
+                    int.from_bytes(frame[5:9], "big") & LAST_STREAM, "priority", Code.FRAME_SIZE_ERROR, now
+                )
             return
+        if kind == HEADERS:
+            frame = self._headers_frame(frame)
         events = self._feed(frame)
         self._take()
         for event in events:
-            self._event(event)
+            self._event(event, now)
+
+    def _headers_frame(self, frame: bytes) -> bytes:
+        """HEADERS as h2 is to see them, without what it would end the connection for."""
+        if frame[4] & WITH_PRIORITY:
+            rest = frames.without_priority(frame)
+            if rest is None:
+                raise Broken("protocol", "HEADERS cut short", Code.FRAME_SIZE_ERROR)
+            frame = rest
+        stream = int.from_bytes(frame[5:9], "big") & LAST_STREAM
+        if self._client and stream % 2 == 0:
+            raise Broken("protocol", "a server opens no streams")
+        if not self._client and stream in self._windows and not frame[4] & END_STREAM:
+            self._endless.add(stream)
+            frame = frame[:4] + bytes((frame[4] | END_STREAM,)) + frame[5:]
+        return frame
 
     def _feed(self, frame: bytes) -> list[h2.events.Event]:
         try:
@@ -281,21 +342,22 @@
         except Exception as error:  # hpack and hyperframe raise their own on some malformed input
             raise Broken("protocol", f"{type(error).__name__}: {error}") from None
 
-    def _event(self, event: h2.events.Event) -> None:
+    def _event(self, event: h2.events.Event, now: float) -> None:
         sink = self._sink
-        if isinstance(event, (h2.events.RequestReceived, h2.events.ResponseReceived)):
-            stream = int(event.stream_id or 0)
-            if isinstance(event, h2.events.RequestReceived):
+        if isinstance(event, (h2.events.RequestReceived, h2.events.ResponseReceived, h2.events.TrailersReceived)):
+            stream, end = int(event.stream_id or 0), event.stream_ended is not None
+            kind = _KINDS[type(event)]
+            if kind is fields.Kind.REQUEST:
                 self._highest = max(self._highest, stream)
-                if event.stream_ended is None:
-                    self._windows[stream] = self._stream_window
-            sink.on_headers(stream, _headers(event.headers), event.stream_ended is not None)
-            if event.stream_ended is not None:
+            if not self._well_formed(stream, kind, end):
+                self._stream_error(stream, "malformed", Code.PROTOCOL_ERROR, now)
+                return
+            if end:
                 self._windows.pop(stream, None)
-        elif isinstance(event, h2.events.TrailersReceived):
-            stream = int(event.stream_id or 0)
-            self._windows.pop(stream, None)
-            sink.on_headers(stream, _headers(event.headers), True)
+                self._lengths.pop(stream, None)
+            elif kind is fields.Kind.REQUEST:
+                self._windows[stream] = self._stream_window
+            sink.on_headers(stream, self._fields.latest, end)
         elif isinstance(event, h2.events.StreamReset):
             stream = int(event.stream_id or 0)
             self._forget(stream)
@@ -305,7 +367,23 @@
         elif isinstance(event, h2.events.PingAckReceived):
             sink.on_ping_ack(bytes(event.ping_data or b""))
 
+    def _well_formed(self, stream: int, kind: fields.Kind, end: bool) -> bool:
+        """Whether the list that has just been decoded may pass; what it declares of the body's length is noted."""
+        latest = self._fields.latest
+        if stream in self._endless or fields.problem(latest, kind):
+            return False
+        if kind is not fields.Kind.TRAILERS:
+            try:
+                declared = fields.length(latest)
+            except ValueError:
+                return False
+            if declared is not None:
+                self._lengths[stream] = declared
+        return not (end and self._lengths.get(stream))
+
     def _forget(self, stream: int) -> None:
+        self._lengths.pop(stream, None)
+        self._endless.discard(stream)
         self._windows.pop(stream, None)
         self._owed.pop(stream, None)
 
@@ -401,11 +479,3 @@
             self._goaway = True
             self._h2.clear_outbound_data_buffer()
             self.goaway(code=code, text=text[:200])
-
-
-def _window_update(stream: int, size: int) -> bytes:
-    return struct.pack(">IBII", 4 << 8 | WINDOW_UPDATE, 0, stream, size)
-
-
-def _headers(headers: Iterable[tuple[bytes | str, bytes | str]] | None) -> Headers:
-    return [(bytes(name), bytes(value)) for name, value in headers or ()]  # type: ignore[arg-type]
--- a/tests/wire/test_hostile.py
+++ b/tests/wire/test_hostile.py
@@ -17,8 +17,7 @@
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.wire.client import open_client
 from sprucepost.wire.connection import Options
-from sprucepost.wire.framing import encode
-from sprucepost.wire.http2 import (
+from sprucepost.wire.frames import (
     CONTINUATION,
     DATA,
     GOAWAY,
@@ -30,6 +29,7 @@
     SETTINGS,
     WINDOW_UPDATE,
 )
+from sprucepost.wire.framing import encode
 from sprucepost.wire.server import Method, Server, ServerCall
 from sprucepost.wire.status import Code, RpcError
 from tests.wire.support import peer, serve, wait_for
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -13,9 +13,10 @@
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.wire.client import open_client
 from sprucepost.wire.connection import Options
+from sprucepost.wire.frames import PREFACE
 from sprucepost.wire.framing import Decoder, encode
 from sprucepost.wire.guard import Budget
-from sprucepost.wire.http2 import PREFACE, Broken, Http2
+from sprucepost.wire.http2 import Broken, Http2
 from sprucepost.wire.metadata import Headers, decode_metadata, encode_metadata, format_timeout, parse_timeout
 from sprucepost.wire.server import Method, Server, ServerCall
 from sprucepost.wire.status import Code, RpcError, percent_decode, percent_encode
@@ -193,6 +194,7 @@
         self.data += len(data)
 
     def on_reset(self, stream: int, code: int) -> None: ...
+    def on_error(self, stream: int, name: str, code: int) -> None: ...
     def on_window(self) -> None: ...
     def on_goaway(self, code: int, last: int, text: bytes) -> None: ...
     def on_ping_ack(self, payload: bytes) -> None: ...
