A half-closed stream brings its outcomes; owners' sessions are bounded

Cause: the placer ended an owner's stream as soon as the owner half-closed it, so every command-line client got 'offered' and OK, never the outcome.

A session that is owed an outcome never goes for another's hello.

Result: over real sockets three asks and END_STREAM bring three outcomes and OK (before: none); 61 hellos against a bound of 20 leave 20 sessions, the one with an open task among them, 41 gone.

--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -12,6 +12,7 @@
 
 from msgspec import structs
 
+from sprucepost.door import SessionBook
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
 from sprucepost.membership import Side
 from sprucepost.placer.engine import Engine
@@ -64,6 +65,7 @@
             self.incarnation,
             options.resume_ms,
             options.limits.unacknowledged,
+            SessionBook(options.limits.sessions, min(options.limits.sessions, options.limits.sessions_per_peer)),
             self.engine.from_owner,
         )
         self.links = Links(
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from sprucepost.door import SessionBook
 from sprucepost.loop import Loop, Timer
 from sprucepost.v1 import placer_pb2 as pb
 from sprucepost.wire.server import Method, ServerCall
@@ -16,13 +17,22 @@
 BEHIND = 1_048_576  # bytes that an owner has not let out yet, over which its stream is ended; the session goes on
 
 
+OUTCOMES = ("bound", "refused", "failed")
+
+
 class OwnerSession:
-    """One owner's session, with or without a stream."""
+    """One owner's session, with or without a stream.
+
+    ``owed``: asks taken whose outcome has not been told, by task. A stream that its owner has half-closed (every
+    command-line client does, after its last ask) goes on until there are none, and then ends OK.
+    """
 
     def __init__(self, owners: Owners, token: bytes, owner: str) -> None:
         self._owners, self.token, self.owner = owners, token, owner
         self.session: Session[pb.PlacerFrame] = Session(owners.unacknowledged)
         self.call: ServerCall | None = None
+        self.owed: Counter[str] = Counter()
+        self.half_closed = False  # the owner asks nothing more on this stream
         self.forget: Timer | None = None
         self._ack_timer: Timer | None = None
 
@@ -34,15 +44,39 @@
             self._owners.counters["owner_unacknowledged"] += 1
             self._owners.end(self, RpcError(Code.RESOURCE_EXHAUSTED, str(error)))
             return
+        told = frame.WhichOneof("body") in OUTCOMES
         call = self.call
         if call is None:
+            if told:
+                self.released(frame.task, 1)
             return
         frame.ack = self.session.ack()
         call.send(frame.SerializeToString())
+        if told:
+            self.released(frame.task, 1)
         if call.out_bytes > BEHIND:
             self._owners.counters["owner_behind"] += 1
             call.finish(RpcError(Code.RESOURCE_EXHAUSTED, "reads too slowly; resume the session"))
 
+    def released(self, task: str, asks: int) -> None:
+        """So many fewer outcomes are owed. A task that was handed over is told as bound too, without an ask."""
+        if self.owed[task] > asks:
+            self.owed[task] -= asks
+        else:
+            del self.owed[task]
+        if not self.owed:
+            self._owners.book.settled(self.token)
+            self._end_if_done()
+
+    def on_half_close(self) -> None:
+        self.half_closed = True
+        self._end_if_done()
+
+    def _end_if_done(self) -> None:
+        if self.half_closed and not self.owed and self.call is not None:
+            self._ack()
+            self.call.finish()
+
     def waited_ms(self) -> float:
         """How long, at most, the frame that is being taken had waited in this host."""
         return self.call.connection.transport.waited_ms if self.call is not None else 0.0
@@ -67,10 +101,12 @@
         incarnation: int,
         resume_ms: float,
         unacknowledged: int,
+        book: SessionBook,
         take: Callable[[OwnerSession, pb.OwnerFrame], None],
     ) -> None:
         self.loop, self._number, self._incarnation = loop, number, incarnation
         self._resume_ms, self.unacknowledged, self._take = resume_ms, unacknowledged, take
+        self.book = book
         self.sessions: dict[bytes, OwnerSession] = {}
         self.counters: Counter[str] = Counter()
 
@@ -85,6 +121,7 @@
     def end(self, session: OwnerSession, status: RpcError) -> None:
         """Forget a session; its stream ends with that status."""
         self.sessions.pop(session.token, None)
+        self.book.gone(session.token)
         if session.forget is not None:
             session.forget.cancel()
         call, session.call = session.call, None
@@ -103,22 +140,23 @@
         session = self.sessions.get(hello.session) if hello.session else None
         resumed, again = session is not None, []
         if session is None:
-            session = OwnerSession(self, self.loop.token(16), hello.owner)
-            self.sessions[session.token] = session
+            session = self._enter(call, hello.owner)
         else:
             try:
                 again = session.session.again(hello.last_seen)
             except SessionBroken as error:
                 raise RpcError(Code.INVALID_ARGUMENT, str(error)) from None
             self.counters["owner_resumed"] += 1
+            self.book.back(session.token)
         if session.forget is not None:
             session.forget.cancel()
             session.forget = None
         old, session.call = session.call, call
         if old is not None:
             old.finish(RpcError(Code.ABORTED, "another stream has taken the session"))
-        taken = session
+        taken, session.half_closed = session, False
         call.on_message = lambda data: self._frame(taken, call, data)
+        call.on_end = taken.on_half_close
         call.on_over = lambda status: self._left(taken, call)
         welcome = pb.Welcome(
             session=session.token,
@@ -133,14 +171,29 @@
             kept.seq, kept.ack = seq, session.session.ack()
             call.send(kept.SerializeToString())
 
+    def _enter(self, call: ServerCall, owner: str) -> OwnerSession:
+        """A new session. Hellos alone cost memory for as long as a session may be resumed, so they are bounded."""
+        session = OwnerSession(self, self.loop.token(16), owner)
+        room, goes = self.book.enter(session.token, str(call.connection.transport.peer).rsplit(":", 1)[0])
+        if goes is not None:
+            self.counters["owner_evicted"] += 1
+            self.end(self.sessions[goes], RpcError(Code.ABORTED, "forgotten for a newer session"))
+        if not room:
+            self.counters["owner_sessions"] += 1
+            raise RpcError(Code.RESOURCE_EXHAUSTED, "too many sessions")
+        self.sessions[session.token] = session
+        return session
+
     def _left(self, session: OwnerSession, call: ServerCall) -> None:
         if session.call is call:
             session.call = None
+            self.book.left(session.token, bool(session.owed))
             session.forget = self.loop.call_later(self._resume_ms, lambda: self._forget(session))
 
     def _forget(self, session: OwnerSession) -> None:
         if self.sessions.get(session.token) is session and session.call is None:
             del self.sessions[session.token]
+            self.book.gone(session.token)
             self.counters["owner_forgotten"] += 1
 
     def _frame(self, session: OwnerSession, call: ServerCall, data: bytes) -> None:
@@ -155,6 +208,8 @@
             raise RpcError(Code.INVALID_ARGUMENT, str(error)) from None
         if fresh:
             session.ack_soon()
+            if frame.WhichOneof("body") == "submit":
+                session.owed[frame.task] += 1
             self._take(session, frame)
 
     def _parse(self, data: bytes) -> pb.OwnerFrame:
--- a/sprucepost/placing/intake.py
+++ b/sprucepost/placing/intake.py
@@ -93,7 +93,7 @@
         if entry is None or session.token not in entry.sessions:
             return
         if len(entry.sessions) > 1:
-            del entry.sessions[session.token]  # others still want it
+            session.released(name, entry.sessions.pop(session.token))  # others still want it
             return
         entry.cancelled = True
         if entry.outcome is Outcome.OPEN:
--- a/sprucepost/settings/placer.py
+++ b/sprucepost/settings/placer.py
@@ -22,6 +22,8 @@
     connections: Count = 4096
     message_bytes: Annotated[int, Meta(ge=1024)] = 1_048_576
     unacknowledged: Annotated[Count, Meta(description="frames kept for an owner that acknowledges nothing")] = 50_000
+    sessions: Annotated[Count, Meta(description="owners' sessions kept, with or without a stream")] = 10_000
+    sessions_per_peer: Annotated[Count, Meta(description="of those, of one remote host; a proxy is one")] = 5_000
     dials: Annotated[Count, Meta(description="connection attempts to machines at a time")] = 32
 
 
--- a/tests/placer/test_path.py
+++ b/tests/placer/test_path.py
@@ -7,9 +7,11 @@
 import pytest
 
 from sprucepost.loop import Co, sleep
+from sprucepost.settings.placer import Limits
 from sprucepost.standin.tap import Condition
 from sprucepost.v1 import common_pb2
 from sprucepost.v1 import placer_pb2 as pb
+from sprucepost.wire.client import open_client
 from tests.placer.support import World, cluster, play, task
 from tests.wire.support import wait_for
 
@@ -490,3 +492,70 @@
         reason.name: reason.value for reason in Reason
     }
     assert cluster().problems() == []
+
+
+def half_closed(world: World, placer: Any, asks: list[str], left_ms: float = 3000) -> Co[tuple[list[str], int]]:
+    """Ask like a command-line client: all asks, then half-close, then read to the end."""
+    client = yield from open_client(world.loop, placer.listen)
+    call = client.call("/sprucepost.v1.Placer/Submit")
+    call.send(pb.OwnerFrame(hello=pb.OwnerHello(owner="cli")).SerializeToString())
+    for seq, name in enumerate(asks, 1):
+        submission = pb.Submission(task=task(), left_ms=left_ms)
+        call.send(pb.OwnerFrame(seq=seq, task=name, submit=submission).SerializeToString())
+    call.end()
+    got = []
+    while (data := (yield from call.receive())) is not None:
+        kind = pb.PlacerFrame.FromString(data).WhichOneof("body")
+        if kind in ("bound", "refused", "failed"):
+            got.append(str(kind))
+    client.close()
+    assert call.over is not None
+    return got, int(call.over.code)
+
+
+def test_a_half_closed_stream_brings_the_outcomes_of_what_it_asked() -> None:
+    def body(world: World) -> Co[Any]:
+        world.machine("m1")
+        placer = world.placer()
+        yield from world.ready(placer, 1)
+        placed = yield from half_closed(world, placer, ["a", "b", "c"])
+        nothing = yield from half_closed(world, placer, [])
+        return placed, nothing
+
+    assert play(body) == ((["bound"] * 3, 0), ([], 0))
+
+
+def test_a_half_closed_stream_waits_for_the_answer_that_comes_last() -> None:
+    def body(world: World) -> Co[Any]:
+        placer = world.placer()  # no machine: refused when the time is over
+        yield from wait_for(lambda: placer.listen)
+        return (yield from half_closed(world, placer, ["a", "a"], 400))
+
+    assert play(body) == (["refused", "refused"], 0)
+
+
+def test_hellos_that_are_left_behind_make_room_for_new_ones_and_open_tasks_stay() -> None:
+    def body(world: World) -> Co[Any]:
+        limits = Limits(sessions=20, sessions_per_peer=20)
+        placer = world.placer(limits=limits)
+        client = yield from open_client(world.loop, placer.listen)
+
+        def hello(ask: bool) -> Co[None]:
+            call = client.call("/sprucepost.v1.Placer/Submit")
+            call.send(pb.OwnerFrame(hello=pb.OwnerHello(owner="x")).SerializeToString())
+            if ask:
+                submission = pb.Submission(task=task(), left_ms=2500)
+                call.send(pb.OwnerFrame(seq=1, task="open", submit=submission).SerializeToString())
+            yield from call.receive()
+            yield from wait_for(lambda: not ask or placer.engine.ledger.open)
+            call.cancel()
+
+        yield from hello(True)
+        for _ in range(60):
+            yield from hello(False)
+        yield from wait_for(lambda: sum(s.call is None for s in placer.owners.sessions.values()) == 20)
+        owing = [session for session in placer.owners.sessions.values() if session.owed]
+        client.close()
+        return len(placer.owners.sessions), len(owing), placer.owners.counters["owner_evicted"]
+
+    assert play(body) == (20, 1, 41)
--- a/tests/placing/support.py
+++ b/tests/placing/support.py
@@ -131,6 +131,8 @@
     def send(self, frame: pb.PlacerFrame) -> None:
         self._streams.told.append(frame)
 
+    def released(self, task: str, asks: int) -> None: ...
+
     def waited_ms(self) -> float:
         return 0.0
 
