Admission by the time that an ask will wait, in a line fair between owners

Cause: the limit followed the loop's lag. A burst of n asks makes the loop late by n times 0.3 ms, two looks in a row took that for overload, and the limit grew again only when a look found it in use: after half a minute of bursts a placer at 22 % CPU refused a quarter to a third of them for as long as it was tried; a pause did the same.

Change: the package admission takes the place of door. What is let in stands in a line (start-time fair queueing by owner, weighted by worth); a turn takes up what fits into half of limits.lag_ms. An ask is refused where the line before it, times what an ask costs, would pass its class's aim or its owner's time. A line that has not been shorter than a twentieth of the aim for a whole aim stands, and then a quarter of the aim is the bound. The cost is the median of windows in which the line is never empty, refusals counted a tenth. Retry times come from the drain rate and are spread by golden steps. The bound on open tasks, shares and retry budgets stay.

--- /dev/null
+++ b/sprucepost/admission/admission.py
@@ -0,0 +1,133 @@
+"""Admission: every ask gets a verdict before any work is done on it, and those let in are taken up in the line's order."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from sprucepost.admission.drain import Drain
+from sprucepost.admission.line import Line, Waiting
+from sprucepost.admission.retries import RetryBudget
+from sprucepost.admission.room import Room
+from sprucepost.admission.standing import Standing
+
+T = TypeVar("T")
+KEPT = 1024  # owners whose retry budget is remembered; the longest quiet is forgotten first
+GOLDEN = 0.6180339887498949  # steps of it fill the unit interval evenly, whoever counts
+FIRST = 64  # asks taken up in one turn before their cost is known
+SMOOTH = 0.125  # of a new answer time, RFC 6298
+
+
+@dataclass(frozen=True)
+class Ask:
+    """One submission. ``worth``: of its class, relative to the dearest, 0 to 1; ``left_ms`` until it must have been taken up
+    and answered; ``aim_ms`` of its class."""
+
+    owner: str
+    worth: float
+    left_ms: float
+    aim_ms: float
+    repeat: bool = False
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """``why`` empty: let in. Else the ask is refused, with the time after which another is worth it."""
+
+    why: str = ""
+    retry_after_ms: float = 0.0
+
+
+class Admission(Generic[T]):
+    """``shortest_aim_ms`` of the deployment's classes; ``turn_ms`` that one turn may spend on taking asks up.
+
+    ===================  ===========================================================================================
+    a repeat             spends its owner's and the placer's retry budgets, else refused
+    room                 refused where all is taken, or scarce and the ask too cheap or its owner over its share
+    the line is empty    let in
+    the line drains      let in where it will be taken up in time to be placed within its class's aim (where machines take
+                         more than half of that, within half of it), and within its owner's time
+    the line stands      the same within a quarter of the aim: under overload a long wait helps nobody
+    ===================  ===========================================================================================
+    """
+
+    def __init__(
+        self, now: float, most_open: int, shortest_aim_ms: float, turn_ms: float, most_retry_ms: float
+    ) -> None:
+        self.room, self.line, self.drain = Room(most_open), Line[T](), Drain()
+        self.standing = Standing(shortest_aim_ms / 20.0, shortest_aim_ms)  # CoDel: a twentieth of the interval
+        self._turn_ms, self._most_retry = turn_ms, most_retry_ms
+        self._retries = RetryBudget(now, burst=200.0, per_s=10.0)
+        self._owners: dict[str, RetryBudget] = {}
+        self._answer_ms = 0.0
+        self._phase = 0.0
+        self._refused: list[float] = [0.0, now]  # how many of late, as of when
+
+    def ask(self, ask: Ask, now: float) -> Verdict:
+        """Whether the ask is let in; then call :meth:`wait`."""
+        if ask.repeat:
+            own = self._budget(ask.owner, now)
+            if not own.repeat(now):
+                return Verdict("too many repeats of this owner", max(own.wait_ms(), self._most_retry))
+            if not self._retries.repeat(now):
+                return Verdict("too many repeats", max(self._retries.wait_ms(), self._most_retry))
+        else:
+            self._budget(ask.owner, now).fresh(now)
+            self._retries.fresh(now)
+        why = self.room.why_not(ask.owner, ask.worth, now)
+        if why:
+            retry = self._spread(2.0 * self._most_retry)
+            self.room.turned_away(ask.owner, now + 2.0 * retry)
+            return Verdict(why, retry)
+        self.room.let_in(ask.owner)
+        if len(self.line):
+            wait = (self.line.ahead(ask.owner, ask.worth) + 1.0) * self.drain.pace_ms + self._turn_ms
+            bears = ask.aim_ms / 4.0 if self.standing.standing else max(ask.aim_ms - self._answer_ms, ask.aim_ms / 2.0)
+            if wait > min(bears, ask.left_ms - self._answer_ms):
+                self.drain.refused()
+                return Verdict("too much waits here already", self._retry_ms(now))
+        return Verdict()
+
+    def _retry_ms(self, now: float) -> float:
+        """When the line, and all that was turned away within the last second before it, will have drained."""
+        count, at = self._refused
+        self._refused = [count * max(0.0, 1.0 - (now - at) / 1000.0) + 1.0, now]
+        return self._spread((len(self.line) + self._refused[0]) * self.drain.cost_ms)
+
+    def _spread(self, ms: float) -> float:
+        """Within half to one and a half times of it, evenly: those refused together must not come back together."""
+        self._phase = (self._phase + GOLDEN) % 1.0
+        return max(1.0, min(ms, self._most_retry * 2.0) * (0.5 + self._phase))
+
+    def _budget(self, owner: str, now: float) -> RetryBudget:
+        budget = self._owners.pop(owner, None) or RetryBudget(now)
+        self._owners[owner] = budget  # the latest heard of stands last
+        if len(self._owners) > KEPT:
+            del self._owners[next(iter(self._owners))]
+        return budget
+
+    # The line
+
+    def wait(self, item: T, ask: Ask, now: float) -> None:
+        """The ask was let in: it stands in line."""
+        self.line.put(Waiting(item, ask.owner, ask.worth, now + ask.left_ms))
+
+    def take(self, now: float) -> tuple[list[T], list[T]]:
+        """Those to be taken up in this turn, and those whose time is over instead."""
+        over = [waiting.item for waiting in self.line.expire(now)]
+        quota = FIRST if not self.drain.cost_ms else max(1, int(self._turn_ms / self.drain.cost_ms))
+        chosen: list[T] = []
+        while len(chosen) < quota and (waiting := self.line.pop()) is not None:
+            chosen.append(waiting.item)
+        self.drain.served(now, len(chosen), len(self.line))
+        self.standing.look(now, len(self.line) * self.drain.pace_ms)
+        return chosen, over
+
+    def placed(self, ms: float) -> None:
+        """A task that was taken up so long ago has been placed."""
+        self._answer_ms += SMOOTH * (ms - self._answer_ms) if self._answer_ms else ms
+
+    # A reload
+
+    def bound(self, most_open: int) -> None:
+        self.room.most = most_open
--- /dev/null
+++ b/sprucepost/admission/drain.py
@@ -0,0 +1,52 @@
+"""How fast the line moves: what an ask costs this process, all in, learned while the line is never empty."""
+
+from __future__ import annotations
+
+from collections import deque
+from statistics import median
+
+WINDOW_MS = 20.0  # shorter ones say more about the clock than about the work
+KEPT = 9
+REFUSAL = 0.1  # of what an ask costs that is taken up: what refusing may cost at the most
+
+
+class Drain:
+    """While asks wait the loop does not rest, so time passed by asks taken up is what one costs: reading, deciding,
+    offering and the machines' answers included. Of the latest windows the median counts: a pause of the process lies in
+    one of them.
+
+    ``cost_ms`` is that without the asks refused meanwhile, and 0 until it is known; it outlives the line. ``pace_ms`` is how
+    fast this line moves, refusals included. Without that difference an overload, in which most of the time goes
+    into refusing, is remembered as a slow host, and the next burst is refused.
+    """
+
+    def __init__(self) -> None:
+        self.cost_ms = 0.0
+        self._since: float | None = None
+        self._served = self._refused = 0
+        self._costs: deque[float] = deque(maxlen=KEPT)
+        self._paces: deque[float] = deque(maxlen=KEPT)
+
+    @property
+    def pace_ms(self) -> float:
+        return max(self.cost_ms, median(self._paces)) if len(self._paces) >= 3 else self.cost_ms
+
+    def refused(self) -> None:
+        self._refused += 1
+
+    def served(self, now: float, count: int, left: int) -> None:
+        """At ``now`` that many were taken up, and so many still wait."""
+        if self._since is not None and now - self._since >= WINDOW_MS and self._served:
+            passed = now - self._since
+            self._costs.append(passed / (self._served + REFUSAL * self._refused))
+            self._paces.append(passed / self._served)
+            if len(self._costs) >= 3:
+                self.cost_ms = median(self._costs)
+            self._since = None
+        if not left:
+            self._since = None
+            self._paces.clear()
+        elif self._since is None:
+            self._since, self._served, self._refused = now, count, 0
+        else:
+            self._served += count
--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -78,7 +78,6 @@
         self.blind_ms = 0.0  # what just became readable may have waited so long: the loop stood still, or was busy
         self._looked_at: float | None = None
         self._gap: tuple[float, Callable[[float], None]] | None = None
-        self.worst_late_ms = 0.0  # since whoever reads it has set it to 0
         self.late_ms = 0.0  # how late the latest turn's first due timer was: the loop's own lag
 
     # What an implementation supplies
@@ -180,7 +179,6 @@
         now, first = self.now(), self._timers.next_due()
         if first is not None:
             self.late_ms = max(0.0, now - first)
-            self.worst_late_ms = max(self.worst_late_ms, self.late_ms)
         while (call := self._timers.pop_due(now)) is not None:
             self.guard(call)
         for _ in range(len(self._ready)):  # those that these make ready wait for the next turn: sockets go first
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -12,7 +12,7 @@
 
 from msgspec import structs
 
-from sprucepost.door import SessionBook
+from sprucepost.admission import SessionBook
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
 from sprucepost.membership import Side
 from sprucepost.placer.engine import Engine
--- a/sprucepost/placer/engine.py
+++ b/sprucepost/placer/engine.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from sprucepost import interface as i
-from sprucepost.door import Door, LagLimit
+from sprucepost.admission import Admission
 from sprucepost.loop import Loop
 from sprucepost.membership import Generation
 from sprucepost.placing.answers import LATE_MS, Answers
@@ -17,7 +17,7 @@
 from sprucepost.placing.desk import Desk
 from sprucepost.placing.intake import Intake
 from sprucepost.placing.late import LateWords
-from sprucepost.placing.ledger import Ledger
+from sprucepost.placing.ledger import Entry, Ledger
 from sprucepost.placing.ports import Key, MachinesPort, OwnersPort, SessionPort
 from sprucepost.placing.roster import Roster
 from sprucepost.placing.tasks import Tasks
@@ -25,8 +25,6 @@
 from sprucepost.v1 import machine_pb2
 from sprucepost.v1 import placer_pb2 as pb
 
-LAG_LOOK_MS = 500.0  # between two looks at the loop's lag
-
 
 class Engine:
     """One placer without its sockets; :meth:`connect` gives it those."""
@@ -44,23 +42,25 @@
         self.counters: Counter[str] = Counter()
         self.ledger = Ledger()
         limits = options.limits
-        self.door = Door(
+        self.admission: Admission[Entry] = Admission(
             loop.now(),
-            LagLimit(limits.lag_ms, least=min(16, limits.open_tasks), most=limits.open_tasks),
+            limits.open_tasks,
+            min(cls.aim_ms for cls in cluster.classes),
+            limits.lag_ms / 2,
             max(200.0, cluster.max_retry_after_ms),
         )
         seed = options.seed if options.seed is not None else int.from_bytes(loop.token(8), "big")
         settings = cluster.to_interface(options.number, options.instances, options.zone, options.answer_margin_ms)
         tasks, margin = Tasks(cluster), options.answer_margin_ms
         self.desk = Desk(loop, settings, seed, options.clock_slew, generation, ask_list, log, self.counters)
-        self.answers = Answers(self.desk, self.ledger, cluster, self.door, self.counters)
+        self.answers = Answers(self.desk, self.ledger, cluster, self.admission, self.counters)
         self.attempts = Attempts(loop, self.desk, self.answers, margin, self.counters)
         self.late = LateWords(loop, self.desk, self.ledger, self.answers, self.attempts, tasks, log, self.counters)
         self.intake = Intake(
-            loop, self.desk, self.ledger, self.answers, self.attempts, tasks, self.door, margin, self.counters
+            loop, self.desk, self.ledger, self.answers, self.attempts, tasks, self.admission, margin, self.counters
         )
         self.roster = Roster(loop, self.desk, self.attempts, self.late, cluster, log)
-        self.desk.carry = self._carry
+        self.desk.carry, self.desk.before = self._carry, self._before
         self.on_change: Callable[[], None] = lambda: None  # something that the daemon's state depends on
         self.answers.on_settled = lambda: self.on_change() if self.intake.leaving else None
         self.roster.on_listed = lambda: self.on_change()
@@ -73,24 +73,22 @@
     def start(self) -> None:
         """Begin; the seat is known before any list is."""
         self.desk.take_seat()
-        self._look_at_lag()
         self.loop.on_gap(self.roster.wake.gap_ms, self.roster.paused)
         self.loop.call_later(LATE_MS / 2, self._tidy)
 
-    def _look_at_lag(self) -> None:
-        """The worst lag since the last look sets how many tasks may be open."""
-        self.loop.call_later(LAG_LOOK_MS, self._look_at_lag)
-        self.door.limit.look(self.loop.worst_late_ms, self.ledger.open)
-        self.loop.worst_late_ms = 0.0
-
     def _tidy(self) -> None:
         self.loop.call_later(LATE_MS / 2, self._tidy)
         self.answers.forget()
         self.late.tidy()
 
     def set_options(self, options: PlacerOptions) -> None:
-        """Other options, from a reload: the door's bound moves with them."""
-        self.door.limit.bound(options.limits.open_tasks)
+        """Other options, from a reload: the bound on open tasks moves with them."""
+        self.admission.bound(options.limits.open_tasks)
+
+    def _before(self) -> None:
+        """Ahead of each batch for the module: what has changed about machines, and the asks whose turn it is."""
+        self.roster.settle()
+        self.intake.take_up()
 
     def _carry(self, action: i.Offer | i.Refuse | i.Fail) -> None:
         if isinstance(action, i.Offer):
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from sprucepost.door import SessionBook
+from sprucepost.admission import SessionBook
 from sprucepost.loop import Loop, Timer
 from sprucepost.v1 import placer_pb2 as pb
 from sprucepost.wire.server import Method, ServerCall
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -86,6 +86,13 @@
         links = placer.links.all()
         for name, text, value in (
             ("open_tasks", "Tasks taken and not answered", engine.ledger.open),
+            ("line", "Asks let in and not taken up yet", len(engine.admission.line)),
+            ("ask_cost_ms", "What an ask costs this process, learned while asks wait", engine.admission.drain.cost_ms),
+            (
+                "line_stands",
+                "1 while the line has been long for a whole aim",
+                engine.admission.standing.standing,
+            ),
             ("owner_sessions", "Sessions of owners", len(placer.owners.sessions)),
             ("machines", "Machines linked to", len(links)),
             ("machines_attached", "Machines with a stream", sum(link.attached for link in links)),
--- a/sprucepost/placing/answers.py
+++ b/sprucepost/placing/answers.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from sprucepost import interface as i
-from sprucepost.door import Door
+from sprucepost.admission import Admission
 from sprucepost.placing.desk import Desk
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.ports import OwnersPort
@@ -22,8 +22,16 @@
 
     owners: OwnersPort
 
-    def __init__(self, desk: Desk, ledger: Ledger, cluster: Cluster, door: Door, counters: Counter[str]) -> None:
-        self._desk, self.ledger, self._cluster, self.door, self.counters = desk, ledger, cluster, door, counters
+    def __init__(
+        self, desk: Desk, ledger: Ledger, cluster: Cluster, admission: Admission[Entry], counters: Counter[str]
+    ) -> None:
+        self._desk, self.ledger, self._cluster, self._admission, self.counters = (
+            desk,
+            ledger,
+            cluster,
+            admission,
+            counters,
+        )
         self.on_settled: Callable[[], None] = lambda: None
 
     def class_of(self, entry: Entry) -> TaskClass:
@@ -46,8 +54,10 @@
         """The outcome, in the books only."""
         self.ledger.settle(entry, outcome, self._desk.now())
         if entry.owner is not None:
-            self.door.closed(entry.owner)
+            self._admission.room.closed(entry.owner)
             entry.owner = None
+            if outcome is Outcome.PLACED and entry.taken_up:
+                self._admission.placed(self._desk.loop.now() - entry.taken_up)
         self.on_settled()
         self.counters[f"outcome {outcome.value} {self.class_of(entry).name}"] += 1
 
--- a/sprucepost/placing/intake.py
+++ b/sprucepost/placing/intake.py
@@ -4,16 +4,17 @@
 
 from collections import Counter
 
-from sprucepost.door import Ask, Door
+from sprucepost.admission import Admission, Ask
 from sprucepost.loop import Loop
 from sprucepost.placing.answers import Answers
 from sprucepost.placing.attempts import Attempts
 from sprucepost.placing.desk import Desk
-from sprucepost.placing.ledger import Ledger, Outcome
+from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.ports import SessionPort
 from sprucepost.placing.tasks import Tasks
 from sprucepost.v1 import placer_pb2 as pb
 
+NO_TIME = "no time is left to place it"
 ASK_MOST_MS = 3_600_000.0  # an owner that says that it waits for longer is taken to wait so long
 
 
@@ -28,15 +29,15 @@
         answers: Answers,
         attempts: Attempts,
         tasks: Tasks,
-        door: Door,
+        admission: Admission[Entry],
         margin_ms: float,
         counters: Counter[str],
     ) -> None:
         self.loop, self._desk, self._ledger, self._answers = loop, desk, ledger, answers
-        self._attempts, self._tasks, self._door, self._margin, self.counters = (
+        self._attempts, self._tasks, self._admission, self._margin, self.counters = (
             attempts,
             tasks,
-            door,
+            admission,
             margin_ms,
             counters,
         )
@@ -63,25 +64,45 @@
         if self.leaving:
             self._refuse(session, name, "this placer is leaving")
             return
-        verdict = self._door.ask(
-            Ask(session.owner, self._tasks.worth[task.task_class], submission.repeat), self.loop.now()
-        )
-        if verdict.why:
-            self.counters["turned_away"] += 1
-            self._refuse(session, name, verdict.why, verdict.retry_after_ms)
-            return
         # The owner's time runs from when it asked. What lay in the socket while this process stood still or was busy
         # has spent some of it already: without this an answer is late by as much as the pause was long.
         left = min(submission.left_ms, ASK_MOST_MS) - session.waited_ms()
         if not left > 2 * self._margin:
-            self._refuse(session, name, "no time is left to place it")
+            self._refuse(session, name, NO_TIME)
+            return
+        now, number = self.loop.now(), self._tasks.classes[task.task_class]
+        worth, aim = self._tasks.worth[task.task_class], self._tasks.aim_ms[number]
+        ask = Ask(session.owner, worth, left - 2 * self._margin, aim, submission.repeat)
+        verdict = self._admission.ask(ask, now)
+        if verdict.why:
+            self.counters["turned_away"] += 1
+            self._refuse(session, name, verdict.why, verdict.retry_after_ms)
             return
-        number = self._tasks.classes[task.task_class]
         entry = self._ledger.take(name, number, task.service, self._desk.now())
         entry.sessions[session.token] = 1
-        self._door.opened(session.owner)
-        entry.ask, entry.due, entry.owner = task, self.loop.now() + left, session.owner
-        self._desk.push(self._tasks.request(entry, left, submission.repeat))
+        entry.ask, entry.due, entry.owner, entry.repeat = task, now + left, session.owner, submission.repeat
+        self._admission.room.opened(session.owner)
+        self._admission.wait(entry, ask, now)
+        self._desk.wake()
+
+    def take_up(self) -> None:
+        """Before the module decides: those whose turn it is go to it. What still waits then is looked at again in the
+        next turn, after the sockets: a burst keeps neither machines' answers nor other owners waiting."""
+        admission = self._admission
+        if not len(admission.line):
+            return
+        now = self.loop.now()
+        chosen, over = admission.take(now)
+        for entry in over:
+            if entry.outcome is Outcome.OPEN:  # else cancelled, or found running, while it waited
+                self.counters["waited_too_long"] += 1
+                self._answers.refuse(entry, NO_TIME)
+        for entry in chosen:
+            if entry.outcome is Outcome.OPEN:
+                entry.taken_up = now
+                self._desk.push(self._tasks.request(entry, entry.due - now, entry.repeat))
+        if len(admission.line):
+            self.loop.call_later(0.0, self._desk.wake)
 
     def _refuse(self, session: SessionPort, name: str, why: str, retry_after_ms: float = 0.0) -> None:
         """No request is opened for it."""
--- a/sprucepost/placing/ledger.py
+++ b/sprucepost/placing/ledger.py
@@ -41,9 +41,11 @@
     attempt: int = 0  # by which attempt
     cancelled: bool = False  # its owner wants it no more
     may_run: bool = False  # an attempt ended without proof that it never ran
-    owner: str | None = None  # whose share of the door it counts for, while it is open
+    owner: str | None = None  # whose share of the room it counts for, while it is open
     due: float = 0.0  # when its owner gives up
     taken_at: float = 0.0
+    taken_up: float = 0.0  # when it came out of the line, on the loop's clock; 0 while it waits there
+    repeat: bool = False  # its owner had asked before
     ask: Any = None  # what the task asks for, as it came
 
 
--- a/sprucepost/placing/roster.py
+++ b/sprucepost/placing/roster.py
@@ -41,7 +41,6 @@
         self.wake = Wake(cluster.drain_grace_ms, cluster.list_ask_every_ms)
         self.listed = False  # a list has arrived
         self.on_listed: Callable[[], None] = lambda: None
-        desk.before = self.settle
 
     # The list
 
--- a/sprucepost/placing/tasks.py
+++ b/sprucepost/placing/tasks.py
@@ -18,6 +18,7 @@
     def __init__(self, cluster: Cluster) -> None:
         dearest = max(cls.worth for cls in cluster.classes) or 1.0
         self.worth = {cls.name: cls.worth / dearest for cls in cluster.classes}  # relative to the dearest, 0 to 1
+        self.aim_ms = [cls.aim_ms for cls in cluster.classes]
         self.classes = {cls.name: n for n, cls in enumerate(cluster.classes)}
         self._tenants = {tenant.name: n for n, tenant in enumerate(cluster.tenants)}
 
--- a/sprucepost/settings/placer.py
+++ b/sprucepost/settings/placer.py
@@ -15,10 +15,10 @@
 class Limits(Struct, forbid_unknown_fields=True, frozen=True):
     """What peers may cost."""
 
-    open_tasks: Annotated[
-        Count, Meta(description="tasks without an outcome at most; the loop's lag may ask for fewer")
-    ] = 20_000
-    lag_ms: Annotated[Positive, Meta(description="lag of the event loop over which fewer tasks are let in")] = 50.0
+    open_tasks: Annotated[Count, Meta(description="tasks without an outcome at most")] = 20_000
+    lag_ms: Annotated[
+        Positive, Meta(description="what one turn of the event loop may take; half of it goes to asks at the most")
+    ] = 50.0
     connections: Count = 4096
     message_bytes: Annotated[int, Meta(ge=1024)] = 1_048_576
     unacknowledged: Annotated[Count, Meta(description="frames kept for an owner that acknowledges nothing")] = 50_000
