Of a request one attempt counts towards what is spread

An attempt timed out, its machine's acceptance passed the tap 0.2 ms before the next attempt was written, unread by the placer, and the judge counted both attempts of one task: 3 where 2 are allowed.

Change: an attempt takes the place of the one before in the spread judge's books; that two are out at once is rule 2's matter.

--- a/sprucepost/rules/checks.py
+++ b/sprucepost/rules/checks.py
@@ -465,6 +465,10 @@
 
     def _offered(self, event: t.Offered) -> None:
         held = self._held.setdefault(event.key[:2], {})
+        # Of a request one attempt counts: whoever offers the next has given the one before up. An acceptance that the tap
+        # saw in the millisecond before, and the placer had not read, counted as another task of the service.
+        for key in [key for key in held if key[2] == event.key[2] and key[3] < event.key[3]]:
+            del held[key]
         cls = self.classes.get(event.task.task_class)
         if cls is not None and cls.spread != "none":
             self.verdict.checked += 1
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -171,3 +171,12 @@
     ]
     run = run_of(events)
     assert run.stalled == {P: [(10.0, 90.0)]} and run.starved_ms(P, 0.0, 200.0) == 10.0
+
+
+def test_an_attempt_takes_the_place_of_the_one_before_in_what_is_spread() -> None:
+    """Accepted where the tap sees it, and unread when its placer gave it up and offered again."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    accepted = t.Answered(149.7, P, M, (0, 5, 1, 0), "accepted")
+    run = Run(ended_at=1e6)
+    assert not judge([offered(0, cls="web"), accepted, offered(150, attempt=1, cls="web")], spread, run)[4].broken
+    assert judge([offered(0, cls="web"), accepted, offered(150, request=2, cls="web")], spread, run)[4].broken
