Refusals of one turn go out in one frame; a full placer looks at nothing

Change: an owner whose hello says so gets refused_all, one frame for what a turn refuses, with a range from which each ask draws its wait; it goes before any other frame of its session, so that of two asks for one task the first hears first. Other owners get single refusals as before. Room and line are looked at ahead of the retry budgets, and where all open tasks are taken an ask is refused before its content is read.

--- /dev/null
+++ b/benchmarks/refusals.py
@@ -0,0 +1,89 @@
+"""What a refused ask costs the placer's processor beside a placed one, in one run.
+
+``python -m benchmarks.refusals [--profile FILE]``; writes ``docs/results/refusals.json``. The same asks go to a placer at a
+rate that it bears, and at five times that to one that may have a single task open, so that it refuses nearly all;
+figures are the processes' own CPU for each ask, idle work included.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from benchmarks.bursts import Owner
+from benchmarks.stream_cpu import cpu_s
+from benchmarks.whole_path import line, start
+from sprucepost.loop import Co, Scope, in_scope, sleep
+from sprucepost.loop.epoll import EpollLoop
+from tests.placer.support import cluster
+
+EVERY_MS, LENGTH_MS = 50.0, 5000.0
+PLACED, REFUSED = 80, 400  # asks in one burst: what a placer bears, and several times that
+
+
+def cost(open_tasks: int, size: int, profile: Path | None = None) -> dict[str, Any]:
+    processes: list[subprocess.Popen[str]] = []
+    try:
+        driver = start(["benchmarks.light", "0", "12", "serve"])
+        processes.append(driver)
+        listed = line(driver)["list"]
+        with tempfile.TemporaryDirectory() as name:
+            file = Path(name) / "placer.json"
+            raw = msgspec.to_builtins(cluster(accepts_cores=1e4, accepts_memory=1e4, report_counts="asked"))
+            options = {
+                "number": 0, "instances": 1, "zone": "room-a", "list": f"127.0.0.1:{listed}", "seed": 1,
+                "limits": {"open_tasks": open_tasks},
+            }  # fmt: skip
+            file.write_text(json.dumps({"cluster": raw, "placer": options}))
+            under = ["cProfile", "-o", str(profile), "-m"] if profile is not None else []
+            process = start([*under, "sprucepost", "placer", str(file)])
+            processes.append(process)
+            address = str(line(process)["listen"])
+            time.sleep(1.0)
+            loop = EpollLoop(1)
+
+            def main(scope: Scope) -> Co[dict[str, Any]]:
+                owner = Owner(loop, scope, address)
+                while not owner.link.up:
+                    yield from sleep(20.0)
+                yield from owner.play(size, EVERY_MS, 1000.0)
+                before = cpu_s(process.pid)
+                found = yield from owner.play(size, EVERY_MS, LENGTH_MS)
+                spent = cpu_s(process.pid) - before
+                scope.cancel()
+                return {**found, "cpu_us_each": round(spent / found["asked"] * 1e6, 1)}
+
+            try:
+                return dict(loop.run(lambda: in_scope(main)))
+            finally:
+                loop.close()
+                process.terminate()
+                process.wait(10)
+    finally:
+        for process in processes:
+            process.kill()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--profile", type=Path, help="of the refusing placer, for pstats")
+    arguments = parser.parse_args()
+    if arguments.profile is not None:
+        print(cost(1, REFUSED, arguments.profile.resolve()))
+        sys.exit(0)
+    result = {"placed": cost(20_000, PLACED), "refused": cost(1, REFUSED)}
+    result["ratio"] = {"refused_to_placed": round(result["refused"]["cpu_us_each"] / result["placed"]["cpu_us_each"], 3)}
+    print(json.dumps(result, indent=1))
+    Path("docs/results/refusals.json").write_text(json.dumps(result, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -8,7 +8,7 @@
 from sprucepost.admission.drain import Drain
 from sprucepost.admission.line import Line, Waiting
 from sprucepost.admission.retries import RetryBudget
-from sprucepost.admission.room import Room
+from sprucepost.admission.room import FULL, Room
 from sprucepost.admission.standing import Standing
 
 T = TypeVar("T")
@@ -42,7 +42,6 @@
     """``shortest_aim_ms`` of the deployment's classes; ``turn_ms`` that one turn may spend on taking asks up.
 
     ===================  ===========================================================================================
-    a repeat             spends its owner's and the placer's retry budgets, else refused
     room                 refused where all is taken, or scarce and the ask too cheap or its owner over its share
     the line is empty    let in
     the line drains      let in where it will be taken up in time to be placed within its class's aim (where machines take
@@ -63,17 +62,15 @@
         self._phase = 0.0
         self._refused: list[float] = [0.0, now]  # how many of late, as of when
 
+    def full(self) -> tuple[str, float] | None:
+        """Why, whatever an ask is like, it is refused now, and its retry time; None where that depends on the ask. Under
+        the worst most asks end here, so this costs next to nothing."""
+        if self.room.total < self.room.most:
+            return None
+        return FULL, self._spread(2.0 * self._most_retry)
+
     def ask(self, ask: Ask, now: float) -> Verdict:
         """Whether the ask is let in; then call :meth:`wait`."""
-        if ask.repeat:
-            own = self._budget(ask.owner, now)
-            if not own.repeat(now):
-                return Verdict("too many repeats of this owner", max(own.wait_ms(), self._most_retry))
-            if not self._retries.repeat(now):
-                return Verdict("too many repeats", max(self._retries.wait_ms(), self._most_retry))
-        else:
-            self._budget(ask.owner, now).fresh(now)
-            self._retries.fresh(now)
         why = self.room.why_not(ask.owner, ask.worth, now)
         if why:
             retry = self._spread(2.0 * self._most_retry)
@@ -86,6 +83,15 @@
             if wait > min(bears, ask.left_ms - self._answer_ms):
                 self.drain.refused()
                 return Verdict("too much waits here already", self._retry_ms(now))
+        if ask.repeat:
+            own = self._budget(ask.owner, now)
+            if not own.repeat(now):
+                return Verdict("too many repeats of this owner", max(own.wait_ms(), self._most_retry))
+            if not self._retries.repeat(now):
+                return Verdict("too many repeats", max(self._retries.wait_ms(), self._most_retry))
+        else:
+            self._budget(ask.owner, now).fresh(now)
+            self._retries.fresh(now)
         return Verdict()
 
     def _retry_ms(self, now: float) -> float:
--- a/sprucepost/admission/room.py
+++ b/sprucepost/admission/room.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+FULL = "too many open tasks"
 SCARCE = 0.8  # of the room: beyond, worth and shares count
 
 
@@ -27,7 +28,7 @@
         """Why this ask finds no room; empty where it does."""
         full = self.total / self.most
         if full >= 1.0:
-            return "too many open tasks"
+            return FULL
         if full < SCARCE:
             return ""
         if worth < (full - SCARCE) / (1.0 - SCARCE):
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -33,11 +33,43 @@
         self.call: ServerCall | None = None
         self.owed: Counter[str] = Counter()
         self.half_closed = False  # the owner asks nothing more on this stream
+        self.batches = False  # it takes refused_all
+        self._refused: pb.RefusedAll | None = None  # what is to go out at this turn's end
         self.forget: Timer | None = None
         self._ack_timer: Timer | None = None
 
+    def refuse(self, task: str, why: str, retry_after_ms: float) -> None:
+        """One frame for all that a turn refuses: numbered, kept, encoded and acknowledged once. Apart, refusing an ask
+        cost a quarter of placing one, and a placer that had too much to do spent its time on saying so."""
+        if not self.batches:
+            self.send(pb.PlacerFrame(task=task, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms)))
+            return
+        batch = self._refused
+        if batch is None or batch.why != why:
+            self._send_refused()
+            batch = self._refused = pb.RefusedAll(why=why, retry_from_ms=retry_after_ms, retry_to_ms=retry_after_ms)
+            self._owners.loop.at_turn_end(self._send_refused)
+        batch.tasks.append(task)
+        if retry_after_ms > batch.retry_to_ms:
+            batch.retry_to_ms = retry_after_ms
+        elif retry_after_ms < batch.retry_from_ms:
+            batch.retry_from_ms = retry_after_ms
+
+    def _send_refused(self) -> None:
+        batch, self._refused = self._refused, None
+        if batch is not None:
+            self._send(pb.PlacerFrame(refused_all=batch))
+            for task in batch.tasks:
+                self.released(task, 1)
+
     def send(self, frame: pb.PlacerFrame) -> None:
-        """A numbered frame; it goes out now or when the owner comes back."""
+        """A numbered frame; it goes out now or when the owner comes back. What was refused before it goes first: of two
+        asks for one task the first must hear of its refusal before the second hears anything."""
+        if self._refused is not None:
+            self._send_refused()
+        self._send(frame)
+
+    def _send(self, frame: pb.PlacerFrame) -> None:
         try:
             frame.seq = self.session.number(frame)
         except SessionBroken as error:
@@ -154,7 +186,7 @@
         old, session.call = session.call, call
         if old is not None:
             old.finish(RpcError(Code.ABORTED, "another stream has taken the session"))
-        taken, session.half_closed = session, False
+        taken, session.half_closed, session.batches = session, False, hello.batches
         call.on_message = lambda data: self._frame(taken, call, data)
         call.on_end = taken.on_half_close
         call.on_over = lambda status: self._left(taken, call)
--- a/sprucepost/placing/intake.py
+++ b/sprucepost/placing/intake.py
@@ -47,7 +47,13 @@
         task = submission.task
         self.counters["submitted"] += 1
         entry = self._ledger.current(name)
-        if entry is not None:
+        if entry is None:
+            full = self._admission.full()
+            if full:  # nothing can be let in: not worth a look at what it asks for
+                self.counters["turned_away"] += 1
+                self._refuse(session, name, *full)
+                return
+        else:
             # The same name again, by this owner or another: one task, one outcome, told to each that asked.
             owed = entry.sessions.setdefault(session.token, 0)
             self.counters["joined"] += 1
@@ -107,7 +113,7 @@
     def _refuse(self, session: SessionPort, name: str, why: str, retry_after_ms: float = 0.0) -> None:
         """No request is opened for it."""
         self.counters["refused_at_once"] += 1
-        session.send(pb.PlacerFrame(task=name, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms)))
+        session.refuse(name, why, retry_after_ms)
 
     def cancel(self, session: SessionPort, name: str) -> None:
         entry = self._ledger.current(name)
--- a/sprucepost/rules/trace.py
+++ b/sprucepost/rules/trace.py
@@ -213,7 +213,10 @@
             stream.session, stream.incarnation = answer.welcome.session, answer.welcome.incarnation
             yield Stream(at, placer, stream.session, True)
         elif kind is not None and self._to_owner.fresh(stream.session, answer.seq):
-            yield Told(at, placer, stream.incarnation, stream.session, answer.task, str(kind), message.late)
+            told = answer.refused_all.tasks if kind == "refused_all" else (answer.task,)
+            word = "refused" if kind == "refused_all" else str(kind)
+            for task in told:
+                yield Told(at, placer, stream.incarnation, stream.session, task, word, message.late)
 
     def _offer(self, message: Message) -> Iterator[Event]:
         stream = self._machine.setdefault((message.connection, message.stream), _MachineStream())
--- a/sprucepost/standin/owner_link.py
+++ b/sprucepost/standin/owner_link.py
@@ -39,6 +39,7 @@
         self.number = -1
         self.incarnation = 0
         self.hold_acks = False
+        self.batches = True  # refusals may come in one frame
         self._rng = loop.rng()
         self._ack_due = False
         self.task: Task[None] = scope.spawn(self._keep(), f"owner link {owner}")
@@ -77,7 +78,13 @@
         if not self._ack_due and not self.hold_acks:
             self._ack_due = True
             self.loop.call_later(ACK_MS, self._ack)
-        self._on_frame(frame)
+        if frame.WhichOneof("body") != "refused_all":
+            self._on_frame(frame)
+            return
+        batch = frame.refused_all
+        for task in batch.tasks:  # each with a wait of its own
+            wait = self._rng.uniform(batch.retry_from_ms, batch.retry_to_ms)
+            self._on_frame(pb.PlacerFrame(task=task, refused=pb.Refused(why=batch.why, retry_after_ms=wait)))
 
     def _ack(self) -> None:
         self._ack_due = False
@@ -117,7 +124,7 @@
 
     def _attach(self, connection: ClientConnection) -> Co[ClientCall]:
         call = connection.call(PATH)
-        hello = pb.OwnerHello(session=self._token, last_seen=self.session.seen, owner=self.owner)
+        hello = pb.OwnerHello(session=self._token, last_seen=self.session.seen, owner=self.owner, batches=self.batches)
         call.send(pb.OwnerFrame(hello=hello).SerializeToString())
         data = yield from within((yield from current()), 2000.0, call.receive())
         if data is None:
--- a/tests/placer/test_path.py
+++ b/tests/placer/test_path.py
@@ -559,3 +559,39 @@
         return len(placer.owners.sessions), len(owing), placer.owners.counters["owner_evicted"]
 
     assert play(body) == (20, 1, 41)
+
+
+@pytest.mark.parametrize("batches", [True, False])
+def test_what_one_read_asks_and_none_can_have_is_refused_in_one_frame_where_the_owner_takes_it(batches: bool) -> None:
+    def body(world: World) -> Co[Any]:
+        placer = world.placer(limits=Limits(open_tasks=1))
+        front = world.tap.add("placer-0", placer.listen)
+        owner, followed = world.owner(front)
+        owner.batches = batches
+        yield from wait_for(lambda: owner.up)
+        owner.submit("open", task(), 800)
+        for n in range(50):
+            owner.submit(f"t{n}", task(), 2000)
+        yield from wait_for(lambda: len(followed.frames) == 51 and followed.outcomes("open"))
+        waits = {followed.frames[f"t{n}"][0].refused.retry_after_ms for n in range(50)}
+        frames = placer.owners.sessions[owner._token].session._sent
+        broken = [found for found in world.judge().values() if found]
+        return [followed.outcomes(f"t{n}") for n in range(50)], frames, len(waits) > 40, broken
+
+    outcomes, frames, spread, broken = play(body)
+    assert outcomes == [["refused"]] * 50 and spread and broken == []
+    assert frames < 10 if batches else frames >= 51
+
+
+def test_a_refusal_is_told_before_anything_of_a_later_ask_of_that_name() -> None:
+    def body(world: World) -> Co[Any]:
+        world.machine("m1")
+        placer = world.placer()
+        owner, followed = world.owner(placer.listen)
+        yield from world.ready(placer, 1)
+        owner.submit("t", task(), 1)  # no time is left
+        owner.submit("t", task(life_ms=50), 2000)
+        yield from wait_for(lambda: len(followed.outcomes("t")) == 2)
+        return followed.kinds("t")[:3]
+
+    assert play(body) == ["refused", "offered", "bound"]
