An adopted or withdrawn task counts once, or not at all, towards what is spread

An acceptance came about its attempt's time-out, in time for the judge and late for the placer, which adopted the task by another request; the judge counted both, 5 where 4 are allowed.

Change: an adoption takes the place of the attempt by which the machine came to hold the task; the trace has the placers' withdrawals, and a withdrawn task counts no more.

The new tests fail before.

--- a/sprucepost/rules/checks.py
+++ b/sprucepost/rules/checks.py
@@ -432,6 +432,7 @@
         self._held: dict[tuple[int, int], dict[t.Key, tuple[str, str, float]]] = {}  # machine, service, out until
         self._services: dict[str, tuple[str, str]] = {}  # by task: service and class
         self._lives: dict[tuple[str, str], int] = {}
+        self._names: dict[t.Key, str] = {}
 
     def take(self, event: t.Event) -> None:
         if isinstance(event, t.Attached):
@@ -449,11 +450,21 @@
                     self._drop(held, event.machine)
         elif isinstance(event, t.Offered) and not event.again:
             self._services[event.name] = event.task.service, event.task.task_class
+            self._names[event.key] = event.name
             self._offered(event)
         elif isinstance(event, t.Adopted):
             named = self._services.get(event.name)
+            held = self._held.setdefault(event.key[:2], {})
+            # It takes the place of the attempt by which the machine came to hold the task: with an acceptance about the
+            # time-out both were counted.
+            for key in [key for key, name in self._names.items() if name == event.name and key in held]:
+                del held[key]
             if named is not None:
-                self._held.setdefault(event.key[:2], {})[event.key] = event.machine, named[0], float("inf")
+                held[event.key] = event.machine, named[0], float("inf")
+                self._names[event.key] = event.name
+        elif isinstance(event, t.Withdrawn):
+            # An answer about the time-out is heard or given up: without the placer's own word both were counted.
+            self._held.get(event.key[:2], {}).pop(event.key, None)
         elif isinstance(event, t.Answered):
             held = self._held.get(event.key[:2], {})
             if event.kind in ("refused", "ended"):
--- a/sprucepost/rules/trace.py
+++ b/sprucepost/rules/trace.py
@@ -99,6 +99,16 @@
     again: bool = False
 
 
+@dataclass(frozen=True)
+class Withdrawn:
+    """A placer told a machine that it wants the task of this attempt no more."""
+
+    at: float
+    placer: str
+    machine: str
+    key: Key
+
+
 @dataclass(frozen=True)
 class Adopted:
     """A placer took over a task that the machine held."""
@@ -137,7 +147,7 @@
     until: float = math.inf
 
 
-Event = Asked | Told | Stream | Cancelled | Offered | Answered | Adopted | Attached | Listed
+Event = Asked | Told | Stream | Cancelled | Offered | Answered | Withdrawn | Adopted | Attached | Listed
 
 
 @dataclass
@@ -233,6 +243,9 @@
                 again = key in self._offers
                 self._offers.add(key)
                 yield Offered(at, placer, machine, key, offer.name, offer.task, offer.wait_ms, again, message.late)
+            elif kind == "withdraw":
+                gone = frame.withdraw
+                yield Withdrawn(at, placer, machine, (stream.number, gone.incarnation, gone.request, gone.attempt))
             elif kind == "adopt":
                 key = (stream.number, stream.incarnation, frame.adopt.request, 0)
                 if key not in self._offers:
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -180,3 +180,23 @@
     run = Run(ended_at=1e6)
     assert not judge([offered(0, cls="web"), accepted, offered(150, attempt=1, cls="web")], spread, run)[4].broken
     assert judge([offered(0, cls="web"), accepted, offered(150, request=2, cls="web")], spread, run)[4].broken
+
+
+def test_a_withdrawn_task_is_not_spread_over_any_more() -> None:
+    """Accepted about its time-out: within it for the judge, too late for its placer, which withdrew it."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    late: list[t.Event] = [offered(0, cls="web"), t.Answered(299, P, M, (0, 5, 1, 0), "accepted")]
+    again, run = offered(2000, request=2, cls="web"), Run(ended_at=1e6)
+    assert judge([*late, again], spread, run)[4].broken
+    assert not judge([*late, t.Withdrawn(308, P, M, (0, 5, 1, 0)), again], spread, run)[4].broken
+    assert judge([*late, t.Withdrawn(308, P, M, (0, 5, 7, 0)), again], spread, run)[4].broken
+
+
+def test_an_adopted_task_counts_once() -> None:
+    """Accepted about its time-out: within it for the judge, too late for its placer, which adopted it by another request."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=2)])
+    late: list[t.Event] = [offered(0, cls="web"), t.Answered(299, P, M, (0, 5, 1, 0), "accepted")]
+    again, run = offered(2000, request=3, cls="web", name="u"), Run(ended_at=1e6)
+    assert not judge([*late, t.Adopted(301, P, M, (0, 5, 2, 0), "t"), again], spread, run)[4].broken
+    other = offered(100, request=4, cls="web", name="v")
+    assert judge([*late, other, t.Answered(350, P, M, (0, 5, 4, 0), "accepted"), again], spread, run)[4].broken
