A stream that lost its session half-closes nothing; retry times stay within twice the longest

Read over: a half-close that arrived on a stream whose session another stream had taken marked the session as done asking, so the newer stream would have ended early. It now counts on the session's own stream only (test over sockets). A spread retry time could reach three times cluster.max_retry_after_ms; the bound is two, as before.

--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -101,9 +101,10 @@
         return self._spread((len(self.line) + self._refused[0]) * self.drain.cost_ms)
 
     def _spread(self, ms: float) -> float:
-        """Within half to one and a half times of it, evenly: those refused together must not come back together."""
+        """Within half to one and a half times of it, evenly, and at most twice the longest retry time of the settings: those
+        refused together must not come back together."""
         self._phase = (self._phase + GOLDEN) % 1.0
-        return max(1.0, min(ms, self._most_retry * 2.0) * (0.5 + self._phase))
+        return max(1.0, min(ms, self._most_retry * 4.0 / 3.0) * (0.5 + self._phase))
 
     def _budget(self, owner: str, now: float) -> RetryBudget:
         budget = self._owners.pop(owner, None) or RetryBudget(now)
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -100,9 +100,10 @@
             self._owners.book.settled(self.token)
             self._end_if_done()
 
-    def on_half_close(self) -> None:
-        self.half_closed = True
-        self._end_if_done()
+    def on_half_close(self, call: ServerCall) -> None:
+        if call is self.call:  # else another stream has taken the session, and says for itself when it is done
+            self.half_closed = True
+            self._end_if_done()
 
     def _end_if_done(self) -> None:
         if self.half_closed and not self.owed and self.call is not None:
@@ -188,7 +189,7 @@
             old.finish(RpcError(Code.ABORTED, "another stream has taken the session"))
         taken, session.half_closed, session.batches = session, False, hello.batches
         call.on_message = lambda data: self._frame(taken, call, data)
-        call.on_end = taken.on_half_close
+        call.on_end = lambda: taken.on_half_close(call)
         call.on_over = lambda status: self._left(taken, call)
         welcome = pb.Welcome(
             session=session.token,
--- a/tests/placer/test_path.py
+++ b/tests/placer/test_path.py
@@ -595,3 +595,29 @@
         return followed.kinds("t")[:3]
 
     assert play(body) == ["refused", "offered", "bound"]
+
+
+def test_a_half_close_of_a_stream_that_lost_its_session_does_not_end_the_one_that_took_it() -> None:
+    def body(world: World) -> Co[Any]:
+        placer = world.placer()  # no machine: the ask stays open
+        first = yield from open_client(world.loop, placer.listen)
+        old = first.call("/sprucepost.v1.Placer/Submit")
+        old.send(pb.OwnerFrame(hello=pb.OwnerHello(owner="o")).SerializeToString())
+        token = pb.PlacerFrame.FromString((yield from old.receive()) or b"").welcome.session
+        new = first.call("/sprucepost.v1.Placer/Submit")
+        new.send(pb.OwnerFrame(hello=pb.OwnerHello(owner="o", session=token)).SerializeToString())
+        old.end()
+        yield from new.receive()
+        submission = pb.Submission(task=task(), left_ms=400)
+        new.send(pb.OwnerFrame(seq=1, task="t", submit=submission).SerializeToString())
+        got = []
+        while "refused" not in got:
+            data = yield from new.receive()
+            assert data is not None, "the stream ended"
+            got.append(pb.PlacerFrame.FromString(data).WhichOneof("body"))
+        yield from sleep(20)
+        over = new.over
+        first.close()
+        return over, placer.owners.sessions[token].half_closed
+
+    assert play(body) == (None, False)
