A pause within a wait counts from the wait's beginning; owners that ask twice are a fault

Placers stopped for 4,816 ms within a wait that was to last 1,560 ms took the pause for 3,254: asks that had come early in the wait seemed 1,560 ms fresher than they were, and were refused 550 to 742 ms after their owners had given up. A pause that ended within the wait would have left no trace at all.

--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -16,6 +16,9 @@
 Address = tuple[str, int] | str
 """An IP address and port, or the path of a unix socket."""
 
+LOOK_MS = 50.0  # a loop that is to know of its pauses looks at its sockets so often: one within a wait leaves no trace
+OVERSLEPT_MS = 5.0  # a wait that ends later than that was not the system's rounding
+
 Call = Callable[[], None]
 Rng = random.Random
 
@@ -129,8 +132,12 @@
         """To be called by :meth:`_poll` when the wait is over, before any callback."""
         now = self.now()
         busy = began - self._looked_at if self._looked_at is not None else 0.0
-        stood = now - began - wait_ms if wait_ms is not None else 0.0
-        self.blind_ms = max(0.0, busy) + max(0.0, stood)
+        stood = max(0.0, now - began - wait_ms) if wait_ms is not None else 0.0
+        if stood > OVERSLEPT_MS:
+            # Stopped, and nobody knows since when: what came at the beginning of the wait would have ended it, and has
+            # waited ever since. Counted from the end of the wait, asks were thought 1,560 ms fresher than they were.
+            stood = now - began
+        self.blind_ms = max(0.0, busy) + stood
         self._looked_at = now
         if self._gap is not None and self.blind_ms >= self._gap[0]:
             length = self.blind_ms
@@ -175,6 +182,8 @@
         else:
             due = self._timers.next_due()
             wait = None if due is None else max(0.0, due - self.now())
+            if self._gap is not None:
+                wait = LOOK_MS if wait is None else min(wait, LOOK_MS)
         self._poll(wait)
         now, first = self.now(), self._timers.next_due()
         if first is not None:
--- a/sprucepost/standin/director.py
+++ b/sprucepost/standin/director.py
@@ -76,7 +76,8 @@
             "burst": self._burst, "hot_key": self._hot_key, "heavy_tail": self._heavy_tail, "zone_cut": self._zone_cut,
             "deploy": self._deploy, "shrink": self._shrink, "grow": self._grow, "discovery_down": self._list_down,
             "discovery_stale": self._list_stale, "reconnect": self._reconnect, "placer_kill": self._placer_kill,
-            "reset": self._reset, "list_empty": self._list_empty, "list_back": self._list_back, "list_gone": self._list_gone,
+            "ask_twice": self._ask_twice, "reset": self._reset, "list_empty": self._list_empty,
+            "list_back": self._list_back, "list_gone": self._list_gone,
             "one_way_cut": self._one_way_cut, "slow_link": self._slow_link, "descriptors": self._descriptors,
             "clock_step": self._clock_step, "same_number": self._same_number, "placer_stop": self._placer_stop,
             "resize": self._resize,
@@ -221,6 +222,11 @@
         yield from sleep(fault.len_s * 1000.0)
         yield from self.stage.owners("rate", factor=1.0)
 
+    def _ask_twice(self, fault: Fault, number: int) -> Co[None]:
+        yield from self.stage.owners("twice", part=fault.part)
+        yield from sleep(fault.len_s * 1000.0)
+        yield from self.stage.owners("twice", part=0.0)
+
     def _use(self, fault: Fault, what: list[str]) -> Co[None]:
         for name in what:
             yield from self.stage.field("use", what=name, factor=fault.size)
--- a/sprucepost/standin/drawing.py
+++ b/sprucepost/standin/drawing.py
@@ -41,6 +41,7 @@
     "answer_lost": Row(len_share=(0.1, 0.4), part=(0.2, 0.9), size=(0.1, 0.9)),
     "balancer_stall": Row(part=(0.1, 1.0), size=(200.0, 5000.0), extra=(0.0, 3.0)),
     "burst": Row(len_share=(0.05, 0.2), size=(1.5, 3.0)),
+    "ask_twice": Row(len_share=(0.1, 0.5), part=(0.1, 0.8)),
     "hot_key": Row(part=(0.1, 0.4), size=(1.5, 3.0)),
     "heavy_tail": Row(size=(1.5, 3.0)),
     "zone_cut": Row(len_share=(0.05, 0.3), zone=True),
--- a/sprucepost/standin/owners.py
+++ b/sprucepost/standin/owners.py
@@ -21,6 +21,7 @@
 from sprucepost.v1 import common_pb2
 from sprucepost.v1 import placer_pb2 as pb
 
+TWICE_MS = 60.0  # an impatient owner asks again within this
 SLACK_MS = 250.0  # an answer that comes later than this after its time is counted as none
 
 
@@ -91,6 +92,7 @@
         self.tasks: dict[str, Wanted] = {}
         self.tally: dict[str, Tally] = {cls.name: Tally() for cls in cluster.classes}
         self.second_answers = 0
+        self.twice = 0.0  # share of asks that come a second time while they are open
         self.asking = True  # else nothing is asked for, also not again
         self._count = 0
         self._source = source
@@ -162,6 +164,18 @@
         self._tally(wanted, "asked")
         self.links[placer].submit(wanted.name, wanted.task, cls.deadline_ms, wanted.asks > 1)
         wanted.gives_up = self.loop.call_later(cls.deadline_ms + SLACK_MS, lambda: self._no_answer(wanted))
+        if self.twice and self._rng.random() < self.twice:
+            ask = wanted.asks
+            self.loop.call_later(self._rng.uniform(0.0, TWICE_MS), lambda: self._ask_twice(wanted, placer, ask))
+
+    def _ask_twice(self, wanted: Wanted, placer: int, ask: int) -> None:
+        """The same ask once more while it is open, in the same session: it is owed an answer of its own."""
+        if wanted.over or not wanted.open or wanted.asks != ask or not self.links[placer].up:
+            return
+        wanted.owed[placer].append(ask)
+        self._tally(wanted, "asked twice")
+        left = wanted.asked_at + self._classes[wanted.service.task_class].deadline_ms - self.loop.now()
+        self.links[placer].submit(wanted.name, wanted.task, left, True)
 
     def _ask_later(self, wanted: Wanted, wait_ms: float) -> None:
         if wanted.again is not None:
@@ -310,8 +324,10 @@
     # Orders
 
     def orders(self) -> Orders:
-        return Orders({"rate": self._set_rate, "restart": self._restart, "asking": self._asking, "result": self.result,
-                       "placer": self._placer})  # fmt: skip
+        return Orders({
+            "rate": self._set_rate, "twice": self._set_twice, "restart": self._restart, "asking": self._asking,
+            "result": self.result, "placer": self._placer,
+        })  # fmt: skip
 
     def _placer(self, address: str) -> dict[str, Any]:
         host, _, port = address.rpartition(":")
@@ -322,6 +338,10 @@
         self.factor = factor
         return {}
 
+    def _set_twice(self, part: float) -> dict[str, Any]:
+        self.twice = part
+        return {}
+
     def _asking(self, on: bool) -> dict[str, Any]:
         self.asking = on
         return {}
--- a/sprucepost/standin/scenario.py
+++ b/sprucepost/standin/scenario.py
@@ -13,7 +13,7 @@
     "crash", "vanish", "slow", "ageing", "class_fail", "answer_lost", "balancer_stall", "burst", "hot_key", "heavy_tail",
     "zone_cut", "deploy", "shrink", "grow", "discovery_down", "discovery_stale", "reconnect", "placer_kill", "reset",
     "list_empty", "list_back", "list_gone", "one_way_cut", "slow_link", "descriptors", "clock_step", "same_number",
-    "placer_stop", "resize",
+    "placer_stop", "resize", "ask_twice",
 ]  # fmt: skip
 Share = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(ge=0)]
--- a/tests/placing/test_wake.py
+++ b/tests/placing/test_wake.py
@@ -8,7 +8,7 @@
 from sprucepost import interface as i
 from sprucepost.placing.wake import Wake
 from sprucepost.v1 import machine_pb2
-from tests.placing.support import Walk
+from tests.placing.support import VirtualLoop, Walk
 
 FAILED = i.MachineList(i.ListKind.FAILED)
 
@@ -95,3 +95,27 @@
         doubted = [name for name in ("a", "b") if wake.in_doubt(name, now)]
         assert not doubted or (paused_at is not None and now < paused_at + 2000.0)
     assert not wake.in_doubt("a", now + 2000.0)
+
+
+def test_bytes_that_came_early_in_a_wait_that_a_pause_fell_into_have_waited_for_all_of_it() -> None:
+    """Stopped 4,816 ms within a wait that was to last 1,560: an answer to what came at its beginning was 742 ms late."""
+    walk = Walk()
+    loop = walk.loop
+    loop._polled(loop.time, 0.0)
+    began, loop.time = loop.time, loop.time + 4816.0
+    loop._polled(began, 1560.0)
+    assert loop.blind_ms == 4816.0
+    began, loop.time = loop.time, loop.time + 51.0
+    loop._polled(began, 50.0)
+    assert loop.blind_ms == 1.0  # the system's own rounding
+
+
+def test_a_loop_that_is_to_know_of_its_pauses_never_waits_long() -> None:
+    loop = VirtualLoop()
+    loop.call_later(5000.0, lambda: None)
+    loop.turn()
+    assert loop.time == 1_005_000.0
+    loop.on_gap(1000.0, lambda length: None)
+    loop.call_later(5000.0, lambda: None)
+    loop.turn()
+    assert loop.time == 1_005_050.0
