--- /dev/null
+++ b/tests/placer/test_storms.py
@@ -0,0 +1,51 @@
+"""Storms: every owner's and machine's connection breaks at once, under load, again and again."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sprucepost.loop import Co, sleep
+from tests.placer.support import World, play, task
+from tests.wire.support import wait_for
+
+OWNERS, MACHINES, ASKS = 60, 6, 12
+
+
+def test_every_owner_and_machine_reconnecting_at_once_loses_no_task() -> None:
+    """Each owner has asks open when its stream breaks, and asks on while it has none. Every ask is answered once, and the
+    judge finds no rule broken in the bytes."""
+
+    def body(world: World) -> Co[Any]:
+        for n in range(MACHINES):
+            world.machine(f"m{n}", "room-a" if n % 2 else "room-b")
+        placer = world.placer()
+        front = world.tap.add("placer-0", placer.listen)
+        owners = [world.owner(front, f"owner-{n}") for n in range(OWNERS)]
+        yield from world.ready(placer, MACHINES)
+        yield from wait_for(lambda: all(owner.up for owner, _ in owners))
+        asked = 0
+        for round in range(ASKS):
+            for n, (owner, _) in enumerate(owners):
+                owner.submit(f"{n}-{round}", task("web" if n % 2 else "bill", life_ms=60), 3000)
+                asked += 1
+            yield from sleep(60)
+            if round % 4 == 2:
+                world.tap.blow("reset", target="placer-0")
+                for m in range(MACHINES):
+                    world.tap.blow("reset", target=f"m{m}")
+        yield from wait_for(
+            lambda: (
+                all(len(followed.frames) == ASKS for _, followed in owners)
+                and all(followed.outcomes(name) for _, followed in owners for name in followed.frames)
+            ),
+            8000,
+        )
+        once = all(len(followed.outcomes(name)) == 1 for _, followed in owners for name in followed.frames)
+        placed = sum(followed.outcomes(name) == ["bound"] for _, followed in owners for name in followed.frames)
+        resumed = sum(sum(followed.sessions) for _, followed in owners)
+        broken = {rule: found for rule, found in world.judge().items() if found}
+        return asked, once, placed > asked / 4, resumed, broken, placer.engine.ledger.open
+
+    asked, once, placed, resumed, broken, still = play(body)
+    assert asked == OWNERS * ASKS and once and placed and broken == {} and still == 0
+    assert resumed >= OWNERS  # they came back to their sessions
