Timers wait for a look at the sockets, also after a stop in the midst of a turn

The placer was stopped for 4 s within a turn, between its look at the sockets and its timers; when it went on, the time-outs of those 4 s fired first, the patience with its list among them, and the watch was closed with the word of the drain unread. Only a stop within the wait itself had been provided for; on a busy machine a process is often stopped while it waits for a processor.

Change: timers fire that were due when the sockets were last looked at; later ones follow the next look.

Result: the new test fails before.

--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -47,7 +47,10 @@
     the line drains      let in where it will be taken up in time to be placed within its class's aim (where machines take
                          more than half of that, within half of it), and within its owner's time
     the line stands      the same within a quarter of the aim: under overload a long wait helps nobody
+    a repeat             spends its owner's and the placer's retry budgets, else refused
     ===================  ===========================================================================================
+
+    In this order, the cheapest first; what is refused spends no budget.
     """
 
     def __init__(
--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -188,7 +188,10 @@
         now, first = self.now(), self._timers.next_due()
         if first is not None:
             self.late_ms = max(0.0, now - first)
-        while (call := self._timers.pop_due(now)) is not None:
+        # Due by when the sockets were looked at, not by now: a process stopped in the midst of a turn would have its
+        # time-outs go before what had come meanwhile. A watch was given up so, with the word of a drain unread in it.
+        looked = now if self._looked_at is None else self._looked_at
+        while (call := self._timers.pop_due(looked)) is not None:
             self.guard(call)
         for _ in range(len(self._ready)):  # those that these make ready wait for the next turn: sockets go first
             self.guard(self._ready.popleft())
--- a/tests/placing/test_wake.py
+++ b/tests/placing/test_wake.py
@@ -119,3 +119,21 @@
     loop.call_later(5000.0, lambda: None)
     loop.turn()
     assert loop.time == 1_005_050.0
+
+
+def test_after_a_stop_in_the_midst_of_a_turn_the_sockets_are_looked_at_before_time_outs() -> None:
+    order: list[str] = []
+
+    class Stopped(VirtualLoop):
+        def _poll(self, wait_ms: float | None) -> None:
+            super()._poll(wait_ms)
+            order.append("look")
+            if len(order) == 1:
+                self.time += 4000.0  # between the look and the timers
+
+    loop = Stopped()
+    loop.call_soon(lambda: None)
+    loop.call_later(600.0, lambda: order.append("time-out"))
+    for _ in range(3):
+        loop.turn()
+    assert order[:3] == ["look", "look", "time-out"]
