--- a/sprucepost/cli/search.py
+++ b/sprucepost/cli/search.py
@@ -4,6 +4,7 @@
 
 import json
 import shutil
+import signal
 import subprocess
 import sys
 import time
@@ -80,6 +81,8 @@
     """Play days, ``jobs`` at a time; ``done`` hears of each as it ends. No child outlives this."""
     running: list[Day] = []
     more = True
+    # Without a handler SIGTERM ends this process on the spot, and its days play on with nobody to hear of them.
+    before = signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     try:
         while more or running:
             while more and len(running) < jobs:
@@ -101,6 +104,7 @@
             day.child.terminate()
         for day in running:
             day.child.wait()
+        signal.signal(signal.SIGTERM, before)
 
 
 def already(folder: Path) -> dict[int, dict[str, Any]]:
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import time
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -115,3 +116,27 @@
         assert (ROOT / mutation.file).read_text().count(mutation.old) == 1, mutation.name
     plant(found[0], tmp_path)
     assert found[0].new in (tmp_path / found[0].file).read_text()
+
+
+def test_a_search_that_is_ended_ends_its_days(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "sprucepost", "badday", "--random", "--seeds", "1..2", "--jobs", "2", "--length", "24"]
+    search = subprocess.Popen([*command, "--out", str(tmp_path)], stderr=subprocess.DEVNULL)
+    until = time.monotonic() + 30.0
+    while not list(tmp_path.glob("*/capture.bin")) and time.monotonic() < until:
+        time.sleep(0.1)
+    search.terminate()
+    assert search.wait(30) == 143
+
+    def mine() -> list[Path]:
+        return [path for path in Path("/proc").glob("[0-9]*/cmdline") if str(tmp_path).encode() in read(path)]
+
+    while mine() and time.monotonic() < until + 30.0:
+        time.sleep(0.1)
+    assert mine() == []
+
+
+def read(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError:  # it has ended
+        return b""
