Machines are cold for as much longer as clocks may be apart

Change: the live placer reckons with warm_after and a quarter of fall, which is how far its clock may be from the list's before it takes no seat; one property of the settings names both.

--- a/sprucepost/placer/engine.py
+++ b/sprucepost/placer/engine.py
@@ -52,7 +52,9 @@
         seed = options.seed if options.seed is not None else int.from_bytes(loop.token(8), "big")
         settings = cluster.to_interface(options.number, options.instances, options.zone, options.answer_margin_ms)
         tasks, margin = Tasks(cluster), options.answer_margin_ms
-        self.desk = Desk(loop, settings, seed, options.clock_slew, generation, ask_list, log, self.counters)
+        self.desk = Desk(
+            loop, settings, seed, options.clock_slew, cluster.clock_apart_ms, generation, ask_list, log, self.counters
+        )
         self.answers = Answers(self.desk, self.ledger, cluster, self.admission, self.counters)
         self.attempts = Attempts(loop, self.desk, self.answers, margin, self.counters)
         self.late = LateWords(loop, self.desk, self.ledger, self.answers, self.attempts, tasks, log, self.counters)
--- a/sprucepost/placing/desk.py
+++ b/sprucepost/placing/desk.py
@@ -24,6 +24,7 @@
         settings: i.Settings,
         seed: int,
         slew: float,
+        clock_apart_ms: float,
         generation: Generation,
         ask_list: Callable[[], None],
         log: Callable[..., None],
@@ -38,7 +39,7 @@
         self._events: list[i.Event] = []
         self._due = False
         self._generation, self.side = generation, Side.NEW
-        self._guard = ClockGuard(settings.fall / 4)
+        self._guard = ClockGuard(clock_apart_ms)
         self._seat_timer: Timer | None = None
 
     def now(self) -> float:
--- a/sprucepost/placing/roster.py
+++ b/sprucepost/placing/roster.py
@@ -33,7 +33,7 @@
         log: Callable[..., None],
     ) -> None:
         self.loop, self._desk, self._attempts, self._late, self._log = loop, desk, attempts, late, log
-        self._kinds, self._warm_after = cluster.kinds, cluster.warm_after_ms
+        self._kinds, self._warm_after = cluster.kinds, cluster.warm_after_ms + cluster.clock_apart_ms
         self._entries: dict[str, i.MachineEntry] = {}
         self._up: set[str] = set()  # machines that have a stream
         self._hidden: set[str] = set()  # ready ones that the module is shown as draining
