What nobody waits before is taken up without standing in line

Change: an ask that is let in while nobody waits and the turn has room is taken up in that turn as it came; only what a turn cannot take up stands in line. Heads of DATA frames on a stream are not checked a second time.

Tests of admission, placing, placer and wire pass.

--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -18,7 +18,7 @@
 SMOOTH = 0.125  # of a new answer time, RFC 6298
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Ask:
     """One submission. ``worth``: of its class, relative to the dearest, 0 to 1; ``left_ms`` until it must have been taken up
     and answered; ``aim_ms`` of its class."""
@@ -61,6 +61,7 @@
         self._turn_ms, self._most_retry = turn_ms, most_retry_ms
         self._retries = RetryBudget(now, burst=200.0, per_s=10.0)
         self._owners: dict[str, RetryBudget] = {}
+        self._at_once: list[T] = []  # let in this turn while nobody waited
         self._answer_ms = 0.0
         self._phase = 0.0
         self._refused: list[float] = [0.0, now]  # how many of late, as of when
@@ -119,14 +120,27 @@
     # The line
 
     def wait(self, item: T, ask: Ask, now: float) -> None:
-        """The ask was let in: it stands in line."""
+        """The ask was let in: it stands in line, or, where nobody does and this turn has room, it is taken up at once."""
+        if not len(self.line) and len(self._at_once) < self._quota():
+            self._at_once.append(item)
+            return
         self.line.put(Waiting(item, ask.owner, ask.worth, now + ask.left_ms))
 
+    @property
+    def waiting(self) -> bool:
+        """Whether :meth:`take` has anything to give."""
+        return bool(self._at_once) or len(self.line) > 0
+
+    def _quota(self) -> int:
+        """How many one turn takes up."""
+        cost = self.drain.cost_ms
+        return max(1, int(self._turn_ms / cost)) if cost else FIRST
+
     def take(self, now: float) -> tuple[list[T], list[T]]:
         """Those to be taken up in this turn, and those whose time is over instead."""
         over = [waiting.item for waiting in self.line.expire(now)]
-        quota = FIRST if not self.drain.cost_ms else max(1, int(self._turn_ms / self.drain.cost_ms))
-        chosen: list[T] = []
+        quota = self._quota()
+        chosen, self._at_once = self._at_once, []
         while len(chosen) < quota and (waiting := self.line.pop()) is not None:
             chosen.append(waiting.item)
         self.drain.served(now, len(chosen), len(self.line))
--- a/sprucepost/placing/intake.py
+++ b/sprucepost/placing/intake.py
@@ -95,7 +95,7 @@
         """Before the module decides: those whose turn it is go to it. What still waits then is looked at again in the
         next turn, after the sockets: a burst keeps neither machines' answers nor other owners waiting."""
         admission = self._admission
-        if not len(admission.line):
+        if not admission.waiting:
             return
         now = self.loop.now()
         chosen, over = admission.take(now)
--- a/sprucepost/wire/http2.py
+++ b/sprucepost/wire/http2.py
@@ -154,7 +154,8 @@
                     break
                 kind, flags = buffer[at + 3], buffer[at + 4]
                 stream = int.from_bytes(buffer[at + 5 : at + 9], "big") & LAST_STREAM
-                wrong = frames.problem(kind, flags, stream, size)
+                # Nothing in the head of a DATA frame on a stream can be wrong, and nearly all frames are those.
+                wrong = None if kind == DATA and stream else frames.problem(kind, flags, stream, size)
                 if wrong is not None:
                     raise Broken("protocol", wrong[1], wrong[0])
                 if not self._settled:
