The spread judge looks through what is held, not through every name it has met

Read over: at each adoption the judge searched the names of all attempts of the run for those still held. It now asks for the names of what is held, which is the same set.

--- a/sprucepost/rules/checks.py
+++ b/sprucepost/rules/checks.py
@@ -457,7 +457,7 @@
             held = self._held.setdefault(event.key[:2], {})
             # It takes the place of the attempt by which the machine came to hold the task: with an acceptance about the
             # time-out both were counted.
-            for key in [key for key, name in self._names.items() if name == event.name and key in held]:
+            for key in [key for key in held if self._names.get(key) == event.name]:
                 del held[key]
             if named is not None:
                 held[event.key] = event.machine, named[0], float("inf")
