The spread judge counts no task that its placer has given up

A placer came back from a pause of 3 s; an ask's time was over and its owner was told that it had failed, while the machine's acceptance, which the tap had relayed 16 ms before, lay unread in the placer's socket. The judge counted the accepted attempt beside the next four offers of the service: 5 in one zone, 4 allowed. The placer knew of four.

Change: with an outcome other than bound the attempts of that task count no more; an adoption counts it again.

--- a/sprucepost/rules/checks.py
+++ b/sprucepost/rules/checks.py
@@ -433,6 +433,7 @@
         self._services: dict[str, tuple[str, str]] = {}  # by task: service and class
         self._lives: dict[tuple[str, str], int] = {}
         self._names: dict[t.Key, str] = {}
+        self._open: dict[tuple[int, str], list[t.Key]] = {}  # by incarnation and task: attempts without an outcome yet
 
     def take(self, event: t.Event) -> None:
         if isinstance(event, t.Attached):
@@ -451,7 +452,14 @@
         elif isinstance(event, t.Offered) and not event.again:
             self._services[event.name] = event.task.service, event.task.task_class
             self._names[event.key] = event.name
+            self._open.setdefault((event.key[1], event.name), []).append(event.key)
             self._offered(event)
+        elif isinstance(event, t.Told) and event.kind in ("bound", "refused", "failed"):
+            keys = self._open.pop((event.incarnation, event.task), ())
+            # Given up: an acceptance that the tap saw before that was not read by then, else the task were bound. It
+            # counts from its adoption, if an owner claims it.
+            for key in keys if event.kind != "bound" else ():
+                self._held.get(key[:2], {}).pop(key, None)
         elif isinstance(event, t.Adopted):
             named = self._services.get(event.name)
             held = self._held.setdefault(event.key[:2], {})
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -200,3 +200,15 @@
     assert not judge([*late, t.Adopted(301, P, M, (0, 5, 2, 0), "t"), again], spread, run)[4].broken
     other = offered(100, request=4, cls="web", name="v")
     assert judge([*late, other, t.Answered(350, P, M, (0, 5, 4, 0), "accepted"), again], spread, run)[4].broken
+
+
+def test_a_task_that_was_given_up_is_not_spread_over_until_it_is_adopted() -> None:
+    """Accepted where the tap sees it, and unread when its placer, back from a pause, told its owner that it had failed."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    first: list[t.Event] = [asked(0), offered(10, cls="web"), t.Answered(20, P, M, (0, 5, 1, 0), "accepted")]
+    again, run = offered(60, request=2, cls="web", name="u"), Run(ended_at=1e6)
+    assert not judge([*first, told(50, "failed"), again], spread, run)[4].broken
+    assert judge([*first, told(50, "bound"), again], spread, run)[4].broken
+    assert judge([*first, told(50, "bound"), asked(52), told(55, "failed"), again], spread, run)[4].broken
+    adopted = t.Adopted(55, P, M, (0, 5, 3, 0), "t")
+    assert judge([*first, told(50, "failed"), adopted, again], spread, run)[4].broken
