Credit: owners are told how many asks they may have open, and left unread at worst

Need: what is refused still costs reading, HTTP/2, a session and an answer. At five times what a placer can do four of five asks are refused, however cheaply; and owners had no way to know how much would be taken.

Change: while the line stands, owners that take it (credit in their hello) hear how many asks they may have open: as many together as are answered within a quarter of the shortest aim and the machines' own time, by max-min fairness between owners. When it stands no more the bound doubles once in an aim until it is gone. Owners that heed nothing are left unread for the rest of an interval once refusing them has cost their even share of half of it; what comes after is taken to have waited as long.

--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from sprucepost.admission.drain import Drain
+from sprucepost.admission.credit import Credit
+from sprucepost.admission.drain import REFUSAL, Drain
 from sprucepost.admission.line import Line, Waiting
+from sprucepost.admission.reading import Reading
 from sprucepost.admission.retries import RetryBudget
 from sprucepost.admission.room import FULL, Room
 from sprucepost.admission.standing import Standing
@@ -58,7 +60,9 @@
     ) -> None:
         self.room, self.line, self.drain = Room(most_open), Line[T](), Drain()
         self.standing = Standing(shortest_aim_ms / 20.0, shortest_aim_ms)  # CoDel: a twentieth of the interval
-        self._turn_ms, self._most_retry = turn_ms, most_retry_ms
+        self.credit = Credit(shortest_aim_ms)
+        self.reading: Reading[bytes] = Reading(shortest_aim_ms / 4.0)
+        self._turn_ms, self._most_retry, self._aim = turn_ms, most_retry_ms, shortest_aim_ms
         self._retries = RetryBudget(now, burst=200.0, per_s=10.0)
         self._owners: dict[str, RetryBudget] = {}
         self._at_once: list[T] = []  # let in this turn while nobody waited
@@ -151,6 +155,18 @@
         """A task that was taken up so long ago has been placed."""
         self._answer_ms += SMOOTH * (ms - self._answer_ms) if self._answer_ms else ms
 
+    # What owners are told, and whose streams are left unread
+
+    def look_at_credit(self, now: float) -> None:
+        """To be called at intervals while owners ask, or are bound."""
+        stands = self.standing.standing and len(self.line) > 0
+        fits = (self._aim / 4.0 + self._answer_ms) / self.drain.cost_ms if self.drain.cost_ms else self.room.most
+        self.credit.look(now, stands, fits, self.room.most)
+
+    def unread_ms(self, session: bytes, now: float) -> float:
+        """An ask of that session has been refused: for how long nothing more of its stream should be read."""
+        return self.reading.refused(session, now, REFUSAL * self.drain.cost_ms)
+
     # A reload
 
     def bound(self, most_open: int) -> None:
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -66,6 +66,7 @@
             options.resume_ms,
             options.limits.unacknowledged,
             SessionBook(options.limits.sessions, min(options.limits.sessions, options.limits.sessions_per_peer)),
+            self.engine.admission,
             self.engine.from_owner,
         )
         self.links = Links(
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -4,8 +4,9 @@
 
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
-from sprucepost.admission import SessionBook
+from sprucepost.admission import Admission, SessionBook
 from sprucepost.loop import Loop, Timer
 from sprucepost.v1 import placer_pb2 as pb
 from sprucepost.wire.server import Method, ServerCall
@@ -14,6 +15,7 @@
 
 PATH = "/sprucepost.v1.Placer/Submit"
 ACK_MS = 50.0
+CREDIT_MS = 100.0  # between two looks at how many asks owners may have open
 BEHIND = 1_048_576  # bytes that an owner has not let out yet, over which its stream is ended; the session goes on
 
 
@@ -34,6 +36,13 @@
         self.owed: Counter[str] = Counter()
         self.half_closed = False  # the owner asks nothing more on this stream
         self.batches = False  # it takes refused_all
+        self.credit = False  # it takes credit
+        self.told = 0  # the bound on its open asks that it was told last; 0: none
+        self._unread: Timer | None = None  # until its stream is read again
+        self._stale = (
+            0.0,
+            0.0,
+        )  # until when what arrives may have waited at the owner for a pause of ours, and how long
         self._refused: pb.RefusedAll | None = None  # what is to go out at this turn's end
         self.forget: Timer | None = None
         self._ack_timer: Timer | None = None
@@ -41,6 +50,8 @@
     def refuse(self, task: str, why: str, retry_after_ms: float) -> None:
         """One frame for all that a turn refuses: numbered, kept, encoded and acknowledged once. Apart, refusing an ask
         cost a quarter of placing one, and a placer that had too much to do spent its time on saying so."""
+        if retry_after_ms:
+            self._leave_unread()
         if not self.batches:
             self.send(pb.PlacerFrame(task=task, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms)))
             return
@@ -55,6 +66,32 @@
         elif retry_after_ms < batch.retry_from_ms:
             batch.retry_from_ms = retry_after_ms
 
+    def _leave_unread(self) -> None:
+        """Where refusing this session costs too much, its asks stay with the owner for a while."""
+        loop, call = self._owners.loop, self.call
+        if call is None or self._unread is not None:
+            return
+        pause_ms = self._owners.admission.unread_ms(self.token, loop.now())
+        if pause_ms <= 0:
+            return
+        self._owners.counters["owner_unread"] += 1
+        call.hold_reading(True)
+
+        def on() -> None:
+            # What was asked meanwhile has waited at the owner, whose library may have written its time left before.
+            self._unread, self._stale = None, (loop.now() + pause_ms, pause_ms)
+            call.hold_reading(False)
+
+        self._unread = loop.call_later(pause_ms, on)
+
+    def tell_credit(self, bound: int) -> None:
+        """How many asks it may have open, where that has moved by an eighth or more."""
+        if self.call is None or not self.credit or abs(bound - self.told) * 8 < max(bound, self.told):
+            return
+        if bound != self.told:
+            self.told = bound
+            self.call.send(pb.PlacerFrame(credit=pb.Credit(open=bound)).SerializeToString())
+
     def _send_refused(self) -> None:
         batch, self._refused = self._refused, None
         if batch is not None:
@@ -111,8 +148,10 @@
             self.call.finish()
 
     def waited_ms(self) -> float:
-        """How long, at most, the frame that is being taken had waited in this host."""
-        return self.call.connection.transport.waited_ms if self.call is not None else 0.0
+        """How long, at most, the frame that is being taken had waited: in this host, or because we did not read."""
+        until, pause_ms = self._stale
+        unread = pause_ms if self._owners.loop.now() < until else 0.0
+        return unread + (self.call.connection.transport.waited_ms if self.call is not None else 0.0)
 
     def ack_soon(self) -> None:
         if self._ack_timer is None:
@@ -135,11 +174,14 @@
         resume_ms: float,
         unacknowledged: int,
         book: SessionBook,
+        admission: Admission[Any],
         take: Callable[[OwnerSession, pb.OwnerFrame], None],
     ) -> None:
         self.loop, self._number, self._incarnation = loop, number, incarnation
         self._resume_ms, self.unacknowledged, self._take = resume_ms, unacknowledged, take
-        self.book = book
+        self.book, self.admission = book, admission
+        self._credit_due = False
+        self._each = 0  # the bound that owners were told last
         self.sessions: dict[bytes, OwnerSession] = {}
         self.counters: Counter[str] = Counter()
 
@@ -188,6 +230,7 @@
         if old is not None:
             old.finish(RpcError(Code.ABORTED, "another stream has taken the session"))
         taken, session.half_closed, session.batches = session, False, hello.batches
+        session.credit, session.told = hello.credit, 0
         call.on_message = lambda data: self._frame(taken, call, data)
         call.on_end = lambda: taken.on_half_close(call)
         call.on_over = lambda status: self._left(taken, call)
@@ -203,6 +246,8 @@
         for seq, kept in again:
             kept.seq, kept.ack = seq, session.session.ack()
             call.send(kept.SerializeToString())
+        if self._each:  # else owners that come back together ask for all that they have held
+            session.tell_credit(self._each)
 
     def _enter(self, call: ServerCall, owner: str) -> OwnerSession:
         """A new session. Hellos alone cost memory for as long as a session may be resumed, so they are bounded."""
@@ -243,8 +288,37 @@
             session.ack_soon()
             if frame.WhichOneof("body") == "submit":
                 session.owed[frame.task] += 1
+                self._watch_credit()
             self._take(session, frame)
 
+    # Credit
+
+    def _watch_credit(self) -> None:
+        if not self._credit_due:
+            self._credit_due = True
+            self.loop.call_later(CREDIT_MS, self._look_at_credit)
+
+    def _look_at_credit(self) -> None:
+        """Tell owners their bounds; again after an interval for as long as there are any."""
+        self._credit_due = False
+        self.admission.look_at_credit(self.loop.now())
+        was = self._each
+        if not (was or self.admission.credit.total):
+            return
+        asking: Counter[str] = Counter()  # sessions by owner: one with many has no more than one with one
+        owed: Counter[str] = Counter()
+        for session in self.sessions.values():
+            if session.call is not None:
+                asking[session.owner] += 1
+                owed[session.owner] += session.owed.total()
+        self._each = self.admission.credit.each([count for count in owed.values() if count], was)
+        for session in self.sessions.values():
+            if session.call is not None:
+                bound = self._each and max(1, self._each // asking[session.owner])
+                session.tell_credit(bound)
+        if self._each:
+            self._watch_credit()
+
     def _parse(self, data: bytes) -> pb.OwnerFrame:
         try:
             return pb.OwnerFrame.FromString(data)
--- a/sprucepost/wire/call.py
+++ b/sprucepost/wire/call.py
@@ -60,6 +60,7 @@
         self._waiting: deque[tuple[bytes, bool]] = deque()  # message, and whether it came compressed
         self._held = 0  # bytes of those
         self._owed = 0  # bytes received whose window the peer does not get back yet
+        self._unread = False  # the peer gets no window back, see hold_reading
         self._ended = False  # the peer sends no more
         self._out: list[bytes] = []
         self.out_bytes = 0
@@ -75,7 +76,10 @@
         """DATA from the peer; RpcError where it breaks framing or limits."""
         messages = self.decoder.feed(data)
         if self.on_message is not None:
-            self.connection.consumed(self, len(data))
+            if self._unread:
+                self._owed += len(data)
+            else:
+                self.connection.consumed(self, len(data))
             for message in messages:
                 if self.over is None and self.on_message is not None:
                     self.last_compressed = self.decoder.compressed
@@ -136,6 +140,14 @@
         owed, self._owed = self._owed, 0
         self.connection.consumed(self, owed)
 
+    def hold_reading(self, held: bool) -> None:
+        """Give this stream's window back no more, until told otherwise: once it is used up the peer has to wait, and other
+        streams of its connection do not. What has arrived is still delivered: it could not be answered in time later."""
+        self._unread = held
+        if not held and self.over is None and self.on_message is not None:
+            owed, self._owed = self._owed, 0
+            self.connection.consumed(self, owed)
+
     def _wake_receiver(self) -> None:
         if self._receiver is not None:
             task, self._receiver = self._receiver, None
--- /dev/null
+++ b/tests/admission/test_credit.py
@@ -0,0 +1,73 @@
+"""Credit and the share of refusals, over any input."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucepost.admission.credit import Credit, level
+from sprucepost.admission.reading import Reading
+
+
+@given(st.lists(st.floats(0, 1000), min_size=1, max_size=30), st.floats(1, 5000))
+def test_max_min(wants: list[float], total: float) -> None:
+    """All is given away or all wants are met, and nobody has more than one who did not get what it wanted."""
+    bound = level(wants, total)
+    given_out = [min(want, bound) for want in wants]
+    assert sum(given_out) <= total * 1.000001
+    if bound == float("inf"):
+        assert sum(wants) <= total * 1.000001
+    else:
+        assert abs(sum(given_out) - total) <= total * 1e-6
+        assert max(given_out) <= bound
+
+
+@given(st.lists(st.tuples(st.floats(1, 500), st.booleans(), st.floats(0, 1e5)), max_size=60))
+def test_credit_is_bounded_and_falls_only_while_the_line_stands(looks: list[tuple[float, bool, float]]) -> None:
+    credit, now = Credit(400.0), 0.0
+    for passed, standing, fits in looks:
+        now += passed
+        before = credit.total
+        credit.look(now, standing, fits, 1000)
+        assert 0 <= credit.total <= 1000
+        if standing:
+            assert 1 <= credit.total <= max(1, fits)
+        else:
+            assert credit.total in (before, 2 * before, 0)
+            assert credit.total or not before or 2 * before >= 1000
+        for told in (0, 5):
+            each = credit.each([3, 5, 900], told)
+            assert (each >= 1) == bool(credit.total)
+
+
+def test_the_bound_is_let_go_in_steps() -> None:
+    credit = Credit(400.0)
+    credit.look(0.0, True, 100.0, 1000)
+    totals = []
+    for at in range(100, 2500, 100):
+        credit.look(float(at), False, 100.0, 1000)
+        totals.append(credit.total)
+    assert list(dict.fromkeys(totals)) == [100, 200, 400, 800, 0] and totals.index(200) == 3
+
+
+def test_one_that_wants_little_leaves_its_part_to_the_others() -> None:
+    credit = Credit(400.0)
+    credit.look(0.0, True, 100.0, 1000)
+    assert credit.each([2, 50, 50], 50) == 49  # 2 for the first, the rest evenly
+
+
+@given(st.lists(st.tuples(st.floats(0, 30), st.integers(0, 4)), min_size=1, max_size=400))
+def test_nobody_is_left_unread_for_others_refusals(refusals: list[tuple[float, int]]) -> None:
+    """A pause ends with the interval, and hits only who has had its even share of what refusing may cost."""
+    reading: Reading[int] = Reading(100.0)
+    now, begun, of = 0.0, -1000.0, dict.fromkeys(range(5), 0)
+    for passed, who in refusals:
+        now += passed
+        if now >= begun + 100.0:
+            begun, of = now, dict.fromkeys(range(5), 0)
+        of[who] += 1
+        pause = reading.refused(who, now, 1.0)
+        assert 0 <= pause <= begun + 100.0 - now + 1e-6
+        if pause:
+            assert of[who] >= max(Reading.LEAST, 50.0 / sum(1 for n in of.values() if n)) and sum(of.values()) > 25
+    assert reading.refused(0, now, 0.0) == 0.0
