--- a/sprucepost/cli/load.py
+++ b/sprucepost/cli/load.py
@@ -1,4 +1,4 @@
-"""``sprucepost load``: run, print, keep, compare."""
+"""``sprucepost load``: play plans against placers, print, keep, compare."""
 
 from __future__ import annotations
 
@@ -7,67 +7,103 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from sprucepost.cli.tables import table
-from sprucepost.loop import Co, Scope, in_scope
+from sprucepost.load.arrivals import Ask, asks
+from sprucepost.load.plan import Plan, Replay
+from sprucepost.load.recorded import recorded
+from sprucepost.load.report import NoCharts, compared, page, rows
+from sprucepost.load.run import Result, Run
+from sprucepost.loop import Address, Co, Scope, in_scope, sleep
 from sprucepost.loop.epoll import EpollLoop
-from sprucepost.standin import load
+from sprucepost.rules.record import RecordError
+from sprucepost.settings import SettingsError
 from sprucepost.standin.daemons import address_of
 
 
-def play(
-    addresses: list[str], task_class: str, rate: float, length_s: float, bursts: list[tuple[float, float, float]],
-    cores: float, memory: float, left_ms: float, aim_ms: float, owners: int, services: int, connections: int, seed: int,
-    save: Path | None, against: Path | None,
-) -> int:  # fmt: skip
-    """0 done, 3 no placer answers, 2 the file to compare with cannot be read."""
-    other: dict[str, Any] | None = None
-    if against is not None:
+class LoadError(Exception):
+    """One plain line; ``status`` is the exit status."""
+
+    def __init__(self, text: str, status: int) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+def _asks(plan: Plan) -> list[Ask]:
+    if not isinstance(plan.arrivals, Replay):
+        return list(asks(plan))
+    try:
+        return list(asks(plan, recorded(Path(plan.arrivals.record))))
+    except (RecordError, SettingsError) as error:
+        raise LoadError(f"arrivals.record: {error}", 2) from None
+
+
+def play(sides: list[tuple[str, list[Address], Plan]]) -> dict[str, dict[str, Any]]:
+    """The figures of each side, by name. Sides with placers of their own run at the same time, so that both meet the same
+    host; those that share a placer one after the other."""
+    played = [(name, addresses, plan, _asks(plan)) for name, addresses, plan in sides]
+    apart = len({address for _, addresses, _ in sides for address in addresses}) == sum(len(a) for _, a, _ in sides)
+    groups = [played] if apart else [[side] for side in played]
+    figures: dict[str, dict[str, Any]] = {}
+    for group in groups:
+        loop = EpollLoop(group[0][2].seed)
+
+        def main(scope: Scope, group: Any = group, loop: EpollLoop = loop) -> Co[list[Result]]:
+            runs = [Run(loop, scope, addresses, plan, name) for name, addresses, plan, _ in group]
+            jobs = [scope.spawn(run.play(what), name) for run, (name, _, _, what) in zip(runs, group, strict=True)]
+            while not all(job.done for job in jobs):
+                yield from sleep(20.0)
+            found = [job.take() for job in jobs]
+            scope.cancel()
+            return found
+
         try:
-            other = json.loads(against.read_bytes())
+            results = loop.run(lambda main=main: in_scope(main))  # type: ignore[misc]
         except (OSError, ValueError) as error:
-            print(f"sprucepost: {against}: {error}", file=sys.stderr)
-            return 2
-    loop = EpollLoop(seed)
-    shape = load.Shape(task_class, cores, memory, left_ms, aim_ms)
-    moments = load.poisson(loop.rng(), rate, length_s, bursts)
-
-    def main(scope: Scope) -> Co[load.Result]:
-        found = yield from load.run(
-            loop, scope, [address_of(a) for a in addresses], [shape], moments, length_s, owners, services, connections
-        )
-        scope.cancel()
-        return found
+            raise LoadError(str(error), 3) from None
+        finally:
+            loop.close()
+        for (name, _, plan, _), result in zip(group, results, strict=True):
+            figures[name] = result.figures(plan.length_s)
+    return figures
+
 
+def command(
+    sides: list[tuple[str, list[str], Plan]], save: Path | None, against: Path | None, chart: Path | None
+) -> int:
+    """0 done, 2 a file that cannot be read or written, 3 no placer answers."""
     try:
-        figures = loop.run(lambda: in_scope(main)).figures(length_s)
-    except (OSError, ValueError) as error:
+        other: dict[str, Any] | None = None
+        if against is not None:
+            try:
+                other = json.loads(against.read_bytes())
+            except (OSError, ValueError) as error:
+                raise LoadError(f"{against}: {error}", 2) from None
+        figures = play([(name, [address_of(a) for a in addresses], plan) for name, addresses, plan in sides])
+        first, *rest = figures
+        if save is not None:
+            _write(save, json.dumps(figures[first] if not rest else figures, indent=1) + "\n")
+        if rest:
+            print(table(["figure", first, rest[0], "ratio"], compared(figures[first], figures[rest[0]])))
+        elif other is not None:
+            print(table(["figure", "before", "now", "ratio"], compared(other, figures[first])))
+        else:
+            print(table(["figure", "value"], [[name, f"{value:g}"] for name, value in rows(figures[first]).items()]))
+        if chart is not None:
+            plans = {name: msgspec.to_builtins(plan) for name, _, plan in sides}
+            try:
+                _write(chart, page("sprucepost load", figures, plans))
+            except NoCharts as error:
+                raise LoadError(f"--html: {error}", 2) from None
+    except LoadError as error:
         print(f"sprucepost: {error}", file=sys.stderr)
-        return 3
-    finally:
-        loop.close()
-    if save is not None:
-        save.write_text(json.dumps(figures, indent=1) + "\n")
-    print(_table(figures, other))
+        return error.status
     return 0
 
 
-def _rows(figures: dict[str, Any]) -> dict[str, float]:
-    rows: dict[str, float] = {}
-    for key, value in figures.items():
-        if isinstance(value, dict):
-            rows.update({f"{key} {name}": number for name, number in value.items()})
-        else:
-            rows[key] = value
-    return rows
-
-
-def _table(figures: dict[str, Any], other: dict[str, Any] | None) -> str:
-    rows = _rows(figures)
-    if other is None:
-        return table(["figure", "value"], [[name, f"{value:g}"] for name, value in rows.items()])
-    before = _rows(other)
-    lines = []
-    for name in dict.fromkeys([*rows, *before]):
-        now, was = rows.get(name, 0.0), before.get(name, 0.0)
-        lines.append([name, f"{was:g}", f"{now:g}", f"{now / was:.2f}" if was else "-"])
-    return table(["figure", "before", "now", "ratio"], lines)
+def _write(path: Path, text: str) -> None:
+    try:
+        path.write_text(text)
+    except OSError as error:
+        raise LoadError(f"{path}: {error.strerror}", 2) from None
--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -485,29 +485,59 @@
 
 @main.command()
 @click.argument("addresses", nargs=-1, required=True)
-@click.option("--class", "task_class", required=True)
-@click.option("--rate", type=click.FloatRange(0, min_open=True), required=True, help="Asks a second, over all placers.")
+@click.option(
+    "--plan", type=click.Path(path_type=Path), help="A plan (docs/load.md); the options up to --seed are not for it."
+)
+@click.option("--class", "task_class")
+@click.option("--rate", type=click.FloatRange(0, min_open=True), help="Asks a second, over all placers.")
 @click.option("--length", "length_s", type=click.FloatRange(0, 3600, min_open=True), default=10.0, show_default=True)
 @click.option("--burst", nargs=3, type=float, multiple=True, help="FROM TO TIMES: seconds, and times the rate.")
 @click.option("--cores", type=float, default=0.1, show_default=True)
 @click.option("--memory", type=float, default=0.1, show_default=True)
 @click.option("--left-ms", type=float, default=3000.0, show_default=True)
 @click.option("--aim-ms", type=float, default=500.0, show_default=True)
-@click.option("--owners", type=click.IntRange(1), default=100, show_default=True)
+@click.option(
+    "--owners", type=click.IntRange(1), default=8, show_default=True, help="Each with a session at each placer."
+)
 @click.option("--services", type=click.IntRange(1), default=50, show_default=True)
-@click.option("--connections", type=click.IntRange(1), default=2, show_default=True, help="For each placer.")
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--versus", multiple=True, help="Another placer, which gets the same at the same time; may be repeated.")
+@click.option(
+    "--versus-plan", type=click.Path(path_type=Path), help="Another plan, on --versus or on the same placers."
+)
 @click.option("--save", type=click.Path(path_type=Path), help="Keep the figures in this file.")
 @click.option("--against", type=click.Path(path_type=Path), help="Compare with the figures kept in this file.")
+@click.option("--html", "chart", type=click.Path(path_type=Path), help="Write a page with tables and charts.")
 def load(
-    addresses: tuple[str, ...], task_class: str, rate: float, length_s: float, burst: tuple[tuple[float, float, float], ...],
-    cores: float, memory: float, left_ms: float, aim_ms: float, owners: int, services: int, connections: int, seed: int,
-    save: Path | None, against: Path | None,
+    addresses: tuple[str, ...], plan: Path | None, task_class: str | None, rate: float | None, length_s: float,
+    burst: tuple[tuple[float, float, float], ...], cores: float, memory: float, left_ms: float, aim_ms: float,
+    owners: int, services: int, seed: int, versus: tuple[str, ...], versus_plan: Path | None, save: Path | None,
+    against: Path | None, chart: Path | None,
 ) -> None:  # fmt: skip
     """Open-loop load on the placers at ADDRESSES; percentiles count from when an ask was due."""
-    from sprucepost.cli.load import play
+    from sprucepost.cli.load import command
+    from sprucepost.load.plan import Class, Plan, Poisson, Surge
+    from sprucepost.settings import SettingsError, read
 
-    sys.exit(
-        play(list(addresses), task_class, rate, length_s, list(burst), cores, memory, left_ms, aim_ms, owners, services,
-             connections, seed, save, against)
-    )  # fmt: skip
+    try:
+        if plan is not None:
+            first = read(plan, Plan)
+        elif task_class is None or rate is None:
+            raise SettingsError(["load: --plan, or --class and --rate, are needed"])
+        else:
+            first = Plan(
+                Poisson(rate, [Surge(*one) for one in burst]), [Class(task_class, 1.0, cores, memory, left_ms, aim_ms)],
+                length_s, seed, owners, services=services,
+            )  # fmt: skip
+            lines = first.problems()
+            if lines:
+                raise SettingsError([f"load: {line}" for line in lines])
+        sides = [("first", list(addresses), first)]
+        if versus or versus_plan is not None:
+            second = first if versus_plan is None else read(versus_plan, Plan)
+            sides.append(("second", list(versus or addresses), second))
+    except SettingsError as error:
+        for line in error.lines:
+            click.echo(f"sprucepost: {line}", err=True)
+        sys.exit(2)
+    sys.exit(command(sides, save, against, chart))
--- /dev/null
+++ b/sprucepost/load/report.py
@@ -0,0 +1,100 @@
+"""What a load run found: one HTML file with its tables and charts, nothing loaded from elsewhere."""
+
+from __future__ import annotations
+
+import html
+import io
+import json
+from typing import Any
+
+COLOURS = ("#1f77b4", "#d62728")
+
+
+class NoCharts(Exception):
+    """The charts' library is not installed."""
+
+
+def rows(figures: dict[str, Any]) -> dict[str, float]:
+    """The figures without their series, flat: ``placed_ms p99`` and so on."""
+    flat: dict[str, float] = {}
+
+    def add(name: str, value: Any) -> None:
+        if isinstance(value, dict):
+            for key, inner in value.items():
+                add(f"{name} {key}".strip(), inner)
+        elif isinstance(value, (int, float)):
+            flat[name] = value
+
+    add("", {name: value for name, value in figures.items() if name not in ("buckets", "bucket_ms")})
+    return flat
+
+
+def compared(one: dict[str, Any], other: dict[str, Any]) -> list[list[str]]:
+    """Figure, the first's, the second's, and second over first."""
+    first, second = rows(one), rows(other)
+    lines = []
+    for name in dict.fromkeys([*first, *second]):
+        was, now = first.get(name, 0.0), second.get(name, 0.0)
+        lines.append([name, f"{was:g}", f"{now:g}", f"{now / was:.2f}" if was else "-"])
+    return lines
+
+
+def _svg(sides: dict[str, dict[str, Any]]) -> str:
+    """Asks due, placed within the aim and refused, and the slowest placement, over time."""
+    try:
+        import matplotlib
+    except ImportError:
+        raise NoCharts("charts need matplotlib, which is not installed") from None
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    matplotlib.rcParams["svg.hashsalt"] = "sprucepost"  # the same figures make the same file
+    figure, (rate, worst) = pyplot.subplots(2, 1, figsize=(10, 7), sharex=True)
+    for colour, (name, figures) in zip(COLOURS, sides.items(), strict=False):
+        per_s = 1000.0 / figures["bucket_ms"]
+        seconds = [n / per_s for n in range(len(figures["buckets"]))]
+        due, good, _, refused, slowest = zip(*figures["buckets"], strict=True) if seconds else ((), (), (), (), ())
+        rate.step(seconds, [n * per_s for n in due], where="post", color=colour, alpha=0.35, label=f"{name}: due")
+        rate.step(seconds, [n * per_s for n in good], where="post", color=colour, label=f"{name}: placed in time")
+        rate.step(seconds, [n * per_s for n in refused], where="post", color=colour, ls=":", label=f"{name}: refused")
+        worst.step(seconds, slowest, where="post", color=colour, label=name)
+    rate.set_ylabel("asks a second, by when they were due")
+    worst.set_ylabel("slowest placement, ms")
+    worst.set_xlabel("s")
+    for axes in (rate, worst):
+        axes.set_ylim(bottom=0)
+        if axes.get_legend_handles_labels()[0]:
+            axes.legend(loc="upper left", fontsize="small")
+    text = io.StringIO()
+    figure.savefig(text, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+    svg = text.getvalue()
+    return svg[svg.index("<svg") :]
+
+
+def _table(head: list[str], lines: list[list[str]]) -> str:
+    def row(cells: list[str], tag: str) -> str:
+        return "<tr>" + "".join(f"<{tag}>{html.escape(cell)}</{tag}>" for cell in cells) + "</tr>"
+
+    return "<table>" + row(head, "th") + "".join(row(line, "td") for line in lines) + "</table>"
+
+
+def page(title: str, sides: dict[str, dict[str, Any]], plans: dict[str, Any]) -> str:
+    """The HTML of one or two runs, by name. NoCharts where matplotlib is missing."""
+    names = list(sides)
+    if len(names) == 1:
+        table = _table(["figure", names[0]], [[name, f"{value:g}"] for name, value in rows(sides[names[0]]).items()])
+    else:
+        table = _table(["figure", *names, "ratio"], compared(sides[names[0]], sides[names[1]]))
+    plan = "".join(
+        f"<h3>{html.escape(name)}</h3><pre>{html.escape(json.dumps(value, indent=1))}</pre>"
+        for name, value in plans.items()
+    )
+    style = (
+        "body{font-family:sans-serif;max-width:70em;margin:auto}td,th{padding:.1em .8em;text-align:right}"
+        "td:first-child,th:first-child{text-align:left}tr:nth-child(even){background:#eee}"
+    )
+    return (
+        f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{html.escape(title)}</title>'
+        f"<style>{style}</style><h1>{html.escape(title)}</h1>{_svg(sides)}{table}<h2>Plan</h2>{plan}</html>\n"
+    )
--- a/sprucepost/rules/trace.py
+++ b/sprucepost/rules/trace.py
@@ -38,6 +38,7 @@
     hand_over: bool
     incarnation: int = 0
     again: bool = False
+    wants: common_pb2.Task | None = None  # of a submission
 
 
 @dataclass(frozen=True)
@@ -211,7 +212,7 @@
             again, session = not self._from_owner.fresh(stream.session, frame.seq), stream.session
             if kind == "submit":
                 left = frame.submit.left_ms
-                yield Asked(at, placer, session, frame.task, left, False, stream.incarnation, again)
+                yield Asked(at, placer, session, frame.task, left, False, stream.incarnation, again, frame.submit.task)
             elif kind == "hand_over" and not again:
                 yield Asked(at, placer, session, frame.task, 0.0, True, stream.incarnation)
             elif kind == "cancel" and not again:
--- a/tests/admission/test_credit.py
+++ b/tests/admission/test_credit.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sprucepost.admission.credit import Credit, level
 from sprucepost.admission.reading import Reading
 
 
+@settings(deadline=None)
 @given(st.lists(st.floats(0, 1000), min_size=1, max_size=30), st.floats(1, 5000))
 def test_max_min(wants: list[float], total: float) -> None:
     """All is given away or all wants are met, and nobody has more than one who did not get what it wanted."""
@@ -22,6 +23,7 @@
         assert max(given_out) <= bound
 
 
+@settings(deadline=None)
 @given(st.lists(st.tuples(st.floats(1, 500), st.booleans(), st.floats(0, 1e5)), max_size=60))
 def test_credit_is_bounded_and_falls_only_while_the_line_stands(looks: list[tuple[float, bool, float]]) -> None:
     credit, now = Credit(400.0), 0.0
@@ -56,6 +58,7 @@
     assert credit.each([2, 50, 50], 50) == 49  # 2 for the first, the rest evenly
 
 
+@settings(deadline=None)
 @given(st.lists(st.tuples(st.floats(0, 30), st.integers(0, 4)), min_size=1, max_size=400))
 def test_nobody_is_left_unread_for_others_refusals(refusals: list[tuple[float, int]]) -> None:
     """A pause ends with the interval, and hits only who has had its even share of what refusing may cost."""
