Overload: credit that holds, late asks leave a standing line, the first window tells the cost

Cause, found with owners that offer up to five times what a placer can do: a refused ask gave its credit back at once, so that the next one went out and was refused at once, about 2,000 times a second for twelve owners with five each; cheap asks that dearer ones had overtaken were placed up to 1.9 s late, in the time of asks that could have been in time; a fresh placer let in all that came until three windows had told it what an ask costs, 0.7 s of 2,500 asks a second; and a cost that a starved host had driven up left credit at one ask an owner, doubling only once in 400 ms.

While the line stands an ask that will miss its aim leaves it. Cost is known after the first window (of two the smaller counts), and a fresh turn takes 16 asks, not 64. Credit grows by a quarter at each look that found the line empty in between. Owners may say how long an ask may be held back. Load generators name their tasks apart: three of them asked for the same ones, and 'joined' looked like goodput.

--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -16,7 +16,7 @@
 T = TypeVar("T")
 KEPT = 1024  # owners whose retry budget is remembered; the longest quiet is forgotten first
 GOLDEN = 0.6180339887498949  # steps of it fill the unit interval evenly, whoever counts
-FIRST = 64  # asks taken up in one turn before their cost is known
+FIRST = 16  # asks taken up in one turn before their cost is known: few, so that it is known soon
 SMOOTH = 0.125  # of a new answer time, RFC 6298
 
 
@@ -60,7 +60,8 @@
     ) -> None:
         self.room, self.line, self.drain = Room(most_open), Line[T](), Drain()
         self.standing = Standing(shortest_aim_ms / 20.0, shortest_aim_ms)  # CoDel: a twentieth of the interval
-        self.credit = Credit(shortest_aim_ms)
+        self.credit = Credit()
+        self._was_empty = True  # the line, since the last look at the credit
         self.reading: Reading[bytes] = Reading(shortest_aim_ms / 4.0)
         self._turn_ms, self._most_retry, self._aim = turn_ms, most_retry_ms, shortest_aim_ms
         self._retries = RetryBudget(now, burst=200.0, per_s=10.0)
@@ -87,7 +88,7 @@
         self.room.let_in(ask.owner)
         if len(self.line):
             wait = (self.line.ahead(ask.owner, ask.worth) + 1.0) * self.drain.pace_ms + self._turn_ms
-            bears = ask.aim_ms / 4.0 if self.standing.standing else max(ask.aim_ms - self._answer_ms, ask.aim_ms / 2.0)
+            bears = ask.aim_ms / 4.0 if self.standing.standing else self._bears(ask)
             if wait > min(bears, ask.left_ms - self._answer_ms):
                 self.drain.refused()
                 return Verdict("too much waits here already", self._retry_ms(now))
@@ -102,6 +103,10 @@
             self._retries.fresh(now)
         return Verdict()
 
+    def _bears(self, ask: Ask) -> float:
+        """How long it can wait and still be placed within its aim."""
+        return max(ask.aim_ms - self._answer_ms, ask.aim_ms / 2.0)
+
     def _retry_ms(self, now: float) -> float:
         """When the line, and all that was turned away within the last second before it, will have drained."""
         count, at = self._refused
@@ -128,7 +133,7 @@
         if not len(self.line) and len(self._at_once) < self._quota():
             self._at_once.append(item)
             return
-        self.line.put(Waiting(item, ask.owner, ask.worth, now + ask.left_ms))
+        self.line.put(Waiting(item, ask.owner, ask.worth, now + ask.left_ms, now + self._bears(ask)))
 
     @property
     def waiting(self) -> bool:
@@ -141,14 +146,19 @@
         return max(1, int(self._turn_ms / cost)) if cost else FIRST
 
     def take(self, now: float) -> tuple[list[T], list[T]]:
-        """Those to be taken up in this turn, and those whose time is over instead."""
-        over = [waiting.item for waiting in self.line.expire(now)]
+        """Those to be taken up in this turn, and those whose time is over instead.
+
+        While the line stands, what has missed its aim is over too: dearer asks have overtaken it, and to place it late would
+        take the time of one that can still be placed within its aim. A line that drains has time for it.
+        """
+        over = [waiting.item for waiting in self.line.expire(now, self.standing.standing)]
         quota = self._quota()
         chosen, self._at_once = self._at_once, []
         while len(chosen) < quota and (waiting := self.line.pop()) is not None:
             chosen.append(waiting.item)
         self.drain.served(now, len(chosen), len(self.line))
         self.standing.look(now, len(self.line) * self.drain.pace_ms)
+        self._was_empty = self._was_empty or not len(self.line)
         return chosen, over
 
     def placed(self, ms: float) -> None:
@@ -157,11 +167,12 @@
 
     # What owners are told, and whose streams are left unread
 
-    def look_at_credit(self, now: float) -> None:
+    def look_at_credit(self) -> None:
         """To be called at intervals while owners ask, or are bound."""
         stands = self.standing.standing and len(self.line) > 0
+        empty, self._was_empty = self._was_empty or not len(self.line), False
         fits = (self._aim / 4.0 + self._answer_ms) / self.drain.cost_ms if self.drain.cost_ms else self.room.most
-        self.credit.look(now, stands, fits, self.room.most)
+        self.credit.look(stands, empty, fits, self.room.most)
 
     def unread_ms(self, session: bytes, now: float) -> float:
         """An ask of that session has been refused: for how long nothing more of its stream should be read."""
--- a/sprucepost/admission/credit.py
+++ b/sprucepost/admission/credit.py
@@ -25,24 +25,25 @@
     =======================  =====================================================================================
     the line drains          no bound: bursts are what the line is for
     the line stands          as many as are answered within a quarter of the aim and the machines' own time (Little's law)
-    it has stopped standing  twice as many after each interval, until they are more than may be open in all
+    it was empty since       a quarter more at each look, until they are more than may be open in all
+    neither                  as before
     =======================  =====================================================================================
 
-    The bound is let go slowly: were it lifted at once, all that owners hold back would arrive as one burst, the line
-    would stand again, and placer and owners would swing between too much and nothing.
+    A line that runs empty while owners hold asks back is time lost: what fits is an estimate, and where it came out too
+    small it must grow at once. But not be lifted at once: all that owners hold back would arrive as one burst,
+    the line would stand again, and placer and owners would swing between too much and nothing.
     """
 
-    def __init__(self, interval_ms: float) -> None:
-        self._interval = interval_ms
+    def __init__(self) -> None:
         self.total = 0
-        self._since = 0.0
 
-    def look(self, now: float, standing: bool, fits: float, most: int) -> None:
-        """``fits``: as many as are answered in a bearable time, at the pace of now; ``most`` may be open in all."""
+    def look(self, standing: bool, empty: bool, fits: float, most: int) -> None:
+        """``empty``: the line was, at some moment since the last look. ``fits``: as many as are answered in a bearable time,
+        at the pace of now. ``most`` may be open in all."""
         if standing:
-            self.total, self._since = max(1, min(int(fits), most)), now
-        elif self.total and now - self._since >= self._interval:
-            self.total, self._since = self.total * 2, now
+            self.total = max(1, min(int(fits), most))
+        elif self.total and empty:
+            self.total += max(1, self.total // 4)
             if self.total >= most:
                 self.total = 0
 
--- a/sprucepost/admission/drain.py
+++ b/sprucepost/admission/drain.py
@@ -40,8 +40,9 @@
             passed = now - self._since
             self._costs.append(passed / (self._served + REFUSAL * self._refused))
             self._paces.append(passed / self._served)
-            if len(self._costs) >= 3:
-                self.cost_ms = median(self._costs)
+            # The first two windows count as well, or an overload that finds a fresh process lets in all that comes for as
+            # long as three take; the smaller of the two, since a pause may lie in either.
+            self.cost_ms = median(self._costs) if len(self._costs) >= 3 else min(self._costs)
             self._since = None
         if not left:
             self._since = None
--- a/sprucepost/admission/line.py
+++ b/sprucepost/admission/line.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import Counter
 from typing import Generic, TypeVar
 
@@ -19,13 +20,14 @@
 
 
 class Waiting(Generic[T]):
-    """One ask in line. ``due``: when it is not worth taking up any more; times in ms, of one clock."""
+    """One ask in line. ``due``: when it cannot be taken up any more; ``late``: from when on it will miss its aim. Times in
+    ms, of one clock."""
 
-    __slots__ = ("due", "item", "owner", "taken", "weight")
+    __slots__ = ("due", "item", "late", "owner", "taken", "weight")
 
-    def __init__(self, item: T, owner: str, weight: float, due: float) -> None:
+    def __init__(self, item: T, owner: str, weight: float, due: float, late: float = math.inf) -> None:
         self.item, self.owner, self.weight = item, owner, max(weight, LEAST)
-        self.due, self.taken = due, False
+        self.due, self.late, self.taken = due, late, False
 
 
 class _Owner(Generic[T]):
@@ -47,6 +49,7 @@
         self._tags: dict[str, float] = {}  # of owners that have none in line
         self._order: list[tuple[float, int, str, int]] = []  # finish of the head, serial, owner, version
         self._by_due: list[tuple[float, int, Waiting[T]]] = []
+        self._by_late: list[tuple[float, int, Waiting[T]]] = []
         self._virtual = 0.0
         self._active = 0.0  # the heads' weights together
         self._serial = 0
@@ -64,10 +67,12 @@
         heapq.heappush(owner.heap, (-waiting.weight, waiting.due, self._serial, waiting))
         owner.by_weight[waiting.weight] += 1
         heapq.heappush(self._by_due, (waiting.due, self._serial, waiting))
+        heapq.heappush(self._by_late, (waiting.late, self._serial, waiting))
         self._size += 1
         if len(self._by_due) > 2 * self._size + SLACK:  # owners may wait an hour for what was taken up at once
-            self._by_due = [entry for entry in self._by_due if not entry[2].taken]
-            heapq.heapify(self._by_due)
+            for heap in (self._by_due, self._by_late):
+                heap[:] = [entry for entry in heap if not entry[2].taken]
+                heapq.heapify(heap)
         if owner.heap[0][3] is waiting:
             self._rank(waiting.owner, owner)
 
@@ -124,11 +129,15 @@
             while len(self._tags) > TAGS_KEPT:
                 del self._tags[next(iter(self._tags))]
 
-    def expire(self, now: float) -> list[Waiting[T]]:
-        """Take out those whose time is over."""
+    def expire(self, now: float, late_too: bool = False) -> list[Waiting[T]]:
+        """Take out those whose time is over; ``late_too``: also those that will miss their aim."""
+        heaps = (self._by_due, self._by_late) if late_too else (self._by_due,)
+        return [waiting for heap in heaps for waiting in self._over(heap, now)]
+
+    def _over(self, heap: list[tuple[float, int, Waiting[T]]], now: float) -> list[Waiting[T]]:
         over = []
-        while self._by_due and (self._by_due[0][2].taken or self._by_due[0][0] <= now):
-            waiting = heapq.heappop(self._by_due)[2]
+        while heap and (heap[0][2].taken or heap[0][0] <= now):
+            waiting = heapq.heappop(heap)[2]
             if waiting.taken:
                 continue
             over.append(waiting)
--- a/sprucepost/load/run.py
+++ b/sprucepost/load/run.py
@@ -101,7 +101,9 @@
     """One plan against some placers."""
 
     def __init__(self, loop: Loop, scope: Scope, addresses: list[Address], plan: Plan, prefix: str = "load") -> None:
-        self.loop, self.plan, self._prefix = loop, plan, prefix
+        self.loop, self.plan = loop, plan
+        # Two generators that named their tasks alike would ask for the same ones, and the second gets the first's answer.
+        self._prefix = f"{prefix}-{loop.token(6).hex()}"
         self.result = Result()
         self._out: dict[str, _Out] = {}
         self._links = [
@@ -153,7 +155,9 @@
         result.placed_of.setdefault(ask.task_class, _histogram())
         result.left_late_us.record_value(_us(late_ms))
         # The owner's time runs from when the ask was due: a generator that is behind does not make it younger.
-        self._link(ask.owner, number).submit(name, task, max(1.0, ask.left_ms - late_ms))
+        # Held back by credit for half of the aim at the most: what goes out later is placed too late.
+        link, left_ms = self._link(ask.owner, number), max(1.0, ask.left_ms - late_ms)
+        link.submit(name, task, left_ms, hold_ms=ask.aim_ms / 2.0 - late_ms)
 
     def _link(self, owner: int, number: int) -> OwnerLink:
         """The owner's sessions in turn; one that takes no more now is passed over where another does."""
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -301,7 +301,7 @@
     def _look_at_credit(self) -> None:
         """Tell owners their bounds; again after an interval for as long as there are any."""
         self._credit_due = False
-        self.admission.look_at_credit(self.loop.now())
+        self.admission.look_at_credit()
         was = self._each
         if not (was or self.admission.credit.total):
             return
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -305,3 +305,33 @@
             budget.fresh(now)
             fresh += 1
     assert repeats <= 20.0 + 0.2 * fresh + now / 1000.0 + 1e-6
+
+
+def test_what_misses_its_aim_leaves_a_standing_line_and_stays_in_one_that_drains() -> None:
+    """Dearer asks of the same owner overtake a cheap one. Under overload it went on waiting until its owner gave up, and was
+    placed late in the time of one that could still be in time."""
+
+    def overtaken(standing: bool) -> tuple[list[int], int]:
+        found = admission()
+        found.drain.cost_ms = 25.0  # one a turn
+        found.wait(-2, Ask("o", 1.0, 3000.0, AIM), 0.0)  # taken up at once
+        found.wait(-1, Ask("o", 0.1, 3000.0, AIM), 0.0)
+        over: list[int] = []
+        for n in range(40):
+            found.standing.standing = standing
+            found.wait(n, Ask("o", 1.0, 3000.0, AIM), n * 25.0)
+            over += found.take(n * 25.0)[1]
+        return over, sum(1 for _ in iter(found.line.pop, None))
+
+    assert overtaken(True)[0][0] == LAST and LAST not in overtaken(False)[0]
+    assert overtaken(False)[1] >= 1
+
+
+def test_the_first_window_tells_what_an_ask_costs() -> None:
+    drain = Drain()
+    drain.served(0.0, 10, 100)
+    drain.served(40.0, 10, 90)
+    assert drain.cost_ms == 4.0
+    drain.served(40.0, 0, 90)
+    drain.served(1000.0, 10, 80)  # a pause lies in the second
+    assert drain.cost_ms == 4.0
