The tap breaks off its connections before its file is closed

The tap was told to stop, its capture file was closed, and in the loop's last turn bytes still waited to be passed on; writing them to a closed file ended the process with status 1.

Change: a stopped tap breaks off its connections, takes no more, and records nothing.

--- a/sprucepost/standin/daemons.py
+++ b/sprucepost/standin/daemons.py
@@ -159,4 +159,7 @@
     with open(file.capture, "wb", buffering=1 << 20) as out:
         relay = Tap(loop, CaptureWriter(out.write))
         announce(json.dumps({"control": _control(loop, scope, relay.orders(), file.control)}))
-        return (yield from _until_stopped(loop, scope))
+        try:
+            return (yield from _until_stopped(loop, scope))
+        finally:
+            relay.stop()
--- a/sprucepost/standin/tap.py
+++ b/sprucepost/standin/tap.py
@@ -147,6 +147,7 @@
 
     def __init__(self, loop: Loop, capture: CaptureWriter | None = None) -> None:
         self.loop, self.capture = loop, capture
+        self._stopped = False
         self.judged = "placer"  # how the names of those begin whose sending and hearing is judged
         self.same_ms = self.cross_ms = 0.0
         self.names: dict[str, str] = {}
@@ -171,6 +172,9 @@
     def _take(self, name: str, sock: Sock) -> None:
         ip = sock.peer.rpartition(":")[0]
         client = self.names.get(ip, ip)
+        if self._stopped:
+            sock.close(reset=True)
+            return
         try:
             far = self.loop.dial(self.targets[name])
         except OSError:
@@ -238,6 +242,13 @@
 
     # Orders
 
+    def stop(self) -> None:
+        """Break off every connection, and record nothing more: the file is about to be closed, and in the loop's last turn
+        bytes may still wait to be passed on. What is not recorded is not relayed."""
+        for pipe in list(self.pipes):
+            pipe.break_off()
+        self.capture, self._stopped = None, True
+
     def orders(self) -> Orders:
         return Orders(
             {
--- /dev/null
+++ b/tests/standin/test_tap.py
@@ -0,0 +1,32 @@
+"""The tap's end."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sprucepost.loop import Co, sleep
+from sprucepost.standin.tap import Condition
+from tests.placer.support import World, play, task
+from tests.wire.support import wait_for
+
+
+def test_a_stopped_tap_records_and_relays_nothing_more() -> None:
+    """Its file is closed then; bytes that still waited to be passed on ended its process with a write to a closed file."""
+
+    def body(world: World) -> Co[Any]:
+        world.machine("m0")
+        placer = world.placer()
+        front = world.tap.add("placer-0", placer.listen)
+        owner, followed = world.owner(front)
+        yield from world.ready(placer, 1)
+        yield from wait_for(lambda: owner.up)
+        world.tap.set("slow", Condition(target="placer-0", delay_ms=60.0))
+        for n in range(5):
+            owner.submit(f"t{n}", task(), 2000)
+        yield from sleep(20.0)
+        world.tap.stop()
+        recorded = len(world.captured)
+        yield from sleep(200.0)
+        return len(world.captured) - recorded, placer.engine.counters["submitted"], len(world.tap.pipes), owner.up
+
+    assert play(body) == (0, 0, 0, False)
