--- a/tests/standin/test_tap.py
+++ b/tests/standin/test_tap.py
@@ -17,7 +17,7 @@
         world.machine("m0")
         placer = world.placer()
         front = world.tap.add("placer-0", placer.listen)
-        owner, followed = world.owner(front)
+        owner, _ = world.owner(front)
         yield from world.ready(placer, 1)
         yield from wait_for(lambda: owner.up)
         world.tap.set("slow", Condition(target="placer-0", delay_ms=60.0))
