--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -40,6 +40,9 @@
     retry_after_ms: float = 0.0
 
 
+LET_IN = Verdict()
+
+
 class Admission(Generic[T]):
     """``shortest_aim_ms`` of the deployment's classes; ``turn_ms`` that one turn may spend on taking asks up.
 
@@ -99,9 +102,9 @@
             if not self._retries.repeat(now):
                 return Verdict("too many repeats", max(self._retries.wait_ms(), self._most_retry))
         else:
-            self._budget(ask.owner, now).fresh(now)
-            self._retries.fresh(now)
-        return Verdict()
+            self._budget(ask.owner, now).fresh()
+            self._retries.fresh()
+        return LET_IN
 
     def _bears(self, ask: Ask) -> float:
         """How long it can wait and still be placed within its aim."""
--- a/sprucepost/admission/drain.py
+++ b/sprucepost/admission/drain.py
@@ -21,7 +21,7 @@
     """
 
     def __init__(self) -> None:
-        self.cost_ms = 0.0
+        self.cost_ms = self._pace = 0.0
         self._since: float | None = None
         self._served = self._refused = 0
         self._costs: deque[float] = deque(maxlen=KEPT)
@@ -29,7 +29,7 @@
 
     @property
     def pace_ms(self) -> float:
-        return max(self.cost_ms, median(self._paces)) if len(self._paces) >= 3 else self.cost_ms
+        return max(self.cost_ms, self._pace)
 
     def refused(self) -> None:
         self._refused += 1
@@ -43,10 +43,12 @@
             # The first two windows count as well, or an overload that finds a fresh process lets in all that comes for as
             # long as three take; the smaller of the two, since a pause may lie in either.
             self.cost_ms = median(self._costs) if len(self._costs) >= 3 else min(self._costs)
+            self._pace = median(self._paces) if len(self._paces) >= 3 else 0.0
             self._since = None
         if not left:
             self._since = None
             self._paces.clear()
+            self._pace = 0.0
         elif self._since is None:
             self._since, self._served, self._refused = now, count, 0
         else:
--- a/sprucepost/admission/line.py
+++ b/sprucepost/admission/line.py
@@ -49,7 +49,6 @@
         self._tags: dict[str, float] = {}  # of owners that have none in line
         self._order: list[tuple[float, int, str, int]] = []  # finish of the head, serial, owner, version
         self._by_due: list[tuple[float, int, Waiting[T]]] = []
-        self._by_late: list[tuple[float, int, Waiting[T]]] = []
         self._virtual = 0.0
         self._active = 0.0  # the heads' weights together
         self._serial = 0
@@ -67,12 +66,10 @@
         heapq.heappush(owner.heap, (-waiting.weight, waiting.due, self._serial, waiting))
         owner.by_weight[waiting.weight] += 1
         heapq.heappush(self._by_due, (waiting.due, self._serial, waiting))
-        heapq.heappush(self._by_late, (waiting.late, self._serial, waiting))
         self._size += 1
         if len(self._by_due) > 2 * self._size + SLACK:  # owners may wait an hour for what was taken up at once
-            for heap in (self._by_due, self._by_late):
-                heap[:] = [entry for entry in heap if not entry[2].taken]
-                heapq.heapify(heap)
+            self._by_due = [entry for entry in self._by_due if not entry[2].taken]
+            heapq.heapify(self._by_due)
         if owner.heap[0][3] is waiting:
             self._rank(waiting.owner, owner)
 
@@ -130,17 +127,15 @@
                 del self._tags[next(iter(self._tags))]
 
     def expire(self, now: float, late_too: bool = False) -> list[Waiting[T]]:
-        """Take out those whose time is over; ``late_too``: also those that will miss their aim."""
-        heaps = (self._by_due, self._by_late) if late_too else (self._by_due,)
-        return [waiting for heap in heaps for waiting in self._over(heap, now)]
-
-    def _over(self, heap: list[tuple[float, int, Waiting[T]]], now: float) -> list[Waiting[T]]:
+        """Take out those whose time is over; ``late_too``: also those that will miss their aim, by a look at each."""
         over = []
-        while heap and (heap[0][2].taken or heap[0][0] <= now):
-            waiting = heapq.heappop(heap)[2]
-            if waiting.taken:
-                continue
-            over.append(waiting)
+        while self._by_due and (self._by_due[0][2].taken or self._by_due[0][0] <= now):
+            waiting = heapq.heappop(self._by_due)[2]
+            if not waiting.taken:
+                over.append(waiting)
+        if late_too:
+            over += [entry[2] for entry in self._by_due if entry[2].late <= now and not entry[2].taken]
+        for waiting in over:
             owner = self._owners[waiting.owner]
             first = owner.heap[0][3] is waiting
             self._left(waiting, owner)
--- a/sprucepost/admission/retries.py
+++ b/sprucepost/admission/retries.py
@@ -21,8 +21,8 @@
         self._tokens = min(self._burst, self._tokens + passed * self._per_s / 1000.0)
         self._at = max(now_ms, self._at)
 
-    def fresh(self, now_ms: float) -> None:
-        self._fill(now_ms)
+    def fresh(self) -> None:
+        """One more that is no repeat. What time has earned is reckoned when a repeat asks for it: every ask passes here."""
         self._tokens = min(self._burst, self._tokens + self._share)
 
     def repeat(self, now_ms: float) -> bool:
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -302,7 +302,7 @@
         if repeat:
             repeats += budget.repeat(now)
         else:
-            budget.fresh(now)
+            budget.fresh()
             fresh += 1
     assert repeats <= 20.0 + 0.2 * fresh + now / 1000.0 + 1e-6
 
