The judge counts no ask that a cut let go to a process long dead

A room was cut off while one of its placers was stopped and killed; when the cut was lifted 3 s later the tap passed the held asks on to connections whose other end was dead, which a write does not tell, and the judge took them for read by the placer and never answered.

Change: a session lives in one process's memory. Where its placer was killed after the session began, what is asked on it later needs no answer from it; a successor has sessions of its own, and owes what is asked on those.

--- a/sprucepost/rules/checks.py
+++ b/sprucepost/rules/checks.py
@@ -126,6 +126,7 @@
         self._answered: dict[tuple[str, str], tuple[float, str]] = {}
         self._down: dict[tuple[str, bytes], float] = {}  # sessions without a stream, since when
         self._gaps: dict[tuple[str, bytes], list[tuple[float, float]]] = {}
+        self._began: dict[tuple[str, bytes], float] = {}  # when each session first had a stream
         self._cancelled: set[tuple[str, bytes, str]] = set()
 
     def take(self, event: t.Event) -> None:
@@ -145,6 +146,7 @@
             self._told(event)
         elif isinstance(event, t.Stream):
             key2 = (event.placer, event.session)
+            self._began.setdefault(key2, event.at)
             if not event.up:
                 self._down[key2] = event.at
             elif key2 in self._down:
@@ -204,7 +206,10 @@
                 due = self._excused(placer, session, ask)
                 if ask.hand_over or due + SLACK_MS > self.run.ended_at:
                     continue
-                if self.run.killed_between(placer, ask.at, due) or (placer, session) in self._down:
+                # A session dies with its process. A cut may hold an ask in the tap while its placer is killed, and then
+                # let it go to a connection whose other end is long dead: nobody read it.
+                began = min(ask.at, self._began.get((placer, session), ask.at))
+                if self.run.killed_between(placer, began, due) or (placer, session) in self._down:
                     continue
                 self.broken(ask.at, f"{placer} never answers {task}")
 
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -212,3 +212,12 @@
     assert judge([*first, told(50, "bound"), asked(52), told(55, "failed"), again], spread, run)[4].broken
     adopted = t.Adopted(55, P, M, (0, 5, 3, 0), "t")
     assert judge([*first, told(50, "failed"), adopted, again], spread, run)[4].broken
+
+
+def test_an_ask_that_a_cut_let_go_to_a_process_long_dead_was_not_read() -> None:
+    """Held in the tap while its placer was killed. A successor has sessions of its own, and owes what is asked on those."""
+    held = asked(3500, left=1000)
+    old, new = t.Stream(0, P, held.session, True), t.Stream(3400, P, held.session, True)
+    run = Run(killed={P: [1000.0]}, ended_at=1e6)
+    assert not verdict("1", [old, held], run).broken
+    assert verdict("1", [new, held], run).broken and verdict("1", [old, held], Run(ended_at=1e6)).broken
