--- a/benchmarks/light.py
+++ b/benchmarks/light.py
@@ -81,7 +81,7 @@
     listing = Server(loop, scope, {"/sprucepost.v1.Fleet/Watch": Method(attach=watch)}, Options()).listen(("127.0.0.1", 0))
     print(json.dumps({"list": listing[1]}), flush=True)
     if sys.argv[3:] == ["serve"]:  # machines and list alone, for others' load
-        yield from sleep(600_000)
+        yield from sleep(7_200_000)
     line = sys.stdin.readline()  # nothing is open yet: it may block
     while line:
         _, address, opened, seconds = line.split()
--- a/sprucepost/cli/badday.py
+++ b/sprucepost/cli/badday.py
@@ -18,7 +18,7 @@
 from sprucepost.cli.fleet import Fleet, FleetError
 from sprucepost.cli.probe import probe
 from sprucepost.cli.tables import report
-from sprucepost.loop import Co, Scope, in_scope, sleep
+from sprucepost.loop import Co, Scope, Task, in_scope, sleep
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.rules import record
 from sprucepost.standin.director import Director
@@ -78,12 +78,13 @@
         self._began = self.loop.now()
         self.note("started", {"placers": self.scenario.placers, "machines": len(director.machines)})
         director.play(scope)
-        probes = [
-            scope.spawn(probe(self.loop, fleet.placer_address(n), f"placer-{n}", self.note), f"probe {n}")
-            for n in range(self.scenario.placers)
-        ]
+        probes: dict[int, Task[None]] = {}
         end = self._began + self.scenario.length_s * 1000.0
         while self.loop.now() < end:
+            for n in fleet.numbers():  # a resize adds some in the midst of the day
+                if n not in probes:
+                    watch = probe(self.loop, fleet.placer_address(n), f"placer-{n}", self.note)
+                    probes[n] = scope.spawn(watch, f"probe {n}")
             yield from sleep(min(500.0, max(1.0, end - self.loop.now())))
             fleet.check_alive()
             self._progress()
@@ -97,7 +98,7 @@
             result = yield from fleet.owners("result")
         fleet.check_alive()
         self.note("ended", {})
-        for task in probes:
+        for task in probes.values():
             task.cancel()
         machines = yield from fleet.field("state")
         fleet.stop("owners")
--- a/sprucepost/cli/fleet.py
+++ b/sprucepost/cli/fleet.py
@@ -139,6 +139,10 @@
         """Where the placer itself listens, beside the tap."""
         return "127.0.0.1", self._placer_ports[number]
 
+    def numbers(self) -> list[int]:
+        """The placers that have been started, whether they run or not."""
+        return sorted(self._placer_ports)
+
     def zone_of(self, number: int) -> str:
         zones = self.scenario.cluster.zones
         return zones[number % len(zones)]
