--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -93,6 +93,7 @@
                 "1 while the line has been long for a whole aim",
                 engine.admission.standing.standing,
             ),
+            ("credit", "Asks that owners may have open together; 0: no bound", engine.admission.credit.total),
             ("owner_sessions", "Sessions of owners", len(placer.owners.sessions)),
             ("machines", "Machines linked to", len(links)),
             ("machines_attached", "Machines with a stream", sum(link.attached for link in links)),
