--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -151,7 +151,7 @@
     def take(self, now: float) -> tuple[list[T], list[T]]:
         """Those to be taken up in this turn, and those whose time is over instead.
 
-        While the line stands, what has missed its aim is over too: dearer asks have overtaken it, and to place it late would
+        While the line stands, what has waited for half of its aim is over too: dearer asks have overtaken it, and it would
         take the time of one that can still be placed within its aim. A line that drains has time for it.
         """
         over = [waiting.item for waiting in self.line.expire(now, self.standing.standing)]
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -39,10 +39,8 @@
         self.credit = False  # it takes credit
         self.told = 0  # the bound on its open asks that it was told last; 0: none
         self._unread: Timer | None = None  # until its stream is read again
-        self._stale = (
-            0.0,
-            0.0,
-        )  # until when what arrives may have waited at the owner for a pause of ours, and how long
+        # Until when what arrives may have waited at the owner because we did not read, and for how long.
+        self._stale = (0.0, 0.0)
         self._refused: pb.RefusedAll | None = None  # what is to go out at this turn's end
         self.forget: Timer | None = None
         self._ack_timer: Timer | None = None
