Slots: the holder of a number takes its file's name again when it goes

A lock is on the file, not on its name. A cleaner of old files, or a directory made anew, took the name while the number was held; the next placer to start made another file of that name, locked it, and two ran with one number until a machine saw both. The same in the moment between opening and locking. And in a full directory the first slot that could not be made ended the start, though a slot further on was there and free.

A holder looks every 2 s: takes the name again where nobody holds it, says so where another does and tries on, holds on where the directory fails.

Measured: with the name removed a second process is refused the number, before it got it (tests/placer/test_lease.py, six new cases, one with a running placer whose directory is removed and made anew: the name is back within 2 s).

--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -35,6 +35,7 @@
 SERVICE = "sprucepost.v1.Placer"
 TAKEN_MS = 3000.0  # before a number that was taken is tried again
 FREE_MS = 1500.0  # without an objection the number is free
+SLOT_MS = 2000.0  # between two looks at the file that holds the number
 LEAVE_MS = 500.0  # for the last answers to be read
 
 
@@ -115,6 +116,7 @@
         self.stopping = False
         self._stops: Queue[None] = Queue(1)
         self.report: dict[str, Any] = {}
+        self.slot_trouble = ""  # what is wrong with the slot that holds our number
         self._stop_at: float | None = None
         self._hurry = self._nudged = False
         self.listen: Address = ""
@@ -285,6 +287,7 @@
     if lease.warning:
         logs.log.warning("slot", text=lease.warning)
     placer = Placer(loop, scope, file, logs, Notifier(loop, os.environ, os.getpid()))
+    placer.slot_trouble = lease.warning
     placer.start(activated(loop, os.environ, os.getpid()))
 
     def reload() -> None:
@@ -304,6 +307,14 @@
             placer.log.info("reloaded", generation=placer.file.placer.generation.number)
         placer.notifier.tell(READY="1")
 
+    def look_at_slot() -> None:
+        if lease.look(os.getpid()):
+            placer.slot_trouble = lease.warning
+            placer.log.warning("slot", text=lease.warning or "number held as it should be")
+        loop.call_later(SLOT_MS, look_at_slot)
+
+    if lease.path is not None:
+        loop.call_later(SLOT_MS, look_at_slot)
     # Before the announcement: whoever has read it may signal at once, and a signal without a handler ends the process.
     loop.on_signal(signal.SIGTERM, placer.stop)
     loop.on_signal(signal.SIGINT, placer.stop)
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -21,6 +21,7 @@
     owners: Owners
     links: Links
     server: Server
+    slot_trouble: str
 
     def not_ready(self) -> str: ...
     def list_age_ms(self) -> float: ...
@@ -97,6 +98,7 @@
             ("owner_sessions", "Sessions of owners", len(placer.owners.sessions)),
             ("machines", "Machines linked to", len(links)),
             ("machines_attached", "Machines with a stream", sum(link.attached for link in links)),
+            ("slot_trouble", "1 while the slot of the number is not as it should be", bool(placer.slot_trouble)),
             ("loop_late_ms", "How late the loop's latest timer was", placer.loop.late_ms),
             ("list_age_ms", "Since the latest word of the list", placer.list_age_ms()),
         ):
--- a/tests/placer/test_lease.py
+++ b/tests/placer/test_lease.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import errno
+import fcntl
+import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -64,6 +69,110 @@
     lease.close()
 
 
+def test_a_name_that_went_is_taken_again_before_another_placer_has_it(tmp_path: Path) -> None:
+    """A cleaner of old files took it: the next placer to start made another file of that name and had the number too."""
+    lease = take_slot(tmp_path, 1, 1)
+    (tmp_path / "slot-0000").unlink()
+    assert not lease.look(1) and lease.warning == ""  # nothing to tell: it is ours again
+    with pytest.raises(SettingsError, match="are taken"):
+        take_slot(tmp_path, 1, 2)
+    lease.close()
+    take_slot(tmp_path, 1, 2).close()
+
+
+def test_a_number_that_another_took_meanwhile_is_told_and_comes_back_when_it_ends(tmp_path: Path) -> None:
+    first = take_slot(tmp_path, 1, 1)
+    shutil.rmtree(tmp_path)
+    tmp_path.mkdir()
+    second = take_slot(tmp_path, 1, 2)
+    assert first.look(1) and "another process holds number 0 too" in first.warning
+    assert not first.look(1)  # told once
+    second.close()
+    assert first.look(1) and not first.warning
+    with pytest.raises(SettingsError, match="are taken"):
+        take_slot(tmp_path, 1, 3)
+    first.close()
+
+
+def test_a_directory_that_fails_while_a_number_is_held_takes_nothing_away(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lease = take_slot(tmp_path, 1, 1)
+    (tmp_path / "slot-0000").unlink()
+    with monkeypatch.context() as broken:
+        broken.setattr(os, "open", failing(errno.EROFS))
+        assert lease.look(1) and "Read-only file system; the number is held" in lease.warning
+        assert lease.descriptor is not None and not lease.look(1)
+    assert lease.look(1) and not lease.warning
+    lease.close()
+
+
+def test_in_a_full_directory_the_files_that_are_there_still_lock(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first file that could not be made ended the start, though a number further on was free."""
+    (tmp_path / "slot-0002").touch()
+    monkeypatch.setattr(os, "open", failing(errno.ENOSPC, os.O_CREAT))
+    lease = take_slot(tmp_path, 3, 1)
+    assert lease.number == 2
+    with pytest.raises(SettingsError, match=r"slot-0000: No space left"):
+        take_slot(tmp_path, 3, 2)
+    lease.close()
+
+
+def failing(error: int, flag: int = 0) -> Any:
+    """``os.open`` that fails, with a flag only where that would make a file or is given for one that is there."""
+    real = os.open
+
+    def fail(path: Any, flags: int, *rest: Any) -> int:
+        if flag and (not flags & flag or Path(path).exists()):
+            return real(path, flags & ~flag, *rest)
+        raise OSError(error, os.strerror(error))
+
+    return fail
+
+
+def test_a_name_that_moves_between_opening_and_locking_is_locked_where_it_leads(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Else two hold one number: one the file that went, the other the one that came."""
+    real, moves = fcntl.flock, [1]
+
+    def flock(descriptor: int, how: int) -> None:
+        if moves:
+            moves.pop()
+            (tmp_path / "slot-0000").unlink()
+        real(descriptor, how)
+
+    monkeypatch.setattr(fcntl, "flock", flock)
+    lease = take_slot(tmp_path, 1, 1)
+    with pytest.raises(SettingsError, match="are taken"):
+        take_slot(tmp_path, 1, 2)
+    lease.close()
+
+
+def test_a_running_placer_takes_its_name_again(tmp_path: Path) -> None:
+    folder, settings = tmp_path / "slots", tmp_path / "placer.json"
+    folder.mkdir()
+    raw = good()
+    raw["placer"] = {**raw["placer"], "number": -1, "slots": str(folder), "list": "127.0.0.1:9"}
+    settings.write_text(json.dumps(raw))
+    command = [sys.executable, "-m", "sprucepost", "placer", str(settings)]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    try:
+        assert process.stdout is not None and "listen" in process.stdout.readline()
+        shutil.rmtree(folder)
+        folder.mkdir()
+        until = time.monotonic() + 30.0
+        while not (text := (folder / "slot-0000").read_text() if (folder / "slot-0000").exists() else ""):
+            assert time.monotonic() < until, "the name was not taken again"
+            time.sleep(0.05)
+        assert json.loads(text) == {"pid": process.pid, "number": 0}
+    finally:
+        process.terminate()
+        process.communicate(timeout=30)
+
+
 def test_a_directory_that_is_not_there_is_named(tmp_path: Path) -> None:
     with pytest.raises(SettingsError, match=r"placer\.slots: .*none.*No such file"):
         take_slot(tmp_path / "none", 1, 1)
