Benchmarks: both versions' whole path at the same time; refusals by the line

And a refusal's cost was measured only where all room is taken, not where the line refuses, which an overload of ordinary owners is.

Change. benchmarks.pairs runs whole_path in two checkouts at once, each on half of the processors, swapped after each round. benchmarks.refusals has two more cases, owners with refusals in one frame and owners of before, whose line refuses; two floods of different size tell a refused ask from a placed one, since under a flood a placement costs less.

A single flood cannot tell the two costs apart: it gave a negative cost.

--- /dev/null
+++ b/benchmarks/pairs.py
@@ -0,0 +1,75 @@
+"""The whole path of two versions at the same time, each on half of the processors, which they swap after each round.
+
+``python -m benchmarks.pairs --baseline DIR [--rounds 3]``; writes ``docs/results/whole-path-pairs.json``: what a task
+costs the placer's processor here, in what it costs there. One after the other two runs of one version differed fourfold on
+a host whose speed moves; side by side they meet the same host, and the swap takes out what differs between the halves.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import math
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from sprucepost.cli.tables import table
+
+ROOT = Path(__file__).parent.parent
+FILE = Path("docs/results/whole-path.json")
+CASES = ("one at a time", "64 open", "2 x 100 open")
+
+
+def begin(checkout: Path, processors: set[int]) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.whole_path"], cwd=checkout, stdout=subprocess.DEVNULL,
+        preexec_fn=lambda: os.sched_setaffinity(0, processors),
+    )  # fmt: skip
+
+
+def pair(checkouts: list[Path], halves: list[set[int]]) -> list[dict[str, Any]]:
+    """What both wrote of one run beside one another."""
+    processes = [begin(checkout, half) for checkout, half in zip(checkouts, halves, strict=True)]
+    for process in processes:
+        if process.wait(120):
+            raise SystemExit(f"whole_path ended with {process.returncode}")
+    return [json.loads((checkout / FILE).read_text()) for checkout in checkouts]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--baseline", type=Path, required=True)
+    parser.add_argument("--rounds", type=int, default=3, help="of two pairs each")
+    parser.add_argument("--out", type=Path, default=Path("docs/results/whole-path-pairs.json"))
+    arguments = parser.parse_args()
+    checkouts = [ROOT, arguments.baseline.resolve()]
+    processors = sorted(os.sched_getaffinity(0))
+    middle = len(processors) // 2
+    if not middle:
+        raise SystemExit("pairs: needs two processors at least")
+    halves = [set(processors[:middle]), set(processors[middle:])]
+    kept = [(checkout / FILE, (checkout / FILE).read_bytes()) for checkout in checkouts]  # a pair is no result of its own
+    ratios: dict[str, list[float]] = {name: [] for name in CASES}
+    try:
+        for _ in range(arguments.rounds):
+            for order in (halves, halves[::-1]):
+                here, there = pair(checkouts, order)
+                for name in CASES:
+                    ratios[name].append(here[name]["cpu_us_each"] / there[name]["cpu_us_each"])
+    finally:
+        for path, data in kept:
+            path.write_bytes(data)
+    mean = {name: math.exp(sum(map(math.log, found)) / len(found)) for name, found in ratios.items()}
+    rows = [[name, f"{mean[name]:.2f}", *(f"{ratio:.2f}" for ratio in ratios[name])] for name in CASES]
+    print(table(["case", "mean", *(f"pair {n + 1}" for n in range(2 * arguments.rounds))], rows))
+    result = {
+        name: {"mean": round(mean[name], 3), "pairs": [round(ratio, 3) for ratio in ratios[name]]} for name in CASES
+    }
+    arguments.out.write_text(json.dumps(result, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/refusals.py
+++ b/benchmarks/refusals.py
@@ -1,8 +1,10 @@
 """What a refused ask costs the placer's processor beside a placed one, in one run.
 
 ``python -m benchmarks.refusals [--profile FILE]``; writes ``docs/results/refusals.json``. The same asks go to a placer at a
-rate that it bears, and at five times that to one that may have a single task open, so that it refuses nearly all;
-figures are the processes' own CPU for each ask, idle work included.
+rate that it bears, at five times that to one that may have a single task open, so that it refuses nearly all, and at many
+times that to one whose line refuses: an owner that takes refusals in one frame, and one of before. Figures are the
+processes' own CPU for each ask, idle work included. The line refuses a part only, and under a flood a placement costs less;
+two floods of different sizes tell the two apart.
 """
 
 from __future__ import annotations
@@ -26,10 +28,10 @@
 from tests.placer.support import cluster
 
 EVERY_MS, LENGTH_MS = 50.0, 5000.0
-PLACED, REFUSED = 80, 400  # asks in one burst: what a placer bears, and several times that
+PLACED, REFUSED, FLOODS = 80, 400, (450, 650)  # asks in one burst: what a placer bears, and more than that
 
 
-def cost(open_tasks: int, size: int, profile: Path | None = None) -> dict[str, Any]:
+def cost(open_tasks: int, size: int, profile: Path | None = None, batches: bool = True) -> dict[str, Any]:
     processes: list[subprocess.Popen[str]] = []
     try:
         driver = start(["benchmarks.light", "0", "12", "serve"])
@@ -52,6 +54,7 @@
 
             def main(scope: Scope) -> Co[dict[str, Any]]:
                 owner = Owner(loop, scope, address)
+                owner.link.takes_credit, owner.link.batches = False, batches
                 while not owner.link.up:
                     yield from sleep(20.0)
                 yield from owner.play(size, EVERY_MS, 1000.0)
@@ -72,6 +75,18 @@
             process.kill()
 
 
+def apart(less: dict[str, Any], more: dict[str, Any]) -> float:
+    """What a refused ask costs, in placed ones, from two floods of which a different part was refused."""
+    (placed, refused, cost_us), (placed_more, refused_more, cost_more_us) = (
+        (row["asked"] * (1.0 - row["refused_share"]), row["asked"] * row["refused_share"], row["asked"] * row["cpu_us_each"])
+        for row in (less, more)
+    )
+    det = placed * refused_more - placed_more * refused
+    each_refused = (placed * cost_more_us - placed_more * cost_us) / det
+    each_placed = (cost_us * refused_more - cost_more_us * refused) / det
+    return float(each_refused / each_placed)
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--profile", type=Path, help="of the refusing placer, for pstats")
@@ -80,7 +95,11 @@
         print(cost(1, REFUSED, arguments.profile.resolve()))
         sys.exit(0)
     result = {"placed": cost(20_000, PLACED), "refused": cost(1, REFUSED)}
-    result["ratio"] = {"refused_to_placed": round(result["refused"]["cpu_us_each"] / result["placed"]["cpu_us_each"], 3)}
+    placed = result["placed"]["cpu_us_each"]
+    result["ratio"] = {"refused_to_placed": round(result["refused"]["cpu_us_each"] / placed, 3)}
+    for name, batches in (("by_the_line", True), ("by_the_line_of_before", False)):
+        rows = result[name] = [cost(20_000, size, None, batches) for size in FLOODS]
+        result["ratio"][name] = round(apart(*rows), 3)
     print(json.dumps(result, indent=1))
     Path("docs/results/refusals.json").write_text(json.dumps(result, indent=1) + "\n")
 
