A refusal goes out behind those of its own turn, also on a stream of before

A session that resumes with an owner of before, while a frame of refusals of the same turn is pending, would have told two asks for one task in the wrong order.

--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -51,7 +51,7 @@
         if retry_after_ms:
             self._leave_unread()
         if not self.batches:
-            self._send(pb.PlacerFrame(task=task, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms)))
+            self.send(pb.PlacerFrame(task=task, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms)))
             return
         batch = self._refused
         if batch is None or batch.why != why:
