Owners just refused are bounded: an overload with ever new owners grew the process

What an owner's refusal says for one turn was forgotten only when the line ran empty or that owner asked again. In an overload that lasts the line never is empty, so each new owner's name stayed.

At 1,024 owners all are forgotten; it is a cache of one turn, what is lost is a look at the line each.

Measured: 5,000 owners refused while the line stood left 5,000 entries, now at most 1,024; the test fails without the guard.

--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -115,6 +115,8 @@
             bears = ask.aim_ms / 4.0 if self.standing.lately(now) else self._bears(ask)
             if wait > min(bears, ask.left_ms - self._answer_ms):
                 if wait > bears:  # else it was too late for this one alone
+                    if len(self._turned) >= KEPT:  # an overload may last for hours, with ever new owners
+                        self._turned.clear()
                     self._turned[ask.owner] = (ask.worth, ask.aim_ms, now + self._turn_ms)
                 self._turn_away(now)
                 return Verdict(TOO_LONG, self._retry_ms(now))
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -167,6 +167,17 @@
     assert not found.turned("o", 0.5, AIM, 10.0)  # the line has moved: it is asked for anew
 
 
+def test_owners_just_refused_are_not_kept_without_end() -> None:
+    """The line was never empty, so nothing was ever forgotten: an overload with ever new owners grew the process."""
+    found = admission()
+    found.drain.cost_ms = 25.0
+    for n in range(60):
+        found.line.put(Waiting(n, f"w{n}", 1.0, 1e9))
+    for n in range(5000):
+        assert found.ask(Ask(f"o{n}", 0.1, 3000.0, AIM), float(n)).why
+    assert 1 <= len(found._turned) <= 1024
+
+
 def test_an_owner_refused_for_its_own_time_alone_is_looked_at_again() -> None:
     found = admission()
     found.drain.cost_ms = 25.0
