--- a/benchmarks/list_storm.py
+++ b/benchmarks/list_storm.py
@@ -75,11 +75,11 @@
     Path("docs/results/list-storm.json").write_text(json.dumps(found, indent=1) + "\n")
 
 
-def played(size: int, per_s: float) -> dict[str, Any]:
+def played(size: int, per_s: float, again_ms: float = 2000.0, limit_ms: float = 120_000.0) -> dict[str, Any]:
     loop = EpollLoop(1)
 
     def body(scope: Scope) -> Co[dict[str, Any]]:
-        found = yield from storm(loop, scope, size, per_s, 2000.0, 120_000.0)
+        found = yield from storm(loop, scope, size, per_s, again_ms, limit_ms)
         scope.cancel()
         return found
 
--- a/tests/placer/test_storms.py
+++ b/tests/placer/test_storms.py
@@ -6,9 +6,8 @@
 
 import pytest
 
-from benchmarks.list_storm import storm
-from sprucepost.loop import Co, Scope, in_scope, sleep
-from sprucepost.loop.epoll import EpollLoop
+from benchmarks.list_storm import played
+from sprucepost.loop import Co, sleep
 from sprucepost.placer import fleet
 from tests.placer.support import World, play, task
 from tests.wire.support import wait_for
@@ -63,20 +62,7 @@
     time only those ever got it that came first: the others' calls kept the list busy."""
     monkeypatch.setattr(fleet, "ANSWER_MS", 400.0)
 
-    def play_storm(limit_ms: float) -> dict[str, Any]:
-        loop = EpollLoop(1)
-
-        def body(scope: Scope) -> Co[dict[str, Any]]:
-            found = yield from storm(loop, scope, 60, 30.0, 300.0, limit_ms)
-            scope.cancel()
-            return found
-
-        try:
-            return dict(loop.run(lambda: in_scope(body)))
-        finally:
-            loop.close()
-
-    found = play_storm(12_000.0)
+    found = played(60, 30.0, 300.0, 12_000.0)
     assert found["heard"] == 60 and found["most_calls_open"] <= 60 and found["calls"] <= 130
     monkeypatch.setattr(fleet, "PATIENCE", 1)  # as it was
-    assert play_storm(8000.0)["heard"] < 60
+    assert played(60, 30.0, 300.0, 8000.0)["heard"] < 60
