--- a/sprucepost/adapter.py
+++ b/sprucepost/adapter.py
@@ -108,6 +108,11 @@
     )
 
 
+def report_fields(names: Iterable[str]) -> list[str]:
+    """What the values of a load report are to the module, by their names in the settings; "" for nothing."""
+    return [REPORTS.get(word, "") for word in names]
+
+
 def settings_from(info: Any) -> i.Settings:
     """Settings from the first message's object; ValueError names the key that is missing or senseless."""
 
@@ -261,7 +266,7 @@
         info = json.loads(parts.rest())
         self.schedulers[name] = Scheduler(settings_from(info), seed)
         fields = (info.get("report") or {}).get("fields", [])
-        self.report_fields[name] = [REPORTS.get(word, "") for word in fields]
+        self.report_fields[name] = report_fields(fields)
         self.events[name] = []
 
     def _list(self, name: str, parts: _Parts) -> i.Event:
--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -81,6 +81,14 @@
     run_daemon(body, settings, settings.placer.seed)
 
 
+@main.command()
+def node() -> None:
+    """Run one placer on the platform's protocol, told by BALANCER_CONFIG (as a module, less memory is used)."""
+    from sprucepost.node.service import main as run
+
+    sys.exit(run())
+
+
 @main.command(hidden=True)
 @_FILE
 def host(file: Path) -> None:
--- /dev/null
+++ b/sprucepost/node/bulletin.py
@@ -0,0 +1,134 @@
+"""The bulletin's events: bytes to the module's list. No I/O.
+
+Events are numbered; a document holds those after the number that was asked for. What is held is the last event taken
+whole and each host's entry. A repeated number is passed over; a number that skips some shows that something was missed,
+and the whole list is asked for again.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from typing import Any, TypeGuard
+
+from sprucepost import interface as i
+from sprucepost.node.bounds import Malformed
+
+Address = tuple[str, int]
+
+STATES = {"SERVING": i.MachineState.READY, "DRAINING": i.MachineState.DRAINING, "DELETED": i.MachineState.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a document has changed: the list for the module, hosts' addresses, and entries that could not be read."""
+
+    list: i.MachineList
+    addresses: dict[str, Address]
+    faults: tuple[str, ...] = ()
+
+
+class Bulletin:
+    """The events taken so far."""
+
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[i.MachineKind, ...]) -> None:
+        self._zones = {name: n for n, name in enumerate(zones)}
+        self._kinds = {kind.name: n for n, kind in enumerate(kinds)}
+        self.last = 0  # the number of the last event taken whole
+        self.entries: dict[str, i.MachineEntry] = {}  # those not gone
+
+    def read(self, data: bytes | str) -> Told | None:
+        """Take a document; None where it tells nothing new, Malformed where it cannot be read."""
+        try:
+            return self.take(json.loads(data))
+        except (ValueError, RecursionError):
+            raise Malformed("not JSON") from None
+
+    def take(self, document: Any) -> Told | None:
+        """Likewise, of a document that has been parsed."""
+        items = document.get("items") if isinstance(document, dict) else None
+        if not isinstance(items, list) or not _whole(document.get("no")):
+            raise Malformed("no list of events")
+        changed: dict[str, i.MachineEntry] = {}
+        addresses: dict[str, Address] = {}
+        faults: list[str] = []
+        full = skipped = False
+        for item in items:
+            number, roster = (item.get("no"), item.get("roster")) if isinstance(item, dict) else (None, None)
+            if not _whole(number):
+                raise Malformed("an event without a number")
+            if number <= self.last:
+                continue
+            listed = roster.get("targets") if isinstance(roster, dict) else []
+            if not isinstance(listed, list):
+                raise Malformed(f"event {number} has no list of hosts")
+            everything = isinstance(roster, dict) and roster.get("all") is True
+            if number > self.last + 1 and not everything:
+                self.last = 0  # what lies between was never told: the whole list comes first of all events
+                skipped = True
+                break
+            if everything:
+                full, changed, addresses = True, {}, {}
+                self.entries = {}
+            for raw in listed:
+                try:
+                    entry, address = self._entry(raw)
+                except ValueError as error:
+                    faults.append(f"event {number}: {error}")
+                    continue
+                changed[entry.machine] = entry
+                if address is not None:
+                    addresses[entry.machine] = address
+                if entry.state is i.MachineState.GONE:
+                    self.entries.pop(entry.machine, None)
+                else:
+                    self.entries[entry.machine] = entry
+            self.last = number
+        if skipped:
+            faults.append("events were left out: asking for all of them")
+        if not changed and not full and not faults:
+            return None
+        kind = i.ListKind.FULL if full else i.ListKind.DELTA
+        return Told(i.MachineList(kind, tuple(changed.values())), addresses, tuple(faults))
+
+    def _entry(self, raw: Any) -> tuple[i.MachineEntry, Address | None]:
+        if not isinstance(raw, dict) or not isinstance(raw.get("uid"), str) or not raw["uid"]:
+            raise ValueError("a host without an id")
+        uid = raw["uid"]
+        state = STATES.get(str(raw.get("state")))
+        if state is None:
+            raise ValueError(f"{uid}: unknown state")
+        if state is i.MachineState.GONE:
+            known = self.entries.get(uid, i.MachineEntry(uid))
+            return i.MachineEntry(uid, state, known.zone, known.cell, known.kind, known.started), None
+        zone, kind, cell = (
+            self._zones.get(str(raw.get("az"))),
+            self._kinds.get(str(raw.get("model"))),
+            raw.get("pod_group"),
+        )
+        if zone is None or kind is None or not _whole(cell):
+            raise ValueError(f"{uid}: unknown place or kind")
+        started, room = raw.get("boot_ms", 0), raw.get("open", [0.0, 0.0])
+        if not _finite(started) or not (isinstance(room, list) and len(room) == 2 and all(map(_finite, room))):
+            raise ValueError(f"{uid}: its start or its room is no number")
+        entry = i.MachineEntry(uid, state, zone, cell, kind, float(started), float(room[0]), float(room[1]))
+        return entry, address_of(raw.get("endpoint"), uid)
+
+
+def address_of(text: Any, whose: str) -> Address:
+    """``host:port``; ValueError naming whose it is."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"{whose}: {text!r} is no address")
+    return host, int(port)
+
+
+def _whole(value: Any) -> TypeGuard[int]:
+    return isinstance(value, int) and not isinstance(value, bool) and abs(value) < 2**53
+
+
+def _finite(value: Any) -> TypeGuard[float]:
+    return (
+        isinstance(value, (int, float)) and not isinstance(value, bool) and abs(value) < 2**53 and math.isfinite(value)
+    )
--- /dev/null
+++ b/sprucepost/node/hosts.py
@@ -0,0 +1,334 @@
+"""Hosts' connections, and what their silence means.
+
+A set-up goes on a connection that carries no other where there may be one more: a line that cannot be read makes every
+set-up open on its connection one that may have run. A connection on which a set-up's time was up is used for no other:
+what may still come there belongs to that set-up, also where the same task is offered to the same host again.
+
+A standing task belongs to no connection, so one is kept to every host that has one. What the ends of connections prove:
+a refused one, that the process is gone, and its tasks with it; one that was reset or closed, nothing about standing tasks;
+one that says nothing, nothing either, until the host has answered no test for so long that the owners must be released.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from sprucepost import interface as i
+from sprucepost.loop import Co, Loop, Scope, TimedOut, Transport, connect, current
+from sprucepost.node.bounds import MOST
+from sprucepost.node.bulletin import Address, Told
+from sprucepost.node.jsonl import Decoder, Line, Word, encode
+from sprucepost.node.tasks import GIVEN_UP, Out, Tasks
+
+QUIET_MS = 1500.0  # a host with tasks that says nothing for so long is tested
+TEST_MS = 1000.0  # a connection on which a test is not answered within this is of no use
+SILENT_MS = 7000.0  # what is over must be released within 8 s of its end, and silence may begin with the end
+AGAIN_MS = 200.0  # until a connection that failed is tried again, doubled for each that failed before
+AGAIN_MOST_MS = 1600.0
+TASKLESS = "0" * 16  # the id of a test
+
+
+class HostLink:
+    """One connection to a host."""
+
+    def __init__(self, transport: Transport, now: float) -> None:
+        self.transport = transport
+        self.decoder = Decoder()
+        self.open: dict[str, Out] = {}
+        self.used = now
+        self.tested: float | None = None  # since when a test has had no answer
+        self.retired = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether a set-up may be written now, whole."""
+        return not (self.retired or self.transport.closed or self.transport.buffered or self.decoder.waiting)
+
+
+class Host:
+    """One host of the list."""
+
+    def __init__(self, uid: str, address: Address, started: float) -> None:
+        self.uid, self.address, self.started = uid, address, started
+        self.links: list[HostLink] = []
+        self.waiting: list[Out] = []  # offers for which a connection is being opened
+        self.dialing = 0
+        self.failures = 0
+        self.dial_at = 0.0
+        self.heard = 0.0  # when it last said something; while it has no task, that does not matter
+        self.letting: dict[str, float] = {}  # tasks that it is to end, and until when that is worth saying
+        self.gone = False
+
+
+class Hosts:
+    """All hosts' connections."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        scope: Scope,
+        tasks: Tasks,
+        most: int,
+        connect_ms: float,
+        idle_ms: float,
+        log: Callable[..., None],
+        counters: Counter[str],
+    ) -> None:
+        self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
+        self._most, self._connect_ms, self._idle = most, connect_ms, idle_ms
+        self.hosts: dict[str, Host] = {}
+        tasks.hosts = self
+
+    # The list
+
+    def see(self, told: Told) -> None:
+        """Take what the bulletin has changed, before the module acts on it."""
+        if told.list.kind is not i.ListKind.DELTA:
+            named = {entry.machine for entry in told.list.entries}
+            for uid in sorted(self.hosts.keys() - named):
+                self._leave(self.hosts[uid])
+        for entry in told.list.entries:
+            ready = entry.state is i.MachineState.READY
+            self._tasks.close(entry.machine, not ready)
+            host, address = self.hosts.get(entry.machine), told.addresses.get(entry.machine)
+            if entry.state is i.MachineState.GONE:
+                if host is not None:
+                    self._leave(host)
+                else:
+                    self._tasks.close(entry.machine, False)
+                continue
+            if address is None:
+                continue
+            if host is None or host.address != address:
+                host = self._enter(entry.machine, address, entry.started)
+            host.gone = False
+            if entry.started > host.started:
+                host.started = entry.started
+                self._lost(host, "restarted", before=entry.started)
+            if not ready:
+                self._unwritten(host)
+
+    def _enter(self, uid: str, address: Address, started: float) -> Host:
+        """A host at an address: whatever had that address before is no more."""
+        for other in [other for other in self.hosts.values() if other.address == address or other.uid == uid]:
+            self._lost(other, "replaced")
+            self._leave(other)
+            self._remove(other)
+        host = self.hosts[uid] = Host(uid, address, started)
+        return host
+
+    def _leave(self, host: Host) -> None:
+        """It gets nothing new; what still stands there may yet be released by it."""
+        host.gone = True
+        self._tasks.close(host.uid, True)
+        self._unwritten(host)
+        self._tidy(host)
+
+    def _unwritten(self, host: Host) -> None:
+        waiting, host.waiting = host.waiting, []
+        for out in waiting:
+            self._tasks.end(out, i.Ending.MOOT)
+
+    def _tidy(self, host: Host) -> None:
+        """A host that has gone is forgotten once nothing of ours is left there."""
+        if host.gone and host.uid not in self._tasks.standing and not any(link.open for link in host.links):
+            self._remove(host)
+
+    def _remove(self, host: Host) -> None:
+        if self.hosts.get(host.uid) is host:
+            del self.hosts[host.uid]
+            self._tasks.close(host.uid, False)
+        for link in list(host.links):
+            self._end(host, link, "gone")
+
+    # Set-ups
+
+    def place(self, out: Out) -> None:
+        """Write the offer on a connection of its own, or as soon as there is one."""
+        host = self.hosts.get(out.machine)
+        if host is None:  # the module knows a host that is not listed any more
+            self._tasks.end(out, i.Ending.CONNECT_FAILED)
+            return
+        if out.machine in self._tasks.closed:
+            self._tasks.end(out, i.Ending.MOOT)
+            return
+        now = self.loop.now()
+        usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
+        free = [link for link in usable if not link.open]
+        if free:
+            self._write(host, max(free, key=lambda link: link.used), out)
+        elif len(host.links) + host.dialing < max(2, self._most // max(1, len(self.hosts))):
+            host.waiting.append(out)
+            self._dial(host)
+        elif usable:
+            self._write(host, min(usable, key=lambda link: len(link.open)), out)
+        else:
+            host.waiting.append(out)
+
+    def _write(self, host: Host, link: HostLink, out: Out) -> None:
+        data = self._tasks.write(out)
+        if data is None:
+            self._tasks.end(out, i.Ending.MOOT if out.machine in self._tasks.closed else i.Ending.CONNECT_FAILED)
+            return
+        out.written, out.link = True, link
+        link.open[out.sid] = out
+        link.used = self.loop.now()
+        link.transport.write(data)
+
+    def give_up(self, out: Out) -> None:
+        """Take it back: where it was written the host is told, and the connection is used for nothing else."""
+        host = self.hosts.get(out.machine)
+        if host is not None and out in host.waiting:
+            host.waiting.remove(out)
+        link: HostLink | None = out.link
+        if host is None or link is None or link.open.pop(out.sid, None) is None:
+            return
+        link.transport.write(encode(Word.CLOSE, out.sid, code=GIVEN_UP))
+        link.retired = True
+        self._retire(host, link)
+
+    def _retire(self, host: Host, link: HostLink) -> None:
+        if link.retired and not link.open:
+            self._end(host, link, "retired")
+
+    def let_go(self, machine: str, sid: str) -> None:
+        """Have the host end a standing task, now or when it can be reached."""
+        host = self.hosts.get(machine)
+        if host is None:
+            return
+        link = next((link for link in host.links if not link.transport.closed and not link.retired), None)
+        if link is not None:
+            link.transport.write(encode(Word.CLOSE, sid, code=GIVEN_UP))
+        else:
+            host.letting[sid] = self.loop.now() + SILENT_MS
+
+    # Connections
+
+    def _dial(self, host: Host) -> None:
+        host.dialing += 1
+        self._scope.spawn(self._connect(host), f"host {host.uid}")
+
+    def _connect(self, host: Host) -> Co[None]:
+        task = yield from current()
+        try:
+            transport = yield from connect(self.loop, task, host.address, self._connect_ms)
+        except (OSError, TimedOut) as error:
+            host.dialing -= 1
+            self._not_connected(host, error)
+            return
+        host.dialing -= 1
+        host.failures = 0
+        if self.hosts.get(host.uid) is not host:
+            transport.abort()
+            return
+        link = HostLink(transport, self.loop.now())
+        host.links.append(link)
+        transport.on_data = lambda data: self._data(host, link, data)
+        transport.on_end = lambda: self._end(host, link, "ended")
+        transport.on_lost = lambda error: self._end(host, link, "reset")
+        transport.start()
+        for sid in host.letting:
+            transport.write(encode(Word.CLOSE, sid, code=GIVEN_UP))
+        host.letting.clear()
+        if host.waiting:
+            self._write(host, link, host.waiting.pop(0))
+        if host.waiting and not host.dialing:
+            self._dial(host)
+
+    def _not_connected(self, host: Host, error: Exception) -> None:
+        host.failures += 1
+        pause = min(AGAIN_MS * 2.0 ** (host.failures - 1), AGAIN_MOST_MS)
+        host.dial_at = self.loop.now() + pause
+        refused = isinstance(error, ConnectionRefusedError)
+        self.counters["connect_refused" if refused else "connect_failed"] += 1
+        self._log("host_not_connected", host=host.uid, why=str(error) or type(error).__name__)
+        if not host.dialing:
+            waiting, host.waiting = host.waiting, []
+            for out in waiting:
+                self._tasks.end(out, i.Ending.CONNECT_FAILED)
+        if refused:
+            self._lost(host, "refused")
+            self._tidy(host)
+
+    def _end(self, host: Host, link: HostLink, why: str) -> None:
+        """The connection is over; what was open on it may have run."""
+        if link not in host.links:
+            return
+        host.links.remove(link)
+        self.counters[f"host_link_{why}"] += 1
+        if why in ("retired", "idle"):
+            link.transport.close()
+        else:
+            link.transport.abort()
+        outs, link.open = list(link.open.values()), {}
+        for out in outs:
+            self._tasks.end(out, i.Ending.RESET)
+        if host.uid in self._tasks.standing and not host.links and not host.dialing and self.loop.now() >= host.dial_at:
+            self._dial(host)
+
+    # Words
+
+    def _data(self, host: Host, link: HostLink, data: bytes) -> None:
+        for line in link.decoder.feed(data):
+            host.heard = link.used = self.loop.now()
+            link.tested = None
+            self._line(link, host, line)
+        if link.decoder.error is not None:
+            self.counters["host_malformed"] += 1
+            self._log("host_malformed", host=host.uid, why=str(link.decoder.error), open=len(link.open))
+            self._end(host, link, "malformed")
+
+    def _line(self, link: HostLink, host: Host, line: Line) -> None:
+        out = link.open.get(line.sid)
+        if out is not None and (line.word is Word.CLOSE or (line.word is Word.READY and line.text is not None)):
+            del link.open[line.sid]
+            self._tasks.answered(out, line)
+            self._retire(host, link)
+        elif out is None and line.word in (Word.READY, Word.CLOSE, Word.EVENT):
+            self._tasks.heard(host.uid, line)
+
+    # Silence
+
+    def tick(self) -> None:
+        """Look after the hosts on which something of ours stands."""
+        now = self.loop.now()
+        for host in list(self.hosts.values()):
+            standing = host.uid in self._tasks.standing
+            for link in list(host.links):
+                if not link.open and now - link.used > self._idle / 2 and (len(host.links) > 1 or not standing):
+                    self._end(host, link, "idle")
+            host.letting = {sid: until for sid, until in host.letting.items() if until > now}
+            if not standing:
+                host.heard = 0.0
+                self._tidy(host)
+                if not host.letting:
+                    continue
+            if standing:
+                host.heard = host.heard or now
+                self._listen(host, now)
+            if not host.links and not host.dialing and now >= host.dial_at:
+                self._dial(host)
+
+    def _listen(self, host: Host, now: float) -> None:
+        quiet = now - host.heard
+        if quiet > SILENT_MS:
+            sids = list(self._tasks.standing[host.uid])
+            self._lost(host, "silent")
+            host.letting.update((sid, now + self._idle) for sid in sids)
+            return
+        if quiet < QUIET_MS:
+            return
+        for link in list(host.links):
+            if link.tested is not None and now - link.tested > TEST_MS and not link.open:
+                self._end(host, link, "untested")
+        link_ = next((link for link in host.links if not link.retired), None)
+        if link_ is not None and link_.tested is None and link_.transport.buffered < MOST:
+            link_.tested = now
+            self.counters["tests"] += 1
+            link_.transport.write(encode(Word.PROBE, TASKLESS, code=0))
+
+    def _lost(self, host: Host, why: str, before: float | None = None) -> None:
+        number = self._tasks.lost(host.uid, why, before)
+        if number:
+            self._log("host_lost", host=host.uid, why=why, tasks=number)
--- /dev/null
+++ b/sprucepost/node/owners.py
@@ -0,0 +1,210 @@
+"""Owners' connections: set-ups come in, answers and releases go out.
+
+A connection is *proven* once it has brought a set-up that could be taken. One that is not, and carries no open set-up, is
+closed soon: whoever opens hundreds and says nothing, or sends half a message, holds descriptors that the usual owners
+need.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from sprucepost.loop import Acceptor, Listener, Loop, Sock, Transport
+from sprucepost.node.binary import Code, Decoder, Kind, Message, encode
+from sprucepost.node.bounds import MOST
+from sprucepost.node.tasks import LATE_MS, REFUSED, OwnerPort, Tasks
+from sprucepost.node.words import Refused, Words
+
+UNPROVEN_MS = 1500.0  # a connection that says nothing useful is open for so long
+UNREAD_MOST = 16 * MOST  # bytes that an owner may leave unread
+
+
+class OwnerLink:
+    """One owner's connection."""
+
+    def __init__(self, owners: Owners, transport: Transport, now: float) -> None:
+        self._owners, self.transport = owners, transport
+        self.decoder = Decoder()
+        self.open: set[str] = set()  # set-ups without an answer
+        self.proven = False
+        self.used = now  # when something useful last passed
+        self.partial_since: float | None = None
+
+    @property
+    def closed(self) -> bool:
+        return self.transport.closed
+
+    def answer(self, sid: str, text: str) -> None:
+        """The task stands."""
+        self.open.discard(sid)
+        self._send(encode(Kind.ANSWER, sid, [(Code.DESCRIPTION, text.encode("utf-8"))]))
+
+    def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
+        """The task is refused or failed, by its cause."""
+        self.open.discard(sid)
+        parameters = [(Code.CAUSE, bytes([cause]))]
+        if stay_away_ms > 0:
+            parameters.append((Code.STAY_AWAY, str(round(stay_away_ms)).encode()))
+        self._send(encode(Kind.RELEASE, sid, parameters))
+
+    def tested(self, sid: str, passed: bool) -> None:
+        self._send(encode(Kind.TESTED, sid, [(Code.CAUSE, bytes([passed]))]))
+
+    def _send(self, data: bytes) -> None:
+        if self.closed:
+            return
+        self.used = self._owners.loop.now()
+        self.transport.write(data)
+        if self.transport.buffered > UNREAD_MOST:
+            self._owners.drop(self, "unread")
+
+
+class Owners:
+    """All owners' connections."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        listener: Listener,
+        tasks: Tasks,
+        words: Words,
+        most: int,
+        most_open: int,
+        idle_ms: float,
+        ready: Callable[[], bool],
+        log: Callable[..., None],
+        counters: Counter[str],
+    ) -> None:
+        self.loop, self._tasks, self._words, self._log, self.counters = loop, tasks, words, log, counters
+        self._most, self._most_open, self._idle, self._ready = most, most_open, idle_ms, ready
+        self.links: dict[OwnerLink, None] = {}
+        self.leaving_soon = False  # tests fail, so that nothing more is sent
+        self.leaving = False  # what comes now is refused
+        self._unsent: list[
+            tuple[float, str, str, int]
+        ] = []  # releases that found no connection: until, whose, id, cause
+        self._acceptor = Acceptor(loop, listener, self._take)
+
+    # Connections
+
+    def _take(self, sock: Sock) -> None:
+        if len(self.links) >= self._most and not self._make_room():
+            self.counters["owners_turned_away"] += 1
+            sock.close(reset=True)
+            return
+        link = OwnerLink(self, Transport(self.loop, sock), self.loop.now())
+        self.links[link] = None
+        link.transport.on_data = lambda data: self._data(link, data)
+        link.transport.on_end = lambda: self.drop(link, "ended")
+        link.transport.on_lost = lambda error: self._forget(link)
+        link.transport.start()
+
+    def _make_room(self) -> bool:
+        idle = [link for link in self.links if not link.open]
+        if not idle:
+            return False
+        self.drop(min(idle, key=lambda link: (link.proven, link.used)), "room")
+        return True
+
+    def drop(self, link: OwnerLink, why: str) -> None:
+        """End the connection; what was open on it is given up."""
+        self.counters[f"owner_{why}"] += 1
+        if why in ("ended", "idle", "room", "silent"):
+            link.transport.close()
+        else:
+            link.transport.abort()
+        self._forget(link)
+
+    def _forget(self, link: OwnerLink) -> None:
+        if self.links.pop(link, self) is None and link.open:
+            sids, link.open = sorted(link.open), set()
+            self._tasks.owner_gone(sids)
+
+    def tick(self) -> None:
+        """Close what is of no use."""
+        now = self.loop.now()
+        for link in list(self.links):
+            if link.partial_since is not None and now - link.partial_since > UNPROVEN_MS:
+                self.drop(link, "cut")
+            elif not link.open and now - link.used > (self._idle if link.proven else UNPROVEN_MS):
+                self.drop(link, "idle" if link.proven else "silent")
+        self._unsent = [item for item in self._unsent if item[0] > now]
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self._acceptor.close()
+
+    # Messages
+
+    def _data(self, link: OwnerLink, data: bytes) -> None:
+        for message in link.decoder.feed(data):
+            if link.closed:
+                return
+            self._message(link, message)
+        if link.closed:
+            return
+        if link.decoder.error is not None:
+            self._log("owner_malformed", peer=link.transport.peer, why=str(link.decoder.error))
+            self.drop(link, "malformed")
+        elif not link.decoder.waiting:
+            link.partial_since = None
+        elif link.partial_since is None:
+            link.partial_since = self.loop.now()
+
+    def _message(self, link: OwnerLink, message: Message) -> None:
+        if message.kind == Kind.SETUP:
+            self._set_up(link, message)
+        elif message.kind == Kind.RELEASE:
+            link.open.discard(message.task)
+            self._tasks.owner_released(message.task)
+        elif message.kind == Kind.TEST:
+            link.tested(message.task, self._ready() and not self.leaving_soon)
+
+    def _set_up(self, link: OwnerLink, message: Message) -> None:
+        try:
+            setup = self._words.set_up(message)
+        except Refused as refused:
+            self.counters["invalid"] += 1
+            self._log("owner_invalid", peer=link.transport.peer, task=message.task, why=str(refused))
+            link.refuse(message.task, refused.cause, 0.0)
+            return
+        if not setup.at and (self.leaving or self._tasks.ledger.open >= self._most_open):
+            self.counters["turned_away"] += 1
+            link.refuse(message.task, REFUSED, 0.0)
+            return
+        if not self._tasks.take(setup, link, link.transport.waited_ms):
+            self._log("owner_repeats_id", peer=link.transport.peer, task=message.task)
+            self.drop(link, "malformed")
+            return
+        link.used = self.loop.now()
+        if not setup.at:
+            link.open.add(setup.sid)
+        if not link.proven:
+            link.proven = True
+            self._send_unsent(link)
+
+    # Releases
+
+    def release(self, link: OwnerPort, sid: str, cause: int) -> None:
+        """On its own connection, else on another of that owner, else on the next that it opens."""
+        assert isinstance(link, OwnerLink)
+        whose = _host(link)
+        if link.closed:
+            others = [other for other in self.links if other.proven and not other.closed and _host(other) == whose]
+            if not others:
+                self.counters["releases_waiting"] += 1
+                self._unsent.append((self.loop.now() + LATE_MS, whose, sid, cause))
+                return
+            link = max(others, key=lambda other: other.used)
+        link.refuse(sid, cause, 0.0)
+
+    def _send_unsent(self, link: OwnerLink) -> None:
+        mine = [item for item in self._unsent if item[1] == _host(link)]
+        self._unsent = [item for item in self._unsent if item[1] != _host(link)]
+        for _, _, sid, cause in mine:
+            link.refuse(sid, cause, 0.0)
+
+
+def _host(link: OwnerLink) -> str:
+    return link.transport.peer.rpartition(":")[0]
--- /dev/null
+++ b/sprucepost/node/service.py
@@ -0,0 +1,189 @@
+"""One placer on the platform: what it is made of, its signals, its start and its stop.
+
+SIGHUP reads the configuration again: another bulletin's address is used from then on, and everything else stays as it was
+at the start; a file that cannot be used is refused in one line. SIGTERM: set-ups are placed as before while the platform
+may still send some, then those that come are refused; the process ends when all that it had taken is answered. Standing
+tasks run on.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+from collections import Counter
+from collections.abc import Mapping
+
+from sprucepost.loop import Co, Loop, Scope, in_scope, sleep
+from sprucepost.loop.epoll import EpollLoop
+from sprucepost.node import words
+from sprucepost.node.bounds import Malformed
+from sprucepost.node.bulletin import Bulletin, Told
+from sprucepost.node.config import Config, ConfigError, read
+from sprucepost.node.feed import Feed
+from sprucepost.node.hosts import Hosts
+from sprucepost.node.log import Log
+from sprucepost.node.owners import Owners
+from sprucepost.node.tasks import Tasks
+from sprucepost.placing.desk import Desk
+
+TICK_MS = 250.0  # between looks at connections and hosts
+COUNTS_MS = 10_000.0  # between lines with the counters
+LEAVE_MS = 700.0  # after SIGTERM set-ups are still sent for so long
+LONGEST_MS = 3000.0  # a process that ends is killed no earlier than the longest deadline, or this, after that
+SLEW = 0.05
+
+
+class Service:
+    """A running placer."""
+
+    def __init__(self, loop: Loop, scope: Scope, environment: Mapping[str, str], config: Config, log: Log) -> None:
+        self.loop, self._environment, self.config, self.log = loop, environment, config, log
+        self.counters: Counter[str] = Counter()
+        settings = config.settings
+        self.desk = Desk(loop, settings, config.seed, SLEW, lambda: self.feed.start(), log, self.counters)
+        self.tasks = Tasks(
+            loop,
+            self.desk,
+            settings.tick,
+            lambda text: words.load(text, config.report_names, config.report_fields),
+            self.counters,
+        )
+        sockets = config.limits.sockets
+        self.hosts = Hosts(loop, scope, self.tasks, sockets // 3, config.connect_ms, config.idle_ms, log, self.counters)
+        bulletin = Bulletin(settings.zones, settings.kinds)
+        self.feed = Feed(loop, scope, bulletin, config.bulletin, config.connect_ms, self._told, log, self.counters)
+        self.owners = Owners(
+            loop,
+            loop.listen(config.listen),
+            self.tasks,
+            words.Words(settings),
+            sockets // 2,
+            max(64, int(config.limits.memory_mb * 8)),
+            config.idle_ms,
+            lambda: True,
+            log,
+            self.counters,
+        )
+        self.tasks.owners = self.owners
+        self._ended = False
+
+    def start(self) -> None:
+        """Take what the configuration knows; the first batch follows at this turn's end."""
+        if self.config.known is not None:
+            try:
+                told = self.feed.bulletin.take(self.config.known)
+            except Malformed as error:
+                self.log("known_unreadable", why=str(error))
+            else:
+                if told is not None:
+                    self._told(told)
+        self.desk.wake()
+        self.log("ready", listen=self.config.listen, hosts=len(self.hosts.hosts), pid=os.getpid())
+
+    def _told(self, told: Told) -> None:
+        for fault in told.faults:
+            self.log("bulletin_unreadable", why=fault)
+        self.hosts.see(told)
+        self.desk.push(told.list)
+        self.counters["lists"] += 1
+
+    def run(self) -> Co[int]:
+        """Until SIGTERM has been served; the exit status."""
+        self.start()
+        due = self.loop.now() + COUNTS_MS
+        while not self._ended:
+            yield from sleep(TICK_MS)
+            self.hosts.tick()
+            self.owners.tick()
+            self.tasks.forget()
+            if self.loop.now() >= due:
+                due = self.loop.now() + COUNTS_MS
+                self.count()
+        self.count()
+        self.log("end")
+        return 0
+
+    def count(self) -> None:
+        """What there is now, and what has happened so far."""
+        scheduler = self.desk.scheduler
+        self.log(
+            "counts",
+            open=self.tasks.ledger.open,
+            known=len(self.tasks.ledger),
+            standing=sum(map(len, self.tasks.standing.values())),
+            owner_links=len(self.owners.links),
+            host_links=sum(len(host.links) for host in self.hosts.hosts.values()),
+            hosts=len(self.hosts.hosts),
+            services=len(scheduler.services),
+            machines=len(scheduler.machines),
+            orders=len(scheduler.orders),
+            late_ms=round(self.loop.late_ms, 1),
+            **dict(sorted(self.counters.items())),
+        )
+
+    # Signals
+
+    def reload(self) -> None:
+        """SIGHUP."""
+        try:
+            config = read(self._environment)
+        except ConfigError as error:
+            self.log("reload_refused", why=str(error))
+            return
+        self.log("reloaded", bulletin=config.bulletin)
+        self.feed.move(config.bulletin)
+
+    def leave(self) -> None:
+        """SIGTERM."""
+        if self.owners.leaving_soon:
+            return
+        self.owners.leaving_soon = True
+        longest = max([LONGEST_MS, *(cls.deadline for cls in self.config.settings.classes)])
+        self.log("leaving", open=self.tasks.ledger.open)
+        self.loop.call_later(LEAVE_MS, self._refuse)
+        self.loop.call_later(longest + LEAVE_MS - TICK_MS, self._end)
+
+    def _refuse(self) -> None:
+        self.owners.leaving = True
+        self.owners.close()
+        self.tasks.on_settled = self._look
+        self._look()
+
+    def _look(self) -> None:
+        if not self.tasks.ledger.open:
+            self.loop.call_later(TICK_MS, self._end)
+
+    def _end(self) -> None:
+        self._ended = True
+
+
+def serve(loop: Loop, scope: Scope, environment: Mapping[str, str], config: Config, log: Log) -> Co[int]:
+    """A placer's whole life."""
+    service = Service(loop, scope, environment, config, log)
+    loop.on_signal(signal.SIGHUP, service.reload)
+    loop.on_signal(signal.SIGTERM, service.leave)
+    status = yield from service.run()
+    scope.cancel()
+    return status
+
+
+def main() -> int:
+    """Run a placer until it is told to stop; one line and status 2 where it cannot start."""
+    try:
+        config = read(os.environ)
+    except ConfigError as error:
+        print(f"sprucepost: {error}", file=sys.stderr)
+        return 2
+    loop = EpollLoop(config.seed)
+    log = Log(loop, config.name, lambda line: print(line, flush=True))
+    gc.collect()
+    gc.freeze()  # what start-up made stays: the collector need not look at it again
+    try:
+        return loop.run(lambda: in_scope(lambda scope: serve(loop, scope, os.environ, config, log)))
+    except OSError as error:
+        print(f"sprucepost: {error}", file=sys.stderr)
+        return 1
+    finally:
+        loop.close()
--- a/sprucepost/placer/engine.py
+++ b/sprucepost/placer/engine.py
@@ -14,12 +14,12 @@
 from sprucepost.membership import Generation
 from sprucepost.placing.answers import LATE_MS, Answers
 from sprucepost.placing.attempts import Attempts
-from sprucepost.placing.desk import Desk
 from sprucepost.placing.intake import Intake
 from sprucepost.placing.late import LateWords
 from sprucepost.placing.ledger import Entry, Ledger
 from sprucepost.placing.ports import Key, MachinesPort, OwnersPort, SessionPort
 from sprucepost.placing.roster import Roster
+from sprucepost.placing.seat import SeatedDesk
 from sprucepost.placing.tasks import Tasks
 from sprucepost.settings import Cluster, PlacerOptions
 from sprucepost.v1 import machine_pb2
@@ -52,7 +52,7 @@
         seed = options.seed if options.seed is not None else int.from_bytes(loop.token(8), "big")
         settings = cluster.to_interface(options.number, options.instances, options.zone, options.answer_margin_ms)
         tasks, margin = Tasks(cluster), options.answer_margin_ms
-        self.desk = Desk(
+        self.desk = SeatedDesk(
             loop, settings, seed, options.clock_slew, cluster.clock_apart_ms, generation, ask_list, log, self.counters
         )
         self.answers = Answers(self.desk, self.ledger, cluster, self.admission, self.counters)
--- /dev/null
+++ b/sprucepost/placing/seat.py
@@ -0,0 +1,67 @@
+"""A desk that knows its seat: which part of a cold machine's allowance is this placer's while the fleet's size changes.
+
+``now`` is brought to the list's own time besides: a host whose clock is far off takes no seat.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from sprucepost import interface as i
+from sprucepost.loop import Loop, Timer
+from sprucepost.membership import ClockGuard, Generation, Side, Stance, stance
+from sprucepost.placing.desk import Desk
+
+
+class SeatedDesk(Desk):
+    """The desk of a fleet whose size may change while it runs."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: i.Settings,
+        seed: int,
+        slew: float,
+        clock_apart_ms: float,
+        generation: Generation,
+        ask_list: Callable[[], None],
+        log: Callable[..., None],
+        counters: Counter[str],
+    ) -> None:
+        super().__init__(loop, settings, seed, slew, ask_list, log, counters)
+        self._number = settings.number
+        self._generation, self.side = generation, Side.NEW
+        self._guard = ClockGuard(clock_apart_ms)
+        self._seat_timer: Timer | None = None
+
+    def now(self) -> float:
+        """Aligned wall-clock ms, on the list's time."""
+        return self._clock.read(self.loop.now(), self.loop.wall() - self._guard.lead_ms)
+
+    @property
+    def stance(self) -> Stance:
+        return stance(self._generation, self._number, self.side, self.now())
+
+    def set_generation(self, generation: Generation, side: Side) -> None:
+        """Another generation, from a reload of the settings."""
+        self._generation, self.side = generation, side
+        self.take_seat()
+
+    def hear_time(self, told_ms: float) -> None:
+        """The list's own clock, against this one."""
+        if self._guard.hear(self.now(), self.loop.wall(), told_ms):
+            self._log("clock_off" if self._guard.off else "clock_good", host_leads_ms=round(self._guard.lead_ms))
+            self.take_seat()
+
+    def take_seat(self) -> None:
+        """Tell the module where we sit, now and whenever that changes by itself."""
+        if self._seat_timer is not None:
+            self._seat_timer.cancel()
+            self._seat_timer = None
+        found = self.stance
+        seats = 0 if self._guard.off else found.seats
+        self.push(i.Membership(found.n_instances, found.seat if seats else 0, seats))
+        self._log("seat", phase=found.phase.value, seat=found.seat, seats=seats, why=found.why or None)
+        if found.until_ms is not None:
+            self._seat_timer = self.loop.call_later(found.until_ms - self.now() + 1.0, self.take_seat)
