--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -80,6 +80,7 @@
                 if told is not None:
                     self._told(told)
         self.desk.wake()
+        self.feed.start()  # whether the settings say that the list is pushed or asked for: the bulletin wants to be asked
         self.log("ready", listen=self.config.listen, hosts=len(self.hosts.hosts), pid=os.getpid())
 
     def _told(self, told: Told) -> None:
