A set-up without an id is refused: hosts end the connection on it, and were suspected for it

Traced: each of those lines answered a set-up of a bad client with the id, which passed Words.set_up; the host answers without an id and closes, the node reports a reset, and the module leaves that host for 4 s.

--- a/sprucepost/node/words.py
+++ b/sprucepost/node/words.py
@@ -12,6 +12,7 @@
 
 NAME_MOST = 128  # characters of a name, a key or a service
 ROOM_FOR_FIELDS = 1024  # bytes that a host's line needs beside the description
+NO_ID = "0" * 16
 MISSING, INVALID = 96, 100  # causes: a parameter that must be there is not; one that cannot be what it says
 
 
@@ -55,6 +56,8 @@
 
     def set_up(self, message: Message) -> SetUp:
         """What the message asks for; Refused where that is no task of this deployment."""
+        if message.task == NO_ID:  # hosts cannot read such a line, and end the connection with all that is open on it
+            raise Refused(MISSING, "no id")
         class_name = _text(message, Code.CLASS)
         if class_name not in self._classes:
             raise Refused(INVALID, f"class {class_name!r} is not known")
