Patience with an offer grows with the line at the machine: bursts were offered twice over

The hosts' tasks are sent away at once when they drain, so 180 come again together. Checked: the offers arrive 0.6 ms after the ask, connections fail in none of them, so the time-outs are the module's own: a quarter of an aim of 360 ms is 90 ms, a host looks at one offer at a time for 11 to 35 ms, so all but the first few in its line were given up and made again elsewhere, and filled those lines too (_timeout). Now each own offer that the machine has not answered adds one accept time for as many schedulers as there are turns. Test: patience by length of line, up to twice the aim.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -474,14 +474,19 @@
             machine.enter(self.now, 1, attempt)
         self._record(attempt, task.sent)
         task.sent += 1
-        self.actions.append(i.Offer(task.ask.request, machine.entry.machine, min(left, self._timeout(task))))
+        patience = min(left, self._timeout(task, machine))
+        self.actions.append(i.Offer(task.ask.request, machine.entry.machine, patience))
         return True
 
-    def _timeout(self, task: Task) -> float:
-        """Patience with one offer, from seen accept times; more where a further attempt is not free."""
+    def _timeout(self, task: Task, machine: Machine) -> float:
+        """Patience with one offer, from seen accept times and the line of offers that the machine has yet to
+        look at (others' too, as many as there are turns): given up there, all would be offered twice. More
+        where a further attempt is not free."""
         if task.cls.effect is Effect.UNSAFE:
             return task.deadline - self.now
-        usual = min(max(self.accept_mean + 4 * self.accept_dev, task.cls.aim / 4), task.cls.aim * 2)
+        unanswered = sum(not attempt.accepted for attempt in machine.attempts.values())  # this one included
+        line = unanswered * self.turns * self.accept_mean
+        usual = min(max(self.accept_mean + 4 * self.accept_dev, task.cls.aim / 4) + line, task.cls.aim * 2)
         return usual if task.cls.group is Place.ALL or task.cls.effect is Effect.SAFE else 2 * usual
 
     def _record(self, attempt: Attempt, number: int) -> None:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -340,6 +340,15 @@
     assert quick is not None and quick.timeout < first.timeout
 
 
+def test_patience_grows_with_the_line_at_the_machine_up_to_twice_the_aim() -> None:
+    """A machine looks at one offer at a time: with one patience for all, those at the line's end were all made twice."""
+    cluster = Cluster(settings(), entry("m"))
+    patience = [offer.timeout for offer in (cluster.place(f"s{n}", cores=0.1, memory=0.1) for n in range(9)) if offer]
+    assert len(patience) == 9 and patience == sorted(patience)
+    assert patience[1] - patience[0] == pytest.approx(cluster.scheduler.turns * cluster.scheduler.accept_mean)
+    assert patience[-1] == 2 * settings().classes[0].aim
+
+
 def test_a_few_answers_are_enough_to_learn_accept_times() -> None:
     cluster = Cluster(settings(n_instances=300), entry("m"))
     first = cluster.place("s")
