--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -223,7 +223,7 @@
         task.out = None
         if event.reason is Reason.UNTOLD and event.ending in (
                 Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET):
-            self._suspect(attempt, certain=event.ending is not Ending.TIMEOUT)
+            self._suspect(attempt, certain=event.ending is Ending.CONNECT_FAILED or attempt.accepted)
         elif event.ending in (Ending.FULL, Ending.RESET):
             machine.doubts.pop(task.ask.task_class, None)
             self._refused(machine, task, event.reason)
@@ -304,7 +304,8 @@
 
     def _suspect(self, attempt: Attempt, certain: bool) -> None:
         """Silence of any cause: leave the machine for a while that grows, for that class alone (it may serve
-        others), then try it with one offer. A first time-out only says that an answer may be lost."""
+        others), then try it with one offer. A first time-out only says that an answer may be lost, and so
+        does a connection that broke under an offer."""
         machine, cls = attempt.machine, attempt.task.ask.task_class
         if attempt.accepted:
             machine.started = max(machine.started, self.now)  # its tasks died with it: cold when it is back
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -316,6 +316,8 @@
             sids = list(self._tasks.standing[host.uid])
             self._lost(host, "silent")
             host.letting.update((sid, now + self._idle) for sid in sids)
+            for link in [link for link in host.links if not link.open]:  # nothing more will pass there
+                self._end(host, link, "silent")
             return
         if quiet < QUIET_MS:
             return
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -115,6 +115,7 @@
             known=len(self.tasks.ledger),
             standing=sum(map(len, self.tasks.standing.values())),
             owner_links=len(self.owners.links),
+            owner_links_waiting=sum(bool(link.open) for link in self.owners.links),
             host_links=sum(len(host.links) for host in self.hosts.hosts.values()),
             hosts=len(self.hosts.hosts),
             services=len(scheduler.services),
--- /dev/null
+++ b/tests/node/platform.py
@@ -0,0 +1,260 @@
+"""A small stand-in of the platform on one loop: owners, hosts and the bulletin around a real placer."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from sprucepost.loop import Acceptor, Co, Scope, Sock, Transport, connect, current, in_scope
+from sprucepost.loop.epoll import EpollLoop
+from sprucepost.node import binary, jsonl
+from sprucepost.node.binary import Code, Kind, Message
+from sprucepost.node.config import read
+from sprucepost.node.jsonl import Line, Word
+from sprucepost.node.log import Log
+from sprucepost.node.service import Service
+from tests.wire.support import wait_for
+
+DESCRIPTION = '\r\nm=audio \u00e9 \\ " \u0001'  # an escape of each kind
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    """The object that a placer finds as its settings."""
+    classes = [
+        {"name": "web", "objective": 400.0, "deadline": 3000.0, "effect": "pure", "worth": 3.0},
+        {"name": "bill", "objective": 400.0, "deadline": 3000.0, "effect": "token", "worth": 9.0, "window": 2500.0},
+    ]
+    return {
+        "areas": ["room-a", "room-b"],
+        "skus": ["std"],
+        "classes": classes,
+        "me": 0,
+        "n_instances": 1,
+        "zone": 0,
+        "membership_mode": "push",
+        "granularity": 2.0,
+        "report": {"fields": ["x0", "x1", "backlog"], "how": "inline"},
+        "policy_limits": {
+            "max_attempts": 3, "connect_timeout": 250.0, "keepalive": 30000.0, "max_retry_after": 1000.0
+        },
+        "rules": {"fall": 2000.0, "warm_after": 5000.0, "ask_every": 2000.0, "drain_grace": 1000.0},
+        "family_info": {
+            "cores_by_kind": [32], "memory_by_kind": [64.0], "admit_cores": 1.5, "accepts_memory": 1.5,
+            "cold_bears": 12.0, "free_in_list": True, "measured_by": "asked", "yes_at": "accepted",
+        },
+        **changes,
+    }  # fmt: skip
+
+
+def setup(sid: str, **changes: Any) -> bytes:
+    """A whole set-up; a parameter given as None is left out."""
+    values: dict[Code, Any] = {
+        Code.CLASS: "web",
+        Code.LEFT: "3000",
+        Code.NAME: f"task-{sid[-4:]}",
+        Code.FIGURES: "cores:1;memory:2;service:00000000b4d65521",
+        Code.DESCRIPTION: sid + DESCRIPTION,
+    } | {Code[name]: value for name, value in changes.items()}
+    parameters = [
+        (code, value if isinstance(value, bytes) else value.encode()) for code, value in values.items() if value
+    ]
+    return binary.encode(Kind.SETUP, sid, parameters)
+
+
+class Link:
+    """One end of a connection, with its codec."""
+
+    def __init__(self, transport: Transport, decoder: Any, take: Callable[[Link, Any], None]) -> None:
+        self.transport, self.got, self.ended = transport, [], False  # type: tuple[Transport, list[Any], bool]
+
+        def data(raw: bytes) -> None:
+            for item in decoder.feed(raw):
+                self.got.append(item)
+                take(self, item)
+
+        transport.on_data, transport.on_end, transport.on_lost = data, self._end, lambda error: self._end()
+        transport.start()
+
+    def _end(self) -> None:
+        self.ended = True
+        self.transport.close()
+
+    def say(self, word: Word, sid: str, attrs: dict[str, str] | None = None, **more: Any) -> None:
+        """A host's line."""
+        text = more.get("text")
+        self.transport.write(
+            jsonl.encode(word, sid, attrs, more.get("code"), jsonl.quoted(text) if text is not None else None)
+        )
+
+
+class Host:
+    """One host; ``on_open`` is what it does with a set-up, by default it answers with a description of its own."""
+
+    def __init__(self, day: Day, uid: str, port: int = 0) -> None:
+        self.day, self.uid = day, uid
+        self.links: list[Link] = []
+        self.on_open: Callable[[Link, Line], None] = lambda link, line: link.say(
+            Word.READY, line.sid, text=self.made(line.sid)
+        )
+        self.tests = True  # whether it answers them
+        self.acceptor = Acceptor(day.loop, day.loop.listen(("127.0.0.1", port)), self._take)
+        self.port = self.acceptor.address[1]
+
+    def made(self, sid: str) -> str:
+        return f"by {self.uid} for {sid}{DESCRIPTION}"
+
+    def _take(self, sock: Sock) -> None:
+        self.links.append(Link(Transport(self.day.loop, sock), jsonl.Decoder(), self._line))
+
+    def _line(self, link: Link, line: Line) -> None:
+        if line.word is Word.OPEN:
+            self.on_open(link, line)
+        elif line.word is Word.PROBE and self.tests:
+            link.say(Word.PROBED, line.sid, code=1)
+
+    def lines(self, word: Word) -> list[Line]:
+        return [line for link in self.links for line in link.got if line.word is word]
+
+    def die(self) -> None:
+        """The process ends: nothing listens there any more, and its connections are reset."""
+        self.acceptor.close()
+        for link in self.links:
+            link.transport.abort()
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        return {
+            "uid": self.uid, "endpoint": f"127.0.0.1:{self.port}", "az": "room-a", "model": "std", "pod_group": 0,
+            "state": "SERVING", "capacity_hint": 1, "boot_ms": 0, "open": [32.0, 64.0], **changes,
+        }  # fmt: skip
+
+
+class Paper:
+    """The bulletin: ``mode`` says how it treats a question ("answers", "silent", "breaks")."""
+
+    def __init__(self, day: Day) -> None:
+        self.day, self.items, self.asked = day, [], []  # type: tuple[Day, list[Any], list[int]]
+        self.mode = "answers"
+        self._waiting: list[tuple[Transport, int]] = []
+        self.acceptor = Acceptor(day.loop, day.loop.listen(("127.0.0.1", 0)), self._take)
+        self.address = f"127.0.0.1:{self.acceptor.address[1]}"
+
+    def tell(self, *entries: dict[str, Any], everything: bool = False) -> None:
+        number = len(self.items) + 1
+        self.items.append({"no": number, "roster": {"rev": number, "all": everything, "targets": list(entries)}})
+        waiting, self._waiting = self._waiting, []
+        for transport, after in waiting:
+            self._answer(transport, after)
+
+    def document(self, after: int = 0) -> dict[str, Any]:
+        return {"no": len(self.items), "items": self.items[after:]}
+
+    def _take(self, sock: Sock) -> None:
+        transport = Transport(self.day.loop, sock)
+        transport.on_data = lambda data: self._question(transport, data)
+        transport.start()
+
+    def _question(self, transport: Transport, data: bytes) -> None:
+        found = re.match(rb"GET /bulletins\?after=(\d+)&patience=(\d+) ", data)
+        assert found is not None, data
+        after = int(found[1])
+        self.asked.append(after)
+        if self.mode == "silent":
+            return
+        if after < len(self.items):
+            self._answer(transport, after)
+        else:
+            self._waiting.append((transport, after))
+            self.day.loop.call_later(float(found[2]), lambda: self._patient(transport, after))
+
+    def _patient(self, transport: Transport, after: int) -> None:
+        if (transport, after) in self._waiting:
+            self._waiting.remove((transport, after))
+            self._answer(transport, after)
+
+    def _answer(self, transport: Transport, after: int) -> None:
+        body = json.dumps(self.document(after)).encode()
+        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+        if self.mode == "breaks":
+            transport.write(head + body[:-20])
+            transport.close()
+        else:
+            transport.write(head + body)
+
+
+class Day:
+    """A placer and what is around it."""
+
+    def __init__(self, loop: EpollLoop, scope: Scope, folder: Path) -> None:
+        self.loop, self._scope, self.folder = loop, scope, folder
+        self.paper = Paper(self)
+        self.hosts: dict[str, Host] = {}
+        self.lines: list[str] = []
+        self.service: Service
+
+    def host(self, uid: str, port: int = 0) -> Host:
+        host = self.hosts[uid] = Host(self, uid, port)
+        return host
+
+    def environment(self, **changes: Any) -> Mapping[str, str]:
+        path = self.folder / "config.json"
+        path.write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{_free_port(self.loop)}", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64}, "bulletin": self.paper.address,
+            "known": self.paper.document(), "settings": settings(), **changes,
+        }))  # fmt: skip
+        return {"BALANCER_CONFIG": str(path)}
+
+    def start(self, **changes: Any) -> None:
+        """Start the placer with the hosts so far as what is known."""
+        if not self.paper.items:
+            self.paper.tell(*(host.entry() for host in self.hosts.values()), everything=True)
+        environment = self.environment(**changes)
+        config = read(environment)
+        self.service = Service(self.loop, self._scope, environment, config, Log(self.loop, "n0", self.lines.append))
+        self._scope.spawn(self.service.run(), "placer")
+
+    def owner(self) -> Co[Link]:
+        """A new connection of an owner."""
+        task = yield from current()
+        transport = yield from connect(self.loop, task, self.service.config.listen, 1000.0)
+        return Link(transport, binary.Decoder(), lambda link, message: None)
+
+    def standing(self) -> int:
+        return sum(map(len, self.service.tasks.standing.values()))
+
+
+def answers(owner: Link, sid: str) -> list[Message]:
+    """What an owner has heard of a task."""
+    return [message for message in owner.got if message.task == sid]
+
+
+def heard(owner: Link, sid: str, kind: Kind, limit_ms: float = 3000) -> Co[Message]:
+    """Wait until the owner has heard that; nothing else may have come before it of the same task and kind."""
+    yield from wait_for(lambda: any(m.kind == kind for m in answers(owner, sid)), limit_ms)
+    found = [message for message in answers(owner, sid) if message.kind == kind]
+    assert len(found) == 1
+    return found[0]
+
+
+def _free_port(loop: EpollLoop) -> int:
+    listener = loop.listen(("127.0.0.1", 0))
+    listener.close()
+    assert not isinstance(listener.address, str)
+    return listener.address[1]
+
+
+def play(folder: Path, body: Callable[[Day], Co[None]]) -> None:
+    """Run a test's coroutine beside everything else on one loop."""
+    loop = EpollLoop(1)
+
+    def main(scope: Scope) -> Co[None]:
+        yield from body(Day(loop, scope, folder))
+        scope.cancel()
+
+    try:
+        loop.run(lambda: in_scope(main))
+    finally:
+        loop.close()
--- /dev/null
+++ b/tests/node/test_bulletin.py
@@ -0,0 +1,133 @@
+"""The bulletin's events and the configuration: what is taken, what is passed over, what is refused."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sprucepost import interface as i
+from sprucepost.node.bounds import Malformed
+from sprucepost.node.bulletin import Bulletin, Told
+from sprucepost.node.config import ConfigError, read
+from tests.node.platform import settings
+
+
+def bulletin() -> Bulletin:
+    return Bulletin(("room-a", "room-b"), (i.MachineKind("std", 32.0, 64.0),))
+
+
+def entry(uid: str = "s-1", **changes: Any) -> dict[str, Any]:
+    return {
+        "uid": uid, "endpoint": "127.0.0.1:29", "az": "room-b", "model": "std", "pod_group": 2, "state": "SERVING",
+        "boot_ms": 0, "open": [4, 5.5], **changes,
+    }  # fmt: skip
+
+
+def document(*events: tuple[int, bool, list[Any]], last: int | None = None) -> dict[str, Any]:
+    items = [{"no": no, "roster": {"rev": no, "all": whole, "targets": listed}} for no, whole, listed in events]
+    return {"no": last or max((no for no, _, _ in events), default=0), "items": items}
+
+
+def take(board: Bulletin, *events: tuple[int, bool, list[Any]]) -> Told:
+    told = board.take(document(*events))
+    assert told is not None
+    return told
+
+
+def test_the_whole_list_then_what_has_changed() -> None:
+    board = bulletin()
+    told = take(board, (1, True, [entry("s-1"), entry("s-2")]))
+    assert told.list.kind is i.ListKind.FULL and told.addresses["s-1"] == ("127.0.0.1", 29)
+    first = told.list.entries[0]
+    assert (first.zone, first.cell, first.kind, first.free_cores, first.free_memory) == (1, 2, 0, 4.0, 5.5)
+    told = take(board, (2, False, [entry("s-1", state="DRAINING")]), (3, False, [entry("s-2", state="DELETED")]))
+    assert told.list.kind is i.ListKind.DELTA
+    assert {e.machine: e.state.name for e in told.list.entries} == {"s-1": "DRAINING", "s-2": "GONE"}
+    assert board.last == 3 and list(board.entries) == ["s-1"]
+
+
+def test_numbers_given_again_or_gone_back_change_nothing() -> None:
+    board = bulletin()
+    take(board, (1, True, [entry("s-1", state="DRAINING")]))
+    assert board.take(document((1, True, [entry("s-1")]))) is None
+    assert board.take(document(last=0)) is None
+    assert board.last == 1 and board.entries["s-1"].state is i.MachineState.DRAINING
+
+
+def test_a_number_left_out_asks_for_the_whole_list() -> None:
+    board = bulletin()
+    take(board, (1, True, [entry("s-1")]))
+    told = take(board, (3, False, [entry("s-2")]))
+    assert not told.list.entries and told.faults and board.last == 0
+    told = take(
+        board, (1, True, [entry("s-1")]), (2, False, [entry("s-1", state="DELETED")]), (3, False, [entry("s-2")])
+    )
+    assert told.list.kind is i.ListKind.FULL and list(board.entries) == ["s-2"] and board.last == 3
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"uid": ""}, {"uid": 7}, {"state": "RESTING"}, {"az": "attic"}, {"model": "huge"}, {"pod_group": "x"},
+        {"endpoint": "nowhere"}, {"endpoint": "127.0.0.1:0"}, {"endpoint": 5}, {"open": [1]}, {"open": [1, float("nan")]},
+        {"open": ["1", "2"]}, {"boot_ms": float("inf")}, {"boot_ms": 10**400},
+    ],
+)  # fmt: skip
+def test_one_bad_entry_hurts_no_other(bad: dict[str, Any]) -> None:
+    board = bulletin()
+    take(board, (1, True, [entry("s-1")]))
+    told = take(board, (2, False, [entry("s-2"), {**entry("s-1", state="DRAINING"), **bad}]))
+    assert [e.machine for e in told.list.entries] == ["s-2"] and len(told.faults) == 1
+    assert board.entries["s-1"].state is i.MachineState.READY and board.last == 2
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"[]", b'{"no":1}', b'{"no":1,"items":[{"ro', b'{"no":1,"items":[7]}', b"\xff", b"[" * 9000]
+)
+def test_a_document_that_cannot_be_read_changes_nothing(data: bytes) -> None:
+    board = bulletin()
+    take(board, (1, True, [entry("s-1")]))
+    with pytest.raises(Malformed):
+        board.read(data)
+    assert board.last == 1
+
+
+def good(**changes: Any) -> dict[str, Any]:
+    return {
+        "name": "n3", "listen": "127.0.0.1:2905", "seed": "8c1f30d27a5be964", "bulletin": "127.0.0.1:2379",
+        "limits": {"memory_mb": 64, "sockets": 256}, "known": None, "settings": settings(), **changes,
+    }  # fmt: skip
+
+
+def test_the_configuration(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(good()))
+    config = read({"BALANCER_CONFIG": str(path)})
+    assert config.listen == ("127.0.0.1", 2905) and config.limits.sockets == 256 and config.seed == 0x8C1F30D27A5BE964
+    assert config.report_fields == ("free_cores", "free_memory", "queue") and config.grace_ms == 1000.0
+    data = good()
+    del data["listen"]
+    path.write_text(json.dumps(data))
+    assert read({"BALANCER_CONFIG": str(path), "BALANCER_LISTEN": "127.0.0.2:1"}).listen == ("127.0.0.2", 1)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        "", "[]", "{", json.dumps(good(listen="here")), json.dumps(good(bulletin=None)), json.dumps(good(settings=7)),
+        json.dumps(good(settings=settings(rules={}))), json.dumps(good(limits={"sockets": -1})),
+        json.dumps(good(seed="xyz")), json.dumps(good(settings=settings(classes=[]))),
+    ],
+)  # fmt: skip
+def test_a_configuration_that_cannot_be_used_is_one_line(tmp_path: Path, data: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(data)
+    with pytest.raises(ConfigError) as found:
+        read({"BALANCER_CONFIG": str(path)})
+    assert str(path) in str(found.value) and "\n" not in str(found.value)
+    for environment in ({}, {"BALANCER_CONFIG": str(tmp_path / "none")}):
+        with pytest.raises(ConfigError):
+            read(environment)
--- /dev/null
+++ b/tests/node/test_codecs.py
@@ -0,0 +1,121 @@
+"""Both codecs: any split of the bytes gives the same messages, any bytes messages or the one error; memory is bounded."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucepost.node import binary, jsonl
+from sprucepost.node.binary import Code, Kind
+from sprucepost.node.bounds import MOST
+from sprucepost.node.jsonl import Word
+
+SID = "9b1f03aa5c7e2d41"
+texts = st.text(st.characters(exclude_categories=["Cs"]), max_size=60)
+messages = st.lists(
+    st.builds(
+        lambda kind, sid, values: binary.encode(kind, f"{sid:016x}", values.items()),
+        st.sampled_from(Kind),
+        st.integers(0, 2**64 - 1),
+        st.dictionaries(st.sampled_from(Code), st.binary(max_size=80), max_size=4),
+    ),
+    max_size=4,
+)
+lines = st.lists(
+    st.builds(
+        lambda word, sid, attrs, code, text: jsonl.encode(word, f"{sid:016x}", attrs, code, jsonl.quoted(text)),
+        st.sampled_from(Word),
+        st.integers(0, 2**64 - 1),
+        st.dictionaries(texts, texts, max_size=3),
+        st.none() | st.integers(0, 255),
+        texts,
+    ),
+    max_size=4,
+)
+
+
+def decoded(decoder: Any, data: bytes, cuts: list[int]) -> tuple[list[Any], bool]:
+    found: list[Any] = []
+    at = 0
+    for cut in sorted({min(cut, len(data)) for cut in cuts} | {len(data)}):
+        found += decoder.feed(data[at:cut])
+        assert decoder.waiting <= MOST
+        at = cut
+    return found, decoder.error is not None
+
+
+@pytest.mark.parametrize("codec", [binary, jsonl])
+@given(data=st.data())
+def test_any_split_gives_the_same_and_any_bytes_give_messages_or_the_error(codec: Any, data: st.DataObject) -> None:
+    whole = data.draw(messages if codec is binary else lines)
+    tail = data.draw(st.binary(max_size=40))
+    cuts = data.draw(st.lists(st.integers(0, 600), max_size=8))
+    raw = b"".join(whole) + tail
+    once = decoded(codec.Decoder(), raw, [])
+    assert decoded(codec.Decoder(), raw, cuts) == once
+    assert len(once[0]) >= len(whole)
+
+
+@given(texts, st.dictionaries(st.sampled_from(["left", "key"]), texts))
+def test_a_description_passes_unchanged_both_ways(text: str, attrs: dict[str, str]) -> None:
+    [line] = jsonl.Decoder().feed(jsonl.encode(Word.OPEN, SID.upper(), attrs, text=jsonl.quoted(text)))
+    assert (line.text, line.attrs, line.sid) == (text, attrs, SID)
+    [message] = binary.Decoder().feed(binary.encode(Kind.ANSWER, SID, [(Code.DESCRIPTION, text.encode())]))
+    assert message.parameters[Code.DESCRIPTION].decode() == text and message.task == SID
+
+
+def test_the_wire_is_as_the_protocol_says() -> None:
+    assert binary.encode(Kind.RELEASE, SID, [(Code.CAUSE, b"\x22")]).hex() == "000d0c9b1f03aa5c7e2d41de000122"
+    line = json.loads(jsonl.encode(Word.CLOSE, SID, code=34))
+    assert line == {"msg": "close", "sid": SID, "attrs": {}, "code": 34}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x08" + bytes(8),  # shorter than a type and an id
+        b"\xff\xff" + bytes(9),  # longer than a message may be, known from its length alone
+        b"\x00\x0a" + bytes(9) + b"\xe1",  # a parameter without its length
+        b"\x00\x0c" + bytes(9) + b"\xe1\x00\x09",  # a parameter longer than its message
+        b"\x00\x0f" + bytes(9) + b"\xe1\x00\x00\xe1\x00\x00",  # one that comes twice
+    ],
+)
+def test_a_binary_message_that_cannot_be_read(data: bytes) -> None:
+    decoder = binary.Decoder()
+    assert decoder.feed(data) == [] and decoder.error is not None
+    assert decoder.feed(binary.encode(Kind.TEST, SID)) == [] and decoder.waiting == 0
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "", "[]", "nonsense", '"open"', "[" * 9000, "\xff", '{"msg":"open"}', f'{{"msg":"dance","sid":"{SID}"}}',
+        '{"msg":"close","sid":"0"}', '{"msg":"close","sid":12}', f'{{"msg":"close","sid":"{SID}x"}}',
+        f'{{"msg":"close","sid":"{SID}","code":"34"}}', f'{{"msg":"close","sid":"{SID}","code":true}}',
+        f'{{"msg":"close","sid":"{SID}","code":1e400}}', f'{{"msg":"event","sid":"{SID}","attrs":[]}}',
+        f'{{"msg":"event","sid":"{SID}","attrs":{{"a":null}}}}',
+        f'{{"msg":"event","sid":"{SID}","attrs":{{"a":{"9" * 5000}}}}}',
+        f'{{"msg":"ready","sid":"{SID}","text":7}}', f'{{"msg":"ready","sid":"{SID}","text":"\\ud800"}}',
+    ],
+)  # fmt: skip
+def test_a_line_that_cannot_be_read(line: str) -> None:
+    decoder = jsonl.Decoder()
+    assert decoder.feed(line.encode("latin-1") + b"\n") == [] and decoder.error is not None
+    assert decoder.feed(jsonl.encode(Word.PROBE, SID)) == []
+
+
+def test_a_line_that_keeps_coming_ends_at_the_bound() -> None:
+    decoder = jsonl.Decoder()
+    for _ in range(MOST // 64 - 1):
+        decoder.feed(b"x" * 64)
+    assert decoder.error is None
+    decoder.feed(b"x" * 64)
+    assert decoder.error is not None and decoder.waiting == 0
+    with pytest.raises(ValueError):
+        jsonl.encode(Word.READY, SID, text=jsonl.quoted("x" * MOST))
+    with pytest.raises(ValueError):
+        binary.encode(Kind.ANSWER, SID, [(Code.DESCRIPTION, b"x" * MOST)])
--- /dev/null
+++ b/tests/node/test_service.py
@@ -0,0 +1,396 @@
+"""A real placer on loopback with a stand-in of the platform around it."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sprucepost.loop import Co, connect, current, sleep
+from sprucepost.node import binary, feed, hosts, owners, service
+from sprucepost.node.binary import Code, Kind
+from sprucepost.node.jsonl import Line, Word
+from tests.node.platform import DESCRIPTION, Day, Host, Link, answers, heard, play, setup
+from tests.wire.support import wait_for
+
+SIDS = [f"9b1f03aa5c7e2d{n:02x}" for n in range(40)]
+Body = Callable[[Day], Co[None]]
+
+
+def placed(day: Day, owner: Link, sid: str, **changes: Any) -> Co[str]:
+    """A set-up, and the description that its answer brought."""
+    owner.transport.write(setup(sid, **changes))
+    message = yield from heard(owner, sid, Kind.ANSWER)
+    return message.parameters[Code.DESCRIPTION].decode()
+
+
+def silent(link: Link, line: Line) -> None:
+    """What a host does that says nothing."""
+
+
+def test_set_up_answer_notes_release_and_test(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        owner.transport.write(binary.encode(Kind.TEST, SIDS[0], [(Code.CAUSE, b"\0")]))
+        assert (yield from heard(owner, SIDS[0], Kind.TESTED)).cause == 1
+        text = yield from placed(day, owner, SIDS[1])
+        assert text == host.made(SIDS[1])
+        [line] = host.lines(Word.OPEN)
+        assert line.text == SIDS[1] + DESCRIPTION
+        host.links[0].say(Word.EVENT, SIDS[1], {"note": "runs", "value": "1"})
+        host.links[0].say(Word.CLOSE, SIDS[1].upper(), {"load": "x0:30;x1:60;backlog:0"}, code=16)
+        message = yield from heard(owner, SIDS[1], Kind.RELEASE)
+        assert message.cause == 16 and day.standing() == 0
+        yield from placed(day, owner, SIDS[2])
+        owner.transport.write(binary.encode(Kind.RELEASE, SIDS[2], [(Code.CAUSE, b"\x1f")]))
+        yield from wait_for(lambda: host.lines(Word.CLOSE))
+        assert host.lines(Word.CLOSE)[0].sid == SIDS[2] and day.standing() == 0
+
+    play(tmp_path, body)
+
+
+def test_a_refusal_says_how_long_to_stay_away_and_comes_at_once(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        host.on_open = lambda link, line: link.say(Word.CLOSE, line.sid, {}, code=47)
+        day.start()
+        owner = yield from day.owner()
+        began = day.loop.now()
+        owner.transport.write(setup(SIDS[0]))
+        message = yield from heard(owner, SIDS[0], Kind.RELEASE)
+        assert message.cause == 34 and int(message.parameters[Code.STAY_AWAY]) >= 0
+        assert len(host.lines(Word.OPEN)) == 3 and day.loop.now() - began < 1500
+
+    play(tmp_path, body)
+
+
+def test_a_release_waits_at_a_host_whose_connection_ended(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        host.links[0].transport.abort()
+        yield from wait_for(lambda: len(host.links) == 2, 1000)
+        assert day.standing() == 1 and not day.service.counters["lost_refused"]
+        host.links[1].say(Word.CLOSE, SIDS[0], code=16)
+        assert (yield from heard(owner, SIDS[0], Kind.RELEASE)).cause == 16
+
+    play(tmp_path, body)
+
+
+def test_a_process_that_died_releases_its_tasks_and_one_at_its_address_is_another(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        first, other = day.host("s-1"), day.host("s-2")
+        other.on_open = silent
+        day.start(known={"no": 1, "items": [_event(1, first.entry())]})
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        first.die()
+        assert (yield from heard(owner, SIDS[0], Kind.RELEASE)).cause == 41
+        yield from wait_for(lambda: day.service.counters["lost_refused"] == 1)
+
+        day.paper.tell(other.entry())
+        day.paper.tell(other.entry())  # the first number is held
+        yield from wait_for(lambda: "s-2" in day.service.hosts.hosts)
+        other.on_open = lambda link, line: link.say(Word.READY, line.sid, text="x")
+        yield from placed(day, owner, SIDS[1])
+        newer = Host(day, "s-3")
+        day.paper.tell(newer.entry(endpoint=other.entry()["endpoint"]))
+        assert (yield from heard(owner, SIDS[1], Kind.RELEASE)).cause == 41
+        assert "s-2" not in day.service.hosts.hosts
+
+    play(tmp_path, body)
+
+
+def test_a_silent_host_is_tested_and_its_tasks_released_in_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(hosts, "QUIET_MS", 100.0)
+    monkeypatch.setattr(hosts, "SILENT_MS", 1200.0)
+    monkeypatch.setattr(hosts, "TEST_MS", 300.0)
+    monkeypatch.setattr(service, "TICK_MS", 50.0)
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        yield from sleep(1800)
+        assert day.standing() == 1 and len(host.lines(Word.PROBE)) > 5, "tests that are answered keep it"
+        host.tests = False
+        began = day.loop.now()
+        assert (yield from heard(owner, SIDS[0], Kind.RELEASE)).cause == 41
+        assert 1000 < day.loop.now() - began < 1800
+        host.tests = True
+        yield from wait_for(lambda: [line for line in host.lines(Word.CLOSE) if line.sid == SIDS[0]])
+
+    play(tmp_path, body)
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        b"\xff\xfenoise\n", b'{"msg":"ready","sid":"' + SIDS[0].encode() + b'","attrs":{},"text":"cut\n',
+        b'{"msg":"close","sid":"0","attrs":{},"code":47}\n', b"x" * 70_000, None,
+    ],
+)  # fmt: skip
+def test_a_spoilt_answer_ends_its_connection_alone(tmp_path: Path, spoil: bytes | None) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[1])
+
+        def once(link: Link, line: Line) -> None:
+            host.on_open = lambda link, line: link.say(Word.READY, line.sid, text=host.made(line.sid))
+            if spoil is None:
+                link.transport.abort()
+            else:
+                link.transport.write(spoil)
+
+        host.on_open = once
+        assert (yield from placed(day, owner, SIDS[0])) == host.made(SIDS[0]), "a safe task is tried again"
+        assert day.standing() == 2 and len(host.lines(Word.OPEN)) == 3
+        assert day.service.counters["ended_reset"] == 1 and not owner.ended
+
+    play(tmp_path, body)
+
+
+def test_words_of_a_first_try_do_not_answer_the_second_at_the_same_host(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        tries: list[Link] = []
+
+        def late(link: Link, line: Line) -> None:
+            tries.append(link)
+            if len(tries) == 2:
+                tries[0].say(Word.READY, line.sid, text="of the first try")
+                day.loop.call_later(30, lambda: link.say(Word.READY, line.sid, text="of the second"))
+
+        host.on_open = late
+        day.start()
+        owner = yield from day.owner()
+        assert (yield from placed(day, owner, SIDS[0])) == "of the second"
+        assert tries[0] is not tries[1] and [line.code for line in host.lines(Word.CLOSE)] == [16]
+
+    play(tmp_path, body)
+
+
+def test_an_answer_that_stops_short_and_answers_that_bring_more(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+
+        def more(link: Link, line: Line) -> None:
+            link.say(Word.READY, "f" * 16, text="of nobody")
+            link.say(Word.READY, line.sid, text="first")
+            link.say(Word.READY, line.sid, text="second")
+
+        def short(link: Link, line: Line) -> None:
+            host.on_open = more
+            link.transport.write(b'{"msg":"ready","sid":"')
+
+        host.on_open = short
+        day.start()
+        owner = yield from day.owner()
+        assert (yield from placed(day, owner, SIDS[0])) == "first"
+        yield from sleep(50)
+        assert [m.kind for m in answers(owner, SIDS[0])] == [Kind.ANSWER] and len(owner.got) == 1
+        assert day.service.counters["late_words"] == 2
+
+    play(tmp_path, body)
+
+
+def test_an_owners_connection_ends_before_its_answer_and_before_its_release(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        host.on_open = silent
+        day.start()
+        owner = yield from day.owner()
+        owner.transport.write(setup(SIDS[0]))
+        yield from wait_for(lambda: host.lines(Word.OPEN))
+        owner.transport.close()
+        yield from wait_for(lambda: host.lines(Word.CLOSE))
+        assert host.lines(Word.CLOSE)[0].code == 16 and day.service.tasks.ledger.open == 0
+
+        host.on_open = lambda link, line: link.say(Word.READY, line.sid, text="x")
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[1])
+        yield from placed(day, owner, SIDS[2])
+        owner.transport.close()
+        yield from wait_for(lambda: not day.service.owners.links)
+        host.links[-1].say(Word.CLOSE, SIDS[1], code=16)
+        yield from wait_for(lambda: day.standing() == 1)
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[3])
+        assert (yield from heard(owner, SIDS[1], Kind.RELEASE)).cause == 16
+        owner.transport.write(binary.encode(Kind.RELEASE, SIDS[2], [(Code.CAUSE, b"\x10")]))  # not where it came
+        yield from wait_for(lambda: day.standing() == 1)
+
+    play(tmp_path, body)
+
+
+def _event(number: int, *entries: dict[str, Any]) -> dict[str, Any]:
+    return {"no": number, "roster": {"rev": number, "all": number == 1, "targets": list(entries)}}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xff" + bytes(200), b"\x00\x01", b"\x00\x20half", b"", setup(SIDS[0], CLASS="nobody"), setup("0" * 16),
+        setup(SIDS[0]) + setup(SIDS[0], DESCRIPTION="another"), setup(SIDS[0], LEFT="nan"), b"GET / HTTP/1.1\r\n\r\n",
+        b"".join(setup(sid) + binary.encode(Kind.RELEASE, sid, [(Code.CAUSE, b"\x10")]) for sid in SIDS),
+        binary.encode(Kind.RELEASE, "f" * 16, [(Code.CAUSE, b"\x10")]), b"\x40\x00" + bytes(20_000),
+    ],
+)  # fmt: skip
+def test_bad_owners_are_refused_or_closed_in_time_and_hurt_nobody(tmp_path: Path, data: bytes) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        usual, bad = (yield from day.owner()), (yield from day.owner())
+        yield from placed(day, usual, SIDS[-1], DESCRIPTION="usual")
+        bad.transport.write(data)
+        yield from wait_for(lambda: bad.ended or bad.got, 2900)
+        assert all(message.kind == Kind.RELEASE for message in bad.got)
+        assert day.service.tasks.ledger.open == 0 and len(host.lines(Word.OPEN)) == 1
+        assert not usual.ended and (yield from placed(day, usual, SIDS[-2]))
+
+    play(tmp_path, body)
+
+
+def test_hundreds_that_say_nothing_leave_room_for_the_usual_owners(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start()
+        usual = yield from day.owner()
+        yield from placed(day, usual, SIDS[0])
+        task = yield from current()
+        idle = []
+        for _ in range(100):
+            idle.append((yield from connect(day.loop, task, day.service.config.listen, 1000.0)))
+        newer = yield from day.owner()
+        yield from placed(day, newer, SIDS[1])
+        assert len(day.service.owners.links) <= 32 and not usual.ended
+        yield from wait_for(lambda: len(day.service.owners.links) == 2, owners.UNPROVEN_MS + 1000)
+        for transport in idle:
+            transport.abort()
+
+    play(tmp_path, body)
+
+
+def test_the_bulletin_breaks_off_falls_silent_and_moves(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feed, "PATIENCE_MS", 200.0)
+    monkeypatch.setattr(feed, "GRACE_MS", 100.0)
+
+    def body(day: Day) -> Co[None]:
+        first, second = day.host("s-1"), day.host("s-2")
+        day.start()
+        seen = day.service.tasks.closed
+        yield from wait_for(lambda: day.paper.asked)
+        day.paper.mode = "breaks"
+        day.paper.tell(first.entry(state="DRAINING"))
+        yield from wait_for(lambda: day.paper.asked.count(1) > 2)
+        assert "s-1" not in seen and day.service.feed.bulletin.last == 1
+        day.paper.mode = "answers"
+        yield from wait_for(lambda: "s-1" in seen, 1500)
+        day.paper.mode = "silent"
+        day.paper.tell(first.entry(), second.entry(state="DRAINING"))
+        yield from sleep(400)
+        day.paper.mode = "answers"
+        yield from wait_for(lambda: seen == {"s-2"}, 1500)
+        owner = yield from day.owner()
+        for sid in SIDS[:8]:
+            yield from placed(day, owner, sid, FIGURES=f"cores:1;memory:1;service:{sid}")
+        assert not second.lines(Word.OPEN)
+
+        old, day.paper = day.paper, type(day.paper)(day)
+        day.paper.items = list(old.items)
+        environment = day.service._environment
+        good = Path(environment["BALANCER_CONFIG"]).read_text()
+        Path(environment["BALANCER_CONFIG"]).write_text(good[:-9])
+        day.service.reload()
+        assert day.service.feed.address == day.service.config.bulletin
+        Path(environment["BALANCER_CONFIG"]).write_text(json.dumps({**json.loads(good), "bulletin": day.paper.address}))
+        day.service.reload()
+        yield from wait_for(lambda: day.paper.asked)
+        assert day.paper.asked[0] == 3, "the numbers go on"
+        day.paper.tell(second.entry())
+        yield from wait_for(lambda: not seen)
+        assert [json.loads(line)["event"] for line in day.lines].count("reload_refused") == 1
+
+    play(tmp_path, body)
+
+
+def test_a_stop_answers_all_that_was_taken_and_refuses_what_comes_late(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(service, "LEAVE_MS", 300.0)
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        day.service.leave()
+        owner.transport.write(binary.encode(Kind.TEST, SIDS[9], [(Code.CAUSE, b"\0")]))
+        assert (yield from heard(owner, SIDS[9], Kind.TESTED)).cause == 0
+        yield from placed(day, owner, SIDS[1])
+        second = yield from day.owner()
+        yield from placed(day, second, SIDS[2])
+        slow: list[Link] = []
+        host.on_open = lambda link, line: slow.append(link)
+        owner.transport.write(setup(SIDS[3]))
+        yield from sleep(400)
+        assert not day.service._ended
+        owner.transport.write(setup(SIDS[4]))
+        assert (yield from heard(owner, SIDS[4], Kind.RELEASE)).cause == 34
+        slow[-1].say(Word.READY, SIDS[3], text="late")
+        yield from heard(owner, SIDS[3], Kind.ANSWER)
+        yield from wait_for(lambda: day.service._ended, 1000)
+        assert not [line for line in host.lines(Word.CLOSE) if line.sid != SIDS[3]], "standing tasks run on"
+
+    play(tmp_path, body)
+
+
+def test_the_program_starts_lean_survives_sighup_and_ends_well(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.paper.tell(day.hosts["s-1"].entry(), everything=True)
+        environment = dict(day.environment())
+        code = (
+            "import sys, runpy, atexit; sys.argv = ['sprucepost', 'node'];"
+            "atexit.register(lambda: print(sorted({m.split('.')[0] for m in sys.modules}), file=sys.stderr));"
+            "runpy.run_module('sprucepost', run_name='__main__')"
+        )
+        with subprocess.Popen(
+            [sys.executable, "-c", code], env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+        ) as process:
+            assert process.stdout is not None and process.stderr is not None
+            assert json.loads(process.stdout.readline())["event"] == "ready"
+            process.send_signal(signal.SIGHUP)
+            assert json.loads(process.stdout.readline())["event"] == "reloaded"
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(10) == 0
+            loaded = process.stderr.read()
+        assert "h11" in loaded
+        assert not [name for name in ("google", "h2", "msgspec", "click", "structlog") if f"'{name}'" in loaded]
+        yield from sleep(0)
+
+    play(tmp_path, body)
+
+
+def test_a_placer_that_cannot_start_says_why_in_one_line(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text("{}")
+    for environment in ({}, {"BALANCER_CONFIG": str(tmp_path / "config.json")}):
+        done = subprocess.run(
+            [sys.executable, "-m", "sprucepost", "node"], env=environment, capture_output=True, text=True, check=False
+        )
+        assert done.returncode == 2 and done.stderr.count("\n") == 1 and done.stderr.startswith("sprucepost: ")
--- /dev/null
+++ b/tests/node/test_tasks.py
@@ -0,0 +1,311 @@
+"""The walk of a task without sockets: each row of its table, on virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from sprucepost import interface as i
+from sprucepost.adapter import settings_from
+from sprucepost.node import binary, jsonl, words
+from sprucepost.node.jsonl import Line, Word
+from sprucepost.node.tasks import LATE_MS, Out, Tasks
+from sprucepost.node.words import Refused, SetUp, Words
+from sprucepost.placing.desk import Desk
+from tests.node.platform import settings, setup
+from tests.placing.support import VirtualLoop
+
+SID = "9b1f03aa5c7e2d41"
+WORDS = Words(settings_from(settings()))
+
+
+def read(sid: str = SID, **changes: Any) -> SetUp:
+    [message] = binary.Decoder().feed(setup(sid, **changes))
+    return WORDS.set_up(message)
+
+
+class Around:
+    """Owners and hosts that only write down; a host's connection is always there unless ``down``."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.loop = VirtualLoop()
+        self.counters: Counter[str] = Counter()
+        found = settings_from(settings(**changes))
+        desk = Desk(self.loop, found, 1, 0.05, lambda: None, lambda *a, **k: None, self.counters)
+        self.tasks = Tasks(
+            self.loop,
+            desk,
+            2.0,
+            lambda text: words.load(text, ("x0", "x1"), ("free_cores", "free_memory")),
+            self.counters,
+        )
+        self.tasks.owners = self.tasks.hosts = self
+        self.desk, self.events, self.down, self.closed = desk, [], False, False
+        handle = desk.scheduler.handle
+        self.told: list[Any] = []  # what the module got
+        desk.scheduler.handle = lambda now, events: self.told.extend(events) or handle(now, events)  # type: ignore[method-assign, func-returns-value]
+        machines = tuple(
+            i.MachineEntry(name, i.MachineState.READY, zone, 0, 0, 0.0, 32.0, 64.0)
+            for zone, name in enumerate(("m0", "m1"))
+        )
+        desk.push(i.MachineList(i.ListKind.FULL, machines))
+        self.loop.pass_ms(1)
+
+    # what the walk says
+    events: list[Any]
+
+    def answer(self, sid: str, text: str) -> None:
+        self.events.append(("answer", sid, text))
+
+    def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
+        self.events.append(("refuse", sid, cause, stay_away_ms))
+
+    def release(self, link: Any, sid: str, cause: int) -> None:
+        self.events.append(("release", sid, cause))
+
+    def place(self, out: Out) -> None:
+        data = None if self.down else self.tasks.write(out)
+        if data is not None:
+            out.written = True
+            [line] = jsonl.Decoder().feed(data)
+            self.events.append(("open", out, line))
+
+    def give_up(self, out: Out) -> None:
+        self.events.append(("give up", out))
+
+    def let_go(self, machine: str, sid: str) -> None:
+        self.events.append(("let go", machine, sid))
+
+    # what comes
+    def ask(self, sid: str = SID, **changes: Any) -> None:
+        assert self.tasks.take(read(sid, **changes), self, 0.0)
+        self.loop.pass_ms(1)
+
+    def say(
+        self, word: Word, attrs: dict[str, str] | None = None, code: int | None = None, text: str | None = None
+    ) -> None:
+        """The host that has the latest offer says something on its connection."""
+        out = self.outs()[-1]
+        self.tasks.answered(out, Line(word, out.sid, attrs or {}, code, text))
+        self.loop.pass_ms(1)
+
+    def outs(self) -> list[Out]:
+        return [event[1] for event in self.events if event[0] == "open"]
+
+    def kinds(self) -> list[str]:
+        return [event[0] for event in self.events]
+
+    def last(self, kind: type[Any]) -> Any:
+        return [event for event in self.told if isinstance(event, kind)][-1]
+
+
+def standing(**changes: Any) -> Around:
+    around = Around()
+    around.ask(**changes)
+    around.say(Word.READY, text="made")
+    return around
+
+
+def test_from_set_up_to_release() -> None:
+    around = Around()
+    around.ask(KEY="k" * 32, CLASS="bill")
+    [(_, out, line)] = around.events
+    assert line.attrs["class"] == "bill" and line.attrs["idem"] == "k" * 32 and line.attrs["key"] == f"task-{SID[-4:]}"
+    assert float(line.attrs["left"]) <= out.until - out.sent and line.text.startswith(SID)
+    around.say(Word.READY, text="made")
+    assert around.events[-1] == ("answer", SID, "made") and around.last(i.Accepted).request == out.entry.request
+    around.tasks.heard(out.machine, Line(Word.EVENT, SID, {"note": "cores", "value": "0.5"}))
+    around.loop.pass_ms(1)
+    assert around.last(i.Note) == i.Note(out.entry.request, 0, i.NoteKind.CORES_USED, 0.5)
+    around.tasks.heard(out.machine, Line(Word.CLOSE, SID, {"load": "x0:3;x1:4;other:x"}, 16))
+    around.loop.pass_ms(1)
+    assert around.events[-1] == ("release", SID, 16) and around.last(i.Outcome).report == i.LoadReport(3.0, 4.0)
+    assert not around.tasks.standing and len(around.tasks.ledger) == 0
+
+
+@pytest.mark.parametrize(
+    "code, ending",
+    [(34, "full"), (47, "error"), (102, "moot"), (41, "reset"), (16, "reset"), (99, "reset"), (None, "reset")],
+)
+def test_what_a_cause_before_the_answer_means(code: int | None, ending: str) -> None:
+    around = Around()
+    around.ask()
+    around.say(Word.CLOSE, {"note": "no_memory"}, code)
+    outcome = next(event for event in around.told if isinstance(event, i.Outcome))
+    assert (outcome.ending.value, outcome.closed, outcome.reason) == (ending, False, i.Reason.NO_MEMORY)
+
+
+@pytest.mark.parametrize("code, released", [(16, 16), (41, 41), (99, 41), (31, None)])
+def test_what_a_cause_after_the_answer_means(code: int, released: int | None) -> None:
+    around = standing()
+    around.tasks.heard(around.outs()[0].machine, Line(Word.CLOSE, SID, {}, code))
+    around.loop.pass_ms(1)
+    found = [event for event in around.events if event[0] == "release"]
+    assert found == ([("release", SID, released)] if released else [])
+    assert around.last(i.Outcome).closed and not around.tasks.standing
+
+
+def test_what_the_module_gives_up_on_is_answered_at_once() -> None:
+    """A task that has been tried as often as it may is refused in that turn, not near its owner's end."""
+    around = Around()
+    around.ask()
+    for _ in range(3):
+        around.say(Word.CLOSE, {}, 47)
+    assert around.events[-1][:3] == ("refuse", SID, 34) and around.loop.now() < 1_000_000.0 + 500.0
+    around.loop.pass_ms(4000)
+    assert around.kinds().count("refuse") == 1
+
+
+def test_a_keyed_task_that_may_run_fails_where_it_is_not_answered_in_time() -> None:
+    around = Around()
+    around.ask(CLASS="bill", KEY="k", LEFT="900")
+    around.loop.pass_ms(1000)
+    assert [event[1:] for event in around.events if event[0] == "refuse"] == [(SID, 41, 0.0)]
+    assert around.counters["timeouts"] >= 1 and around.kinds().count("give up") == len(around.outs())
+
+
+def test_one_attempt_is_given_up_before_the_next_goes_out() -> None:
+    around = Around()
+    around.ask()
+    around.loop.pass_ms(2500)
+    kinds = [kind for kind in around.kinds() if kind in ("open", "give up")]
+    assert (
+        len(kinds) >= 4 and kinds[::2] == ["open"] * len(kinds[::2]) and kinds[1::2] == ["give up"] * len(kinds[1::2])
+    )
+
+
+def test_an_offer_that_could_not_be_written_never_ran() -> None:
+    around = Around()
+    around.down = True
+    around.ask(CLASS="bill", KEY="k", LEFT="900")
+    around.loop.pass_ms(1000)
+    assert around.counters["unsent"] >= 1 and around.events[-1][:3] == ("refuse", SID, 34)
+
+
+def test_what_waited_goes_out_with_what_is_left_and_not_to_a_host_that_drains() -> None:
+    around = Around()
+    around.down = True
+    around.ask()
+    [out] = [entry.ask.out for entry in around.tasks.ledger.open_entries()]
+    around.loop.pass_ms(40)
+    data = around.tasks.write(out)
+    assert data is not None and float(jsonl.Decoder().feed(data)[0].attrs["left"]) <= out.until - out.sent - 39
+    around.tasks.close(out.machine, True)
+    assert around.tasks.write(out) is None
+    around.tasks.close(out.machine, False)
+    around.loop.pass_ms(out.until - around.loop.now() - 1.5)
+    assert around.tasks.write(out) is None
+
+
+def test_an_owner_gives_up_at_every_stage() -> None:
+    held = Around()
+    held.desk.push(i.MachineList(i.ListKind.FULL, ()))
+    held.loop.pass_ms(1)
+    held.ask()
+    held.tasks.owner_released(SID)
+    out = Around()
+    out.ask()
+    out.tasks.owner_gone([SID])
+    for around in (held, out):
+        around.loop.pass_ms(4000)
+        assert around.last(i.Gone) and "refuse" not in around.kinds() and around.tasks.ledger.open == 0
+    assert out.kinds() == ["open", "give up"] and out.last(i.Outcome).ending is i.Ending.CANCELLED
+    placed = standing()
+    placed.tasks.owner_released(SID)
+    placed.tasks.owner_released(SID)
+    assert placed.kinds()[-1] == "let go" and placed.kinds().count("let go") == 1 and not placed.tasks.standing
+
+
+def test_what_a_host_holds_already_is_not_placed_and_not_answered() -> None:
+    around = Around()
+    around.ask(FIGURES="cores:1;memory:2;service:s;at:m1", LEFT="4294967")
+    around.ask(FIGURES="cores:1;memory:2;service:s;at:m1")  # named again, though it is held
+    assert around.events == [] and around.last(i.TaskFound).machine == "m1" and around.counters["found"] == 1
+    around.tasks.heard("m0", Line(Word.CLOSE, SID, {}, 16))  # another host's word on it
+    assert around.events == [] and around.counters["late_words"] == 1
+    around.tasks.heard("m1", Line(Word.CLOSE, SID, {}, 16))
+    assert around.events == [("release", SID, 16)]
+
+
+def test_an_id_in_use_is_not_taken_twice() -> None:
+    around = Around()
+    around.ask()
+    assert not around.tasks.take(read(DESCRIPTION="another"), around, 0.0)
+    around.say(Word.READY, text="made")
+    assert not around.tasks.take(read(), around, 0.0)
+    assert len(around.outs()) == 1
+
+
+def test_words_that_nobody_waits_for_change_nothing() -> None:
+    around = standing()
+    out = around.outs()[0]
+    for line in (
+        Line(Word.READY, SID, text="again"),
+        Line(Word.READY, "0" * 15 + "1", text="whose"),
+        Line(Word.CLOSE, "f" * 16, {}, 16),
+    ):
+        around.tasks.heard(out.machine, line)
+    around.tasks.end(out, i.Ending.RESET)
+    assert around.kinds() == ["open", "answer"] and around.counters["late_words"] == 3
+    around.tasks.heard(out.machine, Line(Word.CLOSE, SID, {}, 16))
+    around.tasks.heard(out.machine, Line(Word.CLOSE, SID, {}, 16))
+    assert around.kinds().count("release") == 1
+
+
+def test_a_lost_host_releases_its_tasks_those_of_its_next_life_stay() -> None:
+    around = standing()
+    machine = around.outs()[0].machine
+    assert around.tasks.lost(machine, "restarted", before=around.loop.wall() - 1000.0) == 0
+    assert around.tasks.lost(machine, "silent") == 1 and around.events[-1] == ("release", SID, 41)
+    assert around.tasks.lost(machine, "silent") == 0
+
+
+def test_nothing_is_kept_of_what_is_over() -> None:
+    """Thousands of tasks, each of a service of its own, leave nothing behind: ids, services, attempts, orders."""
+    around = Around()
+    for n in range(600):
+        sid = f"{n + 1:016x}"
+        around.ask(sid, FIGURES=f"cores:1;memory:2;service:{n:x}")
+        if n % 3:
+            around.say(Word.READY, text="made")
+            around.tasks.heard(around.outs()[-1].machine, Line(Word.CLOSE, sid, {}, 16))
+        else:
+            around.tasks.owner_released(sid)
+        around.loop.pass_ms(20)
+        around.tasks.forget()
+        around.events.clear()
+        around.told.clear()
+    scheduler = around.desk.scheduler
+    around.loop.pass_ms(LATE_MS + 5000)
+    around.tasks.forget()
+    assert len(around.tasks.ledger) == 0 and not around.tasks.standing
+    assert not scheduler.tasks and not scheduler.attempts and not scheduler.due
+    assert len(scheduler.services) == 0 and len(scheduler.orders) == 0
+    assert all(not m.attempts and len(m.offers) <= 600 for m in scheduler.machines.values())
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"CLASS": "nobody"}, {"CLASS": None}, {"CLASS": b"\xff"}, {"LEFT": "nan"}, {"LEFT": "-5"}, {"LEFT": "0"},
+        {"LEFT": "1e300"}, {"LEFT": "soon"}, {"LEFT": None}, {"NAME": None}, {"NAME": "x" * 200}, {"NAME": "a\nb"},
+        {"FIGURES": "cores:1;memory:2"}, {"FIGURES": "cores:-1;memory:2;service:s"},
+        {"FIGURES": "cores:inf;memory:2;service:s"},
+        {"FIGURES": "cores:1;memory:1e9;service:s"}, {"FIGURES": "cores:0;memory:0;service:s"}, {"FIGURES": "x"},
+        {"FIGURES": "cores:1;cores:1;memory:2;service:s"}, {"FIGURES": None}, {"CLASS": "bill"},
+        {"DESCRIPTION": None}, {"DESCRIPTION": b"\xff\xfe"}, {"DESCRIPTION": "\u0001" * 4000},
+    ],
+)  # fmt: skip
+def test_a_set_up_that_cannot_be_taken(changes: dict[str, Any]) -> None:
+    with pytest.raises(Refused) as refused:
+        read(**changes)
+    assert refused.value.cause not in (34, 42, 102)
+
+
+def test_a_set_up_without_an_id_is_refused() -> None:
+    """Hosts end the connection on such a line, with all that is open on it."""
+    with pytest.raises(Refused):
+        read("0" * 16)
+    assert read(LEFT="1500.5").left == 1500.5
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -340,6 +340,15 @@
     assert quick is not None and quick.timeout < first.timeout
 
 
+def test_a_connection_that_broke_under_an_offer_does_not_close_the_machine() -> None:
+    """One spoilt line closed a machine for 4 s, and all others had to take its tasks."""
+    cluster = Cluster(settings(), entry("m"))
+    offer = cluster.place("s")
+    assert offer is not None
+    assert offers(cluster.end(offer, i.Ending.RESET)), "tried again there, one offer at a time"
+    assert cluster.place("other") is None
+
+
 def test_patience_grows_with_the_line_at_the_machine_up_to_twice_the_aim() -> None:
     """A machine looks at one offer at a time: with one patience for all, those at the line's end were all made twice."""
     cluster = Cluster(settings(), entry("m"))
