--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -23,7 +23,7 @@
 
 QUIET_MS = 1500.0  # a host with tasks that says nothing for so long is tested
 TEST_MS = 1000.0  # a connection on which a test is not answered within this is of no use
-SILENT_MS = 7000.0  # what is over must be released within 8 s of its end, and silence may begin with the end
+SILENT_MS = 7500.0  # what is over must be released within 8 s of its end, and silence may begin with the end
 AGAIN_MS = 200.0  # until a connection that failed is tried again, doubled for each that failed before
 AGAIN_MOST_MS = 1600.0
 TASKLESS = "0" * 16  # the id of a test
