--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -185,6 +185,33 @@
     play(tmp_path, body)
 
 
+def test_a_connect_still_under_way_when_its_host_drains_is_moot_at_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    slow: list[Any] = []
+
+    def connecting(loop: Any, task: Any, address: Any, limit_ms: float) -> Co[Any]:
+        if not slow or slow[0] == address:
+            slow[:] = [address]
+            yield from sleep(2500)
+        return (yield from connect(loop, task, address, limit_ms))
+
+    monkeypatch.setattr(hosts, "connect", connecting)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1"), day.host("s-2")
+        day.start()
+        owner = yield from day.owner()
+        owner.transport.write(setup(SIDS[0], CLASS="bill", KEY="k"))
+        yield from wait_for(lambda: slow)
+        [first] = [host for host in day.hosts.values() if host.port == slow[0][1]]
+        day.paper.tell(first.entry(state="DRAINING"))
+        yield from heard(owner, SIDS[0], Kind.ANSWER)
+        assert day.service.counters["ended_moot"] == 1 and not first.lines(Word.OPEN)
+
+    play(tmp_path, body)
+
+
 def test_an_answer_that_stops_short_and_answers_that_bring_more(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
         host = day.host("s-1")
