--- a/tests/rules/test_broken_placers.py
+++ b/tests/rules/test_broken_placers.py
@@ -97,7 +97,7 @@
 
     placer.engine.attempts.end = end  # type: ignore
     real_module = placer.engine.desk.scheduler._timeout
-    placer.engine.desk.scheduler._timeout = lambda task: min(150.0, real_module(task))  # type: ignore
+    placer.engine.desk.scheduler._timeout = lambda task, machine: min(150.0, real_module(task, machine))  # type: ignore
 
 
 def sends_two_at_once(world: World, placer: Placer) -> None:
