Node, read over: two settings that nobody read are gone

The drain's grace is not needed where nothing is written once a drain is told; a placer that listens has read what is known, so a test is answered by whether it leaves alone.

--- a/sprucepost/node/config.py
+++ b/sprucepost/node/config.py
@@ -42,7 +42,6 @@
     report_names: tuple[str, ...]
     connect_ms: float
     idle_ms: float
-    grace_ms: float
 
 
 def path_from(environment: Mapping[str, str]) -> Path:
@@ -95,7 +94,6 @@
         report_names=names,
         connect_ms=_above_zero("policy_limits.connect_timeout", settings["policy_limits"].get("connect_timeout", 250)),
         idle_ms=_above_zero("policy_limits.keepalive", settings["policy_limits"].get("keepalive", 30_000)),
-        grace_ms=_above_zero("rules.drain_grace", settings["rules"].get("drain_grace", 2_000)),
     )
 
 
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -78,7 +78,6 @@
         self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
         self._most, self._connect_ms, self._idle = most, connect_ms, idle_ms
         self.hosts: dict[str, Host] = {}
-        tasks.hosts = self
 
     # The list
 
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -72,12 +72,11 @@
         most: int,
         most_open: int,
         idle_ms: float,
-        ready: Callable[[], bool],
         log: Callable[..., None],
         counters: Counter[str],
     ) -> None:
         self.loop, self._tasks, self._words, self._log, self.counters = loop, tasks, words, log, counters
-        self._most, self._most_open, self._idle, self._ready = most, most_open, idle_ms, ready
+        self._most, self._most_open, self._idle = most, most_open, idle_ms
         self.links: dict[OwnerLink, None] = {}
         self.leaving_soon = False  # tests fail, so that nothing more is sent
         self.leaving = False  # what comes now is refused
@@ -161,7 +160,7 @@
             link.open.discard(message.task)
             self._tasks.owner_released(message.task)
         elif message.kind == Kind.TEST:
-            link.tested(message.task, self._ready() and not self.leaving_soon)
+            link.tested(message.task, not self.leaving_soon)
 
     def _set_up(self, link: OwnerLink, message: Message) -> None:
         try:
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -62,11 +62,10 @@
             sockets // 2,
             max(64, int(config.limits.memory_mb * 8)),
             config.idle_ms,
-            lambda: True,
             log,
             self.counters,
         )
-        self.tasks.owners = self.owners
+        self.tasks.owners, self.tasks.hosts = self.owners, self.hosts
         self._ended = False
 
     def start(self) -> None:
--- a/tests/node/test_bulletin.py
+++ b/tests/node/test_bulletin.py
@@ -107,7 +107,7 @@
     path.write_text(json.dumps(good()))
     config = read({"BALANCER_CONFIG": str(path)})
     assert config.listen == ("127.0.0.1", 2905) and config.limits.sockets == 256 and config.seed == 0x8C1F30D27A5BE964
-    assert config.report_fields == ("free_cores", "free_memory", "queue") and config.grace_ms == 1000.0
+    assert config.report_fields == ("free_cores", "free_memory", "queue")
     data = good()
     del data["listen"]
     path.write_text(json.dumps(data))
