Node, read over: events before an unreadable one are told; unlisted hosts are forgotten

Faults were logged twice. A bulletin that answers at once with nothing new kept the feed busy without a pause. - A task handed over at a host that no list names stood for ever, in the module too, and proved its owner's connection. - An owner whose reads all ended within a message was cut after 1.5 s, though each was another message. - A task that an owner handed back was still let go at the host when that could be reached. - An offer that waits for a connection takes the first that is free (Hosts._serve), where it waited for a new one alone, and at the bound on connections for none. One framing for both codecs (bounds.Framing) instead of two copies.

--- a/sprucepost/node/binary.py
+++ b/sprucepost/node/binary.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from sprucepost.node.bounds import MOST, Malformed
+from sprucepost.node.bounds import MOST, Framing, Malformed
 
 _HEAD = struct.Struct(">HBQ")
 _PARAMETER = struct.Struct(">BH")
@@ -56,41 +56,20 @@
         return value[0] if len(value) == 1 else None
 
 
-class Decoder:
-    """Bytes in, in any pieces; messages out, until one cannot be read: then ``error`` is set, and nothing more is taken."""
+class Decoder(Framing[Message]):
+    """An owner's bytes."""
 
-    def __init__(self) -> None:
-        self._data = bytearray()
-        self.error: Malformed | None = None
+    def _end(self, data: bytearray, at: int) -> int | None:
+        if len(data) - at < _LENGTH:
+            return None
+        length = int.from_bytes(data[at : at + _LENGTH], "big")
+        if not _HEAD.size - _LENGTH <= length <= MOST - _LENGTH:
+            raise Malformed(f"a message of {length} bytes")
+        end = at + _LENGTH + length
+        return end if end <= len(data) else None
 
-    @property
-    def waiting(self) -> int:
-        """Bytes of a message that has not come whole."""
-        return len(self._data)
-
-    def feed(self, data: bytes) -> list[Message]:
-        """The messages that are whole now, in order."""
-        if self.error is not None:
-            return []
-        self._data += data
-        found: list[Message] = []
-        at = 0
-        try:
-            while len(self._data) - at >= _LENGTH:
-                length = int.from_bytes(self._data[at : at + _LENGTH], "big")
-                if not _HEAD.size - _LENGTH <= length <= MOST - _LENGTH:
-                    raise Malformed(f"a message of {length} bytes")
-                end = at + _LENGTH + length
-                if len(self._data) < end:
-                    break
-                found.append(_message(bytes(self._data[at:end])))
-                at = end
-        except Malformed as error:
-            self.error = error
-            self._data.clear()
-            return found
-        del self._data[:at]
-        return found
+    def _read(self, data: bytes) -> Message:
+        return _message(data)
 
 
 def _message(data: bytes) -> Message:
--- a/sprucepost/node/bulletin.py
+++ b/sprucepost/node/bulletin.py
@@ -2,7 +2,7 @@
 
 Events are numbered; a document holds those after the number that was asked for. What is held is the last event taken
 whole and each host's entry. A repeated number is passed over; a number that skips some shows that something was missed,
-and the whole list is asked for again.
+and the whole list is asked for again. What comes before an event that cannot be taken counts: it is told once only.
 """
 
 from __future__ import annotations
@@ -53,20 +53,23 @@
         changed: dict[str, i.MachineEntry] = {}
         addresses: dict[str, Address] = {}
         faults: list[str] = []
-        full = skipped = False
+        full = taken = False
+        stopped = ""
         for item in items:
             number, roster = (item.get("no"), item.get("roster")) if isinstance(item, dict) else (None, None)
             if not _whole(number):
-                raise Malformed("an event without a number")
+                stopped = "an event without a number"
+                break
             if number <= self.last:
                 continue
             listed = roster.get("targets") if isinstance(roster, dict) else []
             if not isinstance(listed, list):
-                raise Malformed(f"event {number} has no list of hosts")
+                stopped = f"event {number} has no list of hosts"
+                break
             everything = isinstance(roster, dict) and roster.get("all") is True
             if number > self.last + 1 and not everything:
+                stopped = f"event {number} after {self.last}: asking for all of them"
                 self.last = 0  # what lies between was never told: the whole list comes first of all events
-                skipped = True
                 break
             if everything:
                 full, changed, addresses = True, {}, {}
@@ -85,8 +88,11 @@
                 else:
                     self.entries[entry.machine] = entry
             self.last = number
-        if skipped:
-            faults.append("events were left out: asking for all of them")
+            taken = True
+        if stopped and not taken:
+            raise Malformed(stopped)
+        if stopped:
+            faults.append(stopped)
         if not changed and not full and not faults:
             return None
         kind = i.ListKind.FULL if full else i.ListKind.DELTA
--- a/sprucepost/node/feed.py
+++ b/sprucepost/node/feed.py
@@ -93,9 +93,9 @@
                 told = self.bulletin.read(body)
                 self._failures = 0
                 if told is not None:
-                    for fault in told.faults:
-                        self._log("bulletin_unreadable", why=fault)
                     self._told(told)
+                else:
+                    yield from sleep(PAUSE_MS)  # one that answers at once with nothing new must not keep us busy
                 if machine.our_state is not h11.DONE or machine.their_state is not h11.DONE:
                     return
                 machine.start_next_cycle()
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -152,18 +152,25 @@
         if out.machine in self._tasks.closed:
             self._tasks.end(out, i.Ending.MOOT)
             return
-        now = self.loop.now()
-        usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
-        free = [link for link in usable if not link.open]
-        if free:
-            self._write(host, max(free, key=lambda link: link.used), out)
-        elif len(host.links) + host.dialing < max(2, self._most // max(1, len(self.hosts))):
-            host.waiting.append(out)
-            self._dial(host)
-        elif usable:
-            self._write(host, min(usable, key=lambda link: len(link.open)), out)
-        else:
-            host.waiting.append(out)
+        host.waiting.append(out)
+        self._serve(host)
+
+    def _serve(self, host: Host) -> None:
+        """Write what waits: each on a free connection, or on a new one, or where there may be none on the least used."""
+        while host.waiting:
+            now = self.loop.now()
+            usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
+            free = [link for link in usable if not link.open]
+            full = len(host.links) + host.dialing >= max(2, self._most // max(1, len(self.hosts)))
+            if free:
+                link = max(free, key=lambda link: link.used)
+            elif usable and full and host.dialing < len(host.waiting):
+                link = min(usable, key=lambda link: len(link.open))
+            else:
+                if host.dialing < len(host.waiting) and not full:
+                    self._dial(host)
+                return
+            self._write(host, link, host.waiting.pop(0))
 
     def _write(self, host: Host, link: HostLink, out: Out) -> None:
         data = self._tasks.write(out)
@@ -202,6 +209,13 @@
         else:
             host.letting[sid] = self.loop.now() + SILENT_MS
 
+    def adopt(self, machine: str, sid: str) -> bool:
+        """An owner has handed the task back: it is not to be let go any more."""
+        host = self.hosts.get(machine)
+        if host is not None:
+            host.letting.pop(sid, None)
+        return host is not None
+
     # Connections
 
     def _dial(self, host: Host) -> None:
@@ -230,10 +244,7 @@
         for sid in host.letting:
             transport.write(encode(Word.CLOSE, sid, code=GIVEN_UP))
         host.letting.clear()
-        if host.waiting:
-            self._write(host, link, host.waiting.pop(0))
-        if host.waiting and not host.dialing:
-            self._dial(host)
+        self._serve(host)
 
     def _not_connected(self, host: Host, error: Exception) -> None:
         host.failures += 1
@@ -263,6 +274,7 @@
         outs, link.open = list(link.open.values()), {}
         for out in outs:
             self._tasks.end(out, i.Ending.RESET)
+        self._serve(host)
         if host.uid in self._tasks.standing and not host.links and not host.dialing and self.loop.now() >= host.dial_at:
             self._dial(host)
 
@@ -284,6 +296,7 @@
             del link.open[line.sid]
             self._tasks.answered(out, line)
             self._retire(host, link)
+            self._serve(host)
         elif out is None and line.word in (Word.READY, Word.CLOSE, Word.EVENT):
             self._tasks.heard(host.uid, line)
 
@@ -292,6 +305,8 @@
     def tick(self) -> None:
         """Look after the hosts on which something of ours stands."""
         now = self.loop.now()
+        for uid in self._tasks.standing.keys() - self.hosts.keys():  # handed to us; no list has told of their host
+            self._tasks.lost(uid, "unlisted", before=self.loop.wall() - SILENT_MS)
         for host in list(self.hosts.values()):
             standing = host.uid in self._tasks.standing
             for link in list(host.links):
--- a/sprucepost/node/jsonl.py
+++ b/sprucepost/node/jsonl.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import Any
 
-from sprucepost.node.bounds import MOST, Malformed
+from sprucepost.node.bounds import MOST, Framing, Malformed
 
 _ID = re.compile("[0-9a-fA-F]{16}")
 
@@ -38,39 +38,17 @@
     text: str | None = None
 
 
-class Decoder:
-    """Bytes in, in any pieces; lines out, until one cannot be read: then ``error`` is set, and nothing more is taken."""
-
-    def __init__(self) -> None:
-        self._data = bytearray()
-        self.error: Malformed | None = None
-
-    @property
-    def waiting(self) -> int:
-        """Bytes of a line that has not come whole."""
-        return len(self._data)
-
-    def feed(self, data: bytes) -> list[Line]:
-        """The lines that are whole now, in order."""
-        if self.error is not None:
-            return []
-        self._data += data
-        found: list[Line] = []
-        at = 0
-        try:
-            while (end := self._data.find(b"\n", at)) >= 0:
-                if end + 1 - at > MOST:
-                    raise Malformed("a line without an end")
-                found.append(_line(bytes(self._data[at:end])))
-                at = end + 1
-            if len(self._data) - at >= MOST:
-                raise Malformed("a line without an end")
-        except Malformed as error:
-            self.error = error
-            self._data.clear()
-            return found
-        del self._data[:at]
-        return found
+class Decoder(Framing[Line]):
+    """A host's bytes."""
+
+    def _end(self, data: bytearray, at: int) -> int | None:
+        end = data.find(b"\n", at) + 1
+        if (end or len(data) + 1) - at > MOST:
+            raise Malformed("a line without an end")
+        return end or None
+
+    def _read(self, data: bytes) -> Line:
+        return _line(data[:-1])
 
 
 def _line(data: bytes) -> Line:
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -13,7 +13,7 @@
 from sprucepost.loop import Acceptor, Listener, Loop, Sock, Transport
 from sprucepost.node.binary import Code, Decoder, Kind, Message, encode
 from sprucepost.node.bounds import MOST
-from sprucepost.node.tasks import LATE_MS, REFUSED, OwnerPort, Tasks
+from sprucepost.node.tasks import LATE_MS, REFUSED, OwnerPort, Taken, Tasks
 from sprucepost.node.words import Refused, Words
 
 UNPROVEN_MS = 1500.0  # a connection that says nothing useful is open for so long
@@ -139,7 +139,10 @@
     # Messages
 
     def _data(self, link: OwnerLink, data: bytes) -> None:
-        for message in link.decoder.feed(data):
+        messages = link.decoder.feed(data)
+        if messages:
+            link.partial_since = None  # a busy owner's reads may all end within a message, each another one
+        for message in messages:
             if link.closed:
                 return
             self._message(link, message)
@@ -174,14 +177,15 @@
             self.counters["turned_away"] += 1
             link.refuse(message.task, REFUSED, 0.0)
             return
-        if not self._tasks.take(setup, link, link.transport.waited_ms):
+        taken = self._tasks.take(setup, link, link.transport.waited_ms)
+        if taken is Taken.REPEATED:
             self._log("owner_repeats_id", peer=link.transport.peer, task=message.task)
             self.drop(link, "malformed")
             return
         link.used = self.loop.now()
         if not setup.at:
             link.open.add(setup.sid)
-        if not link.proven:
+        if not link.proven and taken is Taken.TAKEN:
             link.proven = True
             self._send_unsent(link)
 
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -30,6 +30,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
+from enum import Enum
 from typing import Any, Protocol
 
 from sprucepost import interface as i
@@ -45,6 +46,14 @@
 LATE_MS = 8000.0  # an owner that could not be released hears of it for so long
 
 
+class Taken(Enum):
+    """What became of a set-up."""
+
+    TAKEN = "taken"
+    UNLISTED = "unlisted"  # taken, though its ``at`` names a host that no list has told of
+    REPEATED = "repeated"  # its id is that of another task
+
+
 class OwnerPort(Protocol):
     """One owner's connection."""
 
@@ -77,6 +86,10 @@
         """Have the host end a standing task."""
         ...
 
+    def adopt(self, machine: str, sid: str) -> bool:
+        """The task is ours to look after there, and not to be let go any more; False where the host is not listed."""
+        ...
+
 
 class Walk:
     """What a task's entry in the ledger carries."""
@@ -130,11 +143,12 @@
 
     # Owners
 
-    def take(self, setup: SetUp, owner: OwnerPort, waited_ms: float) -> bool:
-        """A new task, or one that a host holds already; False where its id is that of another one."""
+    def take(self, setup: SetUp, owner: OwnerPort, waited_ms: float) -> Taken:
+        """A new task, or one that a host holds already."""
         entry = self.ledger.current(setup.sid)
         if entry is not None:
-            return bool(setup.at) and entry.outcome is Outcome.PLACED and entry.machine == setup.at
+            held = setup.at and entry.outcome is Outcome.PLACED and entry.machine == setup.at
+            return Taken.TAKEN if held else Taken.REPEATED
         now = self.loop.now()
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
         entry.ask = Walk(setup, owner)
@@ -145,12 +159,12 @@
             entry.ask.since = self.loop.wall()
             self.standing.setdefault(setup.at, {})[setup.sid] = entry
             self._desk.push(i.TaskFound(setup.request(entry.request, setup.left), setup.at))
-        else:
-            self.counters["taken"] += 1
-            left = max(0.0, setup.left - waited_ms)
-            entry.due = now + left
-            self._desk.push(setup.request(entry.request, left))
-        return True
+            return Taken.TAKEN if self.hosts.adopt(setup.at, setup.sid) else Taken.UNLISTED
+        self.counters["taken"] += 1
+        left = max(0.0, setup.left - waited_ms)
+        entry.due = now + left
+        self._desk.push(setup.request(entry.request, left))
+        return Taken.TAKEN
 
     def owner_released(self, sid: str) -> None:
         """An owner gives its set-up up, or ends its task."""
--- a/tests/node/test_bulletin.py
+++ b/tests/node/test_bulletin.py
@@ -60,8 +60,9 @@
 def test_a_number_left_out_asks_for_the_whole_list() -> None:
     board = bulletin()
     take(board, (1, True, [entry("s-1")]))
-    told = take(board, (3, False, [entry("s-2")]))
-    assert not told.list.entries and told.faults and board.last == 0
+    with pytest.raises(Malformed):
+        board.take(document((3, False, [entry("s-2")])))
+    assert board.last == 0
     told = take(
         board, (1, True, [entry("s-1")]), (2, False, [entry("s-1", state="DELETED")]), (3, False, [entry("s-2")])
     )
@@ -95,6 +96,20 @@
     assert board.last == 1
 
 
+@pytest.mark.parametrize(
+    "bad", [7, {"no": None}, {"no": 3, "roster": {"targets": 7}}, {"no": 4, "roster": {"targets": []}}]
+)
+def test_what_comes_before_an_event_that_cannot_be_taken_is_told(bad: Any) -> None:
+    """It counted as held, and the module never heard of the drain."""
+    board = bulletin()
+    take(board, (1, True, [entry("s-1")]))
+    data = document((2, False, [entry("s-1", state="DRAINING")]))
+    told = board.take({**data, "items": [*data["items"], bad]})
+    assert told is not None and told.list.entries[0].state is i.MachineState.DRAINING and len(told.faults) == 1
+    with pytest.raises(Malformed):  # alone, it is asked for again after a pause
+        board.take({"no": 4, "items": [bad]})
+
+
 def good(**changes: Any) -> dict[str, Any]:
     return {
         "name": "n3", "listen": "127.0.0.1:2905", "seed": "8c1f30d27a5be964", "bulletin": "127.0.0.1:2379",
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -212,6 +212,48 @@
     play(tmp_path, body)
 
 
+def test_an_offer_that_waits_for_a_connection_takes_the_first_that_is_free(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        halves: list[tuple[Link, Line]] = []
+
+        def half(link: Link, line: Line) -> None:
+            link.transport.write(b'{"msg":"ready",')
+            halves.append((link, line))
+
+        host.on_open = half
+        day.start(limits={"memory_mb": 64, "sockets": 6})  # two connections to a host
+        owner = yield from day.owner()
+        owner.transport.write(b"".join(setup(sid, FIGURES=f"cores:1;memory:1;service:{sid}") for sid in SIDS[:2]))
+        yield from wait_for(lambda: len(halves) == 2)
+        owner.transport.write(setup(SIDS[2], FIGURES="cores:1;memory:1;service:s"))
+        yield from wait_for(lambda: day.service.tasks.ledger.open == 3)
+        host.on_open = lambda link, line: link.say(Word.READY, line.sid, text="x")
+        for link, line in halves:
+            link.transport.write(f'"sid":"{line.sid}","attrs":{{}},"text":"x"}}\n'.encode())
+        for sid in SIDS[:3]:
+            yield from heard(owner, sid, Kind.ANSWER)
+        assert len(host.links) == 2 and not day.service.counters["unsent"]
+
+    play(tmp_path, body)
+
+
+def test_a_task_that_is_handed_back_is_not_let_go(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service, "TICK_MS", 300.0)
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        known = day.service.hosts.hosts["s-1"]
+        known.letting = dict.fromkeys(SIDS[:2], day.loop.now() + 5000)  # it had fallen silent
+        owner.transport.write(setup(SIDS[0], FIGURES="cores:1;memory:2;service:s;at:s-1"))
+        yield from wait_for(lambda: host.lines(Word.CLOSE))
+        assert [line.sid for line in host.lines(Word.CLOSE)] == [SIDS[1]] and day.standing() == 1
+
+    play(tmp_path, body)
+
+
 def test_an_answer_that_stops_short_and_answers_that_bring_more(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
         host = day.host("s-1")
@@ -293,6 +335,33 @@
     play(tmp_path, body)
 
 
+def test_what_no_list_has_told_of_is_forgotten_and_a_busy_owner_is_not_cut(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Tasks at a host that no list names stayed for ever; an owner whose reads all end within a message was cut."""
+    monkeypatch.setattr(hosts, "SILENT_MS", 900.0)
+    monkeypatch.setattr(owners, "UNPROVEN_MS", 400.0)
+    monkeypatch.setattr(service, "TICK_MS", 50.0)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start()
+        bad = yield from day.owner()
+        bad.transport.write(setup(SIDS[0], FIGURES="cores:1;memory:2;service:s;at:s-none"))
+        yield from wait_for(lambda: bad.ended, 1500)
+        busy = yield from day.owner()
+        data = b"".join(setup(sid, LEFT="2000") for sid in SIDS[1:12])
+        step = len(data) // 11
+        for at in range(0, len(data), step):
+            busy.transport.write(data[max(0, at - 5) : at + step - 5])
+            yield from sleep(100)
+        assert not busy.ended and len(busy.got) >= 10
+        yield from wait_for(lambda: "s-none" not in day.service.tasks.standing, 1500)
+        assert day.service.counters["lost_unlisted"] == 1
+
+    play(tmp_path, body)
+
+
 def test_hundreds_that_say_nothing_leave_room_for_the_usual_owners(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
         day.host("s-1")
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -11,7 +11,7 @@
 from sprucepost.adapter import settings_from
 from sprucepost.node import binary, jsonl, words
 from sprucepost.node.jsonl import Line, Word
-from sprucepost.node.tasks import Out, Tasks
+from sprucepost.node.tasks import Out, Taken, Tasks
 from sprucepost.node.words import Refused, SetUp, Words
 from sprucepost.placing.desk import Desk
 from tests.node.platform import settings, setup
@@ -78,9 +78,12 @@
     def let_go(self, machine: str, sid: str) -> None:
         self.events.append(("let go", machine, sid))
 
+    def adopt(self, machine: str, sid: str) -> bool:
+        return True
+
     # what comes
     def ask(self, sid: str = SID, **changes: Any) -> None:
-        assert self.tasks.take(read(sid, **changes), self, 0.0)
+        assert self.tasks.take(read(sid, **changes), self, 0.0) is Taken.TAKEN
         self.loop.pass_ms(1)
 
     def say(
@@ -233,9 +236,9 @@
 def test_an_id_in_use_is_not_taken_twice() -> None:
     around = Around()
     around.ask()
-    assert not around.tasks.take(read(DESCRIPTION="another"), around, 0.0)
+    assert around.tasks.take(read(DESCRIPTION="another"), around, 0.0) is Taken.REPEATED
     around.say(Word.READY, text="made")
-    assert not around.tasks.take(read(), around, 0.0)
+    assert around.tasks.take(read(), around, 0.0) is Taken.REPEATED
     assert len(around.outs()) == 1
 
 
