--- a/tests/node/platform.py
+++ b/tests/node/platform.py
@@ -132,7 +132,7 @@
 
 
 class Paper:
-    """The bulletin: ``mode`` says how it treats a question ("answers", "silent", "breaks")."""
+    """The bulletin: ``mode`` says how it treats a question ("answers", "silent", "breaks", "hasty")."""
 
     def __init__(self, day: Day) -> None:
         self.day, self.items, self.asked = day, [], []  # type: tuple[Day, list[Any], list[int]]
@@ -163,7 +163,7 @@
         self.asked.append(after)
         if self.mode == "silent":
             return
-        if after < len(self.items):
+        if after < len(self.items) or self.mode == "hasty":
             self._answer(transport, after)
         else:
             self._waiting.append((transport, after))
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -443,6 +443,20 @@
     play(tmp_path, body)
 
 
+def test_a_hasty_bulletin_keeps_nobody_busy_and_a_fault_is_told_once(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        yield from wait_for(lambda: day.paper.asked)
+        day.paper.mode = "hasty"
+        day.paper.tell(host.entry(az="attic"))
+        yield from sleep(500)
+        assert 2 <= len(day.paper.asked) <= 15
+        assert [json.loads(line)["event"] for line in day.lines].count("bulletin_unreadable") == 1
+
+    play(tmp_path, body)
+
+
 def test_a_stop_answers_all_that_was_taken_and_refuses_what_comes_late(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
