Node: whose tasks stand here keeps a connection, on which their releases find them

Cause: `Owners.tick` closed a proven connection without an open set-up after the settings' keepalive, though tasks that it had brought still stood; owners open none to be told. `_make_room` would have done the same when descriptors run short, and a release that waited was sent only on a connection that had brought a set-up that could be taken (`_set_up`), so an owner that came again in time, but was refused, was not told either.

Change: tasks tell the connection that brought them when they stand and when they are over. A connection is needed while such a task stands, or while it is the only one of an owner for whom one stands (the other broke by itself); it is closed neither for being idle nor to make room, and where all are needed the newcomer is turned away: that costs a refusal, not a lost task. Owners hold a third of the descriptors at most and half are theirs here, so this is bounded. Releases that wait go out with the first whole message of that owner's next connection. A task that is handed back again moves to the connection that does so. A set-up with `at` that names a host which no list has told of holds nothing: bad owners send those.

Looked at and left: an owner that does not read, or sends half a message, is still dropped whatever stands for it (its next connection is told); a release that was written to a connection which then breaks is not sent again, since a second one for the same task would be a second answer.

--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -3,6 +3,19 @@
 A connection is *proven* once it has brought a set-up that could be taken. One that is not, and carries no open set-up, is
 closed soon: whoever opens hundreds and says nothing, or sends half a message, holds descriptors that the usual owners
 need.
+
+A standing task belongs to no connection, but its release must find one, and an owner opens none to be told. So a connection
+is *needed* while a task that it brought stands, or while it is the only one of an owner for whom one stands; it is closed
+neither for being idle nor to make room. What such a connection costs is bounded: owners hold a third of the descriptors.
+
+============================= ================================== ==============================================
+a connection                  idle                               when a newcomer finds no room
+============================= ================================== ==============================================
+with an open set-up           stays                              stays
+needed                        stays                              stays; the newcomer is turned away
+proven                        closed after the idle time         goes after the unproven ones, longest idle first
+unproven                      closed after ``UNPROVEN_MS``       goes first
+============================= ================================== ==============================================
 """
 
 from __future__ import annotations
@@ -26,7 +39,10 @@
     def __init__(self, owners: Owners, transport: Transport, now: float) -> None:
         self._owners, self.transport = owners, transport
         self.decoder = Decoder()
+        self.whose = transport.peer.rpartition(":")[0]  # an owner is known by the host that it calls from
         self.open: set[str] = set()  # set-ups without an answer
+        self.standing = 0  # tasks that it brought and that still stand
+        self.spoken = False  # whether a whole message has come
         self.proven = False
         self.used = now  # when something useful last passed
         self.partial_since: float | None = None
@@ -35,6 +51,18 @@
     def closed(self) -> bool:
         return self.transport.closed
 
+    def hold(self) -> None:
+        """A task that it brought stands from now on."""
+        self.standing += 1
+        self._owners.held[self.whose] += 1
+
+    def unhold(self) -> None:
+        """Such a task is over."""
+        self.standing -= 1
+        self._owners.held[self.whose] -= 1
+        if not self._owners.held[self.whose]:
+            del self._owners.held[self.whose]
+
     def answer(self, sid: str, text: str) -> None:
         """The task stands."""
         self.open.discard(sid)
@@ -78,11 +106,11 @@
         self.loop, self._tasks, self._words, self._log, self.counters = loop, tasks, words, log, counters
         self._most, self._most_open, self._idle = most, most_open, idle_ms
         self.links: dict[OwnerLink, None] = {}
+        self.held: Counter[str] = Counter()  # tasks that stand, by whose they are
         self.leaving_soon = False  # tests fail, so that nothing more is sent
         self.leaving = False  # what comes now is refused
-        self._unsent: list[
-            tuple[float, str, str, int]
-        ] = []  # releases that found no connection: until, whose, id, cause
+        # Releases that found no connection: until, whose, id, cause.
+        self._unsent: list[tuple[float, str, str, int]] = []
         self._acceptor = Acceptor(loop, listener, self._take)
 
     # Connections
@@ -100,12 +128,22 @@
         link.transport.start()
 
     def _make_room(self) -> bool:
-        idle = [link for link in self.links if not link.open]
+        needed = self._needed()
+        idle = [link for link in self.links if not link.open and link not in needed]
         if not idle:
             return False
         self.drop(min(idle, key=lambda link: (link.proven, link.used)), "room")
         return True
 
+    def _needed(self) -> set[OwnerLink]:
+        """The connections on which releases are to go that are still to come."""
+        spoken = Counter(link.whose for link in self.links if link.spoken)
+        return {
+            link
+            for link in self.links
+            if link.standing or (link.spoken and spoken[link.whose] == 1 and link.whose in self.held)
+        }
+
     def drop(self, link: OwnerLink, why: str) -> None:
         """End the connection; what was open on it is given up."""
         if link not in self.links:
@@ -124,11 +162,13 @@
 
     def tick(self) -> None:
         """Close what is of no use."""
-        now = self.loop.now()
+        now, needed = self.loop.now(), self._needed()
         for link in list(self.links):
             if link.partial_since is not None and now - link.partial_since > UNPROVEN_MS:
                 self.drop(link, "cut")
-            elif not link.open and now - link.used > (self._idle if link.proven else UNPROVEN_MS):
+            elif link.open or link in needed:
+                continue
+            elif now - link.used > (self._idle if link.proven else UNPROVEN_MS):
                 self.drop(link, "idle" if link.proven else "silent")
         self._unsent = [item for item in self._unsent if item[0] > now]
 
@@ -142,6 +182,9 @@
         messages = link.decoder.feed(data)
         if messages:
             link.partial_since = None  # a busy owner's reads may all end within a message, each another one
+            if not link.spoken:
+                link.spoken = True
+                self._send_unsent(link)
         for message in messages:
             if link.closed:
                 return
@@ -187,29 +230,23 @@
             link.open.add(setup.sid)
         if not link.proven and taken is Taken.TAKEN:
             link.proven = True
-            self._send_unsent(link)
 
     # Releases
 
     def release(self, link: OwnerPort, sid: str, cause: int) -> None:
-        """On its own connection, else on another of that owner, else on the next that it opens."""
+        """On its own connection, else on another of that owner, else on the next on which it says something."""
         assert isinstance(link, OwnerLink)
-        whose = _host(link)
         if link.closed:
-            others = [other for other in self.links if other.proven and not other.closed and _host(other) == whose]
+            others = [other for other in self.links if other.spoken and not other.closed and other.whose == link.whose]
             if not others:
                 self.counters["releases_waiting"] += 1
-                self._unsent.append((self.loop.now() + LATE_MS, whose, sid, cause))
+                self._unsent.append((self.loop.now() + LATE_MS, link.whose, sid, cause))
                 return
-            link = max(others, key=lambda other: other.used)
+            link = max(others, key=lambda other: (other.proven, other.used))
         link.refuse(sid, cause, 0.0)
 
     def _send_unsent(self, link: OwnerLink) -> None:
-        mine = [item for item in self._unsent if item[1] == _host(link)]
-        self._unsent = [item for item in self._unsent if item[1] != _host(link)]
+        mine = [item for item in self._unsent if item[1] == link.whose]
+        self._unsent = [item for item in self._unsent if item[1] != link.whose]
         for _, _, sid, cause in mine:
             link.refuse(sid, cause, 0.0)
-
-
-def _host(link: OwnerLink) -> str:
-    return link.transport.peer.rpartition(":")[0]
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -59,6 +59,14 @@
 
     @property
     def closed(self) -> bool: ...
+    def hold(self) -> None:
+        """A task that came on it stands: it, or another of its owner's, is needed until the release."""
+        ...
+
+    def unhold(self) -> None:
+        """Such a task is over."""
+        ...
+
     def answer(self, sid: str, text: str) -> None: ...
     def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None: ...
 
@@ -94,12 +102,13 @@
 class Walk:
     """What a task's entry in the ledger carries."""
 
-    __slots__ = ("out", "owner", "setup", "since")
+    __slots__ = ("held", "out", "owner", "setup", "since")
 
     def __init__(self, setup: SetUp, owner: OwnerPort) -> None:
         self.setup, self.owner = setup, owner
         self.out: Out | None = None
         self.since = 0.0  # wall-clock ms from which it stands
+        self.held = False  # whether its owner's connection is kept for its release
 
 
 class Out:
@@ -147,8 +156,12 @@
         """A new task, or one that a host holds already."""
         entry = self.ledger.current(setup.sid)
         if entry is not None:
-            held = setup.at and entry.outcome is Outcome.PLACED and entry.machine == setup.at
-            return Taken.TAKEN if held else Taken.REPEATED
+            if not setup.at or entry.outcome is not Outcome.PLACED or entry.machine != setup.at:
+                return Taken.REPEATED
+            if entry.ask.held and entry.ask.owner.closed:  # the owner says it once more, on another connection
+                entry.ask.owner.unhold()
+                self._hold(entry, owner)
+            return Taken.TAKEN
         now = self.loop.now()
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
         entry.ask = Walk(setup, owner)
@@ -156,10 +169,12 @@
             self.counters["found"] += 1
             entry.machine = setup.at
             self.ledger.settle(entry, Outcome.PLACED, now)
-            entry.ask.since = self.loop.wall()
-            self.standing.setdefault(setup.at, {})[setup.sid] = entry
+            self._stand(entry)
             self._desk.push(i.TaskFound(setup.request(entry.request, setup.left), setup.at))
-            return Taken.TAKEN if self.hosts.adopt(setup.at, setup.sid) else Taken.UNLISTED
+            if not self.hosts.adopt(setup.at, setup.sid):
+                return Taken.UNLISTED
+            self._hold(entry, owner)
+            return Taken.TAKEN
         self.counters["taken"] += 1
         left = max(0.0, setup.left - waited_ms)
         entry.due = now + left
@@ -286,8 +301,8 @@
             out.timer.cancel()
         entry.machine, entry.attempt = out.machine, out.number
         self._settle(entry, Outcome.PLACED)
-        entry.ask.since = self.loop.wall()
-        self.standing.setdefault(out.machine, {})[entry.name] = entry
+        self._stand(entry)
+        self._hold(entry, entry.ask.owner)
         self.counters["placed"] += 1
         self._desk.push(i.Accepted(entry.request, out.number, now - out.sent))
         entry.ask.setup = replace(entry.ask.setup, text="")  # no host will get it again
@@ -295,6 +310,14 @@
 
     # Standing tasks
 
+    def _stand(self, entry: Entry) -> None:
+        entry.ask.since = self.loop.wall()
+        self.standing.setdefault(entry.machine, {})[entry.name] = entry
+
+    def _hold(self, entry: Entry, owner: OwnerPort) -> None:
+        entry.ask.owner, entry.ask.held = owner, True
+        owner.hold()
+
     def heard(self, machine: str, line: Line) -> None:
         """What a host says of a task for which no set-up is open on that connection."""
         entry = self.standing.get(machine, {}).get(line.sid)
@@ -335,6 +358,8 @@
         self.ledger.end(entry)
         self.counters[f"over_{ending.value}"] += 1
         self._desk.push(i.Outcome(entry.request, entry.attempt, ending, True, reason, report))
+        if entry.ask.held:
+            entry.ask.owner.unhold()
         if cause is not None:
             self.owners.release(entry.ask.owner, entry.name, cause)
 
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import subprocess
@@ -16,7 +17,7 @@
 from sprucepost.node import binary, feed, hosts, owners, service
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, Word
-from tests.node.platform import DESCRIPTION, Day, Host, Link, answers, heard, play, setup
+from tests.node.platform import DESCRIPTION, Day, Host, Link, answers, heard, play, settings, setup
 from tests.wire.support import wait_for
 
 SIDS = [f"9b1f03aa5c7e2d{n:02x}" for n in range(40)]
@@ -382,6 +383,74 @@
     play(tmp_path, body)
 
 
+def test_whose_tasks_stand_keeps_a_connection_for_their_releases(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Soak, seed 4711: a connection was closed as idle though its task stood, and the release found none."""
+    monkeypatch.setattr(owners, "UNPROVEN_MS", 200.0)
+    monkeypatch.setattr(service, "TICK_MS", 50.0)
+    idle = settings(policy_limits={**settings()["policy_limits"], "keepalive": 400.0})
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start(settings=idle, limits={"memory_mb": 64, "sockets": 12})
+        links = day.service.owners.links
+
+        def ends(sid: str) -> None:
+            next(link for link in host.links if not link.ended).say(Word.CLOSE, sid, code=16)
+
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        yield from sleep(900)
+        assert not owner.ended, "idle, but its task stands"
+        task = yield from current()
+        for _ in range(12):  # more than there is room for
+            yield from connect(day.loop, task, day.service.config.listen, 1000.0)
+        yield from sleep(100)
+        assert not owner.ended and len(links) <= 6, "those who say nothing go first"
+        yield from wait_for(lambda: len(links) == 1, 1500)
+        ends(SIDS[0])
+        yield from heard(owner, SIDS[0], Kind.RELEASE)
+        yield from wait_for(lambda: owner.ended, 1500)  # nothing stands: idle is idle
+        assert not day.service.counters["releases_waiting"]
+
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[1])
+        yield from placed(day, owner, SIDS[2])
+        owner.transport.abort()  # it breaks by itself
+        yield from wait_for(lambda: not links)
+        ends(SIDS[1])
+        yield from wait_for(lambda: day.service.counters["releases_waiting"] == 1)
+        again = yield from day.owner()
+        again.transport.write(setup(SIDS[3], CLASS="nobody"))  # says something, but nothing that could be taken
+        yield from heard(again, SIDS[1], Kind.RELEASE)
+        yield from sleep(900)
+        assert not again.ended, "unproven and idle, but the only one of an owner whose task stands"
+        ends(SIDS[2])
+        yield from heard(again, SIDS[2], Kind.RELEASE)
+        yield from wait_for(lambda: again.ended, 1500)
+        assert not day.service.owners.held
+
+    play(tmp_path, body)
+
+
+def test_where_all_connections_are_needed_the_newcomer_is_turned_away(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start(limits={"memory_mb": 64, "sockets": 12})
+        needed = []
+        for sid in SIDS[:6]:
+            needed.append((yield from day.owner()))
+            yield from placed(day, needed[-1], sid, FIGURES=f"cores:1;memory:1;service:{sid}")
+        with contextlib.suppress(ConnectionError):  # it may hear of it while it still connects
+            newcomer = yield from day.owner()
+            yield from wait_for(lambda: newcomer.ended)
+        yield from wait_for(lambda: day.service.counters["owners_turned_away"])
+        assert not any(owner.ended for owner in needed) and day.service.counters["owners_turned_away"] == 1
+
+    play(tmp_path, body)
+
+
 def test_an_owner_that_does_not_read_is_dropped_after_the_batch_that_answers_it(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -43,6 +43,7 @@
         )
         self.tasks.owners = self.tasks.hosts = self
         self.desk, self.events, self.down, self.closed = desk, [], False, False
+        self.holds = 0
         handle = desk.scheduler.handle
         self.told: list[Any] = []  # what the module got
         desk.scheduler.handle = lambda now, events: self.told.extend(events) or handle(now, events)  # type: ignore[method-assign, func-returns-value]
@@ -59,6 +60,16 @@
     def answer(self, sid: str, text: str) -> None:
         self.events.append(("answer", sid, text))
 
+    def hold(self) -> None:
+        self.holds += 1
+
+    def unhold(self) -> None:
+        self.holds -= 1
+        assert self.holds == self.tasks_standing() >= 0
+
+    def tasks_standing(self) -> int:
+        return sum(map(len, self.tasks.standing.values()))
+
     def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
         self.events.append(("refuse", sid, cause, stay_away_ms))
 
