Deploy: a half-made environment is repaired; signals come by a pipe, not by a Unix socket pair

`build` trusted whatever lay in .venv. `run` was one process by exec already.

At the interpreter's start, where HOME is not set, the C library asks for a name service cache at a Unix path and goes on without one; that is not ours.

Tests: the build with a stamp that says whole, an interpreter that is gone and a library that is cut; the program under an audit hook that counts child processes and sockets other than IPv4 (fails with the socket pair).

--- a/sprucepost/loop/epoll.py
+++ b/sprucepost/loop/epoll.py
@@ -85,7 +85,7 @@
         self._watched: dict[int, tuple[Callable[[], None] | None, Callable[[], None] | None]] = {}
         self._seeds = random.Random(seed)
         self._signals: dict[int, Callable[[], None]] = {}
-        self._wake: socket.socket | None = None
+        self._wake: tuple[int, int] | None = None  # a pipe: read, write
 
     def now(self) -> float:
         return time.monotonic() * 1000.0
@@ -160,20 +160,17 @@
 
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         if self._wake is None:
-            self._wake, far = socket.socketpair()
-            self._wake.setblocking(False)
-            far.setblocking(False)
-            signal.set_wakeup_fd(far.fileno(), warn_on_full_buffer=False)
-            self._wake_far = far
-            self._epoll.register(self._wake.fileno(), select.EPOLLIN)
-            self._watched[self._wake.fileno()] = self._take_signals, None
+            self._wake = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+            signal.set_wakeup_fd(self._wake[1], warn_on_full_buffer=False)
+            self._epoll.register(self._wake[0], select.EPOLLIN)
+            self._watched[self._wake[0]] = self._take_signals, None
         self._signals[number] = call
         signal.signal(number, lambda *_: None)
 
     def _take_signals(self) -> None:
         assert self._wake is not None
         with contextlib.suppress(BlockingIOError):
-            for number in self._wake.recv(256):
+            for number in os.read(self._wake[0], 256):
                 if number in self._signals:
                     self._signals[number]()
 
@@ -201,6 +198,6 @@
         """Give back the loop's own descriptors."""
         if self._wake is not None:
             signal.set_wakeup_fd(-1)
-            self._wake.close()
-            self._wake_far.close()
+            for fd in self._wake:
+                os.close(fd)
         self._epoll.close()
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -557,29 +557,53 @@
     play(tmp_path, body)
 
 
-def test_the_program_starts_lean_survives_sighup_and_ends_well(tmp_path: Path) -> None:
+# Runs the program as `run` does, and tells at its end what it has loaded and which refused calls it has made.
+WATCHED = """
+import atexit, runpy, sys
+refused = []
+def watch(event, args):
+    if event in ("subprocess.Popen", "os.fork", "os.forkpty", "os.posix_spawn", "os.exec", "os.system"):
+        refused.append(event)
+    if event == "socket.__new__" and args[1] != 2:  # AF_INET
+        refused.append(f"socket family {args[1]}")
+sys.addaudithook(watch)
+def tell():
+    print(sorted({name.split(".")[0] for name in sys.modules}), file=sys.stderr)
+    print("refused:", refused, file=sys.stderr)
+atexit.register(tell)
+sys.argv = ["sprucepost", "node"]
+runpy.run_module("sprucepost", run_name="__main__")
+"""
+
+
+def test_the_program_is_lean_serves_alone_survives_sighup_and_ends_well(tmp_path: Path) -> None:
+    """Other programs, fork and Unix sockets are refused where the fleet's days are played."""
+
     def body(day: Day) -> Co[None]:
-        day.host("s-1")
-        day.paper.tell(day.hosts["s-1"].entry(), everything=True)
+        host = day.host("s-1")
+        day.paper.tell(host.entry(), everything=True)
         environment = dict(day.environment())
-        code = (
-            "import sys, runpy, atexit; sys.argv = ['sprucepost', 'node'];"
-            "atexit.register(lambda: print(sorted({m.split('.')[0] for m in sys.modules}), file=sys.stderr));"
-            "runpy.run_module('sprucepost', run_name='__main__')"
-        )
+        listen = json.loads((tmp_path / "config.json").read_text())["listen"].split(":")
         with subprocess.Popen(
-            [sys.executable, "-c", code], env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+            [sys.executable, "-c", WATCHED], env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
         ) as process:
             assert process.stdout is not None and process.stderr is not None
-            assert json.loads(process.stdout.readline())["event"] == "ready"
+            ready = json.loads(process.stdout.readline())
+            assert (ready["event"], ready["pid"]) == ("ready", process.pid)
+            task = yield from current()
+            transport = yield from connect(day.loop, task, (listen[0], int(listen[1])), 3000.0)
+            owner = Link(transport, binary.Decoder(), lambda link, message: None)
+            yield from placed(day, owner, SIDS[0])
+            host.links[0].say(Word.CLOSE, SIDS[0], code=16)
+            yield from heard(owner, SIDS[0], Kind.RELEASE)
             process.send_signal(signal.SIGHUP)
             assert json.loads(process.stdout.readline())["event"] == "reloaded"
             process.send_signal(signal.SIGTERM)
-            assert process.wait(10) == 0
-            loaded = process.stderr.read()
-        assert "h11" in loaded
+            yield from wait_for(lambda: process.poll() is not None, 10_000)
+            assert process.returncode == 0
+            loaded, refused = process.stderr.read().splitlines()
+        assert "h11" in loaded and refused == "refused: []"
         assert not [name for name in ("google", "h2", "msgspec", "click", "structlog") if f"'{name}'" in loaded]
-        yield from sleep(0)
 
     play(tmp_path, body)
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -4,7 +4,10 @@
 
 import ast
 import re
+import shutil
+import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -46,3 +49,34 @@
     assert len(names) > 8
     for name in names:
         importlib.import_module(name)
+
+
+def deployed(name: str) -> str:
+    return str(tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))[name])
+
+
+def test_the_build_repairs_an_environment_that_is_half_there(tmp_path: Path) -> None:
+    for name in ("sprucepost", "requirements.txt"):
+        source = ROOT / name
+        if source.is_dir():
+            shutil.copytree(source, tmp_path / name, ignore=shutil.ignore_patterns("__pycache__"))
+        else:
+            shutil.copy(source, tmp_path / name)
+    broken = tmp_path / ".venv" / "bin"
+    broken.mkdir(parents=True)
+    (broken / "python").symlink_to(tmp_path / "nowhere")
+    site = tmp_path / ".venv" / "lib" / f"python{sys.version_info[0]}.{sys.version_info[1]}" / "site-packages" / "h11"
+    site.mkdir(parents=True)
+    (site / "__init__.py").write_text("raise ImportError('cut off')\n")
+    shutil.copy(ROOT / "requirements.txt", tmp_path / ".venv" / "built")  # whole by its stamp
+    subprocess.run(["/bin/sh", "-c", deployed("build")], cwd=tmp_path, check=True, capture_output=True)
+    done = subprocess.run(
+        ["/bin/sh", "-c", deployed("run")], cwd=tmp_path, env={"PATH": "/usr/bin:/bin"}, capture_output=True, text=True,
+        check=False,
+    )  # fmt: skip
+    assert (done.returncode, done.stderr.count("\n")) == (2, 1) and done.stderr.startswith("sprucepost: "), done.stderr
+
+
+def test_what_is_run_is_one_process_by_exec() -> None:
+    run = deployed("run").split()
+    assert run[0] == "exec" and not {"|", "&", ";", "&&", "||"} & set(run)
