Node: a host is tested when its silence begins to matter, and searched for until then

Cause: `QUIET_MS` in hosts.py, 1.5 s. An owner must be released 8 s after an end at the latest, so a host's silence need only be settled by then. It was cheap for a single placer with ten hosts.

A connection with a set-up open on it, whose test had no answer, kept others from being tried at all.

Change: silence is settled at 7.8 s (0.2 s are left for the way), by a timer of its own; the first test goes out when three of them, 1 s each, still fit; a suspected host is dialled every 200 ms, its new connection begins with a test. After a pause of this process a host has the time of one test before it is called silent; it had none.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -7,6 +7,21 @@
 A standing task belongs to no connection, so one is kept to every host that has one. What the ends of connections prove:
 a refused one, that the process is gone, and its tasks with it; one that was reset or closed, nothing about standing tasks;
 one that says nothing, nothing either, until the host has answered no test for so long that the owners must be released.
+
+========== ================================ ==========================================================================
+a host     while                            what is done
+========== ================================ ==========================================================================
+heard      its last word is younger than    nothing: notes, answers and releases are words, and most hosts are heard
+           ``QUIET_MS``                     more often than that without being asked
+suspected  older, and a task of ours        a test on its connection; one without an answer within ``TEST_MS`` ends the
+           stands there                     connection; without one it is dialled every ``AGAIN_MS``, and a new connection
+                                            begins with a test
+silent     older than ``SILENT_MS``         its tasks' owners are released, at that moment; back again, it lets them go
+========== ================================ ==========================================================================
+
+A test costs the host work, and every placer of the fleet tests the same hosts: so the first one is as late as leaves time
+for the rest. A cut shorter than ``SILENT_MS`` is outlived by a task whose host was heard shortly before it, if the way back
+is found at once.
 """
 
 from __future__ import annotations
@@ -15,16 +30,18 @@
 from collections.abc import Callable
 
 from sprucepost import interface as i
-from sprucepost.loop import Co, Loop, Scope, TimedOut, Transport, connect, current
+from sprucepost.loop import Co, Loop, Scope, TimedOut, Timer, Transport, connect, current
 from sprucepost.node.bounds import MOST
 from sprucepost.node.bulletin import Address, Told
 from sprucepost.node.jsonl import Decoder, Line, Word, encode
-from sprucepost.node.tasks import GIVEN_UP, Out, Tasks
+from sprucepost.node.tasks import GIVEN_UP, LATE_MS, Out, Tasks
 
-QUIET_MS = 1500.0  # a host with tasks that says nothing for so long is tested
 TEST_MS = 1000.0  # a connection on which a test is not answered within this is of no use
-SILENT_MS = 7500.0  # what is over must be released within 8 s of its end, and silence may begin with the end
-AGAIN_MS = 200.0  # until a connection that failed is tried again, doubled for each that failed before
+SILENT_MS = (
+    LATE_MS - 200.0
+)  # what is over must be released by then, and silence may begin with the end; the rest is slack
+QUIET_MS = SILENT_MS - 3 * TEST_MS  # a host with tasks is tested after that silence: three tests in a row may get lost
+AGAIN_MS = 200.0  # until a connection that failed is tried again, doubled for each before unless the host is suspected
 AGAIN_MOST_MS = 1600.0
 TASKLESS = "0" * 16  # the id of a test
 
@@ -40,6 +57,10 @@
         self.tested: float | None = None  # since when a test has had no answer
         self.retired = False
 
+    def overdue(self, now: float) -> bool:
+        """Whether a test has had no answer in its time."""
+        return self.tested is not None and now - self.tested > TEST_MS
+
     @property
     def usable(self) -> bool:
         """Whether a set-up may be written now, whole."""
@@ -57,6 +78,7 @@
         self.failures = 0
         self.dial_at = 0.0
         self.heard = 0.0  # when it last said something; while it has no task, that does not matter
+        self.verdict: Timer | None = None  # when its silence will have lasted too long
         self.letting: dict[str, float] = {}  # tasks that it is to end, and until when that is worth saying
         self.gone = False
 
@@ -245,10 +267,12 @@
             transport.write(encode(Word.CLOSE, sid, code=GIVEN_UP))
         host.letting.clear()
         self._serve(host)
+        if self._suspected(host):
+            self._test(link)
 
     def _not_connected(self, host: Host, error: Exception) -> None:
         host.failures += 1
-        pause = min(AGAIN_MS * 2.0 ** (host.failures - 1), AGAIN_MOST_MS)
+        pause = AGAIN_MS if self._suspected(host) else min(AGAIN_MS * 2.0 ** (host.failures - 1), AGAIN_MOST_MS)
         host.dial_at = self.loop.now() + pause
         refused = isinstance(error, ConnectionRefusedError)
         self.counters["connect_refused" if refused else "connect_failed"] += 1
@@ -260,6 +284,16 @@
         if refused:
             self._lost(host, "refused")
             self._tidy(host)
+        if self._suspected(host):
+            self.loop.call_later(pause, lambda: self._find(host))
+
+    def _find(self, host: Host) -> None:
+        """Dial a host on which something of ours stands, or is to end, where no connection may still bring word."""
+        now = self.loop.now()
+        wanted = self.hosts.get(host.uid) is host and (host.uid in self._tasks.standing or bool(host.letting))
+        hopeful = any(not link.retired and not link.overdue(now) for link in host.links)
+        if wanted and not hopeful and not host.dialing and now >= host.dial_at:
+            self._dial(host)
 
     def _end(self, host: Host, link: HostLink, why: str) -> None:
         """The connection is over; what was open on it may have run."""
@@ -275,8 +309,7 @@
         for out in outs:
             self._tasks.end(out, i.Ending.RESET)
         self._serve(host)
-        if host.uid in self._tasks.standing and not host.links and not host.dialing and self.loop.now() >= host.dial_at:
-            self._dial(host)
+        self._find(host)
 
     # Words
 
@@ -321,28 +354,42 @@
             if standing:
                 host.heard = host.heard or now
                 self._listen(host, now)
-            if not host.links and not host.dialing and now >= host.dial_at:
-                self._dial(host)
+            self._find(host)
+
+    def _suspected(self, host: Host) -> bool:
+        return host.uid in self._tasks.standing and host.heard > 0 and self.loop.now() - host.heard >= QUIET_MS
 
     def _listen(self, host: Host, now: float) -> None:
-        quiet = now - host.heard
-        if quiet > SILENT_MS:
-            sids = list(self._tasks.standing[host.uid])
-            self._lost(host, "silent")
-            host.letting.update((sid, now + self._idle) for sid in sids)
-            for link in [link for link in host.links if not link.open]:  # nothing more will pass there
-                self._end(host, link, "silent")
+        if not self._suspected(host):
             return
-        if quiet < QUIET_MS:
+        if host.verdict is None:  # a host that could not be heard, since we stood still, has the time of one test
+            due = max(host.heard + SILENT_MS - now, TEST_MS)
+            host.verdict = self.loop.call_later(due, lambda: self._judge(host))
+        for link in [link for link in host.links if link.overdue(now) and not link.open]:
+            self._end(host, link, "untested")
+        links = [link for link in host.links if not link.retired and not link.overdue(now)]
+        if links and all(link.tested is None for link in links) and links[0].transport.buffered < MOST:
+            self._test(links[0])
+
+    def _test(self, link: HostLink) -> None:
+        link.tested = self.loop.now()
+        self.counters["tests"] += 1
+        link.transport.write(encode(Word.PROBE, TASKLESS, code=0))
+
+    def _judge(self, host: Host) -> None:
+        """The time is up at which a host that has said nothing since it was suspected is silent."""
+        host.verdict = None
+        now = self.loop.now()
+        if self.hosts.get(host.uid) is not host or not self._suspected(host):
             return
-        for link in list(host.links):
-            if link.tested is not None and now - link.tested > TEST_MS and not link.open:
-                self._end(host, link, "untested")
-        link_ = next((link for link in host.links if not link.retired), None)
-        if link_ is not None and link_.tested is None and link_.transport.buffered < MOST:
-            link_.tested = now
-            self.counters["tests"] += 1
-            link_.transport.write(encode(Word.PROBE, TASKLESS, code=0))
+        if now - host.heard < SILENT_MS - 1.0:  # heard meanwhile, and suspected again
+            host.verdict = self.loop.call_later(host.heard + SILENT_MS - now, lambda: self._judge(host))
+            return
+        sids = list(self._tasks.standing[host.uid])
+        self._lost(host, "silent")
+        host.letting.update((sid, now + self._idle) for sid in sids)
+        for link in [link for link in host.links if not link.open]:  # nothing more will pass there
+            self._end(host, link, "silent")
 
     def _lost(self, host: Host, why: str, before: float | None = None) -> None:
         number = self._tasks.lost(host.uid, why, before)
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from sprucepost.loop import Co, connect, current, sleep
+from sprucepost.loop import Co, TimedOut, connect, current, sleep
 from sprucepost.node import binary, feed, hosts, owners, service
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, Word
@@ -137,6 +137,84 @@
     play(tmp_path, body)
 
 
+def test_a_host_is_not_tested_before_its_silence_matters(tmp_path: Path) -> None:
+    """Sixteen placers tested four hundred hosts after every 1.5 s of silence: two tests for each task."""
+    assert hosts.SILENT_MS < 8000 and hosts.SILENT_MS - hosts.QUIET_MS >= 3 * hosts.TEST_MS
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        yield from sleep(2500)
+        assert not host.lines(Word.PROBE)
+        known = day.service.hosts.hosts["s-1"]
+        known.heard -= 2000  # it spoke so long before
+        host.links[0].say(Word.EVENT, SIDS[0], {"note": "cores", "value": "1"})
+        yield from sleep(600)
+        assert not host.lines(Word.PROBE), "a note is a sign of life"
+        known.heard -= 4500
+        yield from wait_for(lambda: host.lines(Word.PROBE), 1000)
+
+    play(tmp_path, body)
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_a_cut_is_outlived_by_the_tasks_of_a_host_that_is_back_in_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, busy: bool
+) -> None:
+    """Connections that came up no more were tried less and less often, and the way back was found too late. ``busy``: with
+    a set-up open on the connection that was tested, none other was tried at all."""
+    monkeypatch.setattr(hosts, "TEST_MS", 200.0)
+    monkeypatch.setattr(hosts, "QUIET_MS", 400.0)
+    monkeypatch.setattr(hosts, "SILENT_MS", 2600.0)
+    monkeypatch.setattr(service, "TICK_MS", 50.0)
+    cut = [False]
+
+    def connecting(loop: Any, task: Any, address: Any, limit_ms: float) -> Co[Any]:
+        if cut[0]:
+            yield from sleep(limit_ms)
+            raise TimedOut(limit_ms)
+        return (yield from connect(loop, task, address, limit_ms))
+
+    monkeypatch.setattr(hosts, "connect", connecting)
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        old = list(host.links)
+        cut[0], host.tests = True, False
+        host.on_open = silent
+        if busy:
+            owner.transport.write(setup(SIDS[1], CLASS="bill", KEY="k", LEFT="9000"))
+        yield from sleep(2000)
+        cut[0], host.tests = False, True
+        yield from wait_for(lambda: len(host.links) > len(old), 500)
+        yield from sleep(900)
+        assert day.standing() == 1 and not answers(owner, SIDS[0])[1:], "heard again before its time was up"
+        assert not day.service.counters["lost_silent"]
+
+    play(tmp_path, body)
+
+
+def test_a_placer_that_stood_still_tests_before_it_calls_a_host_silent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        yield from placed(day, owner, SIDS[0])
+        day.service.hosts.hosts["s-1"].heard -= 20_000  # nothing was read all that time
+        yield from wait_for(lambda: host.lines(Word.PROBED) or host.lines(Word.PROBE), 1000)
+        yield from sleep(1500)
+        assert day.standing() == 1 and not day.service.counters["lost_silent"]
+
+    play(tmp_path, body)
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
