Node played as a process: a pause, no descriptors left, two on a core, giving up within a millisecond

Need: these were guarded by the loop's own tests, but never played against the program. Four tests start `sprucepost node` as `run` does, with the stand-in of the platform around it, and treat it badly: SIGSTOP for 1.5 s with set-ups under way (one whose time was over before it was read is refused and offered to nobody, one with time left is served, what stands still stands); RLIMIT_NOFILE at 16 and 24 connections that wait (who is connected is served, the listener keeps nobody busy, the rest is taken when there is room); two placers pinned to one core with 120 set-ups in 0.6 s, each answered once; a hundred tasks given up and handed in again in the same piece of bytes (one answer for the second, none for the first, no host left with the first).

--- /dev/null
+++ b/tests/node/test_process.py
@@ -0,0 +1,155 @@
+"""The program itself, as `run` starts it, on a machine that treats it badly: stopped, out of descriptors, two on a core."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from sprucepost.loop import Co, Transport, connect, current, sleep
+from sprucepost.node import binary
+from sprucepost.node.binary import Code, Kind
+from sprucepost.node.jsonl import Word
+from tests.node.platform import Day, Link, answers, heard, play, setup
+from tests.wire.support import wait_for
+
+SIDS = [f"5c07aa5c7e{n:06x}" for n in range(400)]
+
+
+@contextmanager
+def placer(
+    day: Day, name: str = "n0", before: Callable[[], None] | None = None
+) -> Iterator[tuple[int, tuple[str, int]]]:
+    """A placer's process and its address; it is ended at the end, and must then have ended by itself on SIGTERM."""
+    day.folder = day.folder / name
+    day.folder.mkdir()
+    environment = dict(day.environment(name=name))
+    document = json.loads((day.folder / "config.json").read_text())
+    day.folder = day.folder.parent
+    host, port = document["listen"].split(":")
+    with subprocess.Popen(
+        [sys.executable, "-m", "sprucepost", "node"], env=environment, stdout=subprocess.PIPE, preexec_fn=before
+    ) as process:
+        try:
+            assert process.stdout is not None
+            assert json.loads(process.stdout.readline())["event"] == "ready"
+            os.set_blocking(process.stdout.fileno(), False)  # some lines fit in the pipe; nobody reads the others
+            yield process.pid, (host, int(port))
+            assert process.poll() is None, "it must live until it is told to end"
+        finally:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+
+
+def owner(day: Day, address: tuple[str, int]) -> Co[Link]:
+    task = yield from current()
+    transport = yield from connect(day.loop, task, address, 3000.0)
+    return Link(transport, binary.Decoder(), lambda link, message: None)
+
+
+def test_a_pause_loses_no_standing_task_and_answers_nothing_late(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.paper.tell(host.entry(), everything=True)
+        with placer(day) as (pid, address):
+            link = yield from owner(day, address)
+            link.transport.write(setup(SIDS[0]))
+            yield from heard(link, SIDS[0], Kind.ANSWER)
+            os.kill(pid, signal.SIGSTOP)
+            link.transport.write(setup(SIDS[1], LEFT="500") + setup(SIDS[2], LEFT="5500"))
+            yield from sleep(1500)
+            os.kill(pid, signal.SIGCONT)
+            yield from heard(link, SIDS[1], Kind.RELEASE)  # its time was over before it was read
+            yield from heard(link, SIDS[2], Kind.ANSWER)
+            assert not host.lines(Word.CLOSE) and [line.sid for line in host.lines(Word.OPEN)].count(SIDS[1]) == 0
+            host.links[0].say(Word.CLOSE, SIDS[0], code=16)
+            assert (yield from heard(link, SIDS[0], Kind.RELEASE)).cause == 16
+
+    play(tmp_path, body)
+
+
+def test_without_a_descriptor_left_who_is_connected_is_served_and_the_rest_later(tmp_path: Path) -> None:
+    def few() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (16, 16))  # the configuration promises 64
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.paper.tell(host.entry(), everything=True)
+        with placer(day, before=few) as (pid, address):
+            link = yield from owner(day, address)
+            link.transport.write(setup(SIDS[0]))
+            yield from heard(link, SIDS[0], Kind.ANSWER)
+            task = yield from current()
+            others: list[Transport] = []
+            for _ in range(24):  # the system takes them all; the process cannot
+                others.append((yield from connect(day.loop, task, address, 3000.0)))
+            yield from sleep(300)
+            before = _cpu_s(pid)
+            link.transport.write(setup(SIDS[1]))
+            yield from heard(link, SIDS[1], Kind.ANSWER)
+            yield from sleep(700)
+            assert _cpu_s(pid) - before < 0.5, "a listener that cannot be served keeps nobody busy"
+            for transport in others:
+                transport.abort()
+            newer = yield from owner(day, address)
+            newer.transport.write(setup(SIDS[2]))
+            yield from heard(newer, SIDS[2], Kind.ANSWER, 8000)
+
+    play(tmp_path, body)
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def test_two_on_one_core_answer_everything_in_time(tmp_path: Path) -> None:
+    core = min(os.sched_getaffinity(0))
+
+    def body(day: Day) -> Co[None]:
+        for n in range(4):
+            day.host(f"s-{n}")
+        day.paper.tell(*(host.entry() for host in day.hosts.values()), everything=True)
+
+        def pinned() -> None:
+            os.sched_setaffinity(0, {core})
+
+        with placer(day, "n0", pinned) as (_, first), placer(day, "n1", pinned) as (_, second):
+            links = [(yield from owner(day, first)), (yield from owner(day, second))]
+            for n, sid in enumerate(SIDS[:120]):
+                figures = f"cores:0.1;memory:0.1;service:{n % 20:016x}"
+                links[n % 2].transport.write(setup(sid, FIGURES=figures, LEFT="5000"))
+                yield from sleep(5)
+            yield from wait_for(lambda: all(answers(links[n % 2], sid) for n, sid in enumerate(SIDS[:120])), 8000)
+            for n, sid in enumerate(SIDS[:120]):
+                assert [m.kind for m in answers(links[n % 2], sid)] == [Kind.ANSWER]
+
+    play(tmp_path, body)
+
+
+def test_who_gives_up_and_comes_again_within_a_millisecond_gets_one_answer_each(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.paper.tell(host.entry(), everything=True)
+        with placer(day) as (_, address):
+            link = yield from owner(day, address)
+            give_up = [(Code.CAUSE, b"\x10")]
+            for n in range(0, 200, 2):  # in one piece: the set-up, its end, and the same task under the next id
+                link.transport.write(
+                    setup(SIDS[n], NAME="t", FIGURES="cores:0.1;memory:0.1;service:s")
+                    + binary.encode(Kind.RELEASE, SIDS[n], give_up)
+                    + setup(SIDS[n + 1], NAME="t", FIGURES="cores:0.1;memory:0.1;service:s")
+                )
+            yield from wait_for(lambda: all(answers(link, sid) for sid in SIDS[1:200:2]), 8000)
+            assert all([m.kind for m in answers(link, sid)] == [Kind.ANSWER] for sid in SIDS[1:200:2])
+            assert not any(m.kind == Kind.ANSWER for sid in SIDS[0:200:2] for m in answers(link, sid))
+            stood = {line.sid for line in host.lines(Word.OPEN)} - {line.sid for line in host.lines(Word.CLOSE)}
+            assert stood == set(SIDS[1:200:2]), "what was given up stands nowhere"
+
+    play(tmp_path, body)
