--- /dev/null
+++ b/benchmarks/node_setups.py
@@ -0,0 +1,112 @@
+"""What a set-up costs `sprucepost node`, and where: ``python -m benchmarks.node_setups``.
+
+Ninety set-ups a second for half a minute, tasks of 5 s, twelve hosts, one owner. Twice: plain, for the process's own CPU
+time, and under the interpreter's profiler, for the shares of its parts. Writes ``docs/results/node-setups.json``.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import pstats
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from sprucepost.loop import Co, connect, current, sleep
+from sprucepost.node import binary
+from sprucepost.node.jsonl import Line, Word
+from tests.node.platform import Day, Link, play, setup
+
+RATE, SECONDS, LIFE_MS, HOSTS, SERVICES = 90, 30, 5000.0, 12, 60
+
+
+def one(command: list[str], folder: Path) -> dict[str, float]:
+    """CPU seconds and resident KiB of one placer that served the load."""
+    found: dict[str, float] = {}
+
+    def body(day: Day) -> Co[None]:
+        for n in range(HOSTS):
+            host = day.host(f"s-{n}")
+
+            def runs(link: Link, line: Line) -> None:
+                link.say(Word.READY, line.sid, text="x")
+                day.loop.call_later(30.0, lambda: link.say(Word.EVENT, line.sid, {"note": "runs", "value": "1"}))
+                day.loop.call_later(
+                    LIFE_MS, lambda: link.say(Word.CLOSE, line.sid, {"load": "x0:9;x1:9;backlog:0"}, code=16)
+                )
+
+            host.on_open = runs
+        day.paper.tell(*(host.entry() for host in day.hosts.values()), everything=True)
+        environment = dict(day.environment())
+        listen = json.loads((folder / "config.json").read_text())["listen"].split(":")
+        with subprocess.Popen(command, env={**os.environ, **environment}, stdout=subprocess.PIPE) as process:
+            assert process.stdout is not None
+            process.stdout.readline()
+            os.set_blocking(process.stdout.fileno(), False)
+            task = yield from current()
+            link = Link(
+                (yield from connect(day.loop, task, (listen[0], int(listen[1])), 3000.0)), binary.Decoder(), _ignore
+            )
+            began, before = day.loop.now(), _cpu_s(process.pid)
+            for n in range(RATE * SECONDS):
+                yield from sleep(max(0.0, began + n * 1000.0 / RATE - day.loop.now()))
+                figures = f"cores:0.1;memory:0.1;service:{n % SERVICES:016x}"
+                link.transport.write(setup(f"9b1f03aa{n:08x}", FIGURES=figures))
+                if n % RATE == 0:
+                    process.stdout.read()
+            yield from sleep(LIFE_MS + 500)
+            found["set_ups"], found["answered"] = RATE * SECONDS, sum(m.kind == binary.Kind.ANSWER for m in link.got)
+            found["cpu_ms_a_set_up"] = round(1000 * (_cpu_s(process.pid) - before) / (RATE * SECONDS), 3)
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            found["resident_kib"] = next(
+                int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS")
+            )
+            process.send_signal(signal.SIGTERM)
+            while process.poll() is None:
+                process.stdout.read()
+                yield from sleep(50)
+
+    play(folder, body)
+    return found
+
+
+def _ignore(link: Link, message: object) -> None:
+    """The load does not wait for answers."""
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def shares(profile: Path) -> dict[str, float]:
+    """The part of the profiled time spent in each file itself, waiting left out."""
+    total: dict[str, float] = {}
+    for (file, _, name), (_, _, own, _, _) in pstats.Stats(str(profile)).stats.items():  # type: ignore[attr-defined]
+        if "poll" in name or "import" in file:
+            continue
+        place = (
+            file.rpartition("sprucepost/")[2]
+            if "sprucepost/" in file
+            else f"library: {Path(file).name if file != '~' else name}"
+        )
+        total[place] = total.get(place, 0.0) + own
+    whole = sum(total.values())
+    return {place: round(own / whole, 3) for place, own in sorted(total.items(), key=lambda item: -item[1])[:12]}
+
+
+def main() -> None:
+    with tempfile.TemporaryDirectory() as plain, tempfile.TemporaryDirectory() as profiled:
+        report: dict[str, object] = dict(one([sys.executable, "-m", "sprucepost", "node"], Path(plain)))
+        file = Path(profiled) / "profile"
+        one([sys.executable, "-m", "cProfile", "-o", str(file), "-m", "sprucepost", "node"], Path(profiled))
+        report["shares"] = shares(file)
+    print(json.dumps(report, indent=1))
+    Path("docs/results/node-setups.json").write_text(json.dumps(report, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
