--- a/tests/view/test_view.py
+++ b/tests/view/test_view.py
@@ -78,7 +78,7 @@
     assert problems(seed, 3 + seed % 9) == []
 
 
-# Where a defect shows first, as a search over `problems(n, 3 + n % 16)` from n = 0 has found; others show in the first three.
+# Where a defect shows first, as a search over `problems(n, 3 + n % 16)` from n = 0 found; others show in the first three.
 SHOWS_AT = {
     "whoever_is_unseen_for_a_moment_is_away": 19,
     "news_is_not_passed_on": 29,
