peers: placers keep a view of the fleet over streams of their own, off unless the settings say so

Need: the view's state machine had nothing to carry it. Now a placer with `placer.peers` in its settings serves `sprucepost.v1.Peer` on its gRPC port, dials seeds and the members that its rings want, and ticks the view; without, nothing of it is served, dialled or shown.

`peers/codec` refuses what is no word (no name, texts over 256 characters, 4,096 ages) and passes over what a later version may say; `peers/peers` bounds streams, bytes of a frame and bytes left unread. `/members`, five gauges, `fleet members` (status 1 where two hold one number) and `fleet watch`. SIGHUP tells size and generation to the fleet's view; SIGTERM says left. An incarnation is the start's wall clock; a placer whose clock was set back outbids its predecessor once nobody sees that one any more.

Tests: frames both ways by property; processes of the program: seven that start at once, a crash, the same name again, all seeds dead, a clean stop, SIGSTOP and SIGCONT; two fleets with one set of seeds; one number twice; a size told to one; the commands. No cut between processes yet (ROADMAP).

--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -482,6 +482,37 @@
     click.echo(json.dumps(_tell(folder, what="resize", size=size, lead_s=lead_s, overlap_s=overlap_s)))
 
 
+@fleet.command()
+@click.argument("address")
+@click.option("--json", "as_json", is_flag=True, help="As the placer tells it.")
+def members(address: str, as_json: bool) -> None:
+    """The fleet as the placer sees it whose HTTP port is at ADDRESS; exit status 1 where two hold one number."""
+    from sprucepost.cli.members import NoView, ask, shown
+
+    try:
+        view = ask(address)
+    except NoView as error:
+        click.echo(f"sprucepost: {address}: {error}", err=True)
+        sys.exit(2)
+    click.echo(json.dumps(view, indent=1) if as_json else shown(view))
+    sys.exit(1 if view["conflicts"] else 0)
+
+
+@fleet.command("watch")
+@click.argument("address")
+@click.option("--every", "every_s", type=click.FloatRange(0.1, 60), default=1.0, show_default=True, help="Seconds.")
+def fleet_watch(address: str, every_s: float) -> None:
+    """A line for each change that the placer sees whose HTTP port is at ADDRESS, until it cannot be asked any more."""
+    from sprucepost.cli.members import NoView, changes
+
+    try:
+        for line in changes(address, every_s):
+            click.echo(line)
+    except NoView as error:
+        click.echo(f"sprucepost: {address}: {error}", err=True)
+        sys.exit(2)
+
+
 @fleet.command()
 @_DIR
 def down(folder: Path) -> None:
--- /dev/null
+++ b/sprucepost/peers/codec.py
@@ -0,0 +1,78 @@
+"""Words between members as protobuf frames, and back. What cannot be read is one error; unknown fields are passed over."""
+
+from __future__ import annotations
+
+from google.protobuf.message import DecodeError
+
+from sprucepost.v1 import peer_pb2 as pb
+from sprucepost.view.record import Record
+from sprucepost.view.view import MEMBERS_MOST
+from sprucepost.view.words import Beat, Hello, News, Summary, Word
+
+TEXT_MOST = 256  # characters of a name, a life, an address
+SEES_MOST = 256  # streams that one member may claim
+
+
+class Malformed(Exception):
+    """What a peer sent is no word."""
+
+
+def encode(word: Word) -> bytes:
+    """The frame of a word."""
+    if isinstance(word, Hello):
+        frame = pb.PeerFrame(
+            hello=pb.PeerHello(cluster=word.cluster, settings=word.settings, record=_record(word.record))
+        )
+    elif isinstance(word, Beat):
+        frame = pb.PeerFrame(beat=pb.PeerBeat(digest=word.digest))
+    elif isinstance(word, News):
+        frame = pb.PeerFrame(news=pb.PeerNews(records=[_record(record) for record in word.records]))
+    else:
+        ages = [pb.PeerAge(name=name, incarnation=life, version=version) for name, life, version in word.ages]
+        frame = pb.PeerFrame(summary=pb.PeerSummary(ages=ages, answer=word.answer))
+    return frame.SerializeToString()
+
+
+def decode(data: bytes) -> Word | None:
+    """The word of a frame; None for one of a kind that a later version may have. Malformed where it is none."""
+    try:
+        frame = pb.PeerFrame.FromString(data)
+    except DecodeError as error:
+        raise Malformed("no frame") from error
+    kind = frame.WhichOneof("word")
+    if kind == "hello":
+        return Hello(frame.hello.cluster, frame.hello.settings, _read(frame.hello.record))
+    if kind == "beat":
+        return Beat(frame.beat.digest)
+    if kind == "news":
+        return News(tuple(_read(record) for record in frame.news.records))
+    if kind == "summary":
+        if len(frame.summary.ages) > MEMBERS_MOST:
+            raise Malformed(f"a summary of {len(frame.summary.ages)} members")
+        return Summary(
+            tuple((age.name, age.incarnation, age.version) for age in frame.summary.ages), frame.summary.answer
+        )
+    return None
+
+
+def _record(record: Record) -> pb.PeerRecord:
+    return pb.PeerRecord(
+        name=record.name, incarnation=record.incarnation, life=record.life, version=record.version,
+        number=record.number, host=record.host, room=record.room, address=record.address,
+        generation=record.generation, size=record.size, roles=record.roles,
+        sees=[pb.PeerSight(name=name, life=life) for name, life in record.sees], left=record.left,
+    )  # fmt: skip
+
+
+def _read(record: pb.PeerRecord) -> Record:
+    texts = (record.name, record.life, record.host, record.room, record.address, *record.roles)
+    if not record.name or not record.life:
+        raise Malformed("a record without a name or a life")
+    if max(map(len, texts)) > TEXT_MOST or len(record.sees) > SEES_MOST or len(record.roles) > SEES_MOST:
+        raise Malformed("a record that is too long")
+    return Record(
+        name=record.name, incarnation=record.incarnation, life=record.life, version=record.version,
+        number=record.number, host=record.host, room=record.room, address=record.address,
+        generation=record.generation, size=record.size, roles=tuple(record.roles),
+        sees=tuple((sight.name, sight.life) for sight in record.sees), left=record.left,
+    )  # fmt: skip
--- /dev/null
+++ b/sprucepost/peers/peers.py
@@ -0,0 +1,160 @@
+"""The streams that carry a view: dialled and taken on the placer's own gRPC port, ticked by the loop."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from sprucepost.loop import Address, Co, Loop, Scope, TimedOut
+from sprucepost.peers.codec import Malformed, decode, encode
+from sprucepost.view import Record, View
+from sprucepost.view.view import TICK_MS
+from sprucepost.view.words import Action, Changed, Close, Dial, Send
+from sprucepost.wire.call import Call
+from sprucepost.wire.client import ClientConnection, open_client
+from sprucepost.wire.connection import Options
+from sprucepost.wire.server import Method, ServerCall
+from sprucepost.wire.status import Code, RpcError
+
+PATH = "/sprucepost.v1.Peer/Watch"
+CONNECT_MS = 1000.0
+MESSAGE_MOST = 262_144  # bytes of one frame: 64 records of a member with twenty streams are a tenth of it
+BEHIND_MOST = 1_048_576  # bytes that a peer may leave unread
+STREAMS_MOST = 512  # streams at a time, those of others included: 350 that join by one seed at once fit
+
+
+class _Link:
+    """One stream: a call, and the connection where it was dialled."""
+
+    def __init__(self, call: Call, connection: ClientConnection | None) -> None:
+        self.call, self.connection = call, connection
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.abort("not wanted")
+        elif isinstance(self.call, ServerCall):
+            self.call.finish(RpcError(Code.UNAVAILABLE, "not wanted"))
+
+
+class Peers:
+    """Carries one member's view. ``changed`` hears of each step."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        scope: Scope,
+        record: Record,
+        cluster: str,
+        settings: str,
+        seeds: tuple[str, ...],
+        source: str | None,
+        changed: Callable[[Changed], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._loop, self._scope, self._source, self._changed, self._log = loop, scope, source, changed, log
+        self.view = View(record, cluster, settings, seeds, loop.rng(), loop.now())
+        self.counters: Counter[str] = Counter()
+        self._links: dict[int, _Link] = {}
+        self._number = 0
+        self._stopped = False
+
+    def methods(self) -> dict[str, Method]:
+        """What the gRPC port serves."""
+        return {PATH: Method(attach=self._taken)}
+
+    def start(self) -> None:
+        """Tick from now on."""
+        self._tick()
+
+    def stop(self) -> None:
+        """Tell the others, and end the streams once that is out."""
+        if not self._stopped:
+            self._carry(self.view.leave())
+            self._stopped = True
+            self._loop.call_later(TICK_MS, self._end)
+
+    def _end(self) -> None:
+        for link in list(self._links.values()):
+            link.close()
+
+    def _tick(self) -> None:
+        if not self._stopped:
+            self._carry(self.view.tick(self._loop.now()))
+            self._loop.call_later(TICK_MS, self._tick)
+
+    # Streams
+
+    def _taken(self, call: ServerCall) -> None:
+        if len(self._links) >= STREAMS_MOST or self._stopped:
+            self.counters["turned_away"] += 1
+            call.finish(RpcError(Code.RESOURCE_EXHAUSTED, "too many peers"))
+            return
+        call.send_initial()
+        self._add(_Link(call, None), None)
+
+    def _dial(self, dial: Dial) -> Co[None]:
+        dialled = dial.name or dial.address
+        try:
+            host, _, port = dial.address.rpartition(":")
+            address: Address = (host, int(port))
+            options = Options(message_most=MESSAGE_MOST)
+            connection = yield from open_client(self._loop, address, CONNECT_MS, options, self._source)
+            call = connection.call(PATH)
+        except (OSError, TimedOut, RpcError, ValueError) as error:
+            self.counters["dial_failed"] += 1
+            self._log("peer_not_connected", peer=dialled, why=str(error) or type(error).__name__)
+            self._carry(self.view.not_opened(self._loop.now(), dialled))
+            return
+        self._add(_Link(call, connection), dialled)
+
+    def _add(self, link: _Link, dialled: str | None) -> None:
+        self._number += 1
+        number = self._number
+        self._links[number] = link
+        link.call.on_message = lambda data: self._heard(number, data)
+        link.call.on_end = lambda: self._over(number)
+        link.call.on_over = lambda status: self._over(number)
+        self._carry(self.view.opened(self._loop.now(), number, dialled))
+
+    def _heard(self, number: int, data: bytes) -> None:
+        try:
+            word = decode(data)
+        except Malformed as error:
+            self.counters["malformed"] += 1
+            self._log("peer_malformed", why=str(error))
+            self._drop(number)
+            self._carry(self.view.ended(self._loop.now(), number))
+            return
+        if word is not None:
+            self._carry(self.view.heard(self._loop.now(), number, word))
+
+    def _over(self, number: int) -> None:
+        if number in self._links:
+            self._drop(number)
+            self._carry(self.view.ended(self._loop.now(), number))
+
+    def _drop(self, number: int) -> None:
+        link = self._links.pop(number, None)
+        if link is not None:
+            link.close()
+
+    def _carry(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                link = self._links.get(action.stream)
+                if link is None or link.call.over is not None:
+                    continue
+                if link.call.out_bytes > BEHIND_MOST:
+                    self.counters["behind"] += 1
+                    self._loop.call_soon(lambda number=action.stream: self._over(number))  # type: ignore[misc]
+                    continue
+                data = encode(action.word)
+                self.counters["bytes_out"] += len(data)
+                link.call.send(data)
+            elif isinstance(action, Dial):
+                self._scope.spawn(self._dial(action), f"peer {action.name or action.address}")
+            elif isinstance(action, Close):
+                self._log("peer_closed", why=action.why)
+                self._drop(action.stream)
+            else:
+                self._changed(action)
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -7,14 +7,16 @@
 import signal
 import sys
 from collections.abc import Callable
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
-from msgspec import structs
+from msgspec import structs, to_builtins
 
 from sprucepost.admission import SessionBook
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
 from sprucepost.membership import Side
+from sprucepost.peers import Peers
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.fleet import FleetWatch
 from sprucepost.placer.lease import resolve
@@ -26,6 +28,8 @@
 from sprucepost.placer.pages import pages
 from sprucepost.settings import PlacerFile, SettingsError, read
 from sprucepost.settings.reload import changes, refused
+from sprucepost.view import Record
+from sprucepost.view.words import Changed
 from sprucepost.wire.connection import Options
 from sprucepost.wire.health import NOT_SERVING, SERVING, Health
 from sprucepost.wire.http1 import Http1
@@ -33,6 +37,7 @@
 from sprucepost.wire.server import Server
 
 SERVICE = "sprucepost.v1.Placer"
+PEER_SERVICE = "sprucepost.v1.Peer"
 TAKEN_MS = 3000.0  # before a number that was taken is tried again
 FREE_MS = 1500.0  # without an objection the number is free
 SLOT_MS = 2000.0  # between two looks at the file that holds the number
@@ -96,10 +101,13 @@
             self.engine.hear_list,
         )
         self.health = Health()
+        self.peers = self._peers()
+        services = [SERVICE, "grpc.health.v1.Health"] + [PEER_SERVICE] * (self.peers is not None)
         methods = {
             **self.owners.methods(),
             **self.health.methods(),
-            **Reflection([SERVICE, "grpc.health.v1.Health"]).methods(),
+            **Reflection(services).methods(),
+            **(self.peers.methods() if self.peers is not None else {}),
         }
         limits = options.limits
         self.server = Server(
@@ -122,6 +130,41 @@
         self.listen: Address = ""
         self.http: Http1 | None = None
 
+    def _peers(self) -> Peers | None:
+        """The carrier of the fleet's own view, where the settings ask for one."""
+        options = self.file.placer.peers
+        if options is None:
+            return None
+        number, generation = self.file.placer.number, self.file.placer.generation.number
+        record = Record(
+            name=options.name or f"placer-{number}",
+            incarnation=self.incarnation >> 16,
+            life=self.loop.token(8).hex(),
+            version=0,
+            number=number,
+            host=options.host or self.file.placer.listen.rpartition(":")[0],
+            room=options.room or self.file.placer.zone,
+            address="",  # told once it listens
+            generation=generation,
+            size=self.file.placer.instances,
+        )
+        agreed = blake2b(json.dumps(to_builtins(self.file.cluster), sort_keys=True).encode(), digest_size=8).hexdigest()
+        return Peers(
+            self.loop,
+            self.scope,
+            record,
+            options.cluster,
+            agreed,
+            tuple(options.seeds),
+            self.file.placer.source,
+            self._seen,
+            lambda event, **more: self.log.debug(event, **more),
+        )
+
+    def _seen(self, step: Changed) -> None:
+        self.log.info("view", here=len(step.here), away=sorted(step.away) or None, left=sorted(step.left) or None)
+        self.nudge()
+
     def _info(self, event: str, **more: Any) -> None:
         self.log.info(event, **more)
 
@@ -153,6 +196,9 @@
             self.health.set(service, NOT_SERVING)
         self.engine.on_change = self.nudge
         self.engine.start()
+        if self.peers is not None:
+            self.peers.view.update(address=address_text(self.listen))
+            self.peers.start()
         self._move()
         self.log.info("listening", address=address_text(self.listen), http=address_text(self.http.address))
 
@@ -221,6 +267,8 @@
             self.log.info("setting_changed", key=path, was=was, now=now)
         self.logs.level = new.placer.log.level
         self.engine.set_options(new.placer)
+        if self.peers is not None:
+            self.peers.view.update(generation=new.placer.generation.number, size=new.placer.instances)
         if new.generation() != old.generation():
             # Who runs when a change is told was there before it; a rollback turns the sides round.
             flip = {Side.OLD: Side.NEW, Side.NEW: Side.OLD}
@@ -252,6 +300,8 @@
         until = self.loop.now() + stop_ms if stop_ms is not None else self.engine.answers.last_due() + LEAVE_MS
         self._stop_at = until
         self._move()
+        if self.peers is not None:
+            self.peers.stop()
         self.log.info("stopping", open=taken, at_most_ms=round(until - self.loop.now()))
         self.scope.spawn(self.server.drain(until - self.loop.now() + LEAVE_MS), "drain")
         handed_back = 0
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Iterator
 from typing import Any, Protocol
 
 from sprucepost.loop import Loop
+from sprucepost.peers import Peers
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.links import Links
 from sprucepost.placer.owners import Owners
+from sprucepost.view import View
 from sprucepost.wire.http1 import Page
 from sprucepost.wire.server import Server
 
@@ -22,6 +25,7 @@
     links: Links
     server: Server
     slot_trouble: str
+    peers: Peers | None
 
     def not_ready(self) -> str: ...
     def list_age_ms(self) -> float: ...
@@ -37,7 +41,36 @@
     def healthy() -> tuple[int, str, bytes]:
         return 200, "text/plain", b"alive\n"
 
-    return {"/healthz": healthy, "/readyz": ready, "/metrics": _metrics(placer)}
+    def members() -> tuple[int, str, bytes]:
+        if placer.peers is None:
+            return 404, "text/plain", b"off: no peers in the settings\n"
+        return 200, "application/json", json.dumps(shown(placer.peers.view, placer.loop.now())).encode()
+
+    return {"/healthz": healthy, "/readyz": ready, "/metrics": _metrics(placer), "/members": members}
+
+
+def shown(view: View, now: float) -> dict[str, Any]:
+    """A view as JSON: what this placer sees, and since when nothing has changed."""
+    return {
+        "name": view.me.name,
+        "digest": f"{view.digest:016x}",
+        "settled_ms": round(now - view.moved),
+        "conflicts": {str(number): names for number, names in view.conflicts().items()},
+        "members": [
+            {
+                "name": record.name,
+                "condition": "left" if record.left else "here" if name in view.here else "away",
+                "number": record.number,
+                "host": record.host,
+                "room": record.room,
+                "address": record.address,
+                "incarnation": record.incarnation,
+                "generation": record.generation,
+                "size": record.size,
+            }
+            for name, record in sorted(view.records.items())
+        ],
+    }
 
 
 def _metrics(placer: Shown) -> Callable[[], tuple[int, str, bytes]]:
@@ -84,6 +117,8 @@
             for name, count in sorted(counters.items()):
                 peers.add_metric([side, name], count)
         yield from (outcomes, events, refusals, peers)
+        if placer.peers is not None:
+            yield from _view_gauges(placer.peers, placer.loop.now())
         links = placer.links.all()
         for name, text, value in (
             ("open_tasks", "Tasks taken and not answered", engine.ledger.open),
@@ -105,3 +140,19 @@
             gauge = GaugeMetricFamily(f"sprucepost_{name}", text)
             gauge.add_metric([], value)
             yield gauge
+
+
+def _view_gauges(peers: Peers, now: float) -> Iterator[Any]:
+    from prometheus_client.core import GaugeMetricFamily
+
+    view = peers.view
+    for name, text, value in (
+        ("view_here", "Placers that can be reached", len(view.here)),
+        ("view_away", "Placers that are remembered and not reached", len(view.away)),
+        ("view_conflicts", "Numbers that more than one placer has", len(view.conflicts())),
+        ("view_settled_ms", "Since the view last changed, here or at a peer", now - view.moved),
+        ("view_streams", "Streams to other placers", len(view.streams)),
+    ):
+        gauge = GaugeMetricFamily(f"sprucepost_{name}", text)
+        gauge.add_metric([], value)
+        yield gauge
--- a/sprucepost/settings/__init__.py
+++ b/sprucepost/settings/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from sprucepost.settings.cluster import Cluster, TaskClass
-from sprucepost.settings.placer import PlacerFile, PlacerOptions
+from sprucepost.settings.placer import PeerOptions, PlacerFile, PlacerOptions
 from sprucepost.settings.reading import SettingsError, read, schema
 
-__all__ = ["Cluster", "PlacerFile", "PlacerOptions", "SettingsError", "TaskClass", "read", "schema"]
+__all__ = ["Cluster", "PeerOptions", "PlacerFile", "PlacerOptions", "SettingsError", "TaskClass", "read", "schema"]
--- a/sprucepost/settings/placer.py
+++ b/sprucepost/settings/placer.py
@@ -45,6 +45,16 @@
     format: Literal["json", "console"] = "json"
 
 
+class PeerOptions(Struct, forbid_unknown_fields=True, frozen=True):
+    """Whom to ask for the fleet's own view (docs/view.md)."""
+
+    cluster: Annotated[str, Meta(min_length=1, max_length=64, description="fleets of other names are never joined")]
+    seeds: Annotated[list[Endpoint], Meta(description="gRPC ports of some placers; any one that lives serves")]
+    name: Annotated[str, Meta(max_length=64, description="the same after a restart; empty: from the number")] = ""
+    host: Annotated[str, Meta(max_length=64, description="what fails together; empty: the listening address")] = ""
+    room: Annotated[str, Meta(max_length=64, description="empty: the zone")] = ""
+
+
 class PlacerOptions(Struct, forbid_unknown_fields=True, frozen=True):
     instances: Annotated[Count, Meta(description="how many placers there are")]
     zone: str
@@ -65,6 +75,7 @@
         Meta(description="time to settle open tasks at SIGTERM; null: until their owners' deadlines"),
     ] = None
     clock_slew: Annotated[float, Meta(ge=0, lt=1, description="most that a stepped clock is followed by")] = 0.05
+    peers: Annotated[PeerOptions | None, Meta(description="keep a view of the fleet; null: off")] = None
     limits: Limits = Limits()
     log: Log = Log()
     seed: int | None = None
--- /dev/null
+++ b/tests/peers/fleet.py
@@ -0,0 +1,130 @@
+"""Several placers of the program, each a process, that keep a view of the fleet together."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from sprucepost.settings import PeerOptions, PlacerFile, PlacerOptions
+from tests.placer.support import cluster
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def free_ports(number: int) -> list[int]:
+    socks = [socket.socket() for _ in range(number)]
+    try:
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [int(sock.getsockname()[1]) for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+class Fleet:
+    """Placers by number; those that were started and not ended are ``processes``."""
+
+    def __init__(self, folder: Path, size: int, name: str = "test", seeds: list[int] | None = None) -> None:
+        self.folder, self.size, self.name = folder, size, name
+        self.ports = free_ports(2 * size)
+        self.seeds = seeds or self.ports[: min(3, size)]
+        self.processes: dict[int, subprocess.Popen[str]] = {}
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+
+    def file(self, number: int, **changes: Any) -> Path:
+        """The settings of one placer."""
+        options = PlacerOptions(
+            instances=changes.pop("instances", self.size), zone="room-a", list="127.0.0.1:1",
+            number=changes.pop("its_number", number), listen=f"127.0.0.1:{self.ports[number]}",
+            http=f"127.0.0.1:{self.ports[self.size + number]}",
+            peers=changes.pop("peers", PeerOptions(
+                cluster=self.name, seeds=[f"127.0.0.1:{port}" for port in self.seeds],
+                name=f"p{number}", host=f"h{number // 2}", room=f"r{number % 3}",
+            )),
+            **changes,
+        )  # fmt: skip
+        path = self.folder / f"{self.name}-{number}.json"
+        path.write_bytes(msgspec.json.encode(PlacerFile(cluster(), options)))
+        return path
+
+    def start(self, *numbers: int, **changes: Any) -> None:
+        """At once; they need not listen yet when this returns."""
+        for number in numbers:
+            log = (self.folder / f"{self.name}-{number}.log").open("a")
+            self.processes[number] = subprocess.Popen(
+                [sys.executable, "-m", "sprucepost", "placer", str(self.file(number, **changes))],
+                stdout=log, stderr=log, text=True, cwd=ROOT,
+            )  # fmt: skip
+            log.close()
+
+    def end(self, number: int, how: int = signal.SIGKILL) -> None:
+        process = self.processes.pop(number)
+        process.send_signal(how)
+        process.wait(20)
+
+    def signal(self, number: int, how: int) -> None:
+        os.kill(self.processes[number].pid, how)
+
+    def page(self, number: int, path: str) -> bytes:
+        with urllib.request.urlopen(f"http://127.0.0.1:{self.ports[self.size + number]}{path}", timeout=5) as answer:
+            return bytes(answer.read())
+
+    def seen(self, number: int) -> dict[str, Any]:
+        """What a placer shows of its view."""
+        document: dict[str, Any] = json.loads(self.page(number, "/members"))
+        return document
+
+    def by_condition(self, number: int, condition: str) -> set[str]:
+        return {member["name"] for member in self.seen(number)["members"] if member["condition"] == condition}
+
+    def settled(self, away: set[str] = frozenset(), left: set[str] = frozenset()) -> bool:  # type: ignore[assignment]
+        """Whether all that run show the same, and just themselves as here."""
+        names = {f"p{number}" for number in self.processes}
+        digests = set()
+        for number in self.processes:
+            shown = self.seen(number)
+            digests.add(shown["digest"])
+            for condition, wanted in (("here", names), ("away", away), ("left", left)):
+                if {m["name"] for m in shown["members"] if m["condition"] == condition} != wanted:
+                    return False
+        return len(digests) == 1
+
+    def wait(self, done: Callable[[], bool], limit_s: float = 40.0) -> float:
+        """Until that holds; the seconds it took."""
+        began = time.monotonic()
+        while time.monotonic() - began < limit_s:
+            try:
+                if done():
+                    return time.monotonic() - began
+            except OSError:
+                pass  # one of them does not listen yet
+            time.sleep(0.1)
+        shown = {number: self._told(number) for number in self.processes}
+        raise AssertionError(f"not within {limit_s} s: {json.dumps(shown, indent=1)[:3000]}")
+
+    def _told(self, number: int) -> Any:
+        try:
+            shown = self.seen(number)
+        except OSError as error:
+            return [str(error), (self.folder / f"{self.name}-{number}.log").read_text()[-600:]]
+        return shown["digest"], {member["name"]: member["condition"] for member in shown["members"]}
--- /dev/null
+++ b/tests/peers/test_codec.py
@@ -0,0 +1,60 @@
+"""Words as frames: back as they were, and one error for whatever is none."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucepost.peers.codec import Malformed, decode, encode
+from sprucepost.v1 import peer_pb2 as pb
+from sprucepost.view.view import MEMBERS_MOST
+from sprucepost.view.words import Beat, Hello, News, Summary, Word
+from tests.view.test_view import record
+
+TEXT = st.text(min_size=1, max_size=20)
+BIG = st.integers(0, 2**63)
+RECORDS = st.builds(
+    record, st.integers(0, 350), incarnation=BIG, version=BIG, life=TEXT, name=TEXT, address=st.text(max_size=20),
+    roles=st.lists(TEXT, max_size=3).map(tuple), sees=st.lists(st.tuples(TEXT, TEXT), max_size=4).map(tuple),
+    left=st.booleans(),
+)  # fmt: skip
+WORDS = st.one_of(
+    st.builds(Hello, st.text(max_size=9), st.text(max_size=9), RECORDS),
+    st.builds(Beat, st.integers(0, 2**64 - 1)),
+    st.builds(News, st.lists(RECORDS, max_size=3).map(tuple)),
+    st.builds(Summary, st.lists(st.tuples(TEXT, BIG, BIG), max_size=4).map(tuple), st.booleans()),
+)
+
+
+@given(WORDS)
+def test_words_come_back_as_they_were(word: Word) -> None:
+    assert decode(encode(word)) == word
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_word_or_one_error(data: bytes) -> None:
+    with contextlib.suppress(Malformed):
+        decode(data)
+
+
+def test_unknown_fields_and_words_of_a_later_version_are_passed_over() -> None:
+    beat = encode(Beat(7))
+    assert decode(beat + b"\xfa\x01\x03abc") == Beat(7)
+    assert decode(b"\xfa\x01\x03abc") is None
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        pb.PeerFrame(hello=pb.PeerHello(cluster="c")),
+        pb.PeerFrame(news=pb.PeerNews(records=[pb.PeerRecord(name="p", life="l", host="h" * 300)])),
+        pb.PeerFrame(news=pb.PeerNews(records=[pb.PeerRecord(name="p", life="l", sees=[pb.PeerSight()] * 300)])),
+        pb.PeerFrame(summary=pb.PeerSummary(ages=[pb.PeerAge(name="p")] * (MEMBERS_MOST + 1))),
+    ],
+)
+def test_what_is_too_much_or_nobody_is_refused(frame: pb.PeerFrame) -> None:
+    with pytest.raises(Malformed):
+        decode(frame.SerializeToString())
--- /dev/null
+++ b/tests/peers/test_processes.py
@@ -0,0 +1,98 @@
+"""Processes of the program that keep a view together, with faults thrown at them.
+
+How long things take is measured elsewhere, on a quiet machine: here the verdicts must be the same on a busy one.
+"""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from tests.peers.fleet import Fleet
+
+
+def test_start_crash_restart_leave_and_stop(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 7) as fleet:
+        fleet.start(*range(7))
+        fleet.wait(fleet.settled)
+        assert b"sprucepost_view_here 7.0" in fleet.page(4, "/metrics")
+
+        fleet.end(3)  # a crash, then the same name again
+        fleet.wait(lambda: fleet.settled(away={"p3"}))
+        first = next(m["incarnation"] for m in fleet.seen(0)["members"] if m["name"] == "p3")
+        fleet.start(3)
+        fleet.wait(fleet.settled)
+        assert next(m["incarnation"] for m in fleet.seen(0)["members"] if m["name"] == "p3") > first
+
+        for number in (0, 1, 2):  # all the seeds at once
+            fleet.end(number)
+        fleet.wait(lambda: fleet.settled(away={"p0", "p1", "p2"}))
+        fleet.start(1)
+        fleet.wait(lambda: fleet.settled(away={"p0", "p2"}))
+
+        fleet.end(5, signal.SIGTERM)
+        fleet.wait(lambda: fleet.settled(away={"p0", "p2"}, left={"p5"}))
+
+        fleet.signal(6, signal.SIGSTOP)
+        fleet.wait(lambda: "p6" in fleet.by_condition(4, "away"))
+        fleet.signal(6, signal.SIGCONT)
+        fleet.wait(lambda: fleet.settled(away={"p0", "p2"}, left={"p5"}))
+
+
+def test_two_fleets_with_the_same_seeds_stay_two_and_one_number_twice_is_seen(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 3) as fleet, Fleet(tmp_path, 2, "other", fleet.ports[:3]) as other:
+        fleet.start(0, 1, 2)
+        other.start(0, 1)
+        fleet.wait(fleet.settled)
+        time.sleep(2.0)  # the others try those seeds all the time
+        assert fleet.settled() and all("p2" not in other.by_condition(n, "here") for n in (0, 1))
+        fleet.end(2)
+        fleet.start(2, its_number=1)
+        fleet.wait(lambda: all(fleet.seen(n)["conflicts"] == {"1": ["p1", "p2"]} for n in (0, 1, 2)))
+
+
+def test_a_new_size_told_to_one_is_shown_by_all(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 4) as fleet:
+        fleet.start(0, 1, 2, 3)
+        fleet.wait(fleet.settled)
+        fleet.file(2, instances=9)
+        fleet.signal(2, signal.SIGHUP)
+        fleet.wait(lambda: all({m["name"]: m["size"] for m in fleet.seen(n)["members"]}["p2"] == 9 for n in range(4)))
+        fleet.wait(fleet.settled)
+
+
+def command(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "sprucepost", "fleet", *words], capture_output=True, text=True, check=False, timeout=60
+    )
+
+
+def test_the_commands_show_a_view_or_say_in_one_line_why_there_is_none(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 3) as fleet:
+        fleet.start(0, 1)
+        fleet.start(2, peers=None)
+        fleet.wait(lambda: fleet.by_condition(0, "here") == {"p0", "p1"} == fleet.by_condition(1, "here"))
+        http = [f"127.0.0.1:{port}" for port in fleet.ports[3:]]
+        done = command("members", http[0])
+        assert done.returncode == 0 and "p1" in done.stdout and "2 here, 0 away, 0 left" in done.stdout
+        assert b"sprucepost_view" not in fleet.page(2, "/metrics")
+        for address in (http[2], "127.0.0.1:1"):
+            done = command("members", address)
+            assert done.returncode == 2 and done.stderr.count("\n") == 1 and done.stderr.startswith("sprucepost: ")
+        fleet.end(1)
+        fleet.start(1, its_number=0)
+        fleet.wait(lambda: command("members", http[0]).returncode == 1)
+        with subprocess.Popen(
+            [sys.executable, "-u", "-m", "sprucepost", "fleet", "watch", http[0], "--every", "0.1"],
+            stdout=subprocess.PIPE, text=True,
+        ) as watching:  # fmt: skip
+            try:
+                assert watching.stdout is not None
+                time.sleep(1.5)
+                fleet.end(1)
+                assert watching.stdout.readline() == "p1: here to away\n"
+            finally:
+                watching.kill()
