view: a member is away after 1.5 s unseen, and an own pause does not count

Ruled out: the rings (there is nobody else to see it) and the patience (the stream ended, it was not silent).

Change: `LINGER_MS` 0.8 s to 1.5 s, longer than the pause that the promise allows and the dial after it; a process that ended is still known in 3 s. A member that stood still itself does not count that time either (`_unseen` was reckoned over it; the first guess, and not enough).

--- a/sprucepost/view/view.py
+++ b/sprucepost/view/view.py
@@ -50,9 +50,7 @@
 RETRY_MS = 1000.0  # between two dials of members that are away, or of seeds
 DIAL_MS, DIAL_MOST_MS = 200.0, 5000.0  # until a dial that failed is tried again, doubled each time
 DIALS = 8  # under way at a time
-LINGER_MS = (
-    800.0  # a member is away when it has been seen by none for so long: streams that broke are there again sooner
-)
+LINGER_MS = 1500.0  # unseen for so long a member is away: longer than a pause of 1 s and the dial after it
 STEP_MS = 300.0  # a change is told when nothing else has changed for so long,
 STEP_MOST_MS = 1000.0  # or at the latest after that
 FORGET_MS = 600_000.0
@@ -178,6 +176,7 @@
         if stood >= STOOD_MS:  # what was said meanwhile has not been read: nobody is judged by it
             for stream in self.streams.values():
                 stream.heard += stood
+            self._unseen = {name: since + stood for name, since in self._unseen.items()}
             self._doubt = min(DOUBT_MOST, self._doubt * 2)
             self.counters["stood"] += 1
         self._ticked = now
