view: only a member that had one or two streams lingers longer before it is away

The longer wait was needed only where one or two streams decide; where many lose sight of a member at one time, that is agreement already.

Now 0.8 s, or 1.5 s for a member whose own record named two streams or fewer.

--- a/sprucepost/view/view.py
+++ b/sprucepost/view/view.py
@@ -50,7 +50,8 @@
 RETRY_MS = 1000.0  # between two dials of members that are away, or of seeds
 DIAL_MS, DIAL_MOST_MS = 200.0, 5000.0  # until a dial that failed is tried again, doubled each time
 DIALS = 8  # under way at a time
-LINGER_MS = 1500.0  # unseen for so long a member is away: longer than a pause of 1 s and the dial after it
+LINGER_MS = 800.0  # unseen for so long a member is away: streams that broke are there again sooner
+FEW, LINGER_FEW_MS = 2, 1500.0  # one that had so few streams: longer than a pause of 1 s and the dial after it
 STEP_MS = 300.0  # a change is told when nothing else has changed for so long,
 STEP_MOST_MS = 1000.0  # or at the latest after that
 FORGET_MS = 600_000.0
@@ -350,7 +351,7 @@
                     edge.append(other)
         unseen = {n for n in self.here - here if n in self.records and not self.records[n].left}
         self._unseen = {name: self._unseen.get(name, now) for name in unseen}
-        here |= {name for name, since in self._unseen.items() if now - since < LINGER_MS}
+        here |= {name for name, since in self._unseen.items() if now - since < self._linger(name)}
         self._dirty = bool(self._unseen)
         if frozenset(here) != self.here:
             self.here = frozenset(here)
@@ -362,6 +363,10 @@
         else:
             self._changing = None
 
+    def _linger(self, name: str) -> float:
+        """Where many have lost sight of a member at one time, that is agreement; where it had but one or two streams, chance."""
+        return LINGER_FEW_MS if len(self.records[name].sees) <= FEW else LINGER_MS
+
     def _shed(self, now: float) -> None:
         """A stream that this member dialled, and that no ring of its own asks for, is ended once the rings have theirs."""
         names = {stream.name for stream in self.streams.values()}
--- a/tests/view/defects.py
+++ b/tests/view/defects.py
@@ -42,7 +42,7 @@
 
 
 def _whoever_is_unseen_for_a_moment_is_away() -> Any:
-    return mock.patch.object(view, "LINGER_MS", 0.0)
+    return mock.patch.object(View, "_linger", lambda self, name: 0.0)
 
 
 def _no_summaries() -> Any:
