--- a/sprucepost/view/view.py
+++ b/sprucepost/view/view.py
@@ -364,7 +364,7 @@
             self._changing = None
 
     def _linger(self, name: str) -> float:
-        """Where many have lost sight of a member at one time, that is agreement; where it had but one or two streams, chance."""
+        """Where many lose sight of a member at one time, that is agreement; where it had but a stream or two, chance."""
         return LINGER_FEW_MS if len(self.records[name].sees) <= FEW else LINGER_MS
 
     def _shed(self, now: float) -> None:
