view: a member that thought itself replaced goes on once nobody sees the other any more

A line for each record showed why: members that were late or cut off still claimed to see the life before, for longer than the six seconds after which a second process is believed. `_twins` looked no more once it had decided so.

Change: it goes on looking; what is not seen any more was dead, the member outbids it and is not replaced. It also goes on dialling until then.

--- a/sprucepost/view/view.py
+++ b/sprucepost/view/view.py
@@ -82,7 +82,7 @@
         self.records: dict[str, Record] = {record.name: record}
         self.digest = fingerprint(record)
         self.here: frozenset[str] = frozenset({record.name})
-        self.replaced = False  # a newer process of this name lives: this one must go
+        self.replaced = False  # a newer process of this name lives, for as long as others see it: this one must go
         self.counters: Counter[str] = Counter()
         self.streams: dict[int, Stream] = {}
         self._actions: list[Action] = []
@@ -321,15 +321,15 @@
             self._pending.setdefault(source, {})[self.me.name] = None
 
     def _twins(self, now: float) -> None:
-        if self._twin is None or self.replaced:
+        if self._twin is None:
             return
         life, since = self._twin
         seen = any((self.me.name, life) in self.records[name].sees for name in self.here if name != self.me.name)
         seen = seen or any(stream.life == life for stream in self.streams.values())
         if seen and now - since > PATIENCE_MS * DOUBT_MOST:
             self.replaced = True
-        elif not seen:
-            self._twin = None
+        elif not seen:  # whoever had seen it was late, or cut off
+            self._twin, self.replaced = None, False
             if self._twin_incarnation >= self.me.incarnation:
                 self._publish(replace(self.me, incarnation=self._twin_incarnation + 1, version=self.me.version + 1))
 
@@ -392,7 +392,7 @@
     # Dials
 
     def _dial(self, now: float) -> None:
-        if self.me.left or self.replaced:
+        if self.me.left:
             return
         names = {stream.name for stream in self.streams.values()}
         for name in self._wanted:
