--- a/sprucepost/peers/peers.py
+++ b/sprucepost/peers/peers.py
@@ -99,7 +99,11 @@
             address: Address = (host, int(port))
             options = Options(message_most=MESSAGE_MOST)
             connection = yield from open_client(self._loop, address, CONNECT_MS, options, self._source)
-            call = connection.call(PATH)
+            try:
+                call = connection.call(PATH)
+            except RpcError:
+                connection.abort("takes no call")
+                raise
         except (OSError, TimedOut, RpcError, ValueError) as error:
             self.counters["dial_failed"] += 1
             self._log("peer_not_connected", peer=dialled, why=str(error) or type(error).__name__)
