--- a/tests/node/platform.py
+++ b/tests/node/platform.py
@@ -101,6 +101,7 @@
         )
         self.tests = True  # whether it answers them
         self.acceptor = Acceptor(day.loop, day.loop.listen(("127.0.0.1", port)), self._take)
+        assert isinstance(self.acceptor.address, tuple)
         self.port = self.acceptor.address[1]
 
     def made(self, sid: str) -> str:
