A generation told to one placer reaches all, and a change of size ends when it is over

Need: an operator had to tell each process of a new size, a change lasted its whole overlap, and a number held twice was shown but nobody acted on it. Where placers keep a view they know all that, so they act on it; nothing of this is read by a placement, and without `peers` nothing changes.

- `membership/course`: which of several generations counts (a semilattice), who has heard of it, when it is over.
The new side takes its seats once everybody who is remembered has heard of the change (also those who are cut off); a disputed number gives nobody a seat.
Once the fleet is what the change wants, an end is proposed 15 s ahead; the earliest proposal counts, so all change seats at one moment.
- `placer/company`: what the view means for one placer: generation, number held twice (the younger leaves ready), a predecessor whose clock was ahead.
A placer with a view attaches to machines once it has heard of its predecessor, 0.5 s at the latest.
- Records carry generation and state of life; `fleet status ADDRESS`, `/readyz` and metrics show size, digest, settled, disputed.

Processes: told to one of 3, all 5 run under it; an overlap of an hour ends within 20 s. Dead end: an end that each placer finds for itself mixes two layouts, up to 60 where 30 are borne; hence one moment told ahead.

--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -448,12 +448,24 @@
 
 
 @fleet.command()
-@_DIR
+@click.argument("address", required=False)
+@click.option("--dir", "folder", type=click.Path(path_type=Path), help="The fleet's folder.")
 @click.option("--json", "as_json", is_flag=True, help="The whole summary.")
-def status(folder: Path, as_json: bool) -> None:
-    """A row for each placer."""
+def status(address: str | None, folder: Path | None, as_json: bool) -> None:
+    """A row for each placer: of the runner in --dir, or as the placer tells it whose HTTP port is at ADDRESS (exit status 1
+    where one that is here is not ready, or two hold one number)."""
     from sprucepost.cli.tables import table
 
+    if (address is None) == (folder is None):
+        raise click.UsageError("give an ADDRESS or --dir")
+    if address is not None:
+        from sprucepost.cli.members import STATUS, shown
+
+        view = _view(address)
+        click.echo(json.dumps(view, indent=1) if as_json else shown(view, STATUS))
+        here = [member for member in view["members"] if member["condition"] == "here"]
+        sys.exit(1 if view["conflicts"] or any(member["status"] != "ready" for member in here) else 0)
+    assert folder is not None
     reply = _tell(folder, what="status")
     if as_json:
         click.echo(json.dumps(reply, indent=1))
@@ -482,18 +494,24 @@
     click.echo(json.dumps(_tell(folder, what="resize", size=size, lead_s=lead_s, overlap_s=overlap_s)))
 
 
+def _view(address: str) -> dict[str, Any]:
+    from sprucepost.cli.members import NoView, ask
+
+    try:
+        return ask(address)
+    except NoView as error:
+        click.echo(f"sprucepost: {address}: {error}", err=True)
+        sys.exit(2)
+
+
 @fleet.command()
 @click.argument("address")
 @click.option("--json", "as_json", is_flag=True, help="As the placer tells it.")
 def members(address: str, as_json: bool) -> None:
     """The fleet as the placer sees it whose HTTP port is at ADDRESS; exit status 1 where two hold one number."""
-    from sprucepost.cli.members import NoView, ask, shown
+    from sprucepost.cli.members import shown
 
-    try:
-        view = ask(address)
-    except NoView as error:
-        click.echo(f"sprucepost: {address}: {error}", err=True)
-        sys.exit(2)
+    view = _view(address)
     click.echo(json.dumps(view, indent=1) if as_json else shown(view))
     sys.exit(1 if view["conflicts"] else 0)
 
--- a/sprucepost/cli/members.py
+++ b/sprucepost/cli/members.py
@@ -1,4 +1,4 @@
-"""``fleet members`` and ``fleet watch``: the view that one placer has of its fleet, asked over its HTTP port."""
+"""``fleet members``, ``fleet status ADDRESS`` and ``fleet watch``: one placer's view, asked over its HTTP port."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 from sprucepost.cli.tables import table
 
+STATUS = ["name", "condition", "status", "number", "generation", "size", "address"]
 HEAD = ["name", "condition", "number", "room", "host", "address", "generation", "size"]
 
 
@@ -30,12 +31,13 @@
     return document
 
 
-def shown(view: dict[str, Any]) -> str:
+def shown(view: dict[str, Any], head: list[str] | None = None) -> str:
     """A row for each member, and what is to be known of all."""
-    rows = [[member[key] for key in HEAD] for member in view["members"]]
+    head = head or HEAD
+    rows = [[member[key] for key in head] for member in view["members"]]
     conditions = [member["condition"] for member in view["members"]]
     counts = ", ".join(f"{conditions.count(word)} {word}" for word in ("here", "away", "left"))
-    lines = [table(HEAD, rows), f"{counts}; digest {view['digest']}, unchanged for {view['settled_ms'] / 1000:.1f} s"]
+    lines = [table(head, rows), f"{counts}; digest {view['digest']}, unchanged for {view['settled_ms'] / 1000:.1f} s"]
     lines += [f"number {number} is held by {', '.join(names)}" for number, names in view["conflicts"].items()]
     return "\n".join(lines)
 
--- a/sprucepost/cli/runner.py
+++ b/sprucepost/cli/runner.py
@@ -115,9 +115,9 @@
             return "down"
         try:
             with urllib.request.urlopen(f"http://{instance.address(instance.http)}/readyz", timeout=5) as reply:
-                return str(reply.read().decode().strip())
+                return str(reply.read().decode().partition("\n")[0])
         except urllib.error.HTTPError as error:
-            return error.read().decode().strip()
+            return error.read().decode().partition("\n")[0]
         except OSError as error:
             return f"no answer: {error}"
 
--- a/sprucepost/membership/generation.py
+++ b/sprucepost/membership/generation.py
@@ -15,7 +15,9 @@
 joint          until it is over         old side: number; new side: old size +     overlap over, or
                                         number; of old + new seats                 all have reported
 held           a change that was not    the new side offers nothing to cold        overlap over, or
-               announced to the old     machines: the old one has all seats        all have reported
+               announced to the old,    machines: the old one has all seats        all have reported
+               or has not reached all
+               who are remembered
 done           after it                 number of the new size; a number above     the next change
                                         it offers nothing to cold machines
 =============  =======================  =========================================  ==================
@@ -61,6 +63,19 @@
     overlap_ms: float = 0.0
     announced: bool = False
     rollback: bool = False
+    over_ms: float | None = None  # settled by the fleet: the change ends then, before its overlap does
+
+    @property
+    def ends_ms(self) -> float:
+        """When the change is over, wall-clock ms."""
+        ends = self.begins_ms + self.overlap_ms
+        return ends if self.over_ms is None else min(ends, self.over_ms)
+
+    @property
+    def order(self) -> tuple[float, ...]:
+        """All that an operator has said, to be compared: the greater one counts."""
+        previous = -1 if self.previous is None else self.previous
+        return self.number, self.size, previous, self.begins_ms, self.overlap_ms, self.announced, self.rollback
 
     def problems(self) -> list[str]:
         """What cannot be, one line each."""
@@ -84,16 +99,16 @@
     why: str = ""
 
 
-def stance(generation: Generation, number: int, side: Side, now_ms: float, all_reported: bool = False) -> Stance:
+def stance(generation: Generation, number: int, side: Side, now_ms: float, told: bool = True) -> Stance:
     """What a placer does under ``generation``.
 
-    ``all_reported``: every placer of the new size is known to run under this generation, and none of the old one is left.
+    ``told``: no placer is known that has not heard of this generation. Placers that keep a view know; others believe it.
     """
     size, previous = generation.size, generation.previous
     if previous is None:
         return _seated(Phase.STEADY, number, size)
-    ends = generation.begins_ms + generation.overlap_ms
-    if all_reported or now_ms >= ends:
+    ends = generation.ends_ms
+    if now_ms >= ends:
         return _seated(Phase.DONE, number, size)
     most = max(size, previous)
     if not generation.announced:
@@ -104,6 +119,8 @@
         if side is Side.OLD:
             return _seated(Phase.WAITING, number, previous, most, generation.begins_ms)
         return Stance(Phase.WAITING, most, 0, 0, generation.begins_ms, "the change has not begun")
+    if not told and side is Side.NEW and not generation.rollback:
+        return Stance(Phase.HELD, most, 0, 0, ends, "not every placer has heard of the change")
     # The seats of the size that was there first come first, whichever of the two is to stay.
     first = size if generation.rollback else previous
     in_first = (side is Side.OLD) != generation.rollback
--- a/sprucepost/peers/codec.py
+++ b/sprucepost/peers/codec.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from math import isfinite
+
 from google.protobuf.message import DecodeError
 
+from sprucepost.membership import Generation
 from sprucepost.v1 import peer_pb2 as pb
 from sprucepost.view.record import Record
 from sprucepost.view.view import MEMBERS_MOST
@@ -59,13 +62,13 @@
     return pb.PeerRecord(
         name=record.name, incarnation=record.incarnation, life=record.life, version=record.version,
         number=record.number, host=record.host, room=record.room, address=record.address,
-        generation=record.generation, size=record.size, roles=record.roles,
+        runs=_generation(record.generation), status=record.status, roles=record.roles,
         sees=[pb.PeerSight(name=name, life=life) for name, life in record.sees], left=record.left,
     )  # fmt: skip
 
 
 def _read(record: pb.PeerRecord) -> Record:
-    texts = (record.name, record.life, record.host, record.room, record.address, *record.roles)
+    texts = (record.name, record.life, record.host, record.room, record.address, record.status, *record.roles)
     if not record.name or not record.life:
         raise Malformed("a record without a name or a life")
     if max(map(len, texts)) > TEXT_MOST or len(record.sees) > SEES_MOST or len(record.roles) > SEES_MOST:
@@ -73,6 +76,24 @@
     return Record(
         name=record.name, incarnation=record.incarnation, life=record.life, version=record.version,
         number=record.number, host=record.host, room=record.room, address=record.address,
-        generation=record.generation, size=record.size, roles=tuple(record.roles),
+        generation=_runs(record.runs), status=record.status, roles=tuple(record.roles),
         sees=tuple((sight.name, sight.life) for sight in record.sees), left=record.left,
     )  # fmt: skip
+
+
+def _generation(what: Generation) -> pb.PeerGeneration:
+    return pb.PeerGeneration(
+        number=what.number, size=what.size, previous=what.previous, begins_ms=what.begins_ms,
+        overlap_ms=what.overlap_ms, announced=what.announced, rollback=what.rollback, over_ms=what.over_ms,
+    )  # fmt: skip
+
+
+def _runs(what: pb.PeerGeneration) -> Generation:
+    found = Generation(
+        what.number, what.size, what.previous if what.HasField("previous") else None, what.begins_ms, what.overlap_ms,
+        what.announced, what.rollback, what.over_ms if what.HasField("over_ms") else None,
+    )  # fmt: skip
+    times = (found.begins_ms, found.overlap_ms, found.over_ms or 0.0)
+    if found.problems() or not all(isfinite(time) for time in times):
+        raise Malformed(f"a generation that cannot be: {'; '.join(found.problems()) or 'times without end'}")
+    return found
--- a/sprucepost/peers/peers.py
+++ b/sprucepost/peers/peers.py
@@ -37,7 +37,7 @@
 
 
 class Peers:
-    """Carries one member's view. ``changed`` hears of each step."""
+    """Carries one member's view. ``changed`` hears of each step, ``looked`` is called after each tick."""
 
     def __init__(
         self,
@@ -49,9 +49,11 @@
         seeds: tuple[str, ...],
         source: str | None,
         changed: Callable[[Changed], None],
+        looked: Callable[[], None],
         log: Callable[..., None],
     ) -> None:
-        self._loop, self._scope, self._source, self._changed, self._log = loop, scope, source, changed, log
+        self._loop, self._scope, self._source = loop, scope, source
+        self._changed, self._looked, self._log = changed, looked, log
         self.view = View(record, cluster, settings, seeds, loop.rng(), loop.now())
         self.counters: Counter[str] = Counter()
         self._links: dict[int, _Link] = {}
@@ -80,6 +82,7 @@
     def _tick(self) -> None:
         if not self._stopped:
             self._carry(self.view.tick(self._loop.now()))
+            self._looked()
             self._loop.call_later(TICK_MS, self._tick)
 
     # Streams
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -15,8 +15,9 @@
 
 from sprucepost.admission import SessionBook
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
-from sprucepost.membership import Side
+from sprucepost.membership import Generation, Side
 from sprucepost.peers import Peers
+from sprucepost.placer.company import Company
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.fleet import FleetWatch
 from sprucepost.placer.lease import resolve
@@ -35,6 +36,7 @@
 from sprucepost.wire.http1 import Http1
 from sprucepost.wire.reflection import Reflection
 from sprucepost.wire.server import Server
+from sprucepost.wire.status import Code, RpcError
 
 SERVICE = "sprucepost.v1.Placer"
 PEER_SERVICE = "sprucepost.v1.Peer"
@@ -42,6 +44,7 @@
 FREE_MS = 1500.0  # without an objection the number is free
 SLOT_MS = 2000.0  # between two looks at the file that holds the number
 LEAVE_MS = 500.0  # for the last answers to be read
+FIRST_WORD_MS = 500.0  # a placer that keeps a view hears of its predecessor before it attaches to machines
 
 
 def address_of(text: str) -> Address:
@@ -84,7 +87,7 @@
             options.source,
             options.limits.dials,
             max(2 * options.answer_margin_ms, cluster.drain_grace_ms / 4),
-            lambda machine, text: self.log.error("newer_incarnation", machine=machine, text=text),
+            self._newer,
             self._taken,
         )
         self.engine.connect(self.owners, self.links)
@@ -102,6 +105,7 @@
         )
         self.health = Health()
         self.peers = self._peers()
+        self.company = self._company()
         services = [SERVICE, "grpc.health.v1.Health"] + [PEER_SERVICE] * (self.peers is not None)
         methods = {
             **self.owners.methods(),
@@ -119,8 +123,11 @@
         )
         self.notifier = notifier or Notifier(loop, {}, 0)
         self.state = State.STARTING
-        self.conflict = ""
+        self.conflict = ""  # what a machine says of our number
+        self.shared = ""  # what the view says of it
         self._again: Timer | None = None
+        self._begun = self.peers is None
+        self.generation = file.generation()  # the file's, or a newer one that the fleet has
         self.stopping = False
         self._stops: Queue[None] = Queue(1)
         self.report: dict[str, Any] = {}
@@ -135,7 +142,7 @@
         options = self.file.placer.peers
         if options is None:
             return None
-        number, generation = self.file.placer.number, self.file.placer.generation.number
+        number = self.file.placer.number
         record = Record(
             name=options.name or f"placer-{number}",
             incarnation=self.incarnation >> 16,
@@ -144,9 +151,8 @@
             number=number,
             host=options.host or self.file.placer.listen.rpartition(":")[0],
             room=options.room or self.file.placer.zone,
-            address="",  # told once it listens
-            generation=generation,
-            size=self.file.placer.instances,
+            address=options.advertise,  # else told once it listens
+            generation=self.file.generation(),
         )
         agreed = blake2b(json.dumps(to_builtins(self.file.cluster), sort_keys=True).encode(), digest_size=8).hexdigest()
         return Peers(
@@ -158,13 +164,94 @@
             tuple(options.seeds),
             self.file.placer.source,
             self._seen,
+            lambda: self.company.look() if self.company is not None else None,
             lambda event, **more: self.log.debug(event, **more),
         )
 
+    def _company(self) -> Company | None:
+        if self.peers is None:
+            return None
+        return Company(
+            self.loop,
+            self.peers.view,
+            self.engine.desk.now,
+            self._adopt,
+            self.engine.desk.hear_fleet,
+            self._number_shared,
+            lambda incarnation: self._outbid((incarnation << 16) - 1),
+            self._begin_links,
+        )
+
     def _seen(self, step: Changed) -> None:
-        self.log.info("view", here=len(step.here), away=sorted(step.away) or None, left=sorted(step.left) or None)
+        view = self.peers.view if self.peers is not None else None
+        digest = f"{view.digest:016x}" if view is not None else None
+        self.log.info("view", here=sorted(step.here), away=sorted(step.away), left=sorted(step.left), digest=digest)
         self.nudge()
 
+    def _adopt(self, generation: Generation) -> None:
+        """The fleet runs under another generation than this placer did."""
+        self.log.info("generation", number=generation.number, size=generation.size, over_ms=generation.over_ms)
+        self._run_under(generation)
+
+    def _run_under(self, generation: Generation) -> None:
+        """Who runs when a change is told was there before it; a rollback turns the sides round."""
+        if generation.order == self.generation.order:
+            side = self.engine.desk.side  # only its end is new
+        elif generation.previous is None:
+            side = Side.NEW
+        elif generation.rollback:
+            side = Side.OLD if self.engine.desk.side is Side.NEW else Side.NEW
+        else:
+            side = Side.OLD
+        self.generation = generation
+        self.engine.desk.set_generation(generation, side)
+
+    def _number_shared(self, text: str) -> None:
+        """Another process is seen that has our number and was there first; empty: none is any more."""
+        if text == self.shared:
+            return
+        self.shared = text
+        if text:
+            self.log.error("number_shared", text=text)
+            self.links.suspend(renounce=True)
+        elif not self.conflict:
+            self.links.suspended = False
+        self.nudge()
+
+    def _begin_links(self) -> None:
+        """Attach to machines: who was here under this name before has been heard of, or nobody is there to tell."""
+        if not self._begun:
+            self._begun = True
+            self.links.suspended = bool(self.conflict or self.shared)
+
+    def _newer(self, machine: str, text: str) -> None:
+        """A machine knows a newer incarnation of our number; the text ends with it (docs/protocol.md)."""
+        known = text.rpartition(" ")[2]
+        if not known.isdecimal() or not self._outbid(int(known)):
+            self.log.error("newer_incarnation", machine=machine, text=text)
+
+    def _outbid(self, known: int) -> bool:
+        """Be newer than an incarnation that was before us, though our clock is behind its; False where it is too late.
+
+        What has been offered is known to machines by our incarnation. Before that nothing is lost by another: what owners
+        have asked so far goes back to them, and they open new sessions. Should the other live, machines will say so next.
+        """
+        if known < self.incarnation:
+            return True
+        if self.engine.counters["offers"]:
+            return False
+        self.engine.answers.hand_back()
+        for session in list(self.owners.sessions.values()):
+            self.owners.end(session, RpcError(Code.ABORTED, "this placer begins anew"))
+        self.incarnation = (known >> 16) + 1 << 16 | int.from_bytes(self.loop.token(2), "big")
+        self.links.incarnation = self.owners.incarnation = self.incarnation
+        self.log = self.log.bind(incarnation=self.incarnation)
+        self.log.warning("incarnation_raised", known=known)
+        if self.company is not None and self.peers is not None:
+            self.company.incarnation = self.incarnation >> 16
+            self.peers.view.update(incarnation=max(self.company.incarnation, self.peers.view.me.incarnation))
+        return True
+
     def _info(self, event: str, **more: Any) -> None:
         self.log.info(event, **more)
 
@@ -197,7 +284,10 @@
         self.engine.on_change = self.nudge
         self.engine.start()
         if self.peers is not None:
-            self.peers.view.update(address=address_text(self.listen))
+            if not self.peers.view.me.address:
+                self.peers.view.update(address=address_text(self.listen))
+            self.links.suspended = True
+            self.loop.call_later(FIRST_WORD_MS, self._begin_links)
             self.peers.start()
         self._move()
         self.log.info("listening", address=address_text(self.listen), http=address_text(self.http.address))
@@ -214,7 +304,7 @@
         self.nudge()
 
     def _try_again(self) -> None:
-        self.links.suspended = False
+        self.links.suspended = bool(self.shared)
         self._again = self.loop.call_later(FREE_MS, self._free)
 
     def _free(self) -> None:
@@ -228,7 +318,7 @@
         return Facts(
             listening=self.http is not None,
             listed=self.engine.roster.listed,
-            conflict=self.conflict,
+            conflict=self.conflict or self.shared,
             told_to_stop=self.stopping,
             open_tasks=self.engine.ledger.open,
             time_over=self._hurry or (self._stop_at is not None and self.loop.now() >= self._stop_at),
@@ -244,6 +334,8 @@
         self._nudged = False
         before = self.state
         self.state, why = judge(before, self._facts())
+        if self.peers is not None and (told := f"{self.state.value} {why}".strip()[:120]) != self.peers.view.me.status:
+            self.peers.view.update(status=told)
         if self.state is before:
             return
         self.log.info("state", was=before.value, now=self.state.value, why=why or None)
@@ -267,15 +359,14 @@
             self.log.info("setting_changed", key=path, was=was, now=now)
         self.logs.level = new.placer.log.level
         self.engine.set_options(new.placer)
-        if self.peers is not None:
-            self.peers.view.update(generation=new.placer.generation.number, size=new.placer.instances)
-        if new.generation() != old.generation():
-            # Who runs when a change is told was there before it; a rollback turns the sides round.
-            flip = {Side.OLD: Side.NEW, Side.NEW: Side.OLD}
-            side = flip[self.engine.desk.side] if new.generation().rollback else Side.OLD
-            if new.generation().previous is None:
-                side = Side.NEW
-            self.engine.desk.set_generation(new.generation(), side)
+        told = new.generation()
+        if told != old.generation() and told.order != self.generation.order:
+            if self.peers is None or told.number >= self.generation.number:
+                self._run_under(told)
+                if self.peers is not None:
+                    self.peers.view.update(generation=told)
+            else:  # one told to another placer counts; the file's next newer one will
+                self.log.warning("generation_kept", number=self.generation.number, file=told.number)
         return []
 
     def run(self) -> Co[int]:
@@ -354,7 +445,7 @@
         for line in lines:
             placer.log.error("reload_refused", line=line)
         if not lines:
-            placer.log.info("reloaded", generation=placer.file.placer.generation.number)
+            placer.log.info("reloaded", generation=placer.generation.number)
         placer.notifier.tell(READY="1")
 
     def look_at_slot() -> None:
--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -175,7 +175,7 @@
         admission: Admission[Any],
         take: Callable[[OwnerSession, pb.OwnerFrame], None],
     ) -> None:
-        self.loop, self._number, self._incarnation = loop, number, incarnation
+        self.loop, self._number, self.incarnation = loop, number, incarnation
         self._resume_ms, self.unacknowledged, self._take = resume_ms, unacknowledged, take
         self.book, self.admission = book, admission
         self._credit_due = False
@@ -238,7 +238,7 @@
             last_seen=session.session.seen,
             resume_ms=self._resume_ms,
             number=self._number,
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
         )
         call.send(pb.PlacerFrame(ack=session.session.ack(), welcome=welcome).SerializeToString())
         for seq, kept in again:
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -8,6 +8,7 @@
 
 from sprucepost.loop import Loop
 from sprucepost.peers import Peers
+from sprucepost.placer.company import Company
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.links import Links
 from sprucepost.placer.owners import Owners
@@ -26,6 +27,7 @@
     server: Server
     slot_trouble: str
     peers: Peers | None
+    company: Company | None
 
     def not_ready(self) -> str: ...
     def list_age_ms(self) -> float: ...
@@ -36,7 +38,8 @@
 
     def ready() -> tuple[int, str, bytes]:
         why = placer.not_ready()
-        return (503, "text/plain", f"{why}\n".encode()) if why else (200, "text/plain", b"ready\n")
+        text = f"{why or 'ready'}\n{_view_line(placer)}"
+        return 503 if why else 200, "text/plain", text.encode()
 
     def healthy() -> tuple[int, str, bytes]:
         return 200, "text/plain", b"alive\n"
@@ -49,6 +52,18 @@
     return {"/healthz": healthy, "/readyz": ready, "/metrics": _metrics(placer), "/members": members}
 
 
+def _view_line(placer: Shown) -> str:
+    """The fleet as it is seen from here, in one line; nothing where no view is kept."""
+    if placer.peers is None or placer.company is None:
+        return ""
+    view = placer.peers.view
+    settled = (placer.loop.now() - view.moved) / 1000.0
+    words = [f"view: {len(view.here)} here, {len(view.away)} away, size {view.me.generation.size}"]
+    words += [f"digest {view.digest:016x}", f"settled for {settled:.1f} s"]
+    words += ["generation disputed"] * placer.company.disputed
+    return ", ".join(words) + "\n"
+
+
 def shown(view: View, now: float) -> dict[str, Any]:
     """A view as JSON: what this placer sees, and since when nothing has changed."""
     return {
@@ -65,8 +80,10 @@
                 "room": record.room,
                 "address": record.address,
                 "incarnation": record.incarnation,
-                "generation": record.generation,
-                "size": record.size,
+                "generation": record.generation.number,
+                "size": record.generation.size,
+                "over_ms": record.generation.over_ms,
+                "status": record.status,
             }
             for name, record in sorted(view.records.items())
         ],
@@ -118,7 +135,7 @@
                 peers.add_metric([side, name], count)
         yield from (outcomes, events, refusals, peers)
         if placer.peers is not None:
-            yield from _view_gauges(placer.peers, placer.loop.now())
+            yield from _view_gauges(placer.peers, placer.company, placer.loop.now())
         links = placer.links.all()
         for name, text, value in (
             ("open_tasks", "Tasks taken and not answered", engine.ledger.open),
@@ -142,12 +159,16 @@
             yield gauge
 
 
-def _view_gauges(peers: Peers, now: float) -> Iterator[Any]:
+def _view_gauges(peers: Peers, company: Company | None, now: float) -> Iterator[Any]:
     from prometheus_client.core import GaugeMetricFamily
 
     view = peers.view
     for name, text, value in (
         ("view_here", "Placers that can be reached", len(view.here)),
+        ("view_size", "The size under which this placer runs", view.me.generation.size),
+        ("view_generation", "Its generation", view.me.generation.number),
+        ("view_disputed", "1 while placers hold unlike generations of one number", bool(company and company.disputed)),
+        ("view_bytes_sent", "Bytes said to other placers", peers.counters["bytes_out"]),
         ("view_away", "Placers that are remembered and not reached", len(view.away)),
         ("view_conflicts", "Numbers that more than one placer has", len(view.conflicts())),
         ("view_settled_ms", "Since the view last changed, here or at a peer", now - view.moved),
@@ -156,3 +177,6 @@
         gauge = GaugeMetricFamily(f"sprucepost_{name}", text)
         gauge.add_metric([], value)
         yield gauge
+    digest = GaugeMetricFamily("sprucepost_view_digest", "1; equal labels are equal views", labels=["digest"])
+    digest.add_metric([f"{view.digest:016x}"], 1)
+    yield digest
--- a/sprucepost/placing/seat.py
+++ b/sprucepost/placing/seat.py
@@ -32,6 +32,7 @@
         super().__init__(loop, settings, seed, slew, ask_list, log, counters)
         self._number = settings.number
         self._generation, self.side = generation, Side.NEW
+        self._told, self._disputed = True, False  # as long as no view says otherwise
         self._guard = ClockGuard(clock_apart_ms)
         self._seat_timer: Timer | None = None
 
@@ -41,13 +42,20 @@
 
     @property
     def stance(self) -> Stance:
-        return stance(self._generation, self._number, self.side, self.now())
+        return stance(self._generation, self._number, self.side, self.now(), self._told)
 
     def set_generation(self, generation: Generation, side: Side) -> None:
         """Another generation, from a reload of the settings."""
         self._generation, self.side = generation, side
         self.take_seat()
 
+    def hear_fleet(self, told: bool, disputed: bool) -> None:
+        """What the fleet's view says of this generation: whether all have heard of it, and whether some hold another."""
+        if (told, disputed) != (self._told, self._disputed):
+            self._told, self._disputed = told, disputed
+            self._log("generation_seen", told=told, disputed=disputed)
+            self.take_seat()
+
     def hear_time(self, told_ms: float) -> None:
         """The list's own clock, against this one."""
         if self._guard.hear(self.now(), self.loop.wall(), told_ms):
@@ -60,7 +68,7 @@
             self._seat_timer.cancel()
             self._seat_timer = None
         found = self.stance
-        seats = 0 if self._guard.off else found.seats
+        seats = 0 if self._guard.off or self._disputed else found.seats
         self.push(i.Membership(found.n_instances, found.seat if seats else 0, seats))
         self._log("seat", phase=found.phase.value, seat=found.seat, seats=seats, why=found.why or None)
         if found.until_ms is not None:
--- a/sprucepost/settings/__init__.py
+++ b/sprucepost/settings/__init__.py
@@ -5,7 +5,17 @@
 """
 
 from sprucepost.settings.cluster import Cluster, TaskClass
-from sprucepost.settings.placer import PeerOptions, PlacerFile, PlacerOptions
+from sprucepost.settings.placer import GenerationOptions, PeerOptions, PlacerFile, PlacerOptions
 from sprucepost.settings.reading import SettingsError, read, schema
 
-__all__ = ["Cluster", "PeerOptions", "PlacerFile", "PlacerOptions", "SettingsError", "TaskClass", "read", "schema"]
+__all__ = [
+    "Cluster",
+    "GenerationOptions",
+    "PeerOptions",
+    "PlacerFile",
+    "PlacerOptions",
+    "SettingsError",
+    "TaskClass",
+    "read",
+    "schema",
+]
--- a/sprucepost/settings/placer.py
+++ b/sprucepost/settings/placer.py
@@ -50,6 +50,9 @@
 
     cluster: Annotated[str, Meta(min_length=1, max_length=64, description="fleets of other names are never joined")]
     seeds: Annotated[list[Endpoint], Meta(description="gRPC ports of some placers; any one that lives serves")]
+    advertise: Annotated[
+        str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}:\d{1,5})?$", description="where others dial; empty: listen")
+    ] = ""
     name: Annotated[str, Meta(max_length=64, description="the same after a restart; empty: from the number")] = ""
     host: Annotated[str, Meta(max_length=64, description="what fails together; empty: the listening address")] = ""
     room: Annotated[str, Meta(max_length=64, description="empty: the zone")] = ""
--- a/sprucepost/view/record.py
+++ b/sprucepost/view/record.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass
 from functools import lru_cache
 
+from sprucepost.membership import Generation
+
+UNTOLD = Generation(0, 0)  # by a member that tells none
 VERSION_MOST = 2**53  # no member counts so far in a lifetime: what claims more is a lie, and is not taken
 
 
@@ -16,7 +19,8 @@
 
     ``incarnation``: wall-clock ms of its start, greater than its predecessor's; ``life``: drawn at its start, so that two
     processes of one name are told apart. ``version`` grows with each change. ``sees``: the members, with their lives, to
-    which it has a stream that is alive in both directions. ``left``: it went in good order.
+    which it has a stream that is alive in both directions. ``left``: it went in good order. ``generation``: under which it
+    runs. ``status``: its life's state, for who operates it.
     """
 
     name: str
@@ -27,8 +31,8 @@
     host: str
     room: str
     address: str
-    generation: int = 0
-    size: int = 0
+    generation: Generation = UNTOLD
+    status: str = ""
     roles: tuple[str, ...] = ()
     sees: tuple[tuple[str, str], ...] = ()
     left: bool = False
@@ -42,7 +46,8 @@
 def _order(record: Record) -> tuple[object, ...]:
     # Two records of one age and unlike content cannot come from an honest member; the order is total all the same, so
     # that all that have heard both keep the same one.
-    return tuple(getattr(record, name) for name in Record.__slots__)
+    values = [getattr(record, name) for name in Record.__slots__ if name != "generation"]
+    return *values, record.generation.order, record.generation.over_ms or 0.0
 
 
 def merge(one: Record, other: Record) -> Record:
--- a/sprucepost/view/view.py
+++ b/sprucepost/view/view.py
@@ -119,6 +119,20 @@
             holders.setdefault(self.records[name].number, []).append(name)
         return {number: names for number, names in holders.items() if len(names) > 1}
 
+    @property
+    def namesake(self) -> bool:
+        """Whether another process of this name is seen by somebody who is here: alive, or dead for no longer than its
+        streams are believed."""
+        mine = self.me.name, self.me.life
+        return any(stream.name == mine[0] for stream in self.streams.values()) or any(
+            name == mine[0] and life != mine[1] for member in self.here for name, life in self.records[member].sees
+        )
+
+    @property
+    def superseded(self) -> bool:
+        """Whether that other process counts as the newer life of this name."""
+        return self._twin is not None
+
     # What happens
 
     def update(self, **changes: object) -> None:
--- /dev/null
+++ b/tests/membership/test_course.py
@@ -0,0 +1,115 @@
+"""Which generation counts, who has heard of it, when a change is over; and that all this breaks no rule on the way."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucepost import interface as i
+from sprucepost.membership import Course, Generation, Phase, Seated, Side, newest, stance
+from sprucepost.membership.course import LEAD_MS
+from tests.cold_fleet import START, Member, worst_window
+
+CHANGE = Generation(2, 6, previous=4, begins_ms=1000.0, overlap_ms=60_000.0, announced=True)
+BEFORE = Generation(1, 4)
+GENERATIONS = st.builds(
+    Generation, st.integers(0, 2), st.integers(1, 3), st.integers(1, 3), st.just(0.0), st.floats(1, 3), st.booleans(),
+    st.booleans(), st.none() | st.integers(0, 3),
+)  # fmt: skip
+
+
+@given(GENERATIONS, GENERATIONS, GENERATIONS)
+def test_which_generation_counts_depends_on_no_order(a: Generation, b: Generation, c: Generation) -> None:
+    assert newest(a, b) == newest(b, a) and newest(a, a) == a
+    assert newest(newest(a, b), c) == newest(a, newest(b, c))
+    assert newest(a, b).number == max(a.number, b.number)
+
+
+def others(*more: Seated, size: int = 6, generation: Generation = CHANGE) -> list[Seated]:
+    return [*(Seated(n, generation) for n in range(1, size)), *more]
+
+
+@pytest.mark.parametrize(
+    "seen, told, reported, disputed",
+    [
+        (others(), True, True, False),
+        (others(size=5), True, False, False),  # one of the new size is missing
+        (others(Seated(6, CHANGE)), True, False, False),  # one above the new size is there
+        (others(Seated(5, CHANGE)), True, False, False),  # a number twice
+        (others(Seated(3, BEFORE, here=False)), False, False, False),  # cut off, and has not heard
+        (others(Seated(3, BEFORE)), False, False, False),
+        (others(Seated(3, CHANGE, here=False)), True, False, False),
+        (others(Seated(3, replace(CHANGE, size=9))), True, False, True),
+        (others(Seated(3, replace(CHANGE, over_ms=5.0))), True, False, False),  # its end is not another content
+        (others(generation=replace(CHANGE, over_ms=9e9)), True, True, False),
+    ],
+)
+def test_what_is_made_of_the_others(seen: list[Seated], told: bool, reported: bool, disputed: bool) -> None:
+    course = Course(0, CHANGE, seen)
+    assert (course.told, course.reported, course.disputed) == (told, reported, disputed)
+
+
+def test_an_end_is_proposed_ahead_once_and_only_where_it_helps() -> None:
+    course = Course(0, CHANGE, others())
+    assert course.over(999.0) is None, "it has not begun"
+    assert course.over(2000.0) == replace(CHANGE, over_ms=2000.0 + LEAD_MS)
+    assert course.over(61_000.0 - LEAD_MS) is None, "the overlap ends as soon"
+    assert Course(0, replace(CHANGE, over_ms=9000.0), others()).over(2000.0) is None
+    assert Course(0, CHANGE, others(size=5)).over(2000.0) is None
+    assert Course(0, Generation(2, 6), others(generation=Generation(2, 6))).over(2000.0) is None, "no change"
+
+
+def test_the_new_side_waits_for_all_to_have_heard_and_the_old_one_does_not() -> None:
+    assert stance(CHANGE, 5, Side.NEW, 2000.0, told=False).phase is Phase.HELD
+    assert stance(CHANGE, 5, Side.NEW, 2000.0).seat == 9
+    assert stance(CHANGE, 3, Side.OLD, 2000.0, told=False).seat == 3
+    back = replace(CHANGE, rollback=True)
+    assert stance(back, 5, Side.NEW, 2000.0, told=False) == stance(back, 5, Side.NEW, 2000.0), "everybody keeps its seat"
+
+
+def seat(generation: Generation, number: int, side: Side, now: float, told: bool = True) -> i.Membership:
+    found = stance(generation, number, side, now, told)
+    return i.Membership(found.n_instances, found.seat if found.seats else 0, found.seats)
+
+
+def change(unheard: int, over_ms: float, late_ms: float) -> list[Member]:
+    """88 placers become 350. ``unheard`` of the 88 are cut off and hear at 15 s; the end is known to each up to ``late_ms``
+    apart (a member that hears of it late moves late)."""
+    generation = Generation(2, 350, 88, START + 3000.0, 60_000.0, True, over_ms=START + over_ms)
+    members = []
+    for number in range(88):
+        heard = 15_000.0 if number < unheard else 1000.0
+        told: list[tuple[float, i.Event]] = [(heard, seat(generation, number, Side.OLD, START + max(heard, 3000.0)))]
+        if heard < 3000.0:
+            told = [(3000.0, seat(generation, number, Side.OLD, START + 3000.0))]
+        told.append((over_ms + number % 7 * late_ms / 7, seat(generation, number, Side.OLD, START + over_ms)))
+        members.append(Member(number, 88, told=told))
+    for number in range(350):
+        if number < 88:
+            continue
+        held = seat(generation, number, Side.NEW, START + 5000.0, told=False)
+        taken = seat(generation, number, Side.NEW, START + 16_000.0)
+        ends = seat(generation, number, Side.NEW, START + over_ms)
+        told = [(0.0, held), (16_000.0 if unheard else 5000.0, taken), (over_ms + number % 7 * late_ms / 7, ends)]
+        members.append(Member(number, 350, told=told, begins=5000.0))
+    return members
+
+
+@pytest.mark.parametrize("unheard, over_ms, late_ms", [(0, 20_000.0, 1000.0), (30, 28_000.0, 500.0)])
+def test_a_change_that_ends_early_or_is_heard_of_late_holds_what_cold_machines_bear(
+    unheard: int, over_ms: float, late_ms: float
+) -> None:
+    worst, offers = worst_window(change(unheard, over_ms, late_ms), length=36_000.0)
+    assert worst <= 30 and offers > 100
+
+
+def test_without_waiting_for_those_who_have_not_heard_it_does_not_hold() -> None:
+    members = change(88, 28_000.0, 0.0)
+    hasty = [
+        replace(member, told=[(0.0, member.told[1][1]), *member.told[1:]]) if member.number >= 88 else member
+        for member in members
+    ]
+    assert worst_window(hasty, length=12_000.0)[0] > 30
--- a/tests/peers/test_processes.py
+++ b/tests/peers/test_processes.py
@@ -11,6 +11,7 @@
 import time
 from pathlib import Path
 
+from sprucepost.settings import GenerationOptions
 from tests.peers.fleet import Fleet
 
 
@@ -96,3 +97,61 @@
                 assert watching.stdout.readline() == "p1: here to away\n"
             finally:
                 watching.kill()
+
+
+def test_a_generation_told_to_one_placer_reaches_all_and_ends_when_it_is_over(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 5) as fleet:
+        old = {"instances": 3, "generation": GenerationOptions(1)}
+        fleet.start(0, 1, 2, **old)
+        fleet.wait(fleet.settled)
+        begins = time.time() * 1000 + 1500
+        change = GenerationOptions(2, 3, begins, 3_600_000.0, announced=True)
+        fleet.file(1, instances=5, generation=change)
+        fleet.signal(1, signal.SIGHUP)
+        fleet.wait(lambda: all(fleet.runs(n) == {(2, 5)} for n in range(3)))
+        fleet.start(3, 4, instances=5, generation=change)
+        fleet.wait(fleet.settled)
+        # The overlap is an hour. All numbers are here, so an end is settled, one moment for all.
+        fleet.wait(lambda: len(fleet.ends()) == 1 and None not in fleet.ends())
+        assert begins < (fleet.ends().pop() or 0.0) < time.time() * 1000 + 20_000
+        fleet.wait(lambda: all(fleet.logged(n, "seat")[-1]["phase"] == "done" for n in range(5)))
+        assert sorted(fleet.logged(n, "seat")[-1]["seat"] for n in range(5)) == list(range(5))
+        assert all(fleet.logged(n, "seat")[-1]["seats"] == 5 for n in range(5))
+
+        fleet.end(2)  # back with its old file: the fleet's generation counts, not the file's
+        fleet.start(2, **old)
+        fleet.wait(lambda: fleet.runs(2) == {(2, 5)} and fleet.logged(2, "seat")[-1]["seats"] == 5)
+        assert b"generation_kept" not in (tmp_path / "test-2.log").read_bytes()
+        fleet.file(2, **old, stop_ms=50.0)
+        fleet.signal(2, signal.SIGHUP)
+        fleet.wait(lambda: fleet.logged(2, "reloaded") != [])
+        assert fleet.runs(2) == {(2, 5)}
+
+
+def test_the_younger_of_two_with_one_number_leaves_ready_and_comes_back(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 4) as fleet:
+        fleet.start(0, 1, 2)
+        fleet.wait(fleet.settled)
+        fleet.start(3, its_number=1)
+        took = fleet.wait(lambda: fleet.logged(3, "number_shared") != [])
+        assert took < 20 and "conflict" in next(m["status"] for m in fleet.seen(0)["members"] if m["name"] == "p3")
+        assert "has number 1" in fleet.text(3, "/readyz")
+        assert not fleet.logged(1, "number_shared"), "who was there first goes on"
+        done = command("status", f"127.0.0.1:{fleet.ports[4]}")
+        assert done.returncode == 1 and "number 1 is held by p1, p3" in done.stdout
+        fleet.end(1, signal.SIGTERM)
+        fleet.wait(lambda: "joining" in fleet.text(3, "/readyz") or "no list" in fleet.text(3, "/readyz"))
+        assert "view: 3 here, 0 away" in fleet.text(3, "/readyz")
+
+
+def test_a_name_that_comes_back_with_its_clock_set_back_outbids_its_predecessor(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 3) as fleet:
+        fleet.start(0, 1, 2)
+        fleet.wait(fleet.settled)
+        before = next(m["incarnation"] for m in fleet.seen(0)["members"] if m["name"] == "p2")
+        fleet.end(2)
+        fleet.step_clock(2, -3_600_000.0)
+        fleet.start(2, command="host")
+        fleet.wait(lambda: fleet.logged(2, "incarnation_raised") != [])
+        fleet.wait(fleet.settled)
+        assert next(m["incarnation"] for m in fleet.seen(0)["members"] if m["name"] == "p2") > before
