--- /dev/null
+++ b/benchmarks/view_fleet.py
@@ -0,0 +1,143 @@
+"""Placers by the hundred on this machine, each a process, that keep a view: ``python -m benchmarks.view_fleet [SIZE ...]``.
+
+For each size: how long until all show one view after a start at once; after one was killed, and after a tenth was; what a
+quiet placer costs in processor time and in bytes said to others. Times are those of the placers' own log lines. Writes
+``docs/results/view-fleet.json`` and a chart beside it.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from tests.peers.fleet import Fleet
+
+QUIET_S = 20.0
+ROUND = 12  # placers asked at a time
+
+
+def cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def sent(fleet: Fleet, number: int) -> float:
+    """Bytes said to other placers so far."""
+    for line in fleet.page(number, "/metrics").decode().splitlines():
+        if line.startswith("sprucepost_view_bytes_sent "):
+            return float(line.split()[1])
+    raise ValueError("no such gauge")
+
+
+def all_see(fleet: Fleet, done: Any, limit_s: float) -> None:
+    """Until each placer's view is as ``done`` wants it; RuntimeError where that takes too long."""
+    began, left = time.monotonic(), list(fleet.processes)
+
+    def look(number: int) -> bool:
+        try:
+            return bool(done(fleet.seen(number)))
+        except OSError:
+            return False
+
+    with ThreadPoolExecutor(ROUND) as pool:
+        while left and time.monotonic() - began < limit_s:
+            left = [number for number, good in zip(left, pool.map(look, left), strict=True) if not good]
+    if left:
+        raise RuntimeError(f"{len(left)} have not seen it after {limit_s} s")
+
+
+def told(fleet: Fleet, numbers: list[int], since_ms: float, gone: set[str]) -> list[float]:
+    """Seconds from then until each of them wrote that those are away."""
+    found = []
+    for number in numbers:
+        for line in fleet.logged(number, "view"):
+            if line["at_ms"] > since_ms and gone <= set(line["away"]):
+                found.append((line["at_ms"] - since_ms) / 1000.0)
+                break
+    return found
+
+
+def play(size: int, folder: Path) -> dict[str, Any]:
+    rng = random.Random(size)
+    with Fleet(folder, size, f"fleet{size}") as fleet:
+        began = time.time() * 1000.0
+        fleet.start(*range(size))
+        all_see(fleet, lambda shown: sum(m["condition"] == "here" for m in shown["members"]) == size, 120.0)
+        settled = max(fleet.logged(n, "view")[-1]["at_ms"] for n in range(size)) - began
+        time.sleep(5.0)
+        row: dict[str, Any] = {"size": size, "settled_after_start_s": round(settled / 1000.0, 2)}
+        some = rng.sample(range(size), min(20, size))
+        before = {n: (cpu_s(fleet.processes[n].pid), sent(fleet, n)) for n in some}
+        at = time.monotonic()
+        time.sleep(QUIET_S)
+        passed = time.monotonic() - at
+        after = {n: (cpu_s(fleet.processes[n].pid), sent(fleet, n)) for n in some}
+        row["idle_cpu_percent"] = round(100 * sum(after[n][0] - before[n][0] for n in some) / passed / len(some), 3)
+        row["bytes_per_s"] = round(sum(after[n][1] - before[n][1] for n in some) / passed / len(some))
+        streams = [fleet.text(n, "/metrics").partition("\nsprucepost_view_streams ")[2].split()[0] for n in some]
+        row["streams"] = round(sum(map(float, streams)) / len(some), 1)
+        for what, count in (("one killed", 1), ("a tenth killed", max(2, size // 10))):
+            those = rng.sample(sorted(fleet.processes), count)
+            names, since = {f"p{n}" for n in those}, time.time() * 1000.0
+            for n in those:
+                fleet.processes[n].send_signal(signal.SIGKILL)
+            for n in those:
+                fleet.processes.pop(n).wait()
+            time.sleep(12.0)
+            times = sorted(told(fleet, sorted(fleet.processes), since, names))
+            row[what] = {
+                "told": len(times), "of": len(fleet.processes), "p50_s": round(times[len(times) // 2], 2),
+                "p99_s": round(times[int(0.99 * (len(times) - 1))], 2), "most_s": round(times[-1], 2),
+            }  # fmt: skip
+    return row
+
+
+def chart(rows: list[dict[str, Any]], path: Path) -> None:
+    """Cost of a quiet placer and times of the news, over the size of the fleet."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    matplotlib.rcParams["svg.hashsalt"] = "sprucepost"
+    sizes = [row["size"] for row in rows]
+    figure, axes = pyplot.subplots(1, 4, figsize=(16, 4))
+    shown = (
+        ("idle CPU, % of a core", [row["idle_cpu_percent"] for row in rows]),
+        ("bytes a second said to others", [row["bytes_per_s"] for row in rows]),
+        ("streams", [row["streams"] for row in rows]),
+        ("one killed, p99 of the others' knowing, s", [row["one killed"]["p99_s"] for row in rows]),
+    )
+    for each, (title, values) in zip(axes, shown, strict=True):
+        each.semilogx(sizes, values, marker="o", base=2)
+        each.set_xticks(sizes, [str(size) for size in sizes])
+        each.set_ylim(bottom=0)
+        each.set_title(title, fontsize="small")
+        each.set_xlabel("placers")
+    figure.savefig(path, metadata={"Date": None})
+
+
+def main() -> int:
+    sizes = [int(word) for word in sys.argv[1:]] or [50, 100, 200, 350]
+    out = Path("docs/results/view-fleet.json")
+    rows = []
+    for size in sizes:
+        with tempfile.TemporaryDirectory(prefix="sprucepost-view-") as folder:
+            row = play(size, Path(folder))
+        print(json.dumps(row), flush=True)
+        rows.append(row)
+    out.write_text(json.dumps(rows, indent=1) + "\n")
+    chart(rows, out.with_suffix(".svg"))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sprucepost/cli/badday.py
+++ b/sprucepost/cli/badday.py
@@ -21,8 +21,10 @@
 from sprucepost.loop import Co, Scope, Task, in_scope, sleep
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.rules import record
+from sprucepost.rules.views import LAST_MS, SETTLED_MS
 from sprucepost.standin.director import Director
 from sprucepost.standin.scenario import Scenario
+from sprucepost.view.view import STEP_MOST_MS
 
 
 def default_scenario() -> bytes:
@@ -90,6 +92,9 @@
             self._progress()
         yield from fleet.owners("asking", on=False)
         yield from director.over()  # faults that reach past the end are lifted
+        if self.scenario.peers:
+            self.note("peers_quiet", {})
+            yield from self._settled(fleet)
         deadline = max(cls.deadline_ms for cls in self.scenario.cluster.classes)
         until = self.loop.now() + deadline + 1000.0
         result = yield from fleet.owners("result")
@@ -106,6 +111,14 @@
         fleet.stop("")
         return {"owners": result, "machines": machines}
 
+    def _settled(self, fleet: Fleet) -> Co[None]:
+        """Until all placers show one view, for as long as is promised at the most; then some beats more for the record."""
+        since = self.loop.now()
+        while len(set(fleet.views())) > 1 and self.loop.now() - since < SETTLED_MS:
+            yield from sleep(250.0)
+        self.note("peers_settled", {"after_ms": round(self.loop.now() - since)})
+        yield from sleep(STEP_MOST_MS + LAST_MS)
+
     def _progress(self) -> None:
         if not self.quiet and sys.stderr.isatty():
             share = min(1.0, (self.loop.now() - self._began) / self.scenario.length_s / 1000.0)
--- a/sprucepost/cli/fleet.py
+++ b/sprucepost/cli/fleet.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -22,17 +23,27 @@
 from sprucepost.wire.client import ClientConnection, open_client
 
 START_S = 30.0
+SEEDS = 2  # placers that all others know from the start
+STRANGERS = 2
 
 
 class FleetError(Exception):
     """A process did not start, or died when nobody killed it."""
 
 
+def _digest(address: str) -> str:
+    try:
+        with urllib.request.urlopen(f"http://{address}/members", timeout=2) as answer:
+            return str(json.loads(answer.read())["digest"])
+    except (OSError, ValueError) as error:
+        return str(error)
+
+
 class Process:
     """One child; its first line of output is its announcement."""
 
     def __init__(self, folder: Path, name: str, command: str, settings: dict[str, Any]) -> None:
-        self.name = name
+        self.name, self.http = name, ""
         file = folder / f"{name}.json"
         file.write_text(json.dumps(settings, indent=1))
         self._log = (folder / f"{name}.log").open("ab")
@@ -86,6 +97,7 @@
         self._generation: dict[str, Any] = {}
         self._limits: dict[int, tuple[int, int]] = {}
         self.exits: dict[str, int | None] = {}
+        self._peer_fronts: dict[int, str] = {}  # where others dial a placer that keeps a view
         self._starting: set[str] = set()  # placers that cannot hear a signal yet
         self._leaving: set[str] = set()  # processes that were told to stop while the day goes on
 
@@ -108,9 +120,13 @@
         }  # fmt: skip
         self._spawn("machines", "machine", machines)
         for number in range(scenario.placers):
-            ip, name = f"127.0.1.{number + 1}", f"placer-{number}"
-            yield from self.tap("name", ip=ip, name=name, zone=self.zone_of(number))
+            yield from self._place(number)
+        for number in range(scenario.placers):
             self._spawn_placer(number)
+        if scenario.peers:
+            for number in range(STRANGERS):
+                yield from self.tap("name", ip=f"127.0.4.{number + 1}", name=f"stranger-{number}")
+                self._spawn_stranger(number)
         yield from self._connect("machines", self.processes["machines"].announcement()["control"])
         fronts = []
         for number in range(scenario.placers):
@@ -119,6 +135,14 @@
         yield from self.tap("name", ip="127.0.2.1", name="owners")
         self._fronts = fronts
 
+    def _place(self, number: int) -> Co[None]:
+        """Its name at the tap and, where it keeps a view, a port there: known to others before it listens."""
+        ip, name = f"127.0.1.{number + 1}", f"placer-{number}"
+        yield from self.tap("name", ip=ip, name=name, zone=self.zone_of(number))
+        if self.scenario.peers:
+            front = yield from self.tap("add", name=name, target="127.0.0.1:1", zone=self.zone_of(number))
+            self._peer_fronts[number] = f"127.0.0.1:{front['port']}"
+
     def _front(self, number: int) -> Co[str]:
         """The tap's port before that placer."""
         target = f"127.0.0.1:{self._placer_ports[number]}"
@@ -156,11 +180,29 @@
             "list": f"127.0.0.1:{self._list_port}", "listen": "127.0.0.1:0",
             "source": source or f"127.0.1.{number + 1}", "seed": self.scenario.seed * 1000 + number,
         }  # fmt: skip
+        if self.scenario.peers:
+            placer["peers"] = self._view(name or f"placer-{number}", number)
         # Through `host`, whose wall clock can be stepped: the placer's own code is what `sprucepost placer` runs.
         self._spawn(name or f"placer-{number}", "host", {"cluster": self._cluster, "placer": placer})
 
+    def _view(self, name: str, number: int, cluster: str = "fleet") -> dict[str, Any]:
+        seeds = [self._peer_fronts[n] for n in sorted(self._peer_fronts)[:SEEDS]]
+        view = {"cluster": cluster, "seeds": seeds, "name": name, "host": f"host-{number // 2}"}
+        return {**view, "advertise": self._peer_fronts[number]} if name == f"placer-{number}" else view
+
+    def _spawn_stranger(self, number: int) -> None:
+        """A placer of another fleet in whose settings somebody has put this one's seeds."""
+        placer = {
+            "number": number, "instances": STRANGERS, "zone": self.zone_of(number), "list": "127.0.0.1:1",
+            "listen": "127.0.0.1:0", "source": f"127.0.4.{number + 1}",
+            "peers": self._view(f"stranger-{number}", number, "another"),
+        }  # fmt: skip
+        self._spawn(f"stranger-{number}", "host", {"cluster": self._cluster, "placer": placer})
+
     def _placer_up(self, number: int) -> Co[None]:
-        told = self.processes[f"placer-{number}"].announcement()
+        process = self.processes[f"placer-{number}"]
+        told = process.announcement()
+        process.http = told["http"]
         self._placer_ports[number] = int(told["listen"].rpartition(":")[2])
         return
         yield
@@ -265,7 +307,7 @@
             process.stop(signal.SIGTERM)
             self._leaving.add(process.name)
 
-    def resize(self, size: int, lead_ms: float, overlap_ms: float) -> Co[None]:
+    def resize(self, size: int, lead_ms: float, overlap_ms: float, told: int = 0) -> Co[None]:
         before, self._size = self._size, size
         self._generation = {
             "number": 1, "previous_instances": before, "begins_ms": time.time() * 1000.0 + lead_ms,
@@ -277,15 +319,27 @@
             raw["placer"].update(instances=size, generation=self._generation)
             path.with_suffix(".new").write_text(json.dumps(raw, indent=1))
             path.with_suffix(".new").replace(path)
+        running = [number for number in range(before) if f"placer-{number}" in self.processes]
+        for number in running[: told or None]:
             self._tell(self.processes.get(f"placer-{number}"), signal.SIGHUP)
         yield from sleep(lead_ms)
         for number in range(before, size):
-            yield from self.tap("name", ip=f"127.0.1.{number + 1}", name=f"placer-{number}", zone=self.zone_of(number))
+            yield from self._place(number)
             self._spawn_placer(number)
             yield from self._announced(self.processes[f"placer-{number}"])
             yield from self._placer_up(number)
+            self.note("placer_started", placer=f"placer-{number}")
             yield from self.owners("placer", address=(yield from self._front(number)))
 
+    def views(self) -> list[str]:
+        """The digest that each placer which runs shows of its fleet; what keeps it from showing one."""
+        found = []
+        for number in self.numbers():
+            process = self.processes.get(f"placer-{number}")
+            if process is not None and process.child.poll() is None:
+                found.append(_digest(self.processes[f"placer-{number}"].http))
+        return found
+
     def note(self, what: str, **more: Any) -> None:
         self._note(what, more)
 
--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -234,6 +234,9 @@
 @click.option("--seed", type=int, help="Another draw of the same day.")
 @click.option("--seeds", help="A..B, or seeds with commas: play them all, and say which are bad.")
 @click.option("--random", "random_day", is_flag=True, help="Draw the whole day from the seed.")
+@click.option(
+    "--peers", is_flag=True, help="Placers keep a view of their fleet; with --random, faults between them too."
+)
 @click.option("--jobs", type=click.IntRange(1), default=1, show_default=True, help="Days at a time, with --seeds.")
 @click.option(
     "--out",
@@ -246,7 +249,7 @@
 @click.option("--record", "keep", type=click.Path(path_type=Path), help="Keep bytes, logs and result in this folder.")
 @click.option("--quiet", is_flag=True, help="No progress.")
 def badday_play(
-    scenario: Path | None, seed: int | None, seeds: str | None, random_day: bool, jobs: int, out: Path,
+    scenario: Path | None, seed: int | None, seeds: str | None, random_day: bool, peers: bool, jobs: int, out: Path,
     length_s: float | None, keep: Path | None, quiet: bool,
 ) -> None:  # fmt: skip
     """Play a bad day; exit status 1 if a rule broke, 3 if the run itself failed."""
@@ -262,13 +265,13 @@
     if seeds is not None and seed is not None:
         raise click.UsageError("--seed and --seeds: give one of them")
     if random_day:
-        day_of = drawn(length_s or 24.0)
+        day_of = drawn(length_s or 24.0, peers)
     else:
         base = read_or_exit(scenario, Scenario) if scenario else decode(default_scenario(), Scenario)
         base = base.scaled(length_s) if length_s is not None else base
 
         def day_of(seed: int) -> Scenario:
-            return structs.replace(base, seed=seed)
+            return structs.replace(base, seed=seed, peers=peers or base.peers)
 
     if seeds is not None:
         try:
@@ -361,13 +364,14 @@
 @scenario.command("draw")
 @click.option("--seed", type=int, required=True)
 @click.option("--length", "length_s", type=click.FloatRange(0, min_open=True), default=24.0, show_default=True)
-def scenario_draw(seed: int, length_s: float) -> None:
+@click.option("--peers", is_flag=True, help="As with --peers.")
+def scenario_draw(seed: int, length_s: float, peers: bool) -> None:
     """Print the day that `badday --random --seed` plays."""
     import msgspec
 
     from sprucepost.standin.drawing import draw
 
-    click.echo(msgspec.json.format(msgspec.json.encode(draw(seed, length_s)), indent=1).decode())
+    click.echo(msgspec.json.format(msgspec.json.encode(draw(seed, length_s, peers)), indent=1).decode())
 
 
 @scenario.command("import")
--- a/sprucepost/cli/search.py
+++ b/sprucepost/cli/search.py
@@ -236,5 +236,5 @@
     return list(dict.fromkeys(seeds))
 
 
-def drawn(length_s: float) -> Callable[[int], Scenario]:
-    return lambda seed: draw(seed, length_s)
+def drawn(length_s: float, peers: bool = False) -> Callable[[int], Scenario]:
+    return lambda seed: draw(seed, length_s, peers)
--- a/sprucepost/rules/record.py
+++ b/sprucepost/rules/record.py
@@ -11,7 +11,9 @@
 from typing import Any
 
 from sprucepost.rules.checks import Run, Verdict, judge
-from sprucepost.rules.trace import trace
+from sprucepost.rules.streams import messages
+from sprucepost.rules.trace import traced
+from sprucepost.rules.views import judge_views
 from sprucepost.settings import Cluster, read
 from sprucepost.wire.capture import read_capture
 
@@ -43,7 +45,8 @@
 
 
 def check(folder: Path) -> list[Verdict]:
-    """The five verdicts on a recorded run. RecordError or SettingsError where it cannot be judged."""
+    """The five verdicts on a recorded run, and those on views where placers kept some. RecordError or SettingsError where it
+    cannot be judged."""
     try:
         capture = (folder / CAPTURE).read_bytes()
         lines = (folder / EVENTS).read_text().splitlines()
@@ -54,4 +57,18 @@
         records = list(read_capture(capture))
     except ValueError as error:
         raise RecordError(f"{folder}: {error}") from None
-    return judge(trace(iter(records)), read(folder / CLUSTER, Cluster), run_of(events))
+    found = list(messages(iter(records)))
+    run = run_of(events)
+    verdicts = judge(traced(found), read(folder / CLUSTER, Cluster), run)
+    if any(event["what"] == "peers_quiet" for event in events):
+        verdicts += judge_views(found, events, _view_lines(folder), run)
+    return verdicts
+
+
+def _view_lines(folder: Path) -> dict[str, list[dict[str, Any]]]:
+    """The views that each placer wrote into its log."""
+    found: dict[str, list[dict[str, Any]]] = {}
+    for path in sorted([*folder.glob("placer-*.log"), *folder.glob("stranger-*.log")]):
+        text = path.read_text(errors="replace").splitlines()
+        found[path.stem] = [json.loads(line) for line in text if '"event": "view"' in line and line.endswith("}")]
+    return found
--- a/sprucepost/rules/trace.py
+++ b/sprucepost/rules/trace.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from sprucepost.rules.streams import Closed, Message, messages
@@ -283,7 +283,11 @@
 
 def trace(records: Iterator[Record]) -> Iterator[Event]:
     """The events of a capture, in order."""
-    found = list(messages(records))
+    return traced(list(messages(records)))
+
+
+def traced(found: Sequence[Message | Closed]) -> Iterator[Event]:
+    """The events of a capture that has been taken apart."""
     tracer = Tracer({message.connection: message.at for message in found if isinstance(message, Closed)})
     for message in found:
         yield from tracer.take(message)
--- /dev/null
+++ b/sprucepost/rules/views.py
@@ -0,0 +1,188 @@
+"""What placers know of each other (docs/view.md), judged from recorded bytes and from the views that they wrote.
+
+=================  ==============================================  =====================================================
+verdict            evidence                                        broken where
+=================  ==============================================  =====================================================
+view settles       the last beats that each placer sent, as        the digests of those that run differ, or one's last
+                   recorded; its last ``view`` line                view is not who runs, 15 s after the last fault
+view is told       each ``view`` line, with what the run did to    a member that runs and is reached is away; one that was
+                   placers and to the links between them           killed is not away everywhere in time
+one fleet          the words on each stream, as recorded           members of two clusters say more than hello to each
+                                                                   other, or one is shown by the other's
+=================  ==============================================  =====================================================
+
+While the links of placers are spoilt, while one of them stands still and for ``QUIET_MS`` after that, nothing is said of who
+is away. What the machine gave no processor to is undecided.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from sprucepost.rules.checks import Run, Verdict
+from sprucepost.rules.streams import Closed, Message
+from sprucepost.v1 import peer_pb2 as pb
+
+PEER = "/sprucepost.v1.Peer/Watch"
+SETTLED_MS = 15_000.0  # promised, after the last fault
+KNOWN_MS = 3000.0  # promised, for a process that ended
+SLACK_MS = 2000.0  # a line is written a step after the change, by a process that shares its core
+QUIET_MS = 8000.0  # after a fault between placers: until they have found each other again
+LAST_MS = 1500.0  # of the record, in which each placer sends some beats
+STARVED_MS = 400.0
+LINKS = frozenset(
+    ("peer_cut", "peer_flap", "peer_slow", "peer_reset", "zone_cut", "reset", "descriptors", "balancer_stall", "resize")
+)
+LIVES = frozenset(("placer_kill", "placer_stop", "placer_crowd", "resize"))
+
+
+@dataclass
+class Course:
+    """What the run did, as spans of time: when each placer ran, and when links or lives were troubled."""
+
+    up: dict[str, list[list[float]]] = field(default_factory=dict)  # by placer: from, until
+    links: list[tuple[float, float]] = field(default_factory=list)
+    lives: list[tuple[float, float]] = field(default_factory=list)
+    killed: list[tuple[float, str]] = field(default_factory=list)
+    stepped: bool = False  # some placer's own times are not the run's
+    quiet_at: float = float("inf")
+    ended_at: float = float("inf")
+
+    def ran(self, placer: str, since: float, until: float) -> bool:
+        """Whether it ran for all of that time."""
+        return any(start <= since and until <= end for start, end in self.up.get(placer, []))
+
+    def running(self) -> set[str]:
+        return {placer for placer, spans in self.up.items() if spans and spans[-1][1] == float("inf")}
+
+
+def course(events: Iterable[dict[str, Any]]) -> Course:
+    """From what the run wrote down."""
+    found, open_faults = Course(), dict[str, list[float]]()
+    for event in events:
+        what, at, placer = event["what"], float(event["at"]), str(event.get("placer", ""))
+        if what == "started":
+            found.up.update({f"placer-{n}": [[at, float("inf")]] for n in range(event["placers"])})
+        elif what in ("placer_killed", "placer_asked_to_stop"):
+            spans = found.up.setdefault(placer, [])
+            if spans and spans[-1][1] == float("inf"):
+                spans[-1][1] = at
+                if what == "placer_killed":
+                    found.killed.append((at, placer))
+        elif what == "placer_started":
+            found.up.setdefault(placer, []).append([at, float("inf")])
+        elif what == "fault":
+            found.stepped |= event["kind"] == "clock_step"
+            open_faults.setdefault(event["kind"], []).append(at)
+        elif what == "fault_over" and open_faults.get(event["kind"]):
+            span = open_faults[event["kind"]].pop(0), at
+            found.links += [span] * (event["kind"] in LINKS)
+            found.lives += [span] * (event["kind"] in LIVES)
+        elif what == "peers_quiet":
+            found.quiet_at = at
+        elif what == "ended":
+            found.ended_at = at
+    return found
+
+
+def judge_views(
+    found: Sequence[Message | Closed],
+    events: Iterable[dict[str, Any]],
+    lines: Mapping[str, list[dict[str, Any]]],
+    run: Run,
+) -> list[Verdict]:
+    """``lines``: the ``view`` lines of each placer's log, oldest first."""
+    what_was = course(events)
+    return [_settles(found, what_was, lines), _is_told(what_was, lines, run), _one_fleet(found, lines)]
+
+
+def _frames(found: Iterable[Message | Closed]) -> Iterable[tuple[Message, str, pb.PeerFrame]]:
+    for message in found:
+        if isinstance(message, Message) and message.path == PEER:
+            by = message.client if message.from_client else message.target
+            yield message, by, pb.PeerFrame.FromString(message.data)
+
+
+def _settles(found: Iterable[Message | Closed], was: Course, lines: Mapping[str, list[dict[str, Any]]]) -> Verdict:
+    verdict = Verdict("view settles")
+    running = was.running()
+    said: dict[str, int] = {}
+    for message, by, frame in _frames(found):
+        if frame.WhichOneof("word") == "beat" and was.ended_at - LAST_MS <= message.at <= was.ended_at:
+            said[by] = frame.beat.digest
+    for placer in sorted(running):
+        verdict.checked += 1
+        view = lines.get(placer, [])
+        here = set(view[-1]["here"]) if view else {placer}
+        if len(running) > 1 and placer not in said:
+            verdict.broken.append(f"{was.ended_at:.0f} ms: {placer} says nothing to any other")
+        elif here != running:
+            lacks, has = sorted(running - here), sorted(here - running)
+            verdict.broken.append(f"{was.ended_at:.0f} ms: {placer}'s view lacks {lacks} and has {has}")
+    if len({said[placer] for placer in running if placer in said}) > 1:
+        text = ", ".join(f"{placer} {said[placer]:016x}" for placer in sorted(running) if placer in said)
+        verdict.broken.append(f"{was.ended_at:.0f} ms: digests differ: {text}")
+    return verdict
+
+
+def _is_told(was: Course, lines: Mapping[str, list[dict[str, Any]]], run: Run) -> Verdict:
+    verdict = Verdict("view is told")
+    if was.stepped:
+        return verdict
+
+    def troubled(since: float, until: float, spans: list[tuple[float, float]]) -> bool:
+        return any(start < until and since - QUIET_MS < end for start, end in spans)
+
+    def say(at: float, text: str, placers: tuple[str, ...], since: float) -> None:
+        starved = max(run.starved_ms(placer, since, at) for placer in placers)
+        if starved > STARVED_MS:
+            verdict.undecided.append(f"{at:.0f} ms: {text} (no processor for {starved:.0f} ms)")
+        else:
+            verdict.broken.append(f"{at:.0f} ms: {text}")
+
+    for placer, view in sorted(lines.items()):
+        for line in view:
+            at = float(line["at_ms"])
+            if not was.ran(placer, at - QUIET_MS, at) or troubled(at - QUIET_MS, at, was.links):
+                continue
+            verdict.checked += 1
+            for other in line["away"]:
+                if was.ran(other, at - QUIET_MS, at):
+                    say(at, f"{placer} has {other} as away, which runs", (placer, other), at - QUIET_MS)
+    for at, gone in was.killed:
+        until = at + KNOWN_MS + SLACK_MS
+        again = any(at < start <= until for start, _ in was.up[gone])
+        others = [span for span in was.lives if not span[0] <= at <= span[1]]  # beside the fault that killed it
+        if again or until > was.ended_at or troubled(at, until, was.links) or troubled(at, until, others):
+            continue
+        for placer in sorted(was.up):
+            if placer != gone and was.ran(placer, at - QUIET_MS, until):
+                verdict.checked += 1
+                told = [line for line in lines.get(placer, []) if at - 50.0 <= float(line["at_ms"]) <= until]
+                if not any(gone in line["away"] for line in told):
+                    say(until, f"{placer} does not have {gone} as away, which was killed", (placer,), at)
+    return verdict
+
+
+def _one_fleet(found: Iterable[Message | Closed], lines: Mapping[str, list[dict[str, Any]]]) -> Verdict:
+    verdict = Verdict("one fleet")
+    clusters: dict[tuple[int, int], dict[bool, str]] = {}
+    names: dict[str, set[str]] = {}  # by cluster: members that have said so themselves
+    for message, by, frame in _frames(found):
+        word = frame.WhichOneof("word")
+        said = clusters.setdefault((message.connection, message.stream), {})
+        if word == "hello":
+            said[message.from_client] = frame.hello.cluster
+            names.setdefault(frame.hello.cluster, set()).add(frame.hello.record.name)
+            verdict.checked += 1
+        elif len(set(said.values())) > 1:
+            verdict.broken.append(f"{message.at:.0f} ms: {by} says {word} to a member of another cluster")
+    of = {name: cluster for cluster, members in names.items() for name in members}
+    for placer, view in sorted(lines.items()):
+        for line in view:
+            strange = [name for name in (*line["here"], *line["away"]) if of.get(name) not in (None, of.get(placer))]
+            if strange:
+                verdict.broken.append(f"{float(line['at_ms']):.0f} ms: {placer} shows {', '.join(strange)}")
+    return verdict
--- a/sprucepost/standin/director.py
+++ b/sprucepost/standin/director.py
@@ -53,8 +53,9 @@
         ...
 
     def stop_twin(self, number: int) -> None: ...
-    def resize(self, size: int, lead_ms: float, overlap_ms: float) -> Co[None]:
-        """Another number of placers, by an announced generation; returns when the new ones run."""
+    def resize(self, size: int, lead_ms: float, overlap_ms: float, told: int = 0) -> Co[None]:
+        """Another number of placers, by an announced generation; returns when the new ones run. ``told``: so many of the
+        old ones are told, 0 for all."""
         ...
 
     def note(self, what: str, **more: Any) -> None:
@@ -80,7 +81,8 @@
             "list_back": self._list_back, "list_gone": self._list_gone,
             "one_way_cut": self._one_way_cut, "slow_link": self._slow_link, "descriptors": self._descriptors,
             "clock_step": self._clock_step, "same_number": self._same_number, "placer_stop": self._placer_stop,
-            "resize": self._resize,
+            "resize": self._resize, "peer_cut": self._peer_cut, "peer_flap": self._peer_flap,
+            "peer_slow": self._peer_slow, "peer_reset": self._peer_reset, "placer_crowd": self._placer_crowd,
         }  # fmt: skip
         self._hit: set[str] = set()  # machines that a fault has taken down or is about to
         self._away: set[int] = set()  # placers that are not up
@@ -347,9 +349,9 @@
             self.stage.stop_twin(placer)
 
     def _resize(self, fault: Fault, number: int) -> Co[None]:
-        """``size``: times as many placers."""
+        """``size``: times as many placers; ``extra``: so many of the old ones are told, 0 for all."""
         more = max(self.scenario.placers + 1, round(self.scenario.placers * fault.size))
-        yield from self.stage.resize(more, 1500.0, fault.len_s * 1000.0)
+        yield from self.stage.resize(more, 1500.0, fault.len_s * 1000.0, int(fault.extra))
 
     # The list's errors, one at a time: the latest holds, and its end brings the truth back
 
@@ -393,6 +395,78 @@
         for name in some:
             yield from self.stage.tap("lift", name=f"slow {number} {name}")
 
+    # Between placers
+
+    def _sides(self, fault: Fault, number: int) -> tuple[list[str], list[str]]:
+        """The placers of a room, or so many as ``part`` says, and the others; neither side is empty."""
+        placers = [f"placer-{n}" for n in range(self.scenario.placers)]
+        zones = self.scenario.cluster.zones
+        inside = [name for n, name in enumerate(placers) if zones[n % len(zones)] == fault.zone]
+        if not inside or len(inside) == len(placers):
+            most = min(len(placers) - 1, max(1, round(fault.part * len(placers))))
+            inside = self.scenario.rng(f"fault {number}").sample(placers, most)
+        return inside, [name for name in placers if name not in inside]
+
+    def _between(self, number: int, sides: tuple[list[str], list[str]], out: bool, back: bool, **what: Any) -> Co[None]:
+        """A condition on the words from the first side to the other (``out``), and from there (``back``). A stream may have
+        been opened by either end."""
+        for a in sides[0]:
+            for b in sides[1]:
+                name = f"peers {number} {a} {b}"
+                yield from self.stage.tap("set", name=f"{name} up", client=a, target=b, up=out, down=back, **what)
+                yield from self.stage.tap("set", name=f"{name} down", client=b, target=a, up=back, down=out, **what)
+
+    def _joined(self, number: int, sides: tuple[list[str], list[str]]) -> Co[None]:
+        for a in sides[0]:
+            for b in sides[1]:
+                for way in ("up", "down"):
+                    yield from self.stage.tap("lift", name=f"peers {number} {a} {b} {way}")
+
+    def _peer_cut(self, fault: Fault, number: int) -> Co[None]:
+        """``extra`` 0: nothing passes between the sides; 1: nothing out of the first, 2: nothing into it."""
+        sides = self._sides(fault, number)
+        yield from self._between(number, sides, fault.extra != 2, fault.extra != 1, hold=True)
+        yield from sleep(fault.len_s * 1000.0)
+        yield from self._joined(number, sides)
+
+    def _peer_flap(self, fault: Fault, number: int) -> Co[None]:
+        """``size``: ms for which the sides are cut off, and then joined, again and again."""
+        sides, until = self._sides(fault, number), self.loop.now() + fault.len_s * 1000.0
+        while self.loop.now() < until:
+            yield from self._between(number, sides, True, True, hold=True)
+            yield from sleep(fault.size)
+            yield from self._joined(number, sides)
+            yield from sleep(fault.size)
+
+    def _peer_slow(self, fault: Fault, number: int) -> Co[None]:
+        """``size``: ms more each way between the sides."""
+        sides = self._sides(fault, number)
+        yield from self._between(number, sides, True, True, delay_ms=fault.size)
+        yield from sleep(fault.len_s * 1000.0)
+        yield from self._joined(number, sides)
+
+    def _peer_reset(self, fault: Fault, number: int) -> Co[None]:
+        """``part`` of the placers have the streams that they opened reset; ``extra``: seconds between two times, 0: once."""
+        until = self.loop.now() + fault.len_s * 1000.0
+        while True:
+            for name in self._sides(fault, number)[0]:
+                yield from self.stage.tap("blow", kind="reset", client=name, target="placer-*")
+            if not fault.extra or self.loop.now() + fault.extra * 1000.0 >= until:
+                return
+            yield from sleep(fault.extra * 1000.0)
+
+    def _placer_crowd(self, fault: Fault, number: int) -> Co[None]:
+        """``part`` of the placers are killed ``size`` times in a row, ``len_s`` between two, and are back each time."""
+        some = self._placers(fault, number)
+        self._away.update(some)
+        for _ in range(max(1, round(fault.size))):
+            for placer in some:
+                self.stage.kill_placer(placer)
+            for placer in some:
+                yield from self.stage.start_placer(placer)
+            yield from sleep(fault.len_s * 1000.0)
+        self._away.difference_update(some)
+
     def _reset(self, fault: Fault, number: int) -> Co[None]:
         """Every connection to some machines, and to all placers, is reset once."""
         for name in self._some(fault, number):
--- a/sprucepost/standin/drawing.py
+++ b/sprucepost/standin/drawing.py
@@ -64,12 +64,24 @@
     "placer_stop": Row(len_share=(0.02, 0.1), part=(0.1, 0.4), size=(50.0, 2500.0)),
     "resize": Row(len_share=(0.2, 0.4), size=(1.2, 1.7), most=1),
 }
+PEERS: Mapping[str, Row] = {  # what days are drawn from besides whose placers keep a view of their fleet
+    "peer_cut": Row(len_share=(0.04, 0.45), part=(0.1, 0.5), extra=(0.0, 2.49), most=2),
+    "peer_flap": Row(len_share=(0.1, 0.4), part=(0.1, 0.5), size=(150.0, 2500.0)),
+    "peer_slow": Row(len_share=(0.1, 0.4), part=(0.1, 0.5), size=(50.0, 900.0)),
+    "peer_reset": Row(len_share=(0.1, 0.5), part=(0.1, 1.0), extra=(0.3, 3.0), most=2),
+    "balancer_stall": FAULTS["balancer_stall"],
+    "placer_kill": FAULTS["placer_kill"],
+    "placer_crowd": Row(len_share=(0.01, 0.05), part=(0.1, 0.3), size=(2.0, 6.0), most=1),
+    "placer_stop": FAULTS["placer_stop"],
+    "clock_step": FAULTS["clock_step"],
+}
 EFFECTS = (["safe", "keyed", "unsafe"], ["keyed", "unsafe"], ["safe", "keyed"], ["unsafe"], ["keyed", "keyed"])
 COLD = ("crash", "deploy", "grow", "vanish", "ageing")  # what leaves machines that have just come up
 
 
-def draw(seed: int, length_s: float = 24.0) -> Scenario:
-    """The day of that seed. Seeds are apart: two that follow each other have nothing in common."""
+def draw(seed: int, length_s: float = 24.0, peers: bool = False) -> Scenario:
+    """The day of that seed. Seeds are apart: two that follow each other have nothing in common. With ``peers`` its placers
+    keep a view of their fleet, there are more of them, and they have faults of their own besides."""
     rng = _random.Random(f"day {seed}")
     cluster = _cluster(rng)
     machines = rng.randint(5, 16)
@@ -95,9 +107,30 @@
         "list_late_ms": rng.choice((100, 400, 800, 1500)),
         "cross_ms": rng.choice((0.5, 1, 5, 20)),
     }
+    if peers:
+        _peers(_random.Random(f"peers {seed}"), raw)
     return convert(raw, Scenario)
 
 
+def _peers(rng: _random.Random, raw: dict[str, Any]) -> None:
+    """Fewer of the usual faults, and some between placers; half of the resizes are told to one placer only."""
+    raw.update(peers=True, placers=rng.choice((3, 5, 6, 7, 9)))
+    usual = [fault for fault in raw["faults"] if fault["kind"] != "same_number"]
+    raw["faults"] = rng.sample(usual, min(len(usual), rng.randint(0, 3)))
+    for fault in raw["faults"]:
+        if fault["kind"] == "resize":
+            fault["extra"] = rng.choice((0.0, 1.0))
+    for kind in rng.sample(sorted(PEERS), rng.randint(1, 4)):
+        for _ in range(rng.randint(1, PEERS[kind].most)):
+            fault = _fault(rng, kind, PEERS[kind], raw["length_s"], raw["cluster"]["zones"])
+            if kind == "peer_cut":
+                fault["extra"] = float(round(fault["extra"]))
+                if rng.random() < 0.4:
+                    fault["zone"] = rng.choice(raw["cluster"]["zones"])
+            raw["faults"].append(fault)
+    raw["faults"].sort(key=lambda fault: (fault["at_s"], fault["kind"]))
+
+
 def _cluster(rng: _random.Random) -> dict[str, Any]:
     zones = [f"room-{letter}" for letter in "abc"[: rng.randint(1, 3)]]
     effects = rng.choice(
@@ -176,21 +209,25 @@
     for kind in chosen:
         row = FAULTS[kind]
         for _ in range(rng.randint(1, row.most) if rng.random() < 0.4 else 1):
-            fault: dict[str, Any] = {
-                "kind": kind,
-                "at_s": round(rng.uniform(0.05, 0.85) * length_s, 2),
-                "len_s": round(rng.uniform(*row.len_share) * length_s, 2),
-                "part": round(rng.uniform(*row.part), 2),
-                "size": round(rng.uniform(*row.size), 2),
-            }
-            if row.extra is not None:  # half of the days without it, where none is a meaning of its own
-                fault["extra"] = round(rng.uniform(*row.extra), 2) if row.extra[0] or rng.random() < 0.5 else 0.0
-            if row.zone:
-                fault["zone"] = rng.choice(zones)
-            faults.append(fault)
+            faults.append(_fault(rng, kind, row, length_s, zones))
     return sorted(faults, key=lambda fault: (fault["at_s"], fault["kind"]))
 
 
+def _fault(rng: _random.Random, kind: str, row: Row, length_s: float, zones: list[str]) -> dict[str, Any]:
+    fault: dict[str, Any] = {
+        "kind": kind,
+        "at_s": round(rng.uniform(0.05, 0.85) * length_s, 2),
+        "len_s": round(rng.uniform(*row.len_share) * length_s, 2),
+        "part": round(rng.uniform(*row.part), 2),
+        "size": round(rng.uniform(*row.size), 2),
+    }
+    if row.extra is not None:  # half of the days without it, where none is a meaning of its own
+        fault["extra"] = round(rng.uniform(*row.extra), 2) if row.extra[0] or rng.random() < 0.5 else 0.0
+    if row.zone:
+        fault["zone"] = rng.choice(zones)
+    return fault
+
+
 def kinds_of(faults: list[Fault]) -> dict[str, int]:
     """How often each kind of fault is in a day."""
     counts: dict[str, int] = {}
--- a/sprucepost/standin/scenario.py
+++ b/sprucepost/standin/scenario.py
@@ -13,7 +13,7 @@
     "crash", "vanish", "slow", "ageing", "class_fail", "answer_lost", "balancer_stall", "burst", "hot_key", "heavy_tail",
     "zone_cut", "deploy", "shrink", "grow", "discovery_down", "discovery_stale", "reconnect", "placer_kill", "reset",
     "list_empty", "list_back", "list_gone", "one_way_cut", "slow_link", "descriptors", "clock_step", "same_number",
-    "placer_stop", "resize", "ask_twice",
+    "placer_stop", "resize", "ask_twice", "peer_cut", "peer_flap", "peer_slow", "peer_reset", "placer_crowd",
 ]  # fmt: skip
 Share = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(ge=0)]
@@ -66,6 +66,9 @@
     list_lines_per_s: Annotated[float, Meta(gt=0)] = 20_000.0
     same_ms: Seconds = 0.3
     cross_ms: Seconds = 1.0
+    peers: Annotated[
+        bool, Meta(description="placers keep a view of the fleet; some of another fleet know their seeds")
+    ] = False
     class_manners: dict[str, dict[str, Any]] = {}
 
     def problems(self) -> list[str]:
@@ -86,6 +89,8 @@
                 found.append(f"faults[{n}].zone: needed for a {fault.kind}")
             if fault.kind == "resize" and any(other.kind == "resize" for other in self.faults[:n]):
                 found.append(f"faults[{n}].kind: a day has one resize at most")
+            if fault.kind.startswith("peer_") and not (self.peers and self.placers > 1):
+                found.append(f"faults[{n}].kind: {fault.kind} needs peers, and two placers at the least")
             if fault.at_s > self.length_s:
                 found.append(f"faults[{n}].at_s: after the end of the day")
         return found
--- a/tests/standin/test_drawing.py
+++ b/tests/standin/test_drawing.py
@@ -11,7 +11,7 @@
 from sprucepost.loop import Co, Scope, in_scope
 from sprucepost.settings.reading import decode
 from sprucepost.standin.director import Director
-from sprucepost.standin.drawing import COLD, FAULTS, draw, kinds_of
+from sprucepost.standin.drawing import COLD, FAULTS, PEERS, draw, kinds_of
 from sprucepost.standin.scenario import Fault, Kind, Scenario
 from tests.placing.support import VirtualLoop
 
@@ -25,11 +25,12 @@
         day = draw(seed)
         assert day.problems() == []
         assert decode(msgspec.json.encode(day), Scenario) == day
+        assert draw(seed, peers=True).problems() == [] and draw(seed, peers=True) == draw(seed, peers=True)
         assert all(0 < fault.at_s < day.length_s for fault in day.faults)
 
 
 def test_over_many_days_every_kind_is_met_and_most_days_differ_in_kinds() -> None:
-    assert set(FAULTS) == set(get_args(Kind))
+    assert set(FAULTS) | set(PEERS) == set(get_args(Kind))
     days = [kinds_of(draw(seed).faults) for seed in range(150)]
     met = Counter(kind for day in days for kind in day)
     assert set(met) == set(FAULTS) and min(met.values()) >= 5
@@ -118,7 +119,7 @@
     def stop_twin(self, number: int) -> None:
         self.twins.discard(number)
 
-    def resize(self, size: int, lead_ms: float, overlap_ms: float) -> Co[None]:
+    def resize(self, size: int, lead_ms: float, overlap_ms: float, told: int = 0) -> Co[None]:
         assert size > 4
         return
         yield
@@ -144,9 +145,9 @@
     return not gone and not stage.lie and not stage.listless and stage.placers == {0, 1, 2, 3}
 
 
-@pytest.mark.parametrize("kind", sorted(FAULTS))
+@pytest.mark.parametrize("kind", sorted({**FAULTS, **PEERS}))
 def test_each_kind_of_fault_is_lifted_again(kind: str) -> None:
-    day = msgspec.structs.replace(draw(3), placers=4)
+    day = msgspec.structs.replace(draw(3), placers=4, peers=True)
     fault = Fault(kind, 1.0, 4.0, 0.5, 2.0, 1.0, day.cluster.zones[0])  # type: ignore[arg-type]
     stage = play(msgspec.structs.replace(day, faults=[fault]))
     assert whole(stage)
@@ -154,5 +155,5 @@
 
 def test_whole_drawn_days_leave_nothing_behind_however_their_faults_overlap() -> None:
     for seed in range(60):
-        stage = play(msgspec.structs.replace(draw(seed), placers=4))
+        stage = play(msgspec.structs.replace(draw(seed, peers=seed % 2 == 1), placers=4))
         assert whole(stage), f"seed {seed}"
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -9,6 +9,13 @@
 import time
 from pathlib import Path
 
+import msgspec
+
+from sprucepost.cli.badday import Player
+from sprucepost.cli.tables import report
+from sprucepost.standin.drawing import draw
+from sprucepost.standin.scenario import Fault
+
 
 def run(*arguments: str) -> subprocess.Popen[str]:
     return subprocess.Popen(
@@ -58,3 +65,18 @@
     day.terminate()
     assert day.wait(60) != 0
     assert left() == 0
+
+
+def test_a_day_with_faults_between_placers_settles(tmp_path: Path) -> None:
+    """Drawn whole from its seed, with a crash, a cut and a change of size told to one placer put in."""
+    day = draw(7, 16.0, peers=True)
+    faults = [
+        Fault("peer_cut", 1.0, 4.0, 0.4), Fault("placer_kill", 7.0, 3.0, 0.2),
+        Fault("resize", 2.0, 9.0, size=1.3, extra=1.0),
+        Fault("peer_reset", 8.0, 3.0, 1.0, extra=1.0), Fault("peer_slow", 9.0, 4.0, 0.4, 300.0),
+    ]  # fmt: skip
+    day = msgspec.structs.replace(day, placers=5, faults=faults)
+    result = Player(day, tmp_path, quiet=True).run()
+    assert report(result)[1], report(result)[0]
+    views = {rule["rule"]: rule["checked"] for rule in result["rules"] if not rule["rule"][0].isdigit()}
+    assert views["view settles"] in (6, 7) and views["one fleet"] > 10
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -111,7 +111,7 @@
     from tools.mutants import ROOT, mutations, plant
 
     found = mutations()
-    assert len(found) >= 20 and {mutation.rule for mutation in found} == set("12345")
+    assert len(found) >= 20 and {mutation.rule for mutation in found} == set("12345V")
     for mutation in found:
         assert (ROOT / mutation.file).read_text().count(mutation.old) == 1, mutation.name
     plant(found[0], tmp_path)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,11 +23,12 @@
 from sprucepost.cli.tables import table
 
 ROOT = Path(__file__).parent.parent
+VIEW = "V"
 MUTATIONS = Path(__file__).parent / "mutations.json"
 
 
 class Mutation(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """``rule``: what the defect is against, by number. ``old`` stands once in ``file``."""
+    """``rule``: what the defect is against, by number, or the fleet's view. ``old`` stands once in ``file``."""
 
     name: str
     rule: str
@@ -55,7 +56,7 @@
     with tempfile.TemporaryDirectory(prefix="sprucepost-mutant-") as temporary:
         folder = Path(temporary)
         plant(mutation, folder)
-        day_of = drawn(24.0)
+        day_of = drawn(24.0, peers=mutation.rule == VIEW)
 
         def done(day: Day, result: dict[str, Any]) -> None:
             row["days"] += 1
