--- a/benchmarks/view_fleet.py
+++ b/benchmarks/view_fleet.py
@@ -2,7 +2,7 @@
 
 For each size: how long until all show one view after a start at once; after one was killed, and after a tenth was; what a
 quiet placer costs in processor time and in bytes said to others. Times are those of the placers' own log lines. Writes
-``docs/results/view-fleet.json`` and a chart beside it.
+``docs/results/view-fleet.json`` and a chart beside it. ``resize BEFORE AFTER`` measures a change of size instead.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+from sprucepost.settings import GenerationOptions
 from tests.peers.fleet import Fleet
 
 QUIET_S = 20.0
@@ -100,6 +101,32 @@
     return row
 
 
+def resize(before: int, after: int, folder: Path) -> dict[str, Any]:
+    """One of the old placers is told of a size, the new ones are started: until the new size alone counts for all."""
+    with Fleet(folder, after, "resize") as fleet:
+        fleet.start(*range(before), instances=before, generation=GenerationOptions(1))
+        all_see(fleet, lambda shown: sum(m["condition"] == "here" for m in shown["members"]) == before, 120.0)
+        begins = time.time() * 1000.0 + 2000.0
+        change = GenerationOptions(2, before, begins, 600_000.0, announced=True)
+        fleet.file(0, instances=after, generation=change)
+        fleet.signal(0, signal.SIGHUP)
+        time.sleep(2.0)
+        heard = [fleet.logged(n, "generation")[:1] for n in range(1, before)]
+        fleet.start(*range(before, after), instances=after, generation=change)
+        while not all(line["phase"] == "done" for n in range(after) for line in fleet.logged(n, "seat")[-1:]):
+            if time.time() * 1000.0 > begins + 300_000.0:
+                raise RuntimeError("the change is not over after five minutes")
+            time.sleep(1.0)
+        seats = {(line["seat"], line["seats"]) for n in range(after) for line in fleet.logged(n, "seat")[-1:]}
+        ends = [line["at_ms"] for n in range(after) for line in fleet.logged(n, "seat")[-1:]]
+        return {
+            "from": before, "to": after, "told_to_one_heard_by_all_s": round(
+                (max(line["at_ms"] for found in heard for line in found) - begins + 2000.0) / 1000.0, 2),
+            "heard": sum(map(bool, heard)) + 1, "over_after_begin_s": round((max(ends) - begins) / 1000.0, 1),
+            "ends_apart_ms": round(max(ends) - min(ends)), "seats": len(seats), "overlap_s": 600,
+        }  # fmt: skip
+
+
 def chart(rows: list[dict[str, Any]], path: Path) -> None:
     """Cost of a quiet placer and times of the news, over the size of the fleet."""
     import matplotlib
@@ -126,6 +153,10 @@
 
 
 def main() -> int:
+    if sys.argv[1:2] == ["resize"]:
+        with tempfile.TemporaryDirectory(prefix="sprucepost-view-") as folder:
+            print(json.dumps(resize(int(sys.argv[2]), int(sys.argv[3]), Path(folder))))
+        return 0
     sizes = [int(word) for word in sys.argv[1:]] or [50, 100, 200, 350]
     out = Path("docs/results/view-fleet.json")
     rows = []
