agreement: the registry on the log, with sessions, leases that no drift lets overlap, and watches that resume

Need: what is to be agreed on (numbers, the generation, who inherits, which machine goes out) are small values, leases and commands that must be done once.

--- a/sprucepost/agreement/__init__.py
+++ b/sprucepost/agreement/__init__.py
@@ -10,6 +10,7 @@
 ``reads``       reads without a write
 ``changes``     members, and handing over
 ``keeper``      one keeper
+``registry``    what is agreed on: values, sessions, leases
 =============== ==================================================================================================
 
 Nothing here knows a socket, a clock or a disk, and no placement reads it.
@@ -17,6 +18,7 @@
 
 from sprucepost.agreement.core import Bounds, Role, Timing
 from sprucepost.agreement.keeper import Keeper
+from sprucepost.agreement.registry import Registry
 from sprucepost.agreement.words import Held, Members
 
-__all__ = ["Bounds", "Held", "Keeper", "Members", "Role", "Timing"]
+__all__ = ["Bounds", "Held", "Keeper", "Members", "Registry", "Role", "Timing"]
