Read over: one agenda for both worlds of the player, one way to take a follower's answer

Two classes of the player kept the same heap of virtual moments, and the leader's two handlers of answers began with the same lines.

--- a/sprucepost/agreement/replication.py
+++ b/sprucepost/agreement/replication.py
@@ -139,13 +139,9 @@
 
     def appended(self, name: str, answer: Appended) -> None:
         """An answer to an Append."""
-        core, peer = self._core, self.peers.get(name)
-        if answer.term > core.term:
-            core.follow(answer.term, None, "a newer term")
+        core, peer = self._core, self._heard(name, answer)
+        if peer is None:
             return
-        if peer is None or core.role is not Role.LEADER or answer.term < core.term:
-            return
-        self._heard(peer, answer.round)
         peer.under_way = max(0, peer.under_way - 1)
         if answer.ok:
             peer.match = max(peer.match, min(answer.match, core.log.last))
@@ -159,13 +155,9 @@
 
     def pieced(self, name: str, answer: Pieced) -> None:
         """An answer to a piece of a snapshot."""
-        core, peer = self._core, self.peers.get(name)
-        if answer.term > core.term:
-            core.follow(answer.term, None, "a newer term")
-            return
-        if peer is None or core.role is not Role.LEADER or answer.term < core.term:
+        core, peer = self._core, self._heard(name, answer)
+        if peer is None:
             return
-        self._heard(peer, answer.round)
         if answer.index != peer.snapshot or answer.index != core.snapshot.index:
             return
         peer.have = min(answer.have, len(core.snapshot.state))
@@ -177,9 +169,16 @@
         else:
             self._piece(name, peer, True)
 
-    def _heard(self, peer: Peer, round_: int) -> None:
-        peer.heard = self._core.now
-        peer.round = max(peer.round, round_)
+    def _heard(self, name: str, answer: Appended | Pieced) -> Peer | None:
+        """The peer whose answer counts; None where it is of another term, or nobody asked."""
+        core, peer = self._core, self.peers.get(name)
+        if answer.term > core.term:
+            core.follow(answer.term, None, "a newer term")
+        if peer is None or core.role is not Role.LEADER or answer.term != core.term:
+            return None
+        peer.heard = core.now
+        peer.round = max(peer.round, answer.round)
+        return peer
 
     def advance(self) -> None:
         """Settle what is durable at a majority, if it is of this term (3.6.2)."""
--- a/sprucepost/play/__init__.py
+++ b/sprucepost/play/__init__.py
@@ -1,13 +1,17 @@
-"""State machines played alone: virtual time, streams that are slow, cut or reset, processes that stop and die.
+"""State machines played alone, in virtual time: links that are slow, cut or reset, processes that stop and die.
 
 =========== ======================================================================================================
-``world``   processes, streams and faults between them, on one heap of virtual moments
+``agenda``  what is to happen when
+``world``   processes and the streams between them
+``letters`` processes that send letters by name, and their disks
 =========== ======================================================================================================
 
-A machine is played through the calls and actions of :mod:`sprucepost.view.words`: ``tick``, ``opened``, ``not_opened``,
-``ended`` and ``heard`` in; ``Send``, ``Dial`` and ``Close`` out, anything else is noted as told. Same seed, same play.
+A machine is played through its own calls and actions: in the ``world`` those of :mod:`sprucepost.view.words` (``tick``,
+``opened``, ``not_opened``, ``ended`` and ``heard`` in; ``Send``, ``Dial`` and ``Close`` out), with ``letters`` those of
+:mod:`sprucepost.agreement.words`. Anything else is noted as told. Same seed, same play.
 """
 
+from sprucepost.play.letters import Letters, Place
 from sprucepost.play.world import Process, World
 
-__all__ = ["Process", "World"]
+__all__ = ["Letters", "Place", "Process", "World"]
--- a/sprucepost/play/letters.py
+++ b/sprucepost/play/letters.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from sprucepost.agreement.words import Send, Write
+from sprucepost.play.agenda import Agenda
 
 
 class Writer(Protocol):
@@ -36,7 +36,7 @@
         self.free_at = 0.0  # when the disk is done with them
 
 
-class Letters:
+class Letters(Agenda):
     """``keep`` makes a write durable: what a restart will find."""
 
     def __init__(
@@ -47,26 +47,12 @@
         keep: Callable[[str, Write], None],
         told: Callable[[Place, Any], None],
     ) -> None:
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
         self.lost = self.repeated = 0.0  # shares of letters
         self.cuts: list[Callable[[str, str], bool]] = []
         self.places: dict[str, Place] = {}
         self._tick, self._delay, self._keep, self._told = tick_ms, delay_ms, keep, told
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._number = 0
-
-    def at(self, moment: float, call: Callable[[], None]) -> None:
-        """Do that then."""
-        self._number += 1
-        heapq.heappush(self._heap, (max(moment, self.now), self._number, call))
-
-    def run(self, until: float) -> None:
-        """Play up to that moment."""
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, call = heapq.heappop(self._heap)
-            call()
-        self.now = until
 
     def start(self, place: Place) -> None:
         """A process begins; whatever had that name is dead."""
--- a/sprucepost/play/world.py
+++ b/sprucepost/play/world.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from sprucepost.play.agenda import Agenda
 from sprucepost.view.words import Close, Dial, Send
 
 DIAL_LIMIT_MS = 1000.0  # a dial that nobody answers fails after that
@@ -45,34 +45,19 @@
         self.over = False
 
 
-class World:
+class World(Agenda):
     """``rng`` draws all that is left open; ``tick_ms`` is how often machines are looked at."""
 
     def __init__(self, seed: int, tick_ms: float, delay_ms: tuple[float, float] = (0.2, 2.0)) -> None:
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
         self._tick, self._delay = tick_ms, delay_ms
         self.processes: dict[str, Process] = {}
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
         self.cuts: list[Callable[[Process, Process], bool]] = []  # whether words from one to the other are held up
         self.repeats = 0.0  # share of words that come twice
         self.words = 0
 
-    # Time
-
-    def at(self, moment: float, call: Callable[[], None]) -> None:
-        """Do that then."""
-        self._number += 1
-        heapq.heappush(self._heap, (max(moment, self.now), self._number, call))
-
-    def run(self, until: float) -> None:
-        """Play up to that moment."""
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, call = heapq.heappop(self._heap)
-            call()
-        self.now = until
-
     # Processes and faults
 
     def start(self, address: str, machine: Machine, place: str = "") -> Process:
