Read over: a predecessor that the view knows too late is logged, as docs/view.md says; dead state gone

Read again from the diff: where the view raised an incarnation after something had been offered, nothing said so (a machine's word did). And a candidate kept whether it was handed the lead, which nobody read. Tests of agreement (the planted defect's text follows) pass.

--- a/sprucepost/agreement/election.py
+++ b/sprucepost/agreement/election.py
@@ -14,7 +14,6 @@
     def __init__(self, core: Core, lead: Callable[[], None]) -> None:
         self._core, self._lead = core, lead
         self._votes: set[str] = set()
-        self._transfer = False
         self.due = 0.0
         self.wait()
 
@@ -53,7 +52,7 @@
         """Raise the term and ask for votes; the own one counts once it is durable."""
         core = self._core
         core.term, core.vote, core.role, core.leader = core.term + 1, core.ident, Role.CANDIDATE, None
-        self._votes, self._transfer = set(), transfer
+        self._votes = set()
         core.counters["candidacies"] += 1
         core.write()
         self.wait()
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -178,7 +178,7 @@
             self._adopt,
             self.engine.desk.hear_fleet,
             self._number_shared,
-            lambda incarnation: self._outbid((incarnation << 16) - 1),
+            self._predecessor,
             self._begin_links,
         )
 
@@ -224,6 +224,11 @@
             self._begun = True
             self.links.suspended = bool(self.conflict or self.shared)
 
+    def _predecessor(self, incarnation: int) -> None:
+        """The view has raised this one's incarnation above its predecessor's."""
+        if not self._outbid((incarnation << 16) - 1):
+            self.log.error("newer_incarnation", text=f"the view knows {incarnation - 1}")
+
     def _newer(self, machine: str, text: str) -> None:
         """A machine knows a newer incarnation of our number; the text ends with it (docs/protocol.md)."""
         known = text.rpartition(" ")[2]
--- a/tests/agreement/defects.py
+++ b/tests/agreement/defects.py
@@ -26,8 +26,8 @@
     "says what is not durable yet": (core, "if self._written < self._wrote:", "if False:"),
     "a candidate's own vote counts at once": (
         election,
-        "self._votes, self._transfer = set(), transfer",
-        "self._votes, self._transfer = {core.ident}, transfer",
+        "self._votes = set()\n        core.counters",
+        "self._votes = {core.ident}\n        core.counters",
     ),
     "a leader counts what it has not durable": (
         replication,
