Node: what stands is told before new work, and nothing is sent on for a client that left

Causes, by lines: - Tasks.take gave each new set-up to the module in the turn that read it, whatever `at` still lay in sockets or in the backlog, and in batches of any size: 2 ms of a whole core each for a service's first ask, so one batch of 80 stood still for the 0.2 s that the rule allows. Now new set-ups wait in a line, the connections in turn; the sockets are looked at again right before any is told; at most 8 go in a batch; while `at` comes they wait, none longer than 100 ms. An offer that still waits for its connection when an `at` of its service is read is decided anew. - Tasks.write sent an offer on what the last poll had shown, up to a whole turn ago, and an end behind a set-up is seen one turn later (level-triggered). The owner's own connection is read right before its offer goes out, and all of them after 100 ms without a look. - Owners._message took the id off the connection that brought the give-up, not off the set-up's: there it stayed in `open` for ever, and that connection was never idle. A give-up read before its set-up (two connections) found nothing, and the task was placed for nobody. - Tasks.heard forgot a host's end of a task that its owner had not told of yet (restart): told a moment later it stood until its host was lost. An `at` on its way while its task ended made it stand a second time. - Owners.tick, _make_room, Hosts.tick closed connections with bytes unread: a reset, and a request lost. They look once more first; a close lingers, so that what crosses it resets nothing. - Hosts._end called every open set-up one that may have run, also those of which the host had not been sent the last byte; a connection that its host had closed was found by writing on it; a second copy of a refusal ended the next attempt of the same id on that connection (two attempts out).

Ruled out: an answer that crosses the module's refusal of its task (the attempt's time ends one tick earlier, in the same turn at the latest).

--- a/sprucepost/loop/accept.py
+++ b/sprucepost/loop/accept.py
@@ -43,6 +43,17 @@
             if self._closed:
                 return
 
+    def drain(self) -> None:
+        """Take all that waits in the backlog, as far as there are descriptors."""
+        while not self._closed:
+            try:
+                sock = self._listener.accept()
+            except OSError:
+                return
+            if sock is None:
+                return
+            self._take(sock)
+
     def close(self) -> None:
         """Take no more; what waits in the backlog is reset by the system."""
         if not self._closed:
--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -145,6 +145,15 @@
 
     # Shared by all
 
+    @property
+    def since_look_ms(self) -> float:
+        """How long ago the sockets were looked at."""
+        return self.now() - self._looked_at if self._looked_at is not None else 0.0
+
+    def look(self) -> None:
+        """Read what has come to the sockets now, in the midst of a turn: for who must know it before it acts."""
+        self._poll(0.0)
+
     def call_soon(self, call: Call) -> None:
         """In this turn or the next."""
         self._ready.append(call)
--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -7,8 +7,10 @@
 
 from sprucepost.loop.core import Address, Loop, Sock
 from sprucepost.loop.task import Co, Task, Undo, within
+from sprucepost.loop.timers import Timer
 
 READ_MOST = 65536  # bytes taken from one socket in one turn: a loud peer cannot keep the others waiting
+LOOK_MOST = 4  # reads of one look: what has come, and the end behind it
 
 
 class Transport:
@@ -17,6 +19,11 @@
     ``on_data(bytes)`` for each read, ``on_end()`` when the peer has sent all (reading stops), ``on_lost(error)`` once
     when the stream is gone for a cause other than :meth:`close` or :meth:`abort`. ``on_room()`` after a flush that
     left nothing buffered. Written bytes are sent in one call at the end of the turn.
+
+    With ``linger_ms`` :meth:`close` sends the end of the stream and reads on, into nothing, until the peer's end comes or
+    that time is over. A socket closed with bytes unread, or to which some come afterwards, is reset by the system, and the
+    reset may take away what was sent before it and not read yet. The time also bounds how long :meth:`close` waits for a
+    peer that does not read.
     """
 
     def __init__(self, loop: Loop, sock: Sock) -> None:
@@ -37,7 +44,13 @@
         self._ended = False  # the peer's end was seen
         self._closing = False
         self._half = False
-        self.closed = False
+        self.closed = False  # nothing more is passed on or taken
+        self.gone = False  # the socket has been given back
+        self.linger_ms = 0.0
+        self._lingering: Timer | None = None
+        self._delivering = False  # within on_data
+        self.written = 0  # bytes given to write(), ever
+        self.sent = 0  # those that the system has taken
         self.waited_ms = 0.0  # how long, at most, the bytes that came last had waited for us
         self._more = 0.0  # when a read that may have left bytes behind took place, 0 where none was left
 
@@ -66,6 +79,7 @@
             return
         self._out.append(data)
         self.buffered += len(data)
+        self.written += len(data)
         if not self._flush_due and not self._blocked:
             self._flush_due = True
             self._loop.at_turn_end(self._first_flush)
@@ -82,7 +96,10 @@
             return
         self._closing = True
         if not self._out:
-            self._shut(False)
+            self._finish()
+        elif self.linger_ms:
+            self.pause()
+            self._lingering = self._loop.call_later(self.linger_ms, lambda: self._shut(True))
 
     def abort(self) -> None:
         """Close at once; the peer sees a reset."""
@@ -90,11 +107,32 @@
             self._shut(True)
 
     def _shut(self, reset: bool) -> None:
-        self.closed = True
+        self.closed = self.gone = True
+        if self._lingering is not None:
+            self._lingering.cancel()
         self._loop.watch(self._sock, None, None)
         self._sock.close(reset)
         self._out, self.buffered = [], 0
 
+    def _finish(self) -> None:
+        """All is sent: close, or see the peer's end first."""
+        if not self.linger_ms or self._ended:
+            self._shut(False)
+            return
+        self.closed = True
+        self._sock.shutdown_write()
+        self._loop.watch(self._sock, self._discard, None)
+        if self._lingering is None:
+            self._lingering = self._loop.call_later(self.linger_ms, lambda: self._shut(False))
+
+    def _discard(self) -> None:
+        try:
+            data = self._sock.recv(READ_MOST)
+        except OSError:
+            data = b""
+        if data == b"":
+            self._shut(False)
+
     def _rewatch(self) -> None:
         self._loop.watch(
             self._sock, self._readable if self._reading else None, self._writable if self._blocked else None
@@ -105,21 +143,47 @@
             self._shut(error is not None)
             self.on_lost(error)
 
+    def look(self) -> bool:
+        """Read now what lies there, the peer's end included; whether there was anything. Within ``on_data`` it does nothing:
+        what comes later must not be taken earlier."""
+        found = 0
+        while (
+            found < LOOK_MOST
+            and self._reading
+            and not (self.closed or self._delivering)
+            and self._read(self._loop.since_look_ms)
+        ):
+            found += 1
+        return found > 0
+
     def _readable(self) -> None:
+        if not self._delivering:  # else a look at all sockets in the midst of it: it is read in the next turn
+            self._read(self._loop.blind_ms)
+
+    def _read(self, unseen_ms: float) -> bool:
+        """Take what is there, which may have waited so long; False where nothing was."""
         try:
             data = self._sock.recv(READ_MOST)
         except OSError as error:
             self._lost(error)
-            return
+            return True
+        if data is None:
+            self._more = 0.0
+            return False
         if data:
             now = self._loop.now()
-            self.waited_ms = self.waited_ms + now - self._more if self._more else self._loop.blind_ms
+            self.waited_ms = self.waited_ms + now - self._more if self._more else unseen_ms
             self._more = now if len(data) == READ_MOST else 0.0
-            self.on_data(data)
-        elif data == b"":
+            self._delivering = True
+            try:
+                self.on_data(data)
+            finally:
+                self._delivering = False
+        else:
             self._ended = True
             self.pause()
             self.on_end()
+        return True
 
     def _writable(self) -> None:
         self._blocked = False
@@ -145,6 +209,7 @@
                 if not took:
                     break
                 sent += took
+                self.sent += took
         except OSError as error:
             self._lost(error)
             return
@@ -157,7 +222,7 @@
             return
         self._out = []
         if self._closing:
-            self._shut(False)
+            self._finish()
         elif self._half:
             self._sock.shutdown_write()
         elif self.on_room is not None:
--- a/sprucepost/node/bulletin.py
+++ b/sprucepost/node/bulletin.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import math
 from dataclasses import dataclass
@@ -123,11 +124,14 @@
 
 
 def address_of(text: Any, whose: str) -> Address:
-    """``host:port``; ValueError naming whose it is."""
+    """``host:port``, the host an IPv4 address in numbers; ValueError naming whose it is."""
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536):
         raise ValueError(f"{whose}: {text!r} is no address")
-    return host, int(port)
+    try:  # a name would be looked up, which holds the whole process up, and some names cannot even be asked for
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        raise ValueError(f"{whose}: {text!r} is no address") from None
 
 
 def _whole(value: Any) -> TypeGuard[int]:
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -26,7 +26,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 
 from sprucepost import interface as i
@@ -36,6 +36,7 @@
 from sprucepost.node.jsonl import Decoder, Line, Word, encode
 from sprucepost.node.tasks import GIVEN_UP, LATE_MS, Out, Tasks
 
+LINGER_MS = 250.0  # a close waits so long for the host's end, so that what it has on its way resets nothing
 TEST_MS = 1000.0  # a connection on which a test is not answered within this is of no use
 SILENT_MS = (
     LATE_MS - 200.0
@@ -43,16 +44,22 @@
 QUIET_MS = SILENT_MS - 3 * TEST_MS  # a host with tasks is tested after that silence: three tests in a row may get lost
 AGAIN_MS = 200.0  # until a connection that failed is tried again, doubled for each before unless the host is suspected
 AGAIN_MOST_MS = 1600.0
+ENDED_MOST = 64  # ended set-ups that a connection remembers: copies of answers come within milliseconds
 TASKLESS = "0" * 16  # the id of a test
 
 
 class HostLink:
-    """One connection to a host."""
+    """One connection to a host.
+
+    A word is sorted by the id of its task alone. So a set-up that has ended here without an answer is never sent here
+    again: a second copy of that end would be taken for the end of the new attempt.
+    """
 
     def __init__(self, transport: Transport, now: float) -> None:
         self.transport = transport
         self.decoder = Decoder()
         self.open: dict[str, Out] = {}
+        self.ended: deque[str] = deque(maxlen=ENDED_MOST)  # set-ups that ended here without an answer
         self.used = now
         self.tested: float | None = None  # since when a test has had no answer
         self.retired = False
@@ -61,10 +68,15 @@
         """Whether a test has had no answer in its time."""
         return self.tested is not None and now - self.tested > TEST_MS
 
-    @property
-    def usable(self) -> bool:
-        """Whether a set-up may be written now, whole."""
-        return not (self.retired or self.transport.closed or self.transport.buffered or self.decoder.waiting)
+    def usable(self, sid: str) -> bool:
+        """Whether that set-up may be written now, whole."""
+        return not (
+            self.retired
+            or self.transport.closed
+            or self.transport.buffered
+            or self.decoder.waiting
+            or sid in self.ended
+        )
 
 
 class Host:
@@ -179,9 +191,10 @@
 
     def _serve(self, host: Host) -> None:
         """Write what waits: each on a free connection, or on a new one, or where there may be none on the least used."""
+        looked: set[object] = set()
         while host.waiting:
-            now = self.loop.now()
-            usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
+            now, out = self.loop.now(), host.waiting[0]
+            usable = [link for link in host.links if link.usable(out.sid) and now - link.used < self._idle / 2]
             free = [link for link in usable if not link.open]
             full = len(host.links) + host.dialing >= max(2, self._most // max(1, len(self.hosts)))
             if free:
@@ -189,10 +202,18 @@
             elif usable and full and host.dialing < len(host.waiting):
                 link = min(usable, key=lambda link: len(link.open))
             else:
-                if host.dialing < len(host.waiting) and not full:
+                if host.dialing < len(host.waiting) and not full and self._room():
                     self._dial(host)
                 return
-            self._write(host, link, host.waiting.pop(0))
+            if not {link, out} <= looked:
+                # Its owner may have left, and the host may have ended the connection, since the sockets were looked at; what
+                # is read there may change all that was found above.
+                looked |= {link, out}
+                self._tasks.look(out)
+                link.transport.look()
+                continue
+            host.waiting.remove(out)
+            self._write(host, link, out)
 
     def _write(self, host: Host, link: HostLink, out: Out) -> None:
         data = self._tasks.write(out)
@@ -203,14 +224,24 @@
         link.open[out.sid] = out
         link.used = self.loop.now()
         link.transport.write(data)
+        out.mark = link.transport.written
+
+    def went_out(self, out: Out) -> bool:
+        """Whether the system has taken all of it. What it took of a part is a line without an end, which no host obeys."""
+        return out.link is not None and out.link.transport.sent >= out.mark
 
     def give_up(self, out: Out) -> None:
-        """Take it back: where it was written the host is told, and the connection is used for nothing else."""
+        """Take it back: where it was written the host is told, and the connection is used for nothing else. Where the host
+        cannot have read it whole, the connection ends at once: nothing of it needs to arrive."""
         host = self.hosts.get(out.machine)
         if host is not None and out in host.waiting:
             host.waiting.remove(out)
         link: HostLink | None = out.link
-        if host is None or link is None or link.open.pop(out.sid, None) is None:
+        if host is None or link is None or link.open.get(out.sid) is not out:
+            return
+        del link.open[out.sid]
+        if not self.went_out(out) and not link.open:
+            self._end(host, link, "unsent")
             return
         link.transport.write(encode(Word.CLOSE, out.sid, code=GIVEN_UP))
         link.retired = True
@@ -238,25 +269,54 @@
             host.letting.pop(sid, None)
         return host is not None
 
+    def recall(self, services: set[str]) -> None:
+        """Offers that still wait for a connection, decided before such tasks were known to stand, are decided anew."""
+        for host in self.hosts.values():
+            if host.waiting:
+                for out in [out for out in host.waiting if out.entry.service in services]:
+                    host.waiting.remove(out)
+                    self.counters["recalled"] += 1
+                    self._tasks.end(out, i.Ending.MOOT)
+
     # Connections
 
+    def _room(self) -> bool:
+        """Whether there may be one more connection to any host; the one idle for longest goes for it, those last that are
+        kept for words of standing tasks: a host sends these on the next connection as well."""
+        if sum(len(host.links) + host.dialing for host in self.hosts.values()) < self._most:
+            return True
+        idle = [
+            (host.uid in self._tasks.standing, link.used, host, link)
+            for host in self.hosts.values()
+            for link in host.links
+            if not link.open and not host.waiting and not link.transport.look()
+        ]
+        if not idle:
+            return False
+        _, _, host, link = min(idle, key=lambda item: item[:2])
+        self._end(host, link, "room")
+        return True
+
     def _dial(self, host: Host) -> None:
         host.dialing += 1
         self._scope.spawn(self._connect(host), f"host {host.uid}")
 
     def _connect(self, host: Host) -> Co[None]:
         task = yield from current()
+        began = self.loop.wall()
         try:
             transport = yield from connect(self.loop, task, host.address, self._connect_ms)
         except (OSError, TimedOut) as error:
             host.dialing -= 1
-            self._not_connected(host, error)
+            if self.hosts.get(host.uid) is host:
+                self._not_connected(host, error, began)
             return
         host.dialing -= 1
         host.failures = 0
         if self.hosts.get(host.uid) is not host:
             transport.abort()
             return
+        transport.linger_ms = LINGER_MS
         link = HostLink(transport, self.loop.now())
         host.links.append(link)
         transport.on_data = lambda data: self._data(host, link, data)
@@ -270,7 +330,7 @@
         if self._suspected(host):
             self._test(link)
 
-    def _not_connected(self, host: Host, error: Exception) -> None:
+    def _not_connected(self, host: Host, error: Exception, began: float) -> None:
         host.failures += 1
         pause = AGAIN_MS if self._suspected(host) else min(AGAIN_MS * 2.0 ** (host.failures - 1), AGAIN_MOST_MS)
         host.dial_at = self.loop.now() + pause
@@ -282,7 +342,7 @@
             for out in waiting:
                 self._tasks.end(out, i.Ending.CONNECT_FAILED)
         if refused:
-            self._lost(host, "refused")
+            self._lost(host, "refused", before=began)  # what stands since came from its next life
             self._tidy(host)
         if self._suspected(host):
             self.loop.call_later(pause, lambda: self._find(host))
@@ -293,23 +353,26 @@
         wanted = self.hosts.get(host.uid) is host and (host.uid in self._tasks.standing or bool(host.letting))
         hopeful = any(not link.retired and not link.overdue(now) for link in host.links)
         if wanted and not hopeful and not host.dialing and now >= host.dial_at:
-            self._dial(host)
+            total = sum(len(other.links) + other.dialing for other in self.hosts.values())
+            if total < self._most or (self._suspected(host) and self._room()):
+                self._dial(host)
 
     def _end(self, host: Host, link: HostLink, why: str) -> None:
-        """The connection is over; what was open on it may have run."""
+        """The connection is over; what was open on it may have run, unless the host cannot have read it whole."""
         if link not in host.links:
             return
         host.links.remove(link)
         self.counters[f"host_link_{why}"] += 1
-        if why in ("retired", "idle"):
+        if why in ("retired", "idle", "room"):
             link.transport.close()
         else:
             link.transport.abort()
         outs, link.open = list(link.open.values()), {}
         for out in outs:
-            self._tasks.end(out, i.Ending.RESET)
-        self._serve(host)
-        self._find(host)
+            self._tasks.end(out, i.Ending.RESET if self.went_out(out) else i.Ending.MOOT)
+        if why != "room":
+            self._serve(host)
+            self._find(host)
 
     # Words
 
@@ -327,6 +390,8 @@
         out = link.open.get(line.sid)
         if out is not None and (line.word is Word.CLOSE or (line.word is Word.READY and line.text is not None)):
             del link.open[line.sid]
+            if line.word is Word.CLOSE:
+                link.ended.append(line.sid)
             self._tasks.answered(out, line)
             self._retire(host, link)
             self._serve(host)
@@ -343,7 +408,8 @@
         for host in list(self.hosts.values()):
             standing = host.uid in self._tasks.standing
             for link in list(host.links):
-                if not link.open and now - link.used > self._idle / 2 and (len(host.links) > 1 or not standing):
+                idle = not link.open and now - link.used > self._idle / 2 and (len(host.links) > 1 or not standing)
+                if idle and not link.transport.look():
                     self._end(host, link, "idle")
             host.letting = {sid: until for sid, until in host.letting.items() if until > now}
             if not standing:
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -16,6 +16,10 @@
 proven                        closed after the idle time         goes after the unproven ones, longest idle first
 unproven                      closed after ``UNPROVEN_MS``       goes first
 ============================= ================================== ==============================================
+
+None is closed before it has been looked at once more: what lies there unread has been taken, by the platform's word. What
+crosses the close on its way is sent again by its owner, who must see the end and not a reset, which may overtake
+what we sent before: so a close lingers.
 """
 
 from __future__ import annotations
@@ -23,7 +27,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from sprucepost.loop import Acceptor, Listener, Loop, Sock, Transport
+from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.binary import Code, Decoder, Kind, Message, encode
 from sprucepost.node.bounds import MOST
 from sprucepost.node.tasks import LATE_MS, REFUSED, OwnerPort, Taken, Tasks
@@ -31,6 +35,8 @@
 
 UNPROVEN_MS = 1500.0  # a connection that says nothing useful is open for so long
 UNREAD_MOST = 16 * MOST  # bytes that an owner may leave unread
+FINISH_LOOK_MS = 5.0  # between looks whether all connections have ended
+LINGER_MS = 250.0  # a close waits so long for the peer's end: what crosses a close does so within 50 ms
 
 
 class OwnerLink:
@@ -63,6 +69,14 @@
         if not self._owners.held[self.whose]:
             del self._owners.held[self.whose]
 
+    def look(self) -> None:
+        """Read now what lies there."""
+        self.transport.look()
+
+    def forget(self, sid: str) -> None:
+        """That set-up is owed no answer any more."""
+        self.open.discard(sid)
+
     def answer(self, sid: str, text: str) -> None:
         """The task stands."""
         self.open.discard(sid)
@@ -121,6 +135,7 @@
             sock.close(reset=True)
             return
         link = OwnerLink(self, Transport(self.loop, sock), self.loop.now())
+        link.transport.linger_ms = LINGER_MS
         self.links[link] = None
         link.transport.on_data = lambda data: self._data(link, data)
         link.transport.on_end = lambda: self.drop(link, "ended")
@@ -130,10 +145,12 @@
     def _make_room(self) -> bool:
         needed = self._needed()
         idle = [link for link in self.links if not link.open and link not in needed]
-        if not idle:
-            return False
-        self.drop(min(idle, key=lambda link: (link.proven, link.used)), "room")
-        return True
+        for link in sorted(idle, key=lambda link: (link.proven, link.used)):
+            if not link.transport.look():
+                self.drop(link, "room")
+            if link not in self.links:
+                return True
+        return False
 
     def _needed(self) -> set[OwnerLink]:
         """The connections on which releases are to go that are still to come."""
@@ -149,7 +166,10 @@
         if link not in self.links:
             return
         self.counters[f"owner_{why}"] += 1
-        if why in ("ended", "idle", "room", "silent"):
+        if why in ("ended", "idle", "stopped"):
+            link.transport.close()
+        elif why in ("room", "silent"):  # its descriptor is wanted, or it has said nothing: no lingering
+            link.transport.linger_ms = 0.0
             link.transport.close()
         else:
             link.transport.abort()
@@ -166,16 +186,27 @@
         for link in list(self.links):
             if link.partial_since is not None and now - link.partial_since > UNPROVEN_MS:
                 self.drop(link, "cut")
-            elif link.open or link in needed:
+            elif link.open or link in needed or now - link.used <= (self._idle if link.proven else UNPROVEN_MS):
                 continue
-            elif now - link.used > (self._idle if link.proven else UNPROVEN_MS):
+            elif not link.transport.look():
                 self.drop(link, "idle" if link.proven else "silent")
         self._unsent = [item for item in self._unsent if item[0] > now]
 
     def close(self) -> None:
-        """Take no more connections."""
+        """Take no more connections; those that wait to be taken are."""
+        self._acceptor.drain()
         self._acceptor.close()
 
+    def finish(self, limit_ms: float) -> Co[None]:
+        """End all connections: what lies there is refused, what was written goes out, within that time."""
+        until = self.loop.now() + limit_ms
+        links = list(self.links)
+        for link in links:
+            link.transport.look()
+            self.drop(link, "stopped")
+        while any(not link.transport.gone for link in links) and self.loop.now() < until:
+            yield from sleep(FINISH_LOOK_MS)
+
     # Messages
 
     def _data(self, link: OwnerLink, data: bytes) -> None:
@@ -203,7 +234,6 @@
         if message.kind == Kind.SETUP:
             self._set_up(link, message)
         elif message.kind == Kind.RELEASE:
-            link.open.discard(message.task)
             self._tasks.owner_released(message.task)
         elif message.kind == Kind.TEST:
             link.tested(message.task, not self.leaving_soon)
@@ -226,9 +256,9 @@
             self.drop(link, "malformed")
             return
         link.used = self.loop.now()
-        if not setup.at:
+        if not setup.at and taken is not Taken.UNWANTED:
             link.open.add(setup.sid)
-        if not link.proven and taken is Taken.TAKEN:
+        if not link.proven and taken is not Taken.UNLISTED:
             link.proven = True
 
     # Releases
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -2,12 +2,26 @@
 
 SIGHUP reads the configuration again: another bulletin's address is used from then on, and everything else stays as it was
 at the start; a file that cannot be used is refused in one line. SIGTERM: set-ups are placed as before while the platform
-may still send some, then those that come are refused; the process ends when all that it had taken is answered. Standing
-tasks run on.
+may still send some, then those that come are refused; the process ends when all that it had taken is answered, and what was
+written has gone out. Standing tasks run on.
+
+========= ==================== ============================ =====================================================
+state     until                set-ups                      then
+========= ==================== ============================ =====================================================
+serving   SIGTERM              placed
+leaving   ``LEAVE_MS`` later   placed; tests fail           the backlog is taken, and no connection after it
+refusing  all is answered and  refused                      what is still open has failed
+          ``TICK_MS``, or time
+          is up
+ended     all connections      not read: sent again         the process ends
+          ended, or
+          ``FINISH_MS``
+========= ==================== ============================ =====================================================
 """
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import os
 import signal
@@ -15,7 +29,7 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from sprucepost.loop import Co, Loop, Scope, in_scope, sleep
+from sprucepost.loop import Closed, Co, Loop, Queue, Scope, in_scope
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.node import words
 from sprucepost.node.bounds import Malformed
@@ -28,10 +42,13 @@
 from sprucepost.node.tasks import Tasks
 from sprucepost.placing.desk import Desk
 
+SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 TICK_MS = 250.0  # between looks at connections and hosts
 COUNTS_MS = 10_000.0  # between lines with the counters
 LEAVE_MS = 700.0  # after SIGTERM set-ups are still sent for so long
 LONGEST_MS = 3000.0  # a process that ends is killed no earlier than the longest deadline, or this, after that
+FINISH_MS = 300.0  # an owner that does not read what it is told holds the end up for no longer
+SPARE_MS = 60.0  # before it may be killed: what came at the end of LEAVE_MS has had its time by then
 SLEW = 0.05
 
 
@@ -46,7 +63,7 @@
         self.tasks = Tasks(
             loop,
             self.desk,
-            settings.tick,
+            settings,
             lambda text: words.load(text, config.report_names, config.report_fields),
             self.counters,
         )
@@ -66,7 +83,9 @@
             self.counters,
         )
         self.tasks.owners, self.tasks.hosts = self.owners, self.hosts
-        self._ended = False
+        self.ended = False  # all is answered, or time is up
+        self._over: Queue[None] = Queue(1)
+        self._due = 0.0  # when the counters are written next
 
     def start(self) -> None:
         """Take what the configuration knows; the first batch follows at this turn's end."""
@@ -92,19 +111,25 @@
     def run(self) -> Co[int]:
         """Until SIGTERM has been served; the exit status."""
         self.start()
-        due = self.loop.now() + COUNTS_MS
-        while not self._ended:
-            yield from sleep(TICK_MS)
-            self.hosts.tick()
-            self.owners.tick()
-            self.tasks.forget()
-            if self.loop.now() >= due:
-                due = self.loop.now() + COUNTS_MS
-                self.count()
+        self._due = self.loop.now() + COUNTS_MS
+        self.loop.call_later(TICK_MS, self._tick)
+        with contextlib.suppress(Closed):
+            yield from self._over.get()
+        self.tasks.abandon()
+        yield from self.owners.finish(FINISH_MS)
         self.count()
         self.log("end")
         return 0
 
+    def _tick(self) -> None:
+        self.loop.call_later(TICK_MS, self._tick)
+        self.hosts.tick()
+        self.owners.tick()
+        self.tasks.forget()
+        if self.loop.now() >= self._due:
+            self._due = self.loop.now() + COUNTS_MS
+            self.count()
+
     def count(self) -> None:
         """What there is now, and what has happened so far."""
         scheduler = self.desk.scheduler
@@ -144,7 +169,7 @@
         longest = max([LONGEST_MS, *(cls.deadline for cls in self.config.settings.classes)])
         self.log("leaving", open=self.tasks.ledger.open)
         self.loop.call_later(LEAVE_MS, self._refuse)
-        self.loop.call_later(longest + LEAVE_MS - TICK_MS, self._end)
+        self.loop.call_later(longest + LEAVE_MS - SPARE_MS, self._end)
 
     def _refuse(self) -> None:
         self.owners.leaving = True
@@ -157,7 +182,8 @@
             self.loop.call_later(TICK_MS, self._end)
 
     def _end(self) -> None:
-        self._ended = True
+        self.ended = True
+        self._over.close()
 
 
 def serve(loop: Loop, scope: Scope, environment: Mapping[str, str], config: Config, log: Log) -> Co[int]:
@@ -165,6 +191,7 @@
     service = Service(loop, scope, environment, config, log)
     loop.on_signal(signal.SIGHUP, service.reload)
     loop.on_signal(signal.SIGTERM, service.leave)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     status = yield from service.run()
     scope.cancel()
     return status
@@ -172,6 +199,9 @@
 
 def main() -> int:
     """Run a placer until it is told to stop; one line and status 2 where it cannot start."""
+    # A signal that comes before there is somebody to take it waits: SIGHUP would end the process, or name a bulletin's
+    # address in a file that has been read already.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         config = read(os.environ)
     except ConfigError as error:
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -3,8 +3,9 @@
 =========== ================================= ============================================================== ===========
 state       on                                does                                                           then
 =========== ================================= ============================================================== ===========
-(none)      set-up                            ``TaskRequest``                                                held
+(none)      set-up                            in line; ``TaskRequest`` once what stands has been told        held
 (none)      set-up with ``at``                ``TaskFound``; nothing is answered                             standing
+(none)      set-up spoken of before           see ``early``                                                  (over)
 held        ``Offer``                         the host gets it as soon as it can be written                  out
 held, out   ``Refuse``, ``Fail``              the owner hears at once; what is out is given up               (over)
 held, out   given up, or owner's connection   what is out is given up, ``Gone``                              (over)
@@ -27,7 +28,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
@@ -36,6 +37,7 @@
 from sprucepost import interface as i
 from sprucepost.loop import Loop, Timer
 from sprucepost.node import words
+from sprucepost.node.early import Early, EarlyWords
 from sprucepost.node.jsonl import Line, Word, encode
 from sprucepost.node.words import SetUp
 from sprucepost.placing.desk import Desk
@@ -44,6 +46,9 @@
 REFUSED, FAILED, BROKEN, ENDED = 34, 41, 41, 16  # causes that owners hear
 GIVEN_UP = 16  # the cause with which a set-up is taken back, and a standing task let go
 LATE_MS = 8000.0  # an owner that could not be released hears of it for so long
+FOUND_FIRST_MS = 100.0  # a new set-up waits so long for those that stand: half of the 0.2 s after which these count
+LOOKED_MS = 100.0  # after a look at all sockets: later than that nothing is sent on without another
+BATCH_MOST = 8  # new tasks in one batch: each may cost the module 2 ms of a whole core, its service's first ask
 
 
 class Taken(Enum):
@@ -51,6 +56,7 @@
 
     TAKEN = "taken"
     UNLISTED = "unlisted"  # taken, though its ``at`` names a host that no list has told of
+    UNWANTED = "unwanted"  # its owner gave it up before it was read
     REPEATED = "repeated"  # its id is that of another task
 
 
@@ -67,6 +73,14 @@
         """Such a task is over."""
         ...
 
+    def look(self) -> None:
+        """Read now what lies there: the owner may have left, or given something up."""
+        ...
+
+    def forget(self, sid: str) -> None:
+        """No answer is owed to that set-up any more."""
+        ...
+
     def answer(self, sid: str, text: str) -> None: ...
     def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None: ...
 
@@ -86,10 +100,18 @@
         """Write the offer when :meth:`Tasks.write` gives it; end the attempt where it cannot be written."""
         ...
 
+    def went_out(self, out: Out) -> bool:
+        """Whether a written offer has left whole: else the host cannot have read it."""
+        ...
+
     def give_up(self, out: Out) -> None:
         """Take the set-up back where it was written; forget it where it was not."""
         ...
 
+    def recall(self, services: set[str]) -> None:
+        """Offers of those services that still wait to be written are moot."""
+        ...
+
     def let_go(self, machine: str, sid: str) -> None:
         """Have the host end a standing task."""
         ...
@@ -102,25 +124,28 @@
 class Walk:
     """What a task's entry in the ledger carries."""
 
-    __slots__ = ("held", "out", "owner", "setup", "since")
+    __slots__ = ("held", "in_line", "may_run", "out", "owner", "setup", "since")
 
     def __init__(self, setup: SetUp, owner: OwnerPort) -> None:
         self.setup, self.owner = setup, owner
         self.out: Out | None = None
         self.since = 0.0  # wall-clock ms from which it stands
         self.held = False  # whether its owner's connection is kept for its release
+        self.in_line = False  # whether the module has not been told of it yet
+        self.may_run: float | None = None  # when the first attempt began that may have run
 
 
 class Out:
     """One attempt, from the module's decision until its end."""
 
-    __slots__ = ("entry", "link", "machine", "number", "sent", "timer", "until", "written")
+    __slots__ = ("entry", "link", "machine", "mark", "number", "sent", "timer", "until", "written")
 
     def __init__(self, entry: Entry, number: int, machine: str, sent: float, until: float) -> None:
         self.entry, self.number, self.machine, self.sent, self.until = entry, number, machine, sent, until
         self.written = False
         self.timer: Timer | None = None
         self.link: Any = None  # the host's connection that carries it, or is to
+        self.mark = 0  # so many bytes of that connection have been sent once it is out whole
 
     @property
     def sid(self) -> str:
@@ -138,17 +163,23 @@
         self,
         loop: Loop,
         desk: Desk,
-        least_ms: float,
+        settings: i.Settings,
         report: Callable[[str | None], i.LoadReport | None],
         counters: Counter[str],
     ) -> None:
-        self.loop, self._desk, self._least, self._report = loop, desk, least_ms, report
+        self.loop, self._desk, self._report = loop, desk, report
+        self._least = settings.tick
+        self._windows = [cls.window if cls.effect is i.Effect.KEYED else None for cls in settings.classes]
         self.ledger = Ledger()
         self.counters = counters
         self.closed: set[str] = set()  # hosts that must get nothing new: they drain, or have gone
         self.standing: dict[str, dict[str, Entry]] = {}
         self.on_settled: Callable[[], None] = lambda: None
-        desk.carry = self._carry
+        self.early = EarlyWords(LATE_MS)
+        self._line: dict[OwnerPort, deque[Entry]] = {}  # new tasks of which the module is to be told, by connection
+        self._crossed: set[int] = set()  # requests given up while the module's actions were carried out
+        self._found: set[str] = set()  # services of tasks that stand, read since the last new ones were told
+        desk.carry, desk.before = self._carry, self._tell
 
     # Owners
 
@@ -163,6 +194,15 @@
                 self._hold(entry, owner)
             return Taken.TAKEN
         now = self.loop.now()
+        said, line = self.early.get(setup.sid, now)
+        if said is Early.UNWANTED:
+            self.counters["unwanted"] += 1
+            if setup.at:
+                self.hosts.let_go(setup.at, setup.sid)
+                self.early.note(setup.sid, Early.OVER, now)
+            return Taken.UNWANTED
+        if said is Early.OVER and setup.at:
+            return Taken.TAKEN
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
         entry.ask = Walk(setup, owner)
         if setup.at:
@@ -171,22 +211,63 @@
             self.ledger.settle(entry, Outcome.PLACED, now)
             self._stand(entry)
             self._desk.push(i.TaskFound(setup.request(entry.request, setup.left), setup.at))
+            self._found.add(setup.service)
             if not self.hosts.adopt(setup.at, setup.sid):
                 return Taken.UNLISTED
             self._hold(entry, owner)
+            if said is Early.ENDED and line[0] == setup.at:
+                self.heard(*line)
             return Taken.TAKEN
         self.counters["taken"] += 1
-        left = max(0.0, setup.left - waited_ms)
-        entry.due = now + left
-        self._desk.push(setup.request(entry.request, left))
+        entry.due = now + max(0.0, setup.left - waited_ms)
+        entry.ask.in_line = True
+        self._line.setdefault(owner, deque()).append(entry)
+        self._desk.wake()
         return Taken.TAKEN
 
+    def _tell(self) -> None:
+        """Ahead of a batch: tell the module of new tasks, once it knows of what stands.
+
+        After a start owners tell what the placer holds, by the hundred and on several connections, and what they have
+        told counts 0.2 s later for the rules on spread and repeats. A new task that is read in the same turns, or placed
+        while the rest still lies unread, is placed on less than that. So the sockets are looked at again right before
+        new tasks are placed, few at a time, since each may take long; and as long as such set-ups come new ones wait,
+        though none for longer than ``FOUND_FIRST_MS``: a steady flow of them must not keep the new ones out.
+        """
+        if self._line:
+            self.loop.look()
+        self._crossed = set()
+        if self._found:
+            self.hosts.recall(self._found)
+            self._found = set()
+            first = min((line[0].taken_at for line in self._line.values()), default=0.0)
+            if self.loop.now() - first < FOUND_FIRST_MS:
+                self.counters["held_for_found"] += 1
+                self.loop.call_soon(self._desk.wake)
+                return
+        now = self.loop.now()
+        told = 0
+        while self._line and told < BATCH_MOST:  # the connections in turn: a loud one takes no other's place
+            owner = next(iter(self._line))
+            line = self._line.pop(owner)
+            entry = line.popleft()
+            if line:
+                self._line[owner] = line
+            if entry.outcome is Outcome.OPEN:
+                told += 1
+                entry.ask.in_line = False
+                self._desk.push(entry.ask.setup.request(entry.request, max(0.0, entry.due - now)))
+        if self._line:
+            self.loop.call_soon(self._desk.wake)
+
     def owner_released(self, sid: str) -> None:
         """An owner gives its set-up up, or ends its task."""
         entry = self.ledger.current(sid)
-        if entry is None:
+        if entry is None:  # over, or not read yet: what owners say on two connections may cross
+            self.early.note(sid, Early.UNWANTED, self.loop.now())
             return
         if entry.outcome is Outcome.OPEN:
+            entry.ask.owner.forget(sid)
             self._given_up(entry)
             return
         self.counters["ended_by_owner"] += 1
@@ -202,14 +283,28 @@
 
     def _given_up(self, entry: Entry) -> None:
         self.counters["given_up"] += 1
+        self._crossed.add(entry.request)
         self._settle(entry, Outcome.FAILED)
         self._withdraw(entry)
-        self._desk.push(i.Gone(entry.request))
+        if not entry.ask.in_line:
+            self._desk.push(i.Gone(entry.request))
+
+    def abandon(self) -> None:
+        """The process ends: what is still open has failed, and its owner hears so."""
+        for entry in self.ledger.open_entries():
+            self.counters["abandoned"] += 1
+            self._given_up(entry)
+            entry.ask.owner.refuse(entry.name, FAILED, 0.0)
 
     # The module
 
     def _carry(self, action: i.Offer | i.Refuse | i.Fail) -> None:
         entry = self.ledger.by_request(action.request)
+        if entry is not None and entry.outcome is not Outcome.OPEN and action.request in self._crossed:
+            if isinstance(action, i.Offer):
+                entry.attempts += 1
+                self._desk.push(i.Outcome(entry.request, entry.attempts - 1, i.Ending.MOOT, True))
+            return
         if entry is None or entry.outcome is not Outcome.OPEN:
             raise AssertionError(f"{type(action).__name__} for request {action.request}, which is over")
         if isinstance(action, i.Offer):
@@ -245,16 +340,25 @@
 
     # Attempts
 
+    def look(self, out: Out) -> None:
+        """Before it is written: whoever waits for it may have left, or given it up, since the sockets were looked at. Only
+        its own connection is looked at where that was a short time ago, since each look costs a system call."""
+        if self.loop.since_look_ms > LOOKED_MS:
+            self.loop.look()
+        else:
+            out.entry.ask.owner.look()
+
     def write(self, out: Out) -> bytes | None:
         """The offer as it is to go out now, with what is left of its time; None where it must not go out any more."""
-        left = out.until - self.loop.now()
-        if (
-            out.entry.ask.out is not out
-            or out.machine in self.closed
-            or left < min(self._least, (out.until - out.sent) / 2)
-        ):
+        now, walk = self.loop.now(), out.entry.ask
+        left = out.until - now
+        if walk.out is not out or out.machine in self.closed or left < min(self._least, (out.until - out.sent) / 2):
+            return None
+        window = self._windows[out.entry.task_class]
+        if window is not None and walk.may_run is not None and now + 2 * self._least > walk.may_run + window:
+            self.counters["beyond_window"] += 1  # in time when it was decided, and not any more: hosts forget the key
             return None
-        setup: SetUp = out.entry.ask.setup
+        setup: SetUp = walk.setup
         attrs = {"class": setup.class_name, "key": setup.name}
         if setup.key:
             attrs["idem"] = setup.key
@@ -264,9 +368,10 @@
     def _expire(self, out: Out) -> None:
         if out.entry.ask.out is not out:
             return
-        self.counters["timeouts" if out.written else "unsent"] += 1
+        written = out.written and self.hosts.went_out(out)
+        self.counters["timeouts" if written else "unsent"] += 1
         self.hosts.give_up(out)
-        self.end(out, i.Ending.TIMEOUT if out.written else i.Ending.CONNECT_FAILED)
+        self.end(out, i.Ending.TIMEOUT if written else i.Ending.CONNECT_FAILED)
 
     def end(
         self,
@@ -283,6 +388,8 @@
         if out.timer is not None:
             out.timer.cancel()
         self.counters[f"ended_{ending.value}"] += 1
+        if ending not in (i.Ending.FULL, i.Ending.CONNECT_FAILED, i.Ending.MOOT) and entry.ask.may_run is None:
+            entry.ask.may_run = out.sent
         closed = entry.outcome is not Outcome.OPEN
         self._desk.push(i.Outcome(entry.request, out.number, ending, closed, reason, report))
 
@@ -323,6 +430,8 @@
         entry = self.standing.get(machine, {}).get(line.sid)
         if entry is None:
             self.counters["late_words"] += 1
+            if line.word is Word.CLOSE and self.ledger.current(line.sid) is None:
+                self.early.note(line.sid, Early.ENDED, self.loop.now(), (machine, line))
         elif line.word is Word.EVENT:
             kind, value = words.NOTES.get(line.attrs.get("note", "")), words.figure(line.attrs.get("value"))
             if kind is not None and value is not None:
@@ -356,6 +465,7 @@
         if not there:
             del self.standing[entry.machine]
         self.ledger.end(entry)
+        self.early.note(entry.name, Early.OVER, self.loop.now())
         self.counters[f"over_{ending.value}"] += 1
         self._desk.push(i.Outcome(entry.request, entry.attempt, ending, True, reason, report))
         if entry.ask.held:
@@ -375,3 +485,4 @@
     def forget(self) -> None:
         """Drop what was refused or failed: a word of a host on it finds nothing that waits for it."""
         self.ledger.forget(self.loop.now())
+        self.early.forget(self.loop.now())
