--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -111,6 +111,7 @@
     ) -> None:
         self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
         self._most, self._connect_ms, self._idle = most, connect_ms, idle_ms
+        self.spare: Callable[[], int] = lambda: most  # connections that there may be more, to anybody
         self.hosts: dict[str, Host] = {}
 
     # The list
@@ -202,7 +203,7 @@
             elif usable and full and host.dialing < len(host.waiting):
                 link = min(usable, key=lambda link: len(link.open))
             else:
-                if host.dialing < len(host.waiting) and not full and self._room():
+                if host.dialing < len(host.waiting) and not full and (self.spare() > 0 or self.make_room()):
                     self._dial(host)
                 return
             if not {link, out} <= looked:
@@ -280,11 +281,14 @@
 
     # Connections
 
-    def _room(self) -> bool:
-        """Whether there may be one more connection to any host; the one idle for longest goes for it, those last that are
-        kept for words of standing tasks: a host sends these on the next connection as well."""
-        if sum(len(host.links) + host.dialing for host in self.hosts.values()) < self._most:
-            return True
+    @property
+    def connections(self) -> int:
+        """Those that there are, and those that are being opened."""
+        return sum(len(host.links) + host.dialing for host in self.hosts.values())
+
+    def make_room(self) -> bool:
+        """Close the connection that has been idle for longest, those last that are kept for words of standing tasks: a host
+        sends these on the next connection as well. False where none is idle."""
         idle = [
             (host.uid in self._tasks.standing, link.used, host, link)
             for host in self.hosts.values()
@@ -352,10 +356,9 @@
         now = self.loop.now()
         wanted = self.hosts.get(host.uid) is host and (host.uid in self._tasks.standing or bool(host.letting))
         hopeful = any(not link.retired and not link.overdue(now) for link in host.links)
-        if wanted and not hopeful and not host.dialing and now >= host.dial_at:
-            total = sum(len(other.links) + other.dialing for other in self.hosts.values())
-            if total < self._most or (self._suspected(host) and self._room()):
-                self._dial(host)
+        due = wanted and not hopeful and not host.dialing and now >= host.dial_at
+        if due and (self.spare() > 0 or (self._suspected(host) and self.make_room())):
+            self._dial(host)
 
     def _end(self, host: Host, link: HostLink, why: str) -> None:
         """The connection is over; what was open on it may have run, unless the host cannot have read it whole."""
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -119,6 +119,8 @@
     ) -> None:
         self.loop, self._tasks, self._words, self._log, self.counters = loop, tasks, words, log, counters
         self._most, self._most_open, self._idle = most, most_open, idle_ms
+        self.spare: Callable[[], int] = lambda: most  # connections that there may be more, to anybody
+        self.others_yield: Callable[[], bool] = lambda: False  # have somebody else give up one that is idle
         self.links: dict[OwnerLink, None] = {}
         self.held: Counter[str] = Counter()  # tasks that stand, by whose they are
         self.leaving_soon = False  # tests fail, so that nothing more is sent
@@ -130,7 +132,8 @@
     # Connections
 
     def _take(self, sock: Sock) -> None:
-        if len(self.links) >= self._most and not self._make_room():
+        full = self.spare() <= 0 and not self.others_yield()
+        if (full or len(self.links) >= self._most) and not self._make_room():
             self.counters["owners_turned_away"] += 1
             sock.close(reset=True)
             return
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -47,6 +47,8 @@
 COUNTS_MS = 10_000.0  # between lines with the counters
 LEAVE_MS = 700.0  # after SIGTERM set-ups are still sent for so long
 LONGEST_MS = 3000.0  # a process that ends is killed no earlier than the longest deadline, or this, after that
+SPARE_SOCKETS = 8  # standard streams, the loop's three, the listener, the bulletin, a file that is read
+SPARE_PART = 16  # of all descriptors, that many'th part for connections that are ending
 SPARE_MS = 60.0  # before it may be killed: what came at the end of LEAVE_MS has had its time by then
 SLEW = 0.05
 
@@ -82,6 +84,9 @@
             self.counters,
         )
         self.tasks.owners, self.tasks.hosts = self.owners, self.hosts
+        spare = sockets // SPARE_PART + SPARE_SOCKETS
+        self.hosts.spare = self.owners.spare = lambda: sockets - spare - len(self.owners.links) - self.hosts.connections
+        self.owners.others_yield = self.hosts.make_room
         self.ended = False  # all is answered, or time is up
         self._over: Queue[None] = Queue(1)
         self._due = 0.0  # when the counters are written next
