--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -84,7 +84,7 @@
             self.counters,
         )
         self.tasks.owners, self.tasks.hosts = self.owners, self.hosts
-        spare = sockets // SPARE_PART + SPARE_SOCKETS
+        spare = sockets // SPARE_PART + min(SPARE_SOCKETS, sockets // 8)
         self.hosts.spare = self.owners.spare = lambda: sockets - spare - len(self.owners.links) - self.hosts.connections
         self.owners.others_yield = self.hosts.make_room
         self.ended = False  # all is answered, or time is up
