Node: a set-up's tenant is read, where the settings have tenants

Seen on deploy/sites/turda-mic (seven tenants): the module held every task for the first tenant.

Now it is looked up in the settings; unknown or missing where there are tenants it is refused (100, 96). Nothing changes where there are no tenants. tests/node passes.

--- a/sprucepost/node/binary.py
+++ b/sprucepost/node/binary.py
@@ -33,6 +33,7 @@
 
     CLASS = 180
     LEFT = 183
+    TENANT = 186
     NAME = 192
     FIGURES = 195
     STAY_AWAY = 198
--- a/sprucepost/node/words.py
+++ b/sprucepost/node/words.py
@@ -39,10 +39,13 @@
     key: str  # of keyed classes; "" where there is none
     text: str  # the description as JSON
     at: str  # the host that holds the task already; "" for none
+    tenant: int = 0  # by its place in the settings; 0 where the deployment has none
 
     def request(self, number: int, left: float) -> i.TaskRequest:
         """The task for the module."""
-        return i.TaskRequest(number, self.task_class, self.service, self.cores, self.memory, left, task=self.name)
+        return i.TaskRequest(
+            number, self.task_class, self.service, self.cores, self.memory, left, self.tenant, task=self.name
+        )
 
 
 class Words:
@@ -50,6 +53,7 @@
 
     def __init__(self, settings: i.Settings) -> None:
         self._classes = {cls.name: n for n, cls in enumerate(settings.classes)}
+        self._tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
         self._settings = settings
         self._cores = max(kind.cores for kind in settings.kinds) * settings.accepts_cores
         self._memory = max(kind.memory for kind in settings.kinds) * settings.accepts_memory
@@ -75,6 +79,12 @@
             left = _finite(_text(message, Code.LEFT))
             if not (0 < left <= 2 * cls.deadline or at):
                 raise Refused(INVALID, f"an owner that waits {left:g} ms")
+        tenant = 0
+        if self._tenants:
+            whose = _text(message, Code.TENANT)
+            if whose not in self._tenants:
+                raise Refused(INVALID, f"tenant {whose!r} is not known")
+            tenant = self._tenants[whose]
         name = _text(message, Code.NAME)
         key = _text(message, Code.KEY) if Code.KEY in message.parameters else ""
         if cls.effect is i.Effect.KEYED and not key:
@@ -87,7 +97,7 @@
             raise Refused(MISSING, "no description")
         if len(text.encode("utf-8")) > MOST - ROOM_FOR_FIELDS:
             raise Refused(INVALID, "a description that no line to a host can hold")
-        return SetUp(message.task, name, class_name, number, service, cores, memory, left, key, text, at)
+        return SetUp(message.task, name, class_name, number, service, cores, memory, left, key, text, at, tenant)
 
 
 def _text(message: Message, code: Code, most: int = NAME_MOST) -> str:
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -326,6 +326,22 @@
     assert refused.value.cause not in (34, 42, 102)
 
 
+@pytest.mark.parametrize(("name", "cause"), [("ana", None), ("barbu", None), ("nobody", 100), (None, 96)])
+def test_where_there_are_tenants_a_set_up_says_whose_it_is(name: str | None, cause: int | None) -> None:
+    """All counted for the first, and its share alone was used up."""
+    tenants = [{"name": "ana", "share": 0.6}, {"name": "barbu", "share": 0.4}]
+    family = {**settings()["family_info"], "quota_cores": [20.0, 10.0]}
+    found = Words(settings_from(settings(tenants=tenants, family_info=family)))
+    [message] = binary.Decoder().feed(setup(SID, TENANT=name))
+    if cause is None:
+        assert found.set_up(message).request(1, 100.0).tenant == ["ana", "barbu"].index(str(name))
+    else:
+        with pytest.raises(Refused) as refused:
+            found.set_up(message)
+        assert refused.value.cause == cause
+    assert read(TENANT=name).request(1, 100.0).tenant == 0, "where there are none it means nothing"
+
+
 def test_a_set_up_without_an_id_is_refused() -> None:
     """Hosts end the connection on such a line, with all that is open on it."""
     with pytest.raises(Refused):
