Node: a release that did not go out whole goes another way; floods take no host's connection

What cannot have been read goes to another connection of that owner, or waits for one; what went out whole is never sent twice, as before. - Hosts.make_room looked at each of some 400 connections for each one wanted; only those that would go are looked at. - Owners._take: with no descriptor left a flood of silent newcomers would have taken hosts' idle connections; unproven owners go first.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -293,13 +293,13 @@
             (host.uid in self._tasks.standing, link.used, host, link)
             for host in self.hosts.values()
             for link in host.links
-            if not link.open and not host.waiting and not link.transport.look()
+            if not link.open and not host.waiting
         ]
-        if not idle:
-            return False
-        _, _, host, link = min(idle, key=lambda item: item[:2])
-        self._end(host, link, "room")
-        return True
+        for _, _, host, link in sorted(idle, key=lambda item: item[:2]):
+            if not link.transport.look() and link in host.links:
+                self._end(host, link, "room")
+                return True
+        return False
 
     def _dial(self, host: Host) -> None:
         host.dialing += 1
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -24,7 +24,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
@@ -52,6 +52,8 @@
         self.proven = False
         self.used = now  # when something useful last passed
         self.partial_since: float | None = None
+        # Releases that may not have gone out whole: with how many bytes sent they have, id, cause.
+        self._releases: deque[tuple[int, str, int]] = deque()
 
     @property
     def closed(self) -> bool:
@@ -90,6 +92,17 @@
             parameters.append((Code.STAY_AWAY, str(round(stay_away_ms)).encode()))
         self._send(encode(Kind.RELEASE, sid, parameters))
 
+    def release(self, sid: str, cause: int) -> None:
+        """The task is over."""
+        if not self.transport.buffered:
+            self._releases.clear()
+        self.refuse(sid, cause, 0.0)
+        self._releases.append((self.transport.written, sid, cause))
+
+    def unsent_releases(self) -> list[tuple[str, int]]:
+        """Those that its owner cannot have read, since not all of their bytes went out."""
+        return [(sid, cause) for mark, sid, cause in self._releases if mark > self.transport.sent]
+
     def tested(self, sid: str, passed: bool) -> None:
         self._send(encode(Kind.TESTED, sid, [(Code.CAUSE, bytes([passed]))]))
 
@@ -132,8 +145,10 @@
     # Connections
 
     def _take(self, sock: Sock) -> None:
-        full = self.spare() <= 0 and not self.others_yield()
-        if (full or len(self.links) >= self._most) and not self._make_room():
+        full = len(self.links) >= self._most
+        if not full and self.spare() <= 0:  # those who have said nothing yet go before anybody else's connections
+            full = not self._make_room(unproven=True) and not self.others_yield()
+        if full and not self._make_room():
             self.counters["owners_turned_away"] += 1
             sock.close(reset=True)
             return
@@ -145,10 +160,10 @@
         link.transport.on_lost = lambda error: self._forget(link)
         link.transport.start()
 
-    def _make_room(self) -> bool:
+    def _make_room(self, unproven: bool = False) -> bool:
         for _ in range(2):  # what is found unread the first time may be answered by the second
             needed = self._needed()
-            idle = [link for link in self.links if not link.open and link not in needed]
+            idle = [link for link in self.links if not (link.open or link in needed or (unproven and link.proven))]
             for link in sorted(idle, key=lambda link: (link.proven, link.used)):
                 if not link.transport.look():
                     self.drop(link, "room")
@@ -181,9 +196,14 @@
         self._forget(link)
 
     def _forget(self, link: OwnerLink) -> None:
-        if self.links.pop(link, self) is None and link.open:
+        if self.links.pop(link, self) is not None:
+            return
+        if link.open:
             sids, link.open = sorted(link.open), set()
             self._tasks.owner_gone(sids)
+        if link.closed:
+            for sid, cause in link.unsent_releases():
+                self.release(link, sid, cause)
 
     def tick(self) -> None:
         """Close what is of no use."""
@@ -277,10 +297,10 @@
                 self._unsent.append((self.loop.now() + LATE_MS, link.whose, sid, cause))
                 return
             link = max(others, key=lambda other: (other.proven, other.used))
-        link.refuse(sid, cause, 0.0)
+        link.release(sid, cause)
 
     def _send_unsent(self, link: OwnerLink) -> None:
         mine = [item for item in self._unsent if item[1] == link.whose]
         self._unsent = [item for item in self._unsent if item[1] != link.whose]
         for _, _, sid, cause in mine:
-            link.refuse(sid, cause, 0.0)
+            link.release(sid, cause)
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -28,6 +28,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -240,7 +241,7 @@
         if self._found:
             self.hosts.recall(self._found)
             self._found = set()
-            first = min((line[0].taken_at for line in self._line.values()), default=0.0)
+            first = min((line[0].taken_at for line in self._line.values()), default=-math.inf)
             if self.loop.now() - first < FOUND_FIRST_MS:
                 self.counters["held_for_found"] += 1
                 self.loop.call_soon(self._desk.wake)
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -19,7 +19,7 @@
 from sprucepost import interface as i
 from sprucepost import loop
 from sprucepost.loop import Co, sleep
-from sprucepost.node import binary, hosts, tasks
+from sprucepost.node import binary, hosts, owners, tasks
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, Word
 from tests.node.platform import Day, Host, Link, answers, heard, play, settings, setup
@@ -553,7 +553,7 @@
     play(tmp_path, body)
 
 
-def take_only(link: hosts.HostLink, room: int) -> None:
+def take_only(link: hosts.HostLink | owners.OwnerLink, room: int) -> None:
     """The system takes so many bytes more on that connection, and no others."""
     sock, left = link.transport._sock, [room]
     send = sock.send
@@ -619,6 +619,56 @@
     play(tmp_path, body)
 
 
+def test_a_release_that_did_not_go_out_whole_goes_to_another_connection_of_its_owner(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        first, second = Raw(day), Raw(day)
+        first.send(b"".join(setup(sid, FIGURES="cores:1;memory:1;service:aa") for sid in SIDS[:3]))
+        second.send(setup(SIDS[3]))
+        yield from wait_for(lambda: day.standing() == 4 and (second.got() or True))
+        yield from sleep(30)
+        [link] = [link for link in day.service.owners.links if link.transport.peer.endswith(f":{_port(first)}")]
+        hosts_link = next(link for link in host.links if not link.ended)
+        hosts_link.say(Word.CLOSE, SIDS[0], code=16)
+        yield from wait_for(lambda: day.standing() == 3)
+        yield from sleep(30)
+        take_only(link, 10)
+        hosts_link.say(Word.CLOSE, SIDS[1], code=16)
+        hosts_link.say(Word.CLOSE, SIDS[2], code=41)
+        yield from wait_for(lambda: day.standing() == 1)
+        yield from sleep(30)
+        first.reset()
+        found: list[binary.Message] = []
+
+        def both() -> bool:
+            found.extend(second.got() or [])
+            return len(found) >= 2
+
+        yield from wait_for(both)
+        assert [(m.task, m.cause) for m in found] == [(SIDS[1], 16), (SIDS[2], 41)], "the first had gone out"
+        second.close()
+
+    play(tmp_path, body)
+
+
+def test_a_flood_of_silent_connections_takes_none_from_hosts(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start(limits={"cores": 1.0, "memory_mb": 64, "sockets": 24})
+        owner = yield from warm(day, SIDS[0])
+        flood = [Raw(day) for _ in range(60)]
+        yield from sleep(100)
+        assert len(day.service.owners.links) <= 12 and day.service.counters["host_link_room"] == 0
+        owner.transport.write(setup(SIDS[1], FIGURES=OTHER))
+        yield from heard(owner, SIDS[1], Kind.ANSWER)
+        assert len(host.links) == 1
+        for raw in flood:
+            raw.close()
+
+    play(tmp_path, body)
+
+
 # Connections that come late
 
 
