--- a/sprucepost/node/feed.py
+++ b/sprucepost/node/feed.py
@@ -19,8 +19,8 @@
 PATIENCE_MS = 1000.0  # the wait that is asked for: a bulletin that fell silent is noticed not much later
 GRACE_MS = 400.0  # for the answer after that
 PAUSE_MS = 50.0  # before a question that follows one that failed, doubled for each before
-PAUSE_MOST_MS = 800.0
-BODY_MOST = 1024 * 1024
+PAUSE_MOST_MS = 800.0  # twice within the 2 s after which what a broken answer would have told counts as told
+BODY_PART = 16  # of the process's memory, that many'th part for one answer: all events since the start may come in one
 
 
 class Feed:
@@ -33,12 +33,14 @@
         bulletin: Bulletin,
         address: Address,
         connect_ms: float,
+        body_most: int,
         told: Callable[[Told], None],
         log: Callable[..., None],
         counters: Counter[str],
     ) -> None:
         self._loop, self._scope, self.bulletin, self.address = loop, scope, bulletin, address
-        self._connect_ms, self._told, self._log, self.counters = connect_ms, told, log, counters
+        self._connect_ms, self._body_most = connect_ms, body_most
+        self._told, self._log, self.counters = told, log, counters
         self._rng = loop.rng()
         self._task: Task[None] | None = None
         self._failures = 0
@@ -121,8 +123,8 @@
                     raise Malformed(f"status {event.status_code}")
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > BODY_MOST:
-                    raise Malformed(f"more than {BODY_MOST} bytes")
+                if size > self._body_most:
+                    raise Malformed(f"more than {self._body_most} bytes")
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(body)
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -43,7 +43,7 @@
 )  # what is over must be released by then, and silence may begin with the end; the rest is slack
 QUIET_MS = SILENT_MS - 3 * TEST_MS  # a host with tasks is tested after that silence: three tests in a row may get lost
 AGAIN_MS = 200.0  # until a connection that failed is tried again, doubled for each before unless the host is suspected
-AGAIN_MOST_MS = 1600.0
+AGAIN_MOST_MS = 1600.0  # five in SILENT_MS: a host that is back is found while what stands there can still be told
 ENDED_MOST = 64  # ended set-ups that a connection remembers: copies of answers come within milliseconds
 TASKLESS = "0" * 16  # the id of a test
 
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -35,7 +35,7 @@
 from sprucepost.node.bounds import Malformed
 from sprucepost.node.bulletin import Bulletin, Told
 from sprucepost.node.config import Config, ConfigError, read
-from sprucepost.node.feed import Feed
+from sprucepost.node.feed import BODY_PART, Feed
 from sprucepost.node.hosts import Hosts
 from sprucepost.node.log import Log
 from sprucepost.node.owners import Owners
@@ -45,12 +45,12 @@
 SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 TICK_MS = 250.0  # between looks at connections and hosts
 COUNTS_MS = 10_000.0  # between lines with the counters
-LEAVE_MS = 700.0  # after SIGTERM set-ups are still sent for so long
+LEAVE_MS = 700.0  # after SIGTERM set-ups are still sent for so long, 0.6 s by the platform's word; the rest is slack
 LONGEST_MS = 3000.0  # a process that ends is killed no earlier than the longest deadline, or this, after that
 SPARE_SOCKETS = 8  # standard streams, the loop's three, the listener, the bulletin, a file that is read
 SPARE_PART = 16  # of all descriptors, that many'th part for connections that are ending
 SPARE_MS = 60.0  # before it may be killed: what came at the end of LEAVE_MS has had its time by then
-SLEW = 0.05
+SLEW = 0.05  # share of its own time by which the aligned clock follows a step of the system's
 
 
 class Service:
@@ -71,7 +71,10 @@
         sockets = config.limits.sockets
         self.hosts = Hosts(loop, scope, self.tasks, sockets // 3, config.connect_ms, config.idle_ms, log, self.counters)
         bulletin = Bulletin(settings.zones, settings.kinds)
-        self.feed = Feed(loop, scope, bulletin, config.bulletin, config.connect_ms, self._told, log, self.counters)
+        body_most = int(config.limits.memory_mb * 1024 * 1024) // BODY_PART
+        self.feed = Feed(
+            loop, scope, bulletin, config.bulletin, config.connect_ms, body_most, self._told, log, self.counters
+        )
         self.owners = Owners(
             loop,
             loop.listen(config.listen),
