--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -19,7 +19,7 @@
 
 from sprucepost import interface as i
 from sprucepost import loop
-from sprucepost.loop import Co, sleep
+from sprucepost.loop import Co, connect, current, sleep
 from sprucepost.node import binary, hosts, owners, tasks
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, Word
@@ -738,6 +738,137 @@
     play(tmp_path, body)
 
 
+# Answers that are cut, late, or cross something
+
+
+@pytest.mark.parametrize("effect", ["pure", "side_effect"])
+@pytest.mark.parametrize("then", ["end", "reset", "silence"])
+def test_half_an_answer_and_then(tmp_path: Path, then: str, effect: str) -> None:
+    """It may have run: a safe one is offered again, an unsafe one has failed; the connection is of no further use."""
+    changed = settings()
+    changed["classes"][0]["effect"] = effect
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start(settings=changed)
+        owner = yield from warm(day, SIDS[0])
+        halves: list[Link] = []
+
+        def half(link: Link, line: Line) -> None:
+            host.on_open = lambda link, line: link.say(Word.READY, line.sid, text="whole")
+            halves.append(link)
+            link.transport.write(b'{"msg":"ready","sid":"' + line.sid.encode() + b'","te')
+            link.transport._flush()
+            if then == "end":
+                link.transport.close()
+            elif then == "reset":
+                link.transport.abort()
+
+        host.on_open = half
+        owner.transport.write(setup(SIDS[1], FIGURES=OTHER, LEFT="1500"))
+        yield from wait_for(lambda: answers(owner, SIDS[1]))
+        yield from sleep(50)
+        [message] = answers(owner, SIDS[1])
+        if effect == "pure":
+            assert message.parameters[Code.DESCRIPTION] == b"whole" and opened(host).count(SIDS[1]) == 2
+        else:
+            assert message.cause == 41 and opened(host).count(SIDS[1]) == 1
+        assert [line.sid for line in halves[0].got if line.word is Word.OPEN].count(SIDS[1]) == 1
+        if then == "silence":
+            assert SIDS[1] in [line.sid for line in halves[0].got if line.word is Word.CLOSE], "it is taken back there"
+
+    play(tmp_path, body)
+
+
+@pytest.mark.parametrize("cause", [16, 41, 31])
+def test_answer_and_end_in_one_read(tmp_path: Path, cause: int) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from warm(day, SIDS[0])
+
+        def both(link: Link, line: Line) -> None:
+            link.say(Word.READY, line.sid, text="x")
+            link.say(Word.CLOSE, line.sid, code=cause)
+            link.say(Word.CLOSE, line.sid, code=cause)
+
+        host.on_open = both
+        owner.transport.write(setup(SIDS[1]))
+        yield from wait_for(lambda: day.service.counters["placed"] == 2)
+        yield from sleep(50)
+        kinds = [message.kind for message in answers(owner, SIDS[1])]
+        assert kinds == [Kind.ANSWER] + [Kind.RELEASE] * (cause != 31) and day.standing() == 1
+
+    play(tmp_path, body)
+
+
+@pytest.mark.parametrize("crosses", ["our time-out", "the owner's give-up", "the owner's end", "its host's drain"])
+def test_an_answer_that_crosses(tmp_path: Path, crosses: str) -> None:
+    """It is on its way when we take the set-up back: the task does not stand, and its host hears so after its answer."""
+
+    def body(day: Day) -> Co[None]:
+        host, held = day.host("s-1"), list[Link]()
+        day.start()
+        owner = yield from warm(day, SIDS[0])
+        host.on_open = lambda link, line: held.append(link)
+        asking = Raw(day)
+        asking.send(setup(SIDS[1], FIGURES=OTHER, LEFT="150" if crosses == "our time-out" else "3000"))
+        yield from wait_for(lambda: held)
+        link = held[0]
+        if crosses == "our time-out":
+            yield from wait_for(lambda: day.service.counters["ended_timeout"] == 1)
+        elif crosses == "the owner's give-up":
+            asking.send(release(SIDS[1]))
+            yield from wait_for(lambda: day.service.counters["given_up"] == 1)
+        elif crosses == "the owner's end":
+            asking.reset()
+            yield from wait_for(lambda: day.service.counters["given_up"] == 1)
+        else:
+            day.paper.tell(host.entry(state="DRAINING"))
+            yield from wait_for(lambda: "s-1" in day.service.tasks.closed)
+        link.say(Word.READY, SIDS[1], text="late")
+        yield from sleep(50)
+        if crosses == "its host's drain":
+            assert (yield from asking.message()).kind == Kind.ANSWER and day.standing() == 2
+        else:
+            assert day.standing() == 1 and not day.service.tasks.ledger.open
+            told = [line.sid for found in host.links for line in found.got if line.word is Word.CLOSE]
+            assert told.count(SIDS[1]) == 1
+            assert opened(host).count(SIDS[1]) == 1
+        assert not answers(owner, SIDS[1])
+        asking.sock.close()
+
+    play(tmp_path, body)
+
+
+def test_clients_that_come_again_the_moment_they_are_refused(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start()
+        usual = yield from warm(day, SIDS[0])
+        task = yield from current()
+        again = [0]
+
+        def come_again(link: Link, message: binary.Message) -> None:
+            if again[0] < 3000:
+                again[0] += 1
+                link.transport.write(setup(f"a9a1{again[0]:012x}", LEFT="3"))
+
+        loud = []
+        for n in range(20):
+            transport = yield from connect(day.loop, task, day.service.config.listen, 1000.0)
+            loud.append(Link(transport, binary.Decoder(), come_again))
+            loud[-1].transport.write(setup(f"a9a0{n:012x}", LEFT="3"))  # refused at once
+        began = day.loop.now()
+        for sid in SIDS[1:11]:
+            usual.transport.write(setup(sid))
+            yield from heard(usual, sid, Kind.ANSWER, 5000)
+        assert again[0] > 20 and day.loop.now() - began < 10_000
+        again[0] = 3000
+
+    play(tmp_path, body)
+
+
 # Connections that come late
 
 
@@ -812,6 +943,34 @@
     play(tmp_path, body)
 
 
+def test_a_connection_that_comes_up_after_its_attempts_time_carries_nothing_of_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def body(day: Day) -> Co[None]:
+        first, second = day.host("s-1"), day.host("s-2")
+        day.paper.tell(first.entry(), everything=True)
+        day.start()
+        real = loop.connect
+
+        def late(the_loop: Any, task: Any, address: Any, limit_ms: float) -> Co[Any]:
+            if address[1] == first.port:
+                yield from wait_for(lambda: day.service.counters["unsent"] == 1)
+                yield from sleep(20)
+            return (yield from real(the_loop, task, address, limit_ms))
+
+        monkeypatch.setattr(hosts, "connect", late)
+        owner = yield from day.owner()
+        owner.transport.write(setup(SIDS[0]))
+        yield from wait_for(lambda: day.service.counters["offers"] == 1)
+        day.paper.tell(second.entry())
+        yield from heard(owner, SIDS[0], Kind.ANSWER)
+        yield from wait_for(lambda: first.links)
+        yield from sleep(50)
+        assert not opened(first) and opened(second) == [SIDS[0]]
+
+    play(tmp_path, body)
+
+
 def test_a_connection_that_comes_up_after_its_hosts_drain_carries_nothing(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
