Tasks: one that ended before it could be called running was done, not reset

Ruled out: a lost answer (no `ready` on any connection of that host), our own give-up (none was written), few descriptors (as many with enough).

Cause: Tasks.answered took every cause but 34, 47 and 102 before the answer for a reset; 16 is the end of a task that was done, and with the description that its host gave it is answer and end in one. The owner gets the answer, then the release.

--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -11,6 +11,7 @@
 held, out   given up, or owner's connection   what is out is given up, ``Gone``                              (over)
             ended
 out         answer                            ``Accepted``; the owner gets the answer                        standing
+out         its end (16) with a description   ``Accepted``, ``Outcome`` ok; the owner gets answer and release  (over)
 out         refusal, error, moot, reset       ``Outcome``                                                    held
 out         its time is up                    given up; ``Outcome`` timeout, or connect_failed if unwritten  held
 out         its connection broke              ``Outcome`` reset                                              held
@@ -399,6 +400,11 @@
         if line.word is Word.READY and line.text is not None:
             self._accept(out, line.text)
             return
+        if line.code == ENDED and line.text is not None:
+            # Where an answer says that the task runs, one may have ended before it could be called running: it was done.
+            self._accept(out, line.text)
+            self.heard(out.machine, line)
+            return
         ending = {34: i.Ending.FULL, 47: i.Ending.ERROR, 102: i.Ending.MOOT}.get(line.code or 0, i.Ending.RESET)
         self.end(out, ending, self._reason(line), self._report(line.attrs.get("load")))
 
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -158,6 +158,20 @@
     assert (outcome.ending.value, outcome.closed, outcome.reason) == (ending, False, i.Reason.NO_MEMORY)
 
 
+def test_a_task_that_ends_before_it_could_be_called_running_was_done() -> None:
+    """Its host says answer and end in one: offered again it ran three times, and was refused in the end."""
+    around = Around()
+    around.ask()
+    [out] = around.outs()
+    around.tasks.answered(out, Line(Word.CLOSE, SID, {}, 16, "made by m0"))
+    around.loop.pass_ms(50)
+    assert [event[0] for event in around.events] == ["open", "answer", "release"]
+    assert around.events[1][1:] == (SID, "made by m0") and around.events[2][1:] == (SID, 16)
+    assert around.last(i.Outcome).ending is i.Ending.OK and around.last(i.Outcome).closed
+    assert around.last(i.Accepted).request == around.last(i.Outcome).request
+    assert not around.tasks.standing and not around.holds
+
+
 @pytest.mark.parametrize("code, released", [(16, 16), (41, 41), (99, 41), (31, None)])
 def test_what_a_cause_after_the_answer_means(code: int, released: int | None) -> None:
     around = standing()
