Hosts: one that ends a connection or has gone by the list is asked on all that are left

One id followed through its placer (a scratch trial that logs each word, offer and connection): its host died at 14.85 s with seventeen others; all placers saw resets at 14.854 s, and most dialled, were refused, and released what stood there within 2 ms. This placer had three connections to that host, and the reset of one of them did not come through. Hosts._find dials only where no connection is left that may bring word, so it waited for the host's silence to be suspicious (4.8 s): the test written at 17.992 s was answered by a reset at once, the dial was refused, the owner heard 3.1 s late.

Ruled out: the owner's connection (open, nothing buffered), the list (it said gone 10 ms after the resets, and nothing followed from it), late connections.

Now the connections that are left are tested at once, all of them, when the host ends one or the list says that it has gone while something of ours stands there; one whose test brings no answer within a second is ended then, and not only once the host is suspected. Two tests fail without it; a host that lives loses nothing by a reset. tests/node passes.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -7,6 +7,9 @@
 A standing task belongs to no connection, so one is kept to every host that has one. What the ends of connections prove:
 a refused one, that the process is gone, and its tasks with it; one that was reset or closed, nothing about standing tasks;
 one that says nothing, nothing either, until the host has answered no test for so long that the owners must be released.
+But a process that dies resets its connections, and not each reset comes through: so when the host ends one, or the list
+says that it has gone, the others are tested at once. A dead peer's system answers with a reset, and the next dial is
+refused.
 
 ========== ================================ ==========================================================================
 a host     while                            what is done
@@ -155,6 +158,8 @@
         self._tasks.close(host.uid, True)
         self._unwritten(host)
         self._tidy(host)
+        self._doubt(host)
+        self._find(host)
 
     def _unwritten(self, host: Host) -> None:
         waiting, host.waiting = host.waiting, []
@@ -373,6 +378,8 @@
         if why != "room":
             self._serve(host)
             self._find(host)
+        if why in ("reset", "ended"):
+            self._doubt(host)
 
     # Words
 
@@ -425,14 +432,22 @@
     def _suspected(self, host: Host) -> bool:
         return host.uid in self._tasks.standing and host.heard > 0 and self.loop.now() - host.heard >= QUIET_MS
 
+    def _doubt(self, host: Host) -> None:
+        """It may have died: where something of ours stands there, have the connections that are left tell."""
+        if self.hosts.get(host.uid) is not host or host.uid not in self._tasks.standing:
+            return
+        for link in host.links:
+            if not link.retired and link.tested is None and not link.transport.buffered:
+                self._test(link)
+
     def _listen(self, host: Host, now: float) -> None:
+        for link in [link for link in host.links if link.overdue(now) and not link.open]:
+            self._end(host, link, "untested")
         if not self._suspected(host):
             return
         if host.verdict is None:  # a host that could not be heard, since we stood still, has the time of one test
             due = max(host.heard + SILENT_MS - now, TEST_MS)
             host.verdict = self.loop.call_later(due, lambda: self._judge(host))
-        for link in [link for link in host.links if link.overdue(now) and not link.open]:
-            self._end(host, link, "untested")
         links = [link for link in host.links if not link.retired and not link.overdue(now)]
         if links and all(link.tested is None for link in links) and links[0].transport.buffered < MOST:
             self._test(links[0])
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -738,6 +738,57 @@
     play(tmp_path, body)
 
 
+@pytest.mark.parametrize("how", ["one of its connections is reset", "the list says that it has gone"])
+def test_a_host_that_dies_while_a_connection_to_it_stays_open(tmp_path: Path, how: str) -> None:
+    """Not each reset comes through: the connection that is left looked well until the host was suspected, after 4.8 s."""
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        host.on_open = lambda link, line: None
+        for sid in SIDS[:2]:  # out at the same time, so each has a connection
+            owner.transport.write(setup(sid))
+        yield from wait_for(lambda: len(opened(host)) == 2)
+        for link, sid in zip(host.links, opened(host), strict=True):
+            link.say(Word.READY, sid, text="x")
+        for sid in SIDS[:2]:
+            yield from heard(owner, sid, Kind.ANSWER)
+        host.tests = False
+        host.acceptor.close()
+        if how.startswith("one"):
+            host.links[0].transport.abort()
+        else:
+            day.paper.tell(host.entry(state="DELETED"))
+        began = day.loop.now()
+        for sid in SIDS[:2]:
+            assert (yield from heard(owner, sid, Kind.RELEASE, 4000)).cause == 41
+        assert day.loop.now() - began < hosts.QUIET_MS - 1000.0
+
+    play(tmp_path, body)
+
+
+def test_a_connection_that_is_reset_under_a_host_that_lives_loses_no_task(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start()
+        owner = yield from day.owner()
+        host.on_open = lambda link, line: None
+        for sid in SIDS[:2]:
+            owner.transport.write(setup(sid))
+        yield from wait_for(lambda: len(opened(host)) == 2)
+        for link, sid in zip(host.links, opened(host), strict=True):
+            link.say(Word.READY, sid, text="x")
+        for sid in SIDS[:2]:
+            yield from heard(owner, sid, Kind.ANSWER)
+        host.links[0].transport.abort()
+        yield from wait_for(lambda: host.lines(Word.PROBE))
+        yield from sleep(1500)
+        assert day.standing() == 2 and len(host.lines(Word.PROBE)) == 1 and len(owner.got) == 2
+
+    play(tmp_path, body)
+
+
 # Answers that are cut, late, or cross something
 
 
