Read over: state that could be derived goes; one bound for closes; tests share their beginnings

- Transport.written is sent plus buffered, not a second count; Out.written said what Out.link says.
- LINGER_MS stood in hosts and in owners: it is a bound of both (node.bounds).
No check is loosened.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -50,8 +50,7 @@
         self.on_late: Callable[[bytes], None] = lambda data: None  # what comes while it lingers
         self._lingering: Timer | None = None
         self._delivering = False  # within on_data
-        self.written = 0  # bytes given to write(), ever
-        self.sent = 0  # those that the system has taken
+        self.sent = 0  # bytes that the system has taken, ever
         self.waited_ms = 0.0  # how long, at most, the bytes that came last had waited for us
         self._more = 0.0  # when a read that may have left bytes behind took place, 0 where none was left
 
@@ -59,6 +58,11 @@
         """Begin to read, once the callbacks are set."""
         self.resume()
 
+    @property
+    def written(self) -> int:
+        """Bytes given to :meth:`write` so far; what is there now has gone out once ``sent`` is that many."""
+        return self.sent + self.buffered
+
     @property
     def blocked(self) -> bool:
         """Whether the system takes no more bytes for now."""
@@ -80,7 +84,6 @@
             return
         self._out.append(data)
         self.buffered += len(data)
-        self.written += len(data)
         if not self._flush_due and not self._blocked:
             self._flush_due = True
             self._loop.at_turn_end(self._first_flush)
--- a/sprucepost/node/bounds.py
+++ b/sprucepost/node/bounds.py
@@ -1,9 +1,10 @@
-"""What both codecs share: a message's bound, the one error, and how bytes become messages. No I/O."""
+"""What both sides share: bounds of a message and a close, the one error, and how bytes become messages. No I/O."""
 
 from __future__ import annotations
 
 from typing import Generic, TypeVar
 
+LINGER_MS = 250.0  # a close waits so long for the peer's end: what crosses it does so within 50 ms, and resets nothing
 MOST = 16 * 1024  # bytes of one message, its length or line feed included
 
 M = TypeVar("M")
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -34,12 +34,11 @@
 
 from sprucepost import interface as i
 from sprucepost.loop import Co, Loop, Scope, TimedOut, Timer, Transport, connect, current
-from sprucepost.node.bounds import MOST
+from sprucepost.node.bounds import LINGER_MS, MOST
 from sprucepost.node.bulletin import Address, Told
 from sprucepost.node.jsonl import Decoder, Line, Word, encode
 from sprucepost.node.tasks import GIVEN_UP, LATE_MS, Out, Tasks
 
-LINGER_MS = 250.0  # a close waits so long for the host's end, so that what it has on its way resets nothing
 TEST_MS = 1000.0  # a connection on which a test is not answered within this is of no use
 SILENT_MS = (
     LATE_MS - 200.0
@@ -223,14 +222,15 @@
         if data is None:
             self._tasks.end(out, i.Ending.MOOT if out.machine in self._tasks.closed else i.Ending.CONNECT_FAILED)
             return
-        out.written, out.link = True, link
+        out.link = link
         link.open[out.sid] = out
         link.used = self.loop.now()
         link.transport.write(data)
         out.mark = link.transport.written
 
     def went_out(self, out: Out) -> bool:
-        """Whether the system has taken all of it. What it took of a part is a line without an end, which no host obeys."""
+        """Whether it was written and the system has taken all of it. A part of it is a line without an end, which no host
+        obeys."""
         return out.link is not None and out.link.transport.sent >= out.mark
 
     def give_up(self, out: Out) -> None:
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -29,14 +29,13 @@
 
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.binary import Code, Decoder, Kind, Message, encode
-from sprucepost.node.bounds import MOST
+from sprucepost.node.bounds import LINGER_MS, MOST
 from sprucepost.node.tasks import LATE_MS, REFUSED, OwnerPort, Taken, Tasks
 from sprucepost.node.words import Refused, Words
 
 UNPROVEN_MS = 1500.0  # for a connection that says nothing useful: half of the 3 s in which it is owed a close
 UNREAD_MOST = 16 * MOST  # bytes that an owner may leave unread
 FINISH_LOOK_MS = 5.0  # between looks whether all connections have ended
-LINGER_MS = 250.0  # a close waits so long for the peer's end: what crosses a close does so within 50 ms
 
 
 class OwnerLink:
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -103,7 +103,7 @@
         ...
 
     def went_out(self, out: Out) -> bool:
-        """Whether a written offer has left whole: else the host cannot have read it."""
+        """Whether the offer was written and has left whole: else the host cannot have read it."""
         ...
 
     def give_up(self, out: Out) -> None:
@@ -140,11 +140,10 @@
 class Out:
     """One attempt, from the module's decision until its end."""
 
-    __slots__ = ("entry", "link", "machine", "mark", "number", "sent", "timer", "until", "written")
+    __slots__ = ("entry", "link", "machine", "mark", "number", "sent", "timer", "until")
 
     def __init__(self, entry: Entry, number: int, machine: str, sent: float, until: float) -> None:
         self.entry, self.number, self.machine, self.sent, self.until = entry, number, machine, sent, until
-        self.written = False
         self.timer: Timer | None = None
         self.link: Any = None  # the host's connection that carries it, or is to
         self.mark = 0  # so many bytes of that connection have been sent once it is out whole
@@ -370,10 +369,10 @@
     def _expire(self, out: Out) -> None:
         if out.entry.ask.out is not out:
             return
-        written = out.written and self.hosts.went_out(out)
-        self.counters["timeouts" if written else "unsent"] += 1
+        went = self.hosts.went_out(out)
+        self.counters["timeouts" if went else "unsent"] += 1
         self.hosts.give_up(out)
-        self.end(out, i.Ending.TIMEOUT if written else i.Ending.CONNECT_FAILED)
+        self.end(out, i.Ending.TIMEOUT if went else i.Ending.CONNECT_FAILED)
 
     def end(
         self,
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -28,6 +28,7 @@
 from tests.wire.support import wait_for
 
 SIDS = [f"c0055aa5c7e{n:05x}" for n in range(400)]
+BEGUN = SIDS[0]  # the task with which most begin
 OTHER = "cores:1;memory:2;service:00000000aaaa5521"
 
 
@@ -57,6 +58,12 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.sock.close()
 
+    def taken(self, day: Day) -> owners.OwnerLink:
+        """The placer's end of it."""
+        port = self.sock.getsockname()[1]
+        [link] = [link for link in day.service.owners.links if link.transport.peer.endswith(f":{port}")]
+        return link
+
     def got(self) -> list[binary.Message] | None:
         """Messages that have come; None after the stream's end."""
         try:
@@ -122,6 +129,13 @@
     return owner
 
 
+def begin(day: Day) -> Co[tuple[Host, Link]]:
+    """One host, the placer, and an owner with a task placed."""
+    host = day.host("s-1")
+    day.start()
+    return host, (yield from warm(day, SIDS[0]))
+
+
 # The client has left while its request waited
 
 
@@ -239,9 +253,7 @@
 
 def test_a_client_whose_end_lies_behind_its_set_up_is_not_served(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        yield from warm(day, SIDS[0])
+        host, _ = yield from begin(day)
         for n in range(1, 21):
             owner = Raw(day)
             owner.send(setup(SIDS[n]))
@@ -272,9 +284,7 @@
 
 def test_a_give_up_that_is_read_before_its_set_up(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        owner = yield from warm(day, SIDS[0])
+        host, owner = yield from begin(day)
         other = Raw(day)
         other.send(release(SIDS[1]) + release(SIDS[2]))
         yield from wait_for(lambda: len(day.service.tasks.early) == 2)
@@ -296,9 +306,7 @@
     """After a restart: the host's word comes on a connection that is there, the owner's set-up a moment later."""
 
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        owner = yield from warm(day, SIDS[0])
+        host, owner = yield from begin(day)
         host.links[0].say(Word.CLOSE, SIDS[1], code=16)
         host.links[0].say(Word.CLOSE, SIDS[2], code=41)
         host.links[0].say(Word.CLOSE, SIDS[3], code=31)
@@ -316,9 +324,7 @@
 
 def test_an_owner_names_a_task_once_more_that_is_over(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        owner = yield from warm(day, SIDS[0])
+        host, owner = yield from begin(day)
         at = setup(SIDS[1], FIGURES="cores:1;memory:2;service:aa;at:s-1")
         owner.transport.write(at)
         yield from wait_for(lambda: day.standing() == 2)
@@ -393,9 +399,7 @@
 
 def test_a_steady_flow_of_tasks_that_stand_keeps_no_new_one_out(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        owner = yield from warm(day, SIDS[0])
+        host, owner = yield from begin(day)
         flow, told = Raw(day), (f"{n:016x}" for n in count(1))
 
         def some(events: list[i.Event], actions: list[i.Action]) -> None:
@@ -539,9 +543,7 @@
 
 def test_a_set_up_that_crosses_our_close_for_idleness_is_served(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        yield from warm(day, SIDS[0])
+        host, _ = yield from begin(day)
         owner = Raw(day)
         owner.send(setup(SIDS[1]))
         yield from owner.message()
@@ -582,14 +584,12 @@
 
 def test_what_comes_after_our_close_resets_nothing(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        yield from warm(day, SIDS[0])
+        host, _ = yield from begin(day)
         owner = Raw(day)
         owner.send(setup(SIDS[1]))
         yield from wait_for(lambda: SIDS[1] in opened(host) and day.standing() == 2)
         yield from sleep(20)
-        [link] = [link for link in day.service.owners.links if link.transport.peer.endswith(f":{_port(owner)}")]
+        link = owner.taken(day)
         day.service.owners.drop(link, "idle")
         owner.send(setup(SIDS[2]))  # crosses it
         yield from sleep(30)
@@ -603,10 +603,6 @@
     play(tmp_path, body)
 
 
-def _port(owner: Raw) -> int:
-    return int(owner.sock.getsockname()[1])
-
-
 def test_a_close_waits_for_a_peer_that_does_not_read_no_longer_than_it_may(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
         day.host("s-1")
@@ -615,7 +611,7 @@
         owner = Raw(day)
         owner.send(setup(SIDS[1]))
         yield from owner.message()
-        [link] = [link for link in day.service.owners.links if link.transport.peer.endswith(f":{_port(owner)}")]
+        link = owner.taken(day)
         while not link.transport.blocked:
             link.transport.write(bytes(1 << 20))
             yield from sleep(0)
@@ -721,7 +717,7 @@
         assert (yield from second.message()).kind == Kind.ANSWER
         yield from wait_for(lambda: day.standing() == 4)
         yield from sleep(30)
-        [link] = [link for link in day.service.owners.links if link.transport.peer.endswith(f":{_port(first)}")]
+        link = first.taken(day)
         hosts_link = next(link for link in host.links if not link.ended)
         hosts_link.say(Word.CLOSE, SIDS[0], code=16)
         yield from wait_for(lambda: day.standing() == 3)
@@ -866,9 +862,7 @@
 @pytest.mark.parametrize("cause", [16, 41, 31])
 def test_answer_and_end_in_one_read(tmp_path: Path, cause: int) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        owner = yield from warm(day, SIDS[0])
+        host, owner = yield from begin(day)
 
         def both(link: Link, line: Line) -> None:
             link.say(Word.READY, line.sid, text="x")
--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -16,11 +16,12 @@
 import pytest
 
 from sprucepost.loop import Co, sleep
-from sprucepost.node import binary, owners
+from sprucepost.node import binary
 from sprucepost.node.binary import Code, Kind
+from sprucepost.node.bounds import LINGER_MS
 from sprucepost.node.jsonl import Word
 from tests.node.platform import Day, answers, heard, play, setup
-from tests.node.test_crossings import OTHER, Raw, opened, release, warm
+from tests.node.test_crossings import BEGUN, OTHER, Raw, begin, opened, release, warm
 from tests.node.test_process import owner as connected
 from tests.wire.support import wait_for
 
@@ -38,9 +39,7 @@
 
 def test_connections_not_yet_accepted_when_the_listener_closes_are_answered(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        yield from warm(day, SIDS[0])
+        host, _ = yield from begin(day)
         day.service.leave()
         owners = [Raw(day) for _ in range(100)]  # more than are taken in one turn
         for n, owner in enumerate(owners):
@@ -50,7 +49,7 @@
         for owner in owners:
             message = yield from owner.message()
             assert message.kind == Kind.RELEASE and message.cause == 34
-        assert opened(host) == [SIDS[0]]
+        assert opened(host) == [BEGUN]
         for owner in owners:
             owner.sock.close()
 
@@ -60,9 +59,7 @@
 @pytest.mark.parametrize("unread", ["a set-up", "half a set-up", "a set-up and half of another", "a release"])
 def test_what_lies_unread_at_the_end_is_refused_and_no_connection_is_reset(tmp_path: Path, unread: str) -> None:
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        yield from warm(day, SIDS[0])
+        host, _ = yield from begin(day)
         owner = Raw(day)
         owner.send(setup(SIDS[1]))
         yield from owner.message()
@@ -98,9 +95,7 @@
     """The host's answer may come in that very moment."""
 
     def body(day: Day) -> Co[None]:
-        host = day.host("s-1")
-        day.start()
-        owner = yield from warm(day, SIDS[0])
+        host, owner = yield from begin(day)
         host.on_open = lambda link, line: None
         owner.transport.write(setup(SIDS[1], FIGURES=OTHER))
         yield from wait_for(lambda: SIDS[1] in opened(host))
@@ -127,8 +122,7 @@
         owner = Raw(day)
         owner.send(setup(SIDS[1]))
         yield from owner.message()
-        port = owner.sock.getsockname()[1]
-        [link] = [link for link in day.service.owners.links if link.transport.peer.endswith(f":{port}")]
+        link = owner.taken(day)
         while not link.transport.blocked:
             link.transport.write(bytes(1 << 20))
             yield from sleep(0)
@@ -136,7 +130,7 @@
         reader.transport.write(setup(SIDS[2]))
         day.service._end()
         yield from wait_for(lambda: any('"end"' in line for line in day.lines), 5000)
-        assert day.loop.now() - began < owners.LINGER_MS + 1000 and link.transport.gone
+        assert day.loop.now() - began < LINGER_MS + 1000 and link.transport.gone
         yield from wait_for(lambda: reader.ended)
         assert [m.kind for m in answers(reader, SIDS[2])] == [Kind.RELEASE]
         owner.close()
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -43,7 +43,7 @@
         )
         self.tasks.owners = self.tasks.hosts = self
         self.desk, self.events, self.down, self.closed = desk, [], False, False
-        self.holds = 0
+        self.holds, self.written = 0, set[Out]()
         handle = desk.scheduler.handle
         self.told: list[Any] = []  # what the module got
         desk.scheduler.handle = lambda now, events: self.told.extend(events) or handle(now, events)  # type: ignore[method-assign, func-returns-value]
@@ -64,7 +64,7 @@
     def forget(self, sid: str) -> None: ...
     def recall(self, services: set[str]) -> None: ...
     def went_out(self, out: Out) -> bool:
-        return True
+        return out in self.written
 
     def hold(self) -> None:
         self.holds += 1
@@ -85,7 +85,7 @@
     def place(self, out: Out) -> None:
         data = None if self.down else self.tasks.write(out)
         if data is not None:
-            out.written = True
+            self.written.add(out)
             [line] = jsonl.Decoder().feed(data)
             self.events.append(("open", out, line))
 
