--- a/sprucepost/agreement/core.py
+++ b/sprucepost/agreement/core.py
@@ -25,7 +25,8 @@
 from enum import Enum
 
 from sprucepost.agreement.log import Log
-from sprucepost.agreement.words import Action, Commit, Draws, Entry, Held, Led, Send, Snapshot, Word, Write
+from sprucepost.agreement.words import Action, Commit, Entry, Held, Led, Send, Snapshot, Word, Write
+from sprucepost.draws import Draws
 
 
 class Role(Enum):
--- a/sprucepost/agreement/keeper.py
+++ b/sprucepost/agreement/keeper.py
@@ -17,7 +17,6 @@
     Append,
     Appended,
     Ask,
-    Draws,
     Entry,
     Held,
     Led,
@@ -27,6 +26,7 @@
     Vote,
     Word,
 )
+from sprucepost.draws import Draws
 
 DEFAULT_TIMING, DEFAULT_BOUNDS = Timing(), Bounds()
 
--- a/sprucepost/agreement/words.py
+++ b/sprucepost/agreement/words.py
@@ -2,19 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Protocol, TypeVar
-
-T = TypeVar("T")
-
-
-class Draws(Protocol):
-    """Where chance comes from: a seeded generator."""
-
-    def random(self) -> float: ...
-    def uniform(self, a: float, b: float) -> float: ...
-    def choice(self, seq: Sequence[T]) -> T: ...
 
 
 @dataclass(frozen=True, slots=True)
--- a/sprucepost/view/words.py
+++ b/sprucepost/view/words.py
@@ -2,22 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
 
 from sprucepost.view.record import Record
 
-T = TypeVar("T")
-
-
-class Draws(Protocol):
-    """Where chance comes from: a seeded generator."""
-
-    def random(self) -> float: ...
-    def uniform(self, a: float, b: float) -> float: ...
-    def choice(self, seq: Sequence[T]) -> T: ...
-
 
 @dataclass(frozen=True, slots=True)
 class Hello:
