Node: the queue of new tasks in a file of its own; a host that has gone is asked once

Read over once more: - Tasks held the round robin between connections among the walk of a task; it is node.queue now, without I/O. (The gRPC front's line, admission.line, weighs owners by worth; here the module orders each batch by worth itself, so it was not used.) - Hosts._leave asked a host again on its connections each time that a whole list did not name it.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -153,6 +153,8 @@
 
     def _leave(self, host: Host) -> None:
         """It gets nothing new; what still stands there may yet be released by it."""
+        if host.gone:
+            return
         host.gone = True
         self._tasks.close(host.uid, True)
         self._unwritten(host)
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -29,8 +29,7 @@
 
 from __future__ import annotations
 
-import math
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
@@ -41,6 +40,7 @@
 from sprucepost.node import words
 from sprucepost.node.early import Early, EarlyWords
 from sprucepost.node.jsonl import Line, Word, encode
+from sprucepost.node.queue import FairQueue
 from sprucepost.node.words import SetUp
 from sprucepost.placing.desk import Desk
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
@@ -177,7 +177,7 @@
         self.standing: dict[str, dict[str, Entry]] = {}
         self.on_settled: Callable[[], None] = lambda: None
         self.early = EarlyWords(LATE_MS)
-        self._line: dict[OwnerPort, deque[Entry]] = {}  # new tasks of which the module is to be told, by connection
+        self._queue: FairQueue[Entry] = FairQueue()  # new tasks of which the module is to be told
         self._crossed: set[int] = set()  # requests given up while the module's actions were carried out
         self._found: set[str] = set()  # services of tasks that stand, read since the last new ones were told
         desk.carry, desk.before = self._carry, self._tell
@@ -222,7 +222,7 @@
         self.counters["taken"] += 1
         entry.due = now + max(0.0, setup.left - waited_ms)
         entry.ask.in_line = True
-        self._line.setdefault(owner, deque()).append(entry)
+        self._queue.put(owner, entry, now)
         self._desk.wake()
         return Taken.TAKEN
 
@@ -235,30 +235,25 @@
         new tasks are placed, few at a time, since each may take long; and as long as such set-ups come new ones wait,
         though none for longer than ``FOUND_FIRST_MS``: a steady flow of them must not keep the new ones out.
         """
-        if self._line:
+        if self._queue:
             self.loop.look()
         self._crossed = set()
         if self._found:
             self.hosts.recall(self._found)
             self._found = set()
-            first = min((line[0].taken_at for line in self._line.values()), default=-math.inf)
-            if self.loop.now() - first < FOUND_FIRST_MS:
+            if self._queue and self.loop.now() - self._queue.since < FOUND_FIRST_MS:
                 self.counters["held_for_found"] += 1
                 self.loop.call_soon(self._desk.wake)
                 return
         now = self.loop.now()
         told = 0
-        while self._line and told < BATCH_MOST:  # the connections in turn: a loud one takes no other's place
-            owner = next(iter(self._line))
-            line = self._line.pop(owner)
-            entry = line.popleft()
-            if line:
-                self._line[owner] = line
+        while self._queue and told < BATCH_MOST:
+            entry = self._queue.pop()
             if entry.outcome is Outcome.OPEN:
                 told += 1
                 entry.ask.in_line = False
                 self._desk.push(entry.ask.setup.request(entry.request, max(0.0, entry.due - now)))
-        if self._line:
+        if self._queue:
             self.loop.call_soon(self._desk.wake)
 
     def owner_released(self, sid: str) -> None:
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -785,6 +785,24 @@
     play(tmp_path, body)
 
 
+def test_a_host_that_has_gone_is_asked_once_however_often_it_is_told(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        other = day.host("s-2")
+        host = day.host("s-1")
+        day.paper.tell(host.entry(), everything=True)
+        day.start()
+        yield from warm(day, SIDS[0])
+        for _ in range(3):
+            before = day.service.counters["lists"]
+            day.paper.tell(other.entry(), everything=True)  # the whole list, without it
+            yield from wait_for(lambda: day.service.counters["lists"] > before)
+        yield from wait_for(lambda: host.lines(Word.PROBE))
+        yield from sleep(100)
+        assert len(host.lines(Word.PROBE)) == 1 and day.standing() == 1, "what stands there may still be ended by it"
+
+    play(tmp_path, body)
+
+
 def test_a_connection_that_is_reset_under_a_host_that_lives_loses_no_task(tmp_path: Path) -> None:
     def body(day: Day) -> Co[None]:
         host = day.host("s-1")
