--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -792,10 +792,13 @@
         day.paper.tell(host.entry(), everything=True)
         day.start()
         yield from warm(day, SIDS[0])
-        for _ in range(3):
-            before = day.service.counters["lists"]
+
+        def heard_lists(number: int) -> Callable[[], bool]:
+            return lambda: day.service.counters["lists"] >= number
+
+        for number in range(2, 5):
             day.paper.tell(other.entry(), everything=True)  # the whole list, without it
-            yield from wait_for(lambda: day.service.counters["lists"] > before)
+            yield from wait_for(heard_lists(number))
         yield from wait_for(lambda: host.lines(Word.PROBE))
         yield from sleep(100)
         assert len(host.lines(Word.PROBE)) == 1 and day.standing() == 1, "what stands there may still be ended by it"
