Rules: a checker and a file for each of the five rules; judge and verdict are gone

Cause: rules/checks.py held five rules, what they share and the run's history in 537 lines, with names of its own (judge, verdict, asked, told). Now checker.py has the base class, RunHistory and RuleResult; each rule has a module, its take() only dispatches; which machines share a zone or cell stood twice and is MachineLocations. Events are named for what was seen: TaskSubmitted, OutcomeSent, OfferSent, AttemptReported. The fields of result.json (rule, checked, broken, undecided) stay as they are.

--- a/benchmarks/fleet_day.py
+++ b/benchmarks/fleet_day.py
@@ -24,7 +24,8 @@
 from sprucepost.loop import Co, in_scope
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.rules import record
-from sprucepost.rules.checks import ColdKept, Run
+from sprucepost.rules.checker import RunHistory
+from sprucepost.rules.cold_kept import ColdKept
 from sprucepost.rules.trace import trace
 from sprucepost.settings.cluster import Kind
 from sprucepost.standin.orders import order
@@ -202,11 +203,11 @@
                 process.wait(10.0)
         (self.folder / record.CLUSTER).write_text(json.dumps(msgspec.to_builtins(self.cluster)))
         (self.folder / record.EVENTS).write_text("".join(json.dumps(event) + "\n" for event in events))
-        return self.judge(owners, machines, exits)
+        return self.check(owners, machines, exits)
 
-    def judge(self, owners: dict[str, Any], machines: dict[str, Any], exits: list[int | None]) -> bool:
-        verdicts = record.check(self.folder)
-        cold = ColdKept(self.cluster, Run())
+    def check(self, owners: dict[str, Any], machines: dict[str, Any], exits: list[int | None]) -> bool:
+        results = record.check(self.folder)
+        cold = ColdKept(self.cluster, RunHistory())
         records = read_capture((self.folder / record.CAPTURE).read_bytes())
         for event in trace(records):
             cold.take(event)
@@ -216,14 +217,14 @@
                 outcomes[name] = outcomes.get(name, 0) + count
         self.result |= {
             "worst_cold_window": cold.most,
-            "cold_offers": cold.verdict.checked,
+            "cold_offers": cold.result.checked,
             "fallen": sorted(name for name, m in machines.items() if m["fallen"]),
             "outcomes": dict(sorted(outcomes.items())),
             "second_answers": owners["second_answers"],
             "open_at_the_end": owners["open"],
             "exits_not_0": sum(status != 0 for status in exits),
-            "rules": {v.rule: [v.checked, len(v.broken)] for v in verdicts},
-            "broken": [line for v in verdicts for line in v.broken][:10],
+            "rules": {result.rule: [result.checked, len(result.broken)] for result in results},
+            "broken": [line for result in results for line in result.broken][:10],
         }
         print(json.dumps(self.result, indent=1))
         return not (
--- a/sprucepost/cli/badday.py
+++ b/sprucepost/cli/badday.py
@@ -58,14 +58,14 @@
             fleet.kill_all()
             self._events.close()
             self.loop.close()
-        verdicts = record.check(self.folder)
+        results = record.check(self.folder)
         result = {
             "scenario": self.scenario.name,
             "seed": self.scenario.seed,
             "length_s": self.scenario.length_s,
             **figures,
             "exits": fleet.exits,
-            "rules": [msgspec.to_builtins(verdict) for verdict in verdicts],
+            "rules": [msgspec.to_builtins(result) for result in results],
         }
         (self.folder / record.RESULT).write_text(json.dumps(result, indent=1) + "\n")
         return result
--- a/sprucepost/cli/probe.py
+++ b/sprucepost/cli/probe.py
@@ -1,6 +1,6 @@
 """Asks a placer's port again and again whether anybody is there: where the answer takes long, the process had no processor.
 
-That is the judge's only way to tell a placer that is late from one that the machine gave no time to: its own logs are not
+That is the checkers' only way to tell a placer that is late from one that the machine gave no time to: its own logs are not
 evidence, and the bytes at the tap are the same.
 """
 
--- a/sprucepost/load/recorded.py
+++ b/sprucepost/load/recorded.py
@@ -30,7 +30,7 @@
     seen: set[str] = set()
     began: float | None = None
     for event in events:
-        if not isinstance(event, t.Asked) or event.wants is None or event.again or event.task in seen:
+        if not isinstance(event, t.TaskSubmitted) or event.wants is None or event.is_repeat or event.task in seen:
             continue
         seen.add(event.task)
         began = event.at if began is None else began
--- /dev/null
+++ b/sprucepost/rules/cold_kept.py
@@ -0,0 +1,50 @@
+"""Rule 4: no cold machine pushed over."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from sprucepost.rules import trace as t
+from sprucepost.rules.checker import Checker, RunHistory
+from sprucepost.settings import Cluster
+
+
+class ColdKept(Checker):
+    """Rule 4: no more offers to a cold machine in any ``fall_ms`` than it bears, of placers told of its start."""
+
+    rule = "4 no cold machine pushed over"
+
+    def __init__(self, cluster: Cluster, history: RunHistory) -> None:
+        super().__init__(cluster, history)
+        self._started: dict[tuple[str, str], float] = {}
+        self._recent: dict[str, deque[tuple[float, float]]] = {}  # when, and how much earlier it may have been
+        self.most = 0
+
+    def take(self, event: t.Event) -> None:
+        if isinstance(event, (t.MachineListed, t.MachineAttached)):
+            if self.history.was_read(event.placer, event.at, event.connection_ended_at):
+                self._record_start(event.placer, event.machine, event.started_ms)
+        elif isinstance(event, t.OfferSent) and not event.is_repeat:
+            self._handle_offer(event)
+
+    def _handle_offer(self, event: t.OfferSent) -> None:
+        started = self._started.get((event.placer, event.machine), 0.0)
+        if not started or not started <= event.at < started + self.cluster.warm_after_ms:
+            return
+        self.result.checked += 1
+        recent = self._recent.setdefault(event.machine, deque())
+        recent.append((event.at, event.late_ms))
+        while recent[0][0] <= event.at - self.cluster.fall_ms:
+            recent.popleft()
+        self.most = max(self.most, len(recent))
+        if len(recent) > self.cluster.cold_bears:
+            text = f"{event.machine} is cold and gets {len(recent)} offers in {self.cluster.fall_ms:g} ms"
+            surely = [at for at, late in recent if at - late > event.at - self.cluster.fall_ms]
+            if len(surely) > self.cluster.cold_bears:
+                self.add_violation(event.at, text)
+            else:
+                self.add_undecided(event.at, text, f"the tap was {max(late for _, late in recent):.0f} ms late")
+
+    def _record_start(self, placer: str, machine: str, started_ms: float) -> None:
+        """A later start counts; a list that is behind takes nothing back."""
+        self._started[placer, machine] = max(self._started.get((placer, machine), 0.0), started_ms)
--- a/sprucepost/rules/record.py
+++ b/sprucepost/rules/record.py
@@ -1,4 +1,4 @@
-"""The folder that a recorded run leaves, and judging it again.
+"""The folder that a recorded run leaves, and checking it again.
 
 ``scenario.json`` (the day), ``capture.bin`` (bytes at the tap), ``cluster.json`` (the deployment's settings),
 ``events.jsonl`` (what the run did, with times), ``result.json`` (the figures that were printed).
@@ -10,10 +10,11 @@
 from pathlib import Path
 from typing import Any
 
-from sprucepost.rules.checks import Run, Verdict, judge
+from sprucepost.rules.checker import RuleResult, RunHistory
+from sprucepost.rules.checks import check_rules
 from sprucepost.rules.streams import messages
 from sprucepost.rules.trace import traced
-from sprucepost.rules.views import judge_views
+from sprucepost.rules.views import check_views
 from sprucepost.settings import Cluster, read
 from sprucepost.wire.capture import read_capture
 
@@ -22,31 +23,33 @@
 
 
 class RecordError(Exception):
-    """The folder holds no record that can be judged."""
+    """The folder holds no record that can be checked."""
 
 
-def run_of(events: list[dict[str, Any]]) -> Run:
+def history_of(events: list[dict[str, Any]]) -> RunHistory:
     """What the run did to placers."""
-    run = Run()
+    history = RunHistory()
     stopped: dict[str, float] = {}
     for event in events:
         what, placer = event["what"], event.get("placer", "")
         if what == "placer_killed":
-            run.killed.setdefault(placer, []).append(event["at"])
+            history.killed.setdefault(placer, []).append(event["at"])
         elif what == "placer_stopped":
             stopped.setdefault(placer, event["at"])  # two stops that overlap end with the first that is lifted
         elif what == "placer_continued" and placer in stopped:
-            run.stalled.setdefault(placer, []).append((stopped.pop(placer), event["at"]))
+            history.stalled.setdefault(placer, []).append((stopped.pop(placer), event["at"]))
         elif what == "placer_starved":
-            run.starved.setdefault(placer, []).append((event["since"], event["at"]))
+            history.starved.setdefault(placer, []).append((event["since"], event["at"]))
         elif what == "ended":
-            run.ended_at = event["at"]
-    return run
+            history.ended_at = event["at"]
+    return history
 
 
-def check(folder: Path) -> list[Verdict]:
-    """The five verdicts on a recorded run, and those on views where placers kept some. RecordError or SettingsError where it
-    cannot be judged."""
+def check(folder: Path) -> list[RuleResult]:
+    """The results of the five rules on a recorded run, and of the views' where placers kept some.
+
+    RecordError or SettingsError where it cannot be checked.
+    """
     try:
         capture = (folder / CAPTURE).read_bytes()
         lines = (folder / EVENTS).read_text().splitlines()
@@ -58,11 +61,11 @@
     except ValueError as error:
         raise RecordError(f"{folder}: {error}") from None
     found = list(messages(iter(records)))
-    run = run_of(events)
-    verdicts = judge(traced(found), read(folder / CLUSTER, Cluster), run)
+    history = history_of(events)
+    results = check_rules(traced(found), read(folder / CLUSTER, Cluster), history)
     if any(event["what"] == "peers_quiet" for event in events):
-        verdicts += judge_views(found, events, _view_lines(folder), run)
-    return verdicts
+        results += check_views(found, events, _view_lines(folder), history)
+    return results
 
 
 def _view_lines(folder: Path) -> dict[str, list[dict[str, Any]]]:
--- a/sprucepost/rules/streams.py
+++ b/sprucepost/rules/streams.py
@@ -1,7 +1,7 @@
 """A capture taken apart: HTTP/2 frames to gRPC messages, with the time at which each was complete.
 
-Nothing here shares code with the placer's own connections, but for the prefix format: what judges must not err with
-what is judged.
+Nothing here shares code with the placer's own connections, but for the prefix format: what checks must not err with
+what is checked.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
     stream: int
     from_client: bool
     data: bytes
-    late: float
+    late_ms: float
 
 
 @dataclass(frozen=True)
--- a/sprucepost/rules/trace.py
+++ b/sprucepost/rules/trace.py
@@ -2,10 +2,11 @@
 
 Repeats (frames sent again after a broken stream) are known by their session and number, as to each end. A frame that a
 placer is sent again had not reached it before: the other end repeats only what the placer has not seen. So the repeat,
-marked ``again``, is when the placer was told.
+marked ``is_repeat``, is when the placer was told.
 
-Bytes that went out to a placer have not been read by it for that: a socket that is reset loses what lies in it. ``until``
-of every word to a placer is when its connection ended; :meth:`sprucepost.rules.checks.Run.read` makes proof of it.
+Bytes that went out to a placer have not been read by it for that: a socket that is reset loses what lies in it. Each event
+for a placer has the end of its connection, ``connection_ended_at``; :meth:`sprucepost.rules.checker.RunHistory.was_read`
+makes proof of it.
 """
 
 from __future__ import annotations
@@ -27,7 +28,7 @@
 
 
 @dataclass(frozen=True)
-class Asked:
+class TaskSubmitted:
     """An owner's submission or hand-over reached a placer."""
 
     at: float
@@ -37,12 +38,12 @@
     left_ms: float
     hand_over: bool
     incarnation: int = 0
-    again: bool = False
+    is_repeat: bool = False
     wants: common_pb2.Task | None = None  # of a submission
 
 
 @dataclass(frozen=True)
-class Told:
+class OutcomeSent:
     """A placer told an owner: ``kind`` is the frame's body."""
 
     at: float
@@ -51,11 +52,11 @@
     session: bytes
     task: str
     kind: str
-    late: float = 0.0  # ms by which it may have been sent earlier: the tap looked late
+    late_ms: float = 0.0  # ms by which it may have been sent earlier: the tap looked late
 
 
 @dataclass(frozen=True)
-class Stream:
+class ClientStream:
     """An owner's stream at a placer came (``up``) or went."""
 
     at: float
@@ -65,7 +66,7 @@
 
 
 @dataclass(frozen=True)
-class Cancelled:
+class TaskCancelled:
     at: float
     placer: str
     session: bytes
@@ -73,8 +74,8 @@
 
 
 @dataclass(frozen=True)
-class Offered:
-    """A placer sent an offer. ``again``: the same one as before, after a break."""
+class OfferSent:
+    """A placer sent an offer. ``is_repeat``: the same one as before, after a break."""
 
     at: float
     placer: str
@@ -83,12 +84,12 @@
     name: str
     task: common_pb2.Task
     wait_ms: float
-    again: bool
-    late: float = 0.0  # ms by which it may have been sent earlier: the tap looked late
+    is_repeat: bool
+    late_ms: float = 0.0  # ms by which it may have been sent earlier: the tap looked late
 
 
 @dataclass(frozen=True)
-class Answered:
+class AttemptReported:
     """A placer was told of an attempt: accepted, refused, running, use or ended."""
 
     at: float
@@ -96,12 +97,12 @@
     machine: str
     key: Key
     kind: str
-    until: float = math.inf
-    again: bool = False
+    connection_ended_at: float = math.inf
+    is_repeat: bool = False
 
 
 @dataclass(frozen=True)
-class Withdrawn:
+class AttemptWithdrawn:
     """A placer told a machine that it wants the task of this attempt no more."""
 
     at: float
@@ -111,7 +112,7 @@
 
 
 @dataclass(frozen=True)
-class Adopted:
+class TaskAdopted:
     """A placer took over a task that the machine held."""
 
     at: float
@@ -122,7 +123,7 @@
 
 
 @dataclass(frozen=True)
-class Attached:
+class MachineAttached:
     """A machine named itself and its life to a placer."""
 
     at: float
@@ -131,11 +132,11 @@
     life: int
     incarnation: int
     started_ms: float = 0.0
-    until: float = math.inf
+    connection_ended_at: float = math.inf
 
 
 @dataclass(frozen=True)
-class Listed:
+class MachineListed:
     """A placer was told of a machine by the list; state 0: gone."""
 
     at: float
@@ -145,10 +146,21 @@
     zone: str
     cell: str
     started_ms: float
-    until: float = math.inf
+    connection_ended_at: float = math.inf
 
 
-Event = Asked | Told | Stream | Cancelled | Offered | Answered | Withdrawn | Adopted | Attached | Listed
+Event = (
+    TaskSubmitted
+    | OutcomeSent
+    | ClientStream
+    | TaskCancelled
+    | OfferSent
+    | AttemptReported
+    | AttemptWithdrawn
+    | TaskAdopted
+    | MachineAttached
+    | MachineListed
+)
 
 
 @dataclass
@@ -193,7 +205,7 @@
             for key in [key for key in self._owner if key[0] == message.connection]:
                 stream = self._owner.pop(key)
                 if stream.session:
-                    yield Stream(message.at, message.target, stream.session, False)
+                    yield ClientStream(message.at, message.target, stream.session, False)
         elif message.path == SUBMIT:
             yield from self._submit(message)
         elif message.path == OFFERS:
@@ -212,22 +224,24 @@
             again, session = not self._from_owner.fresh(stream.session, frame.seq), stream.session
             if kind == "submit":
                 left = frame.submit.left_ms
-                yield Asked(at, placer, session, frame.task, left, False, stream.incarnation, again, frame.submit.task)
+                yield TaskSubmitted(
+                    at, placer, session, frame.task, left, False, stream.incarnation, again, frame.submit.task
+                )
             elif kind == "hand_over" and not again:
-                yield Asked(at, placer, session, frame.task, 0.0, True, stream.incarnation)
+                yield TaskSubmitted(at, placer, session, frame.task, 0.0, True, stream.incarnation)
             elif kind == "cancel" and not again:
-                yield Cancelled(at, placer, stream.session, frame.task)
+                yield TaskCancelled(at, placer, stream.session, frame.task)
             return
         answer = placer_pb2.PlacerFrame.FromString(message.data)
         kind = answer.WhichOneof("body")
         if kind == "welcome":
             stream.session, stream.incarnation = answer.welcome.session, answer.welcome.incarnation
-            yield Stream(at, placer, stream.session, True)
+            yield ClientStream(at, placer, stream.session, True)
         elif kind is not None and self._to_owner.fresh(stream.session, answer.seq):
             told = answer.refused_all.tasks if kind == "refused_all" else (answer.task,)
             word = "refused" if kind == "refused_all" else str(kind)
             for task in told:
-                yield Told(at, placer, stream.incarnation, stream.session, task, word, message.late)
+                yield OutcomeSent(at, placer, stream.incarnation, stream.session, task, word, message.late_ms)
 
     def _offer(self, message: Message) -> Iterator[Event]:
         stream = self._machine.setdefault((message.connection, message.stream), _MachineStream())
@@ -243,30 +257,32 @@
                 key = (stream.number, stream.incarnation, offer.request, offer.attempt)
                 again = key in self._offers
                 self._offers.add(key)
-                yield Offered(at, placer, machine, key, offer.name, offer.task, offer.wait_ms, again, message.late)
+                yield OfferSent(at, placer, machine, key, offer.name, offer.task, offer.wait_ms, again, message.late_ms)
             elif kind == "withdraw":
                 gone = frame.withdraw
-                yield Withdrawn(at, placer, machine, (stream.number, gone.incarnation, gone.request, gone.attempt))
+                yield AttemptWithdrawn(
+                    at, placer, machine, (stream.number, gone.incarnation, gone.request, gone.attempt)
+                )
             elif kind == "adopt":
                 key = (stream.number, stream.incarnation, frame.adopt.request, 0)
                 if key not in self._offers:
                     self._offers.add(key)
-                    yield Adopted(at, placer, machine, key, frame.adopt.name)
+                    yield TaskAdopted(at, placer, machine, key, frame.adopt.name)
             return
         answer = machine_pb2.FromMachine.FromString(message.data)
         kind = answer.WhichOneof("body")
         if kind == "attached":
             stream.session = answer.attached.session
             told = answer.attached
-            yield Attached(at, placer, machine, told.life, stream.incarnation, told.started_ms, until)
+            yield MachineAttached(at, placer, machine, told.life, stream.incarnation, told.started_ms, until)
             for held in answer.attached.held:
                 if held.incarnation == stream.incarnation:
                     key = (stream.number, stream.incarnation, held.request, held.attempt)
-                    yield Answered(at, placer, machine, key, "accepted", until)
+                    yield AttemptReported(at, placer, machine, key, "accepted", until)
         elif kind is not None and answer.seq:
             again = not self._from_machine.fresh(stream.session, answer.seq)
             key = (stream.number, stream.incarnation, answer.request, answer.attempt)
-            yield Answered(at, placer, machine, key, str(kind), until, again)
+            yield AttemptReported(at, placer, machine, key, str(kind), until, again)
 
     def _listed(self, message: Message) -> Iterator[Event]:
         update = fleet_pb2.FleetUpdate.FromString(message.data)
@@ -275,10 +291,10 @@
         known = self._known.setdefault(placer, set())
         if update.whole:
             for machine in sorted(known - {entry.name for entry in update.entries}):
-                yield Listed(at, placer, machine, 0, "", "", 0.0, until)
+                yield MachineListed(at, placer, machine, 0, "", "", 0.0, until)
         for entry in update.entries:
             known.add(entry.name)
-            yield Listed(at, placer, entry.name, entry.state, entry.zone, entry.cell, entry.started_ms, until)
+            yield MachineListed(at, placer, entry.name, entry.state, entry.zone, entry.cell, entry.started_ms, until)
 
 
 def trace(records: Iterator[Record]) -> Iterator[Event]:
--- a/sprucepost/rules/views.py
+++ b/sprucepost/rules/views.py
@@ -1,7 +1,7 @@
-"""What placers know of each other (docs/view.md), judged from recorded bytes and from the views that they wrote.
+"""What placers know of each other (docs/view.md), checked from recorded bytes and from the views that they wrote.
 
 =================  ==============================================  =====================================================
-verdict            evidence                                        broken where
+result            evidence                                        broken where
 =================  ==============================================  =====================================================
 view settles       the last beats that each placer sent, as        the digests of those that run differ, or one's last
                    recorded; its last ``view`` line                view is not who runs, 15 s after the last fault
@@ -21,7 +21,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from sprucepost.rules.checks import Run, Verdict
+from sprucepost.rules.checker import RuleResult, RunHistory
 from sprucepost.rules.streams import Closed, Message
 from sprucepost.v1 import peer_pb2 as pb
 
@@ -39,7 +39,7 @@
 
 
 @dataclass
-class Course:
+class ProcessHistory:
     """What the run did, as spans of time: when each placer ran, and when links or lives were troubled."""
 
     up: dict[str, list[list[float]]] = field(default_factory=dict)  # by placer: from, until
@@ -58,9 +58,9 @@
         return {placer for placer, spans in self.up.items() if spans and spans[-1][1] == float("inf")}
 
 
-def course(events: Iterable[dict[str, Any]]) -> Course:
+def process_history(events: Iterable[dict[str, Any]]) -> ProcessHistory:
     """From what the run wrote down."""
-    found, open_faults = Course(), dict[str, list[float]]()
+    found, open_faults = ProcessHistory(), dict[str, list[float]]()
     for event in events:
         what, at, placer = event["what"], float(event["at"]), str(event.get("placer", ""))
         if what == "started":
@@ -87,15 +87,15 @@
     return found
 
 
-def judge_views(
+def check_views(
     found: Sequence[Message | Closed],
     events: Iterable[dict[str, Any]],
     lines: Mapping[str, list[dict[str, Any]]],
-    run: Run,
-) -> list[Verdict]:
+    history: RunHistory,
+) -> list[RuleResult]:
     """``lines``: the ``view`` lines of each placer's log, oldest first."""
-    what_was = course(events)
-    return [_settles(found, what_was, lines), _is_told(what_was, lines, run), _one_fleet(found, lines)]
+    processes = process_history(events)
+    return [_settles(found, processes, lines), _is_told(processes, lines, history), _one_fleet(found, lines)]
 
 
 def _frames(found: Iterable[Message | Closed]) -> Iterable[tuple[Message, str, pb.PeerFrame]]:
@@ -105,69 +105,71 @@
             yield message, by, pb.PeerFrame.FromString(message.data)
 
 
-def _settles(found: Iterable[Message | Closed], was: Course, lines: Mapping[str, list[dict[str, Any]]]) -> Verdict:
-    verdict = Verdict("view settles")
-    running = was.running()
+def _settles(
+    found: Iterable[Message | Closed], processes: ProcessHistory, lines: Mapping[str, list[dict[str, Any]]]
+) -> RuleResult:
+    result = RuleResult("view settles")
+    running = processes.running()
     said: dict[str, int] = {}
     for message, by, frame in _frames(found):
-        if frame.WhichOneof("word") == "beat" and was.ended_at - LAST_MS <= message.at <= was.ended_at:
+        if frame.WhichOneof("word") == "beat" and processes.ended_at - LAST_MS <= message.at <= processes.ended_at:
             said[by] = frame.beat.digest
     for placer in sorted(running):
-        verdict.checked += 1
+        result.checked += 1
         view = lines.get(placer, [])
         here = set(view[-1]["here"]) if view else {placer}
         if len(running) > 1 and placer not in said:
-            verdict.broken.append(f"{was.ended_at:.0f} ms: {placer} says nothing to any other")
+            result.broken.append(f"{processes.ended_at:.0f} ms: {placer} says nothing to any other")
         elif here != running:
             lacks, has = sorted(running - here), sorted(here - running)
-            verdict.broken.append(f"{was.ended_at:.0f} ms: {placer}'s view lacks {lacks} and has {has}")
+            result.broken.append(f"{processes.ended_at:.0f} ms: {placer}'s view lacks {lacks} and has {has}")
     if len({said[placer] for placer in running if placer in said}) > 1:
         text = ", ".join(f"{placer} {said[placer]:016x}" for placer in sorted(running) if placer in said)
-        verdict.broken.append(f"{was.ended_at:.0f} ms: digests differ: {text}")
-    return verdict
+        result.broken.append(f"{processes.ended_at:.0f} ms: digests differ: {text}")
+    return result
 
 
-def _is_told(was: Course, lines: Mapping[str, list[dict[str, Any]]], run: Run) -> Verdict:
-    verdict = Verdict("view is told")
-    if was.stepped:
-        return verdict
+def _is_told(processes: ProcessHistory, lines: Mapping[str, list[dict[str, Any]]], history: RunHistory) -> RuleResult:
+    result = RuleResult("view is told")
+    if processes.stepped:
+        return result
 
     def troubled(since: float, until: float, spans: list[tuple[float, float]]) -> bool:
         return any(start < until and since - QUIET_MS < end for start, end in spans)
 
     def say(at: float, text: str, placers: tuple[str, ...], since: float) -> None:
-        starved = max(run.starved_ms(placer, since, at) for placer in placers)
+        starved = max(history.starved_ms(placer, since, at) for placer in placers)
         if starved > STARVED_MS:
-            verdict.undecided.append(f"{at:.0f} ms: {text} (no processor for {starved:.0f} ms)")
+            result.undecided.append(f"{at:.0f} ms: {text} (no processor for {starved:.0f} ms)")
         else:
-            verdict.broken.append(f"{at:.0f} ms: {text}")
+            result.broken.append(f"{at:.0f} ms: {text}")
 
     for placer, view in sorted(lines.items()):
         for line in view:
             at = float(line["at_ms"])
-            if not was.ran(placer, at - QUIET_MS, at) or troubled(at - QUIET_MS, at, was.links):
+            if not processes.ran(placer, at - QUIET_MS, at) or troubled(at - QUIET_MS, at, processes.links):
                 continue
-            verdict.checked += 1
+            result.checked += 1
             for other in line["away"]:
-                if was.ran(other, at - QUIET_MS, at):
+                if processes.ran(other, at - QUIET_MS, at):
                     say(at, f"{placer} has {other} as away, which runs", (placer, other), at - QUIET_MS)
-    for at, gone in was.killed:
+    for at, gone in processes.killed:
         until = at + KNOWN_MS + SLACK_MS
-        again = any(at < start <= until for start, _ in was.up[gone])
-        others = [span for span in was.lives if not span[0] <= at <= span[1]]  # beside the fault that killed it
-        if again or until > was.ended_at or troubled(at, until, was.links) or troubled(at, until, others):
+        again = any(at < start <= until for start, _ in processes.up[gone])
+        others = [span for span in processes.lives if not span[0] <= at <= span[1]]  # beside the fault that killed it
+        if again or until > processes.ended_at or troubled(at, until, processes.links) or troubled(at, until, others):
             continue
-        for placer in sorted(was.up):
-            if placer != gone and was.ran(placer, at - QUIET_MS, until):
-                verdict.checked += 1
+        for placer in sorted(processes.up):
+            if placer != gone and processes.ran(placer, at - QUIET_MS, until):
+                result.checked += 1
                 told = [line for line in lines.get(placer, []) if at - 50.0 <= float(line["at_ms"]) <= until]
                 if not any(gone in line["away"] for line in told):
                     say(until, f"{placer} does not have {gone} as away, which was killed", (placer,), at)
-    return verdict
+    return result
 
 
-def _one_fleet(found: Iterable[Message | Closed], lines: Mapping[str, list[dict[str, Any]]]) -> Verdict:
-    verdict = Verdict("one fleet")
+def _one_fleet(found: Iterable[Message | Closed], lines: Mapping[str, list[dict[str, Any]]]) -> RuleResult:
+    result = RuleResult("one fleet")
     clusters: dict[tuple[int, int], dict[bool, str]] = {}
     names: dict[str, set[str]] = {}  # by cluster: members that have said so themselves
     for message, by, frame in _frames(found):
@@ -176,13 +178,13 @@
         if word == "hello":
             said[message.from_client] = frame.hello.cluster
             names.setdefault(frame.hello.cluster, set()).add(frame.hello.record.name)
-            verdict.checked += 1
+            result.checked += 1
         elif len(set(said.values())) > 1:
-            verdict.broken.append(f"{message.at:.0f} ms: {by} says {word} to a member of another cluster")
+            result.broken.append(f"{message.at:.0f} ms: {by} says {word} to a member of another cluster")
     of = {name: cluster for cluster, members in names.items() for name in members}
     for placer, view in sorted(lines.items()):
         for line in view:
             strange = [name for name in (*line["here"], *line["away"]) if of.get(name) not in (None, of.get(placer))]
             if strange:
-                verdict.broken.append(f"{float(line['at_ms']):.0f} ms: {placer} shows {', '.join(strange)}")
-    return verdict
+                result.broken.append(f"{float(line['at_ms']):.0f} ms: {placer} shows {', '.join(strange)}")
+    return result
--- a/tests/placer/support.py
+++ b/tests/placer/support.py
@@ -9,7 +9,8 @@
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.placer.daemon import Placer
 from sprucepost.placer.log import Logs
-from sprucepost.rules.checks import Run, judge
+from sprucepost.rules.checker import RunHistory
+from sprucepost.rules.checks import check_rules
 from sprucepost.rules.trace import trace
 from sprucepost.settings import Cluster, PlacerFile, PlacerOptions
 from sprucepost.settings.cluster import Kind, TaskClass
@@ -107,11 +108,11 @@
         self.placers.append(placer)
         return placer
 
-    def judge(self, run: Run | None = None) -> dict[str, list[str]]:
+    def check_rules(self, history: RunHistory | None = None) -> dict[str, list[str]]:
         """What is broken so far, by rule."""
         records = read_capture(b"".join(self.captured))
-        run = run or Run(ended_at=self.loop.wall())
-        return {verdict.rule[:1]: verdict.broken for verdict in judge(trace(records), self.cluster, run)}
+        history = history or RunHistory(ended_at=self.loop.wall())
+        return {result.rule[:1]: result.broken for result in check_rules(trace(records), self.cluster, history)}
 
     def owner(self, address: Address, name: str = "owner") -> tuple[OwnerLink, Followed]:
         followed = Followed()
--- a/tests/placer/test_path.py
+++ b/tests/placer/test_path.py
@@ -575,7 +575,7 @@
         yield from wait_for(lambda: len(followed.frames) == 51 and followed.outcomes("open"))
         waits = {followed.frames[f"t{n}"][0].refused.retry_after_ms for n in range(50)}
         frames = placer.owners.sessions[owner._token].session._sent
-        broken = [found for found in world.judge().values() if found]
+        broken = [found for found in world.check_rules().values() if found]
         return [followed.outcomes(f"t{n}") for n in range(50)], frames, len(waits) > 40, broken
 
     outcomes, frames, spread, broken = play(body)
--- a/tests/placer/test_storms.py
+++ b/tests/placer/test_storms.py
@@ -17,7 +17,7 @@
 
 def test_every_owner_and_machine_reconnecting_at_once_loses_no_task() -> None:
     """Each owner has asks open when its stream breaks, and asks on while it has none. Every ask is answered once, and the
-    judge finds no rule broken in the bytes."""
+    checkers find no rule broken in the bytes."""
 
     def body(world: World) -> Co[Any]:
         for n in range(MACHINES):
@@ -47,7 +47,7 @@
         once = all(len(followed.outcomes(name)) == 1 for _, followed in owners for name in followed.frames)
         placed = sum(followed.outcomes(name) == ["bound"] for _, followed in owners for name in followed.frames)
         resumed = sum(sum(followed.sessions) for _, followed in owners)
-        broken = {rule: found for rule, found in world.judge().items() if found}
+        broken = {rule: found for rule, found in world.check_rules().items() if found}
         return asked, once, placed > asked / 4, resumed, broken, placer.engine.ledger.open
 
     asked, once, placed, resumed, broken, still = play(body)
--- a/tests/rules/test_broken_placers.py
+++ b/tests/rules/test_broken_placers.py
@@ -12,7 +12,7 @@
 from sprucepost import interface as i
 from sprucepost.loop import Co, sleep
 from sprucepost.placer.daemon import Placer
-from sprucepost.rules.checks import Run
+from sprucepost.rules.checker import RunHistory
 from sprucepost.settings import Cluster
 from sprucepost.standin.tap import Condition
 from sprucepost.v1 import placer_pb2 as pb
@@ -53,7 +53,7 @@
             owner.submit(f"u{n}", task(task_class, service=service(n), cores=0.1), left_ms)
             yield from sleep(10)
     yield from sleep(left_ms + 400)
-    return world.judge()
+    return world.check_rules()
 
 
 def honest(world: World, placer: Placer) -> None: ...
@@ -199,8 +199,8 @@
         yield from sleep(900)
         end = world.loop.wall()
         return (
-            len(world.judge(Run(ended_at=end))["1"]),
-            len(world.judge(Run(ended_at=end, killed={"placer-0": [end - 800]}))["1"]),
+            len(world.check_rules(RunHistory(ended_at=end))["1"]),
+            len(world.check_rules(RunHistory(ended_at=end, killed={"placer-0": [end - 800]}))["1"]),
         )
 
     assert play(body) == (1, 0)
--- /dev/null
+++ b/tests/rules/test_checkers.py
@@ -0,0 +1,234 @@
+"""What the checkers take as proof: it errs neither way where words are lost, asks come again, or the tap is late."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+
+from sprucepost.rules import trace as t
+from sprucepost.rules.checker import RuleResult, RunHistory
+from sprucepost.rules.checks import check_rules
+from sprucepost.rules.record import history_of
+from sprucepost.v1 import common_pb2
+from tests.placer.support import cluster
+
+P, M, S = "placer-0", "m1", b"s"
+
+
+def asked(at: float, task: str = "t", left: float = 2000.0, session: bytes = S, again: bool = False) -> t.TaskSubmitted:
+    return t.TaskSubmitted(at, P, session, task, left, False, 5, again)
+
+
+def told(at: float, kind: str, task: str = "t", session: bytes = S, late_ms: float = 0.0) -> t.OutcomeSent:
+    return t.OutcomeSent(at, P, 5, session, task, kind, late_ms)
+
+
+def offered(at: float, request: int = 1, attempt: int = 0, cls: str = "once", **more: Any) -> t.OfferSent:
+    task = common_pb2.Task(task_class=cls, service="s", cores=1, memory=1)
+    return replace(t.OfferSent(at, P, M, (0, 5, request, attempt), "t", task, 300.0, False), **more)
+
+
+def listed(at: float, state: int = 2, until: float = float("inf"), started: float = 0.0) -> t.MachineListed:
+    return t.MachineListed(at, P, M, state, "room-a", "c", started, until)
+
+
+def result_of(rule: str, events: Sequence[t.Event], history: RunHistory | None = None) -> RuleResult:
+    return next(
+        result
+        for result in check_rules(events, cluster(), history or RunHistory(ended_at=1e6))
+        if result.rule.startswith(rule)
+    )
+
+
+# Rule 2: which ask a refusal speaks of
+
+EARLIER: list[t.Event] = [
+    asked(0),
+    offered(10),
+    t.AttemptReported(20, P, M, (0, 5, 1, 0), "accepted"),
+    told(21, "bound"),
+    told(500, "ended"),
+]
+
+
+def test_a_refusal_at_once_is_not_checked_against_an_earlier_ask_of_that_name() -> None:
+    assert not result_of("2", [*EARLIER, asked(2000), told(2001, "refused")]).broken
+
+
+def test_a_refusal_after_an_attempt_of_this_very_ask_is_a_break() -> None:
+    assert result_of("2", [*EARLIER, asked(2000), offered(2010, 2), told(3900, "refused")]).broken
+
+
+def test_a_joined_ask_is_checked_against_the_attempts_of_the_ask_that_it_joined() -> None:
+    events: list[t.Event] = [
+        asked(0),
+        offered(10),
+        asked(400, session=b"other"),
+        told(900, "refused", session=b"other"),
+    ]
+    assert result_of("2", events).broken
+
+
+def test_of_two_askers_the_second_answer_is_checked_like_the_first() -> None:
+    events: list[t.Event] = [
+        asked(0),
+        asked(5, session=b"other"),
+        offered(10),
+        told(900, "failed"),
+        told(901, "refused", session=b"other"),
+    ]
+    assert result_of("2", events).broken
+
+
+def test_an_ask_after_a_failed_one_begins_anew() -> None:
+    assert not result_of("2", [asked(0), offered(10), told(900, "failed"), asked(950), told(951, "refused")]).broken
+
+
+# Words that may not have arrived
+
+GONE = listed(1000, state=0, until=1010)
+
+
+def test_a_drain_that_went_out_to_a_socket_that_was_reset_at_once_is_no_proof() -> None:
+    found = result_of("3", [GONE, offered(3000)])
+    assert not found.broken and len(found.undecided) == 1
+    assert result_of("3", [replace(GONE, connection_ended_at=2000), offered(3000)]).broken
+
+
+def test_a_stopped_placer_has_read_nothing_before_it_went_on() -> None:
+    stopped = RunHistory(stalled={P: [(900, 3000)]}, ended_at=1e6)
+    assert not result_of("3", [replace(GONE, connection_ended_at=3010), offered(5000)], stopped).broken
+    assert result_of("3", [replace(GONE, connection_ended_at=4000), offered(5000)], stopped).broken
+
+
+def test_an_acceptance_that_never_arrived_was_not_told() -> None:
+    events: list[t.Event] = [
+        asked(0),
+        offered(10, cls="web"),
+        t.AttemptReported(20, P, M, (0, 5, 1, 0), "accepted", connection_ended_at=25),
+    ]
+    assert not result_of("2", [*events, offered(400, attempt=1, cls="web")]).broken
+    events[-1] = t.AttemptReported(20, P, M, (0, 5, 1, 0), "accepted")
+    assert result_of("2", [*events, offered(400, attempt=1, cls="web")]).broken
+
+
+def test_an_ask_that_was_sent_again_counts_from_then() -> None:
+    events: list[t.Event] = [asked(0, left=1000), asked(900, left=1000, again=True), told(1800, "refused")]
+    assert not result_of("1", events).broken
+    assert result_of("1", [events[0], events[2]]).broken
+
+
+def test_a_machine_s_own_word_tells_that_it_is_cold() -> None:
+    many: list[t.Event] = [offered(5000 + n, request=n) for n in range(20)]
+    assert result_of("4", [t.MachineAttached(4000, P, M, 2, 5, 3900.0), listed(4100, 1), *many]).broken
+    assert not result_of("4", [listed(4100, 1), *many]).broken
+
+
+# Lateness that is not the placer's
+
+
+def test_where_the_tap_was_late_there_is_no_verdict() -> None:
+    drain: list[t.Event] = [listed(0)]
+    assert result_of("3", [*drain, offered(1400)]).broken
+    found = result_of("3", [*drain, offered(1400, late_ms=500.0)])
+    assert not found.broken and "the tap was 500 ms late" in found.undecided[0]
+    found = result_of("1", [asked(0, left=500), told(1000, "refused", late_ms=400.0)])
+    assert not found.broken and len(found.undecided) == 1
+    twice: list[t.Event] = [offered(0), t.AttemptReported(5, P, M, (0, 5, 1, 0), "refused")]
+    assert not result_of("2", [*twice, offered(20, attempt=1)]).undecided
+    found = result_of("2", [offered(0, cls="web"), offered(200, attempt=1, cls="web", late_ms=100.0)])
+    assert not found.broken and len(found.undecided) == 1
+
+
+def test_where_a_placer_had_no_processor_there_is_no_verdict_but_a_stop_is_no_excuse() -> None:
+    late: list[t.Event] = [listed(0), offered(2000)]
+    found = result_of("3", late, RunHistory(starved={P: [(700, 1900)]}, ended_at=1e6))
+    assert not found.broken and "no processor" in found.undecided[0]
+    assert result_of("3", late, RunHistory(starved={P: [(700, 900)]}, ended_at=1e6)).broken
+    stopped = RunHistory(starved={P: [(100, 600)]}, stalled={P: [(100, 600)]}, ended_at=1e6)
+    assert result_of("3", late, stopped).broken
+
+
+def test_two_attempts_out_are_caught_whatever_the_tap_says() -> None:
+    assert result_of("2", [offered(0, cls="web"), offered(10, attempt=1, cls="web")]).broken
+
+
+def test_what_a_machine_held_in_an_earlier_life_is_not_spread_over_any_more() -> None:
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    first: list[t.Event] = [
+        t.MachineAttached(0, P, M, 1, 5),
+        offered(10, cls="web"),
+        t.AttemptReported(20, P, M, (0, 5, 1, 0), "accepted"),
+    ]
+    again = offered(2000, request=2, cls="web")
+    run = RunHistory(ended_at=1e6)
+    assert check_rules([*first, again], spread, run)[4].broken
+    assert not check_rules([*first, t.MachineAttached(1000, P, M, 2, 5), again], spread, run)[4].broken
+    assert check_rules([*first, t.MachineAttached(1000, P, M, 1, 5), again], spread, run)[4].broken
+
+
+def test_two_stops_that_overlap_are_one_from_the_first_on() -> None:
+    events = [
+        {"what": "placer_stopped", "placer": P, "at": 10.0},
+        {"what": "placer_stopped", "placer": P, "at": 50.0},
+        {"what": "placer_continued", "placer": P, "at": 90.0},
+        {"what": "placer_continued", "placer": P, "at": 120.0},
+        {"what": "placer_starved", "placer": P, "since": 5.0, "at": 95.0},
+    ]
+    run = history_of(events)
+    assert run.stalled == {P: [(10.0, 90.0)]} and run.starved_ms(P, 0.0, 200.0) == 10.0
+
+
+def test_an_attempt_takes_the_place_of_the_one_before_in_what_is_spread() -> None:
+    """Accepted where the tap sees it, and unread when its placer gave it up and offered again."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    accepted = t.AttemptReported(149.7, P, M, (0, 5, 1, 0), "accepted")
+    run = RunHistory(ended_at=1e6)
+    assert not check_rules([offered(0, cls="web"), accepted, offered(150, attempt=1, cls="web")], spread, run)[4].broken
+    assert check_rules([offered(0, cls="web"), accepted, offered(150, request=2, cls="web")], spread, run)[4].broken
+
+
+def test_a_withdrawn_task_is_not_spread_over_any_more() -> None:
+    """Accepted about its time-out: within it for the checker, too late for its placer, which withdrew it."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    late: list[t.Event] = [offered(0, cls="web"), t.AttemptReported(299, P, M, (0, 5, 1, 0), "accepted")]
+    again, run = offered(2000, request=2, cls="web"), RunHistory(ended_at=1e6)
+    assert check_rules([*late, again], spread, run)[4].broken
+    assert not check_rules([*late, t.AttemptWithdrawn(308, P, M, (0, 5, 1, 0)), again], spread, run)[4].broken
+    assert check_rules([*late, t.AttemptWithdrawn(308, P, M, (0, 5, 7, 0)), again], spread, run)[4].broken
+
+
+def test_an_adopted_task_counts_once() -> None:
+    """Accepted about its time-out: within it for the checker, too late for its placer, which adopted it by another one."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=2)])
+    late: list[t.Event] = [offered(0, cls="web"), t.AttemptReported(299, P, M, (0, 5, 1, 0), "accepted")]
+    again, run = offered(2000, request=3, cls="web", name="u"), RunHistory(ended_at=1e6)
+    assert not check_rules([*late, t.TaskAdopted(301, P, M, (0, 5, 2, 0), "t"), again], spread, run)[4].broken
+    other = offered(100, request=4, cls="web", name="v")
+    assert check_rules([*late, other, t.AttemptReported(350, P, M, (0, 5, 4, 0), "accepted"), again], spread, run)[
+        4
+    ].broken
+
+
+def test_a_task_that_was_given_up_is_not_spread_over_until_it_is_adopted() -> None:
+    """Accepted where the tap sees it, and unread when its placer, back from a pause, told its owner that it had failed."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    first: list[t.Event] = [asked(0), offered(10, cls="web"), t.AttemptReported(20, P, M, (0, 5, 1, 0), "accepted")]
+    again, run = offered(60, request=2, cls="web", name="u"), RunHistory(ended_at=1e6)
+    assert not check_rules([*first, told(50, "failed"), again], spread, run)[4].broken
+    assert check_rules([*first, told(50, "bound"), again], spread, run)[4].broken
+    assert check_rules([*first, told(50, "bound"), asked(52), told(55, "failed"), again], spread, run)[4].broken
+    adopted = t.TaskAdopted(55, P, M, (0, 5, 3, 0), "t")
+    assert check_rules([*first, told(50, "failed"), adopted, again], spread, run)[4].broken
+
+
+def test_an_ask_that_a_cut_let_go_to_a_process_long_dead_was_not_read() -> None:
+    """Held in the tap while its placer was killed. A successor has sessions of its own, and owes what is asked on those."""
+    held = asked(3500, left=1000)
+    old, new = t.ClientStream(0, P, held.session, True), t.ClientStream(3400, P, held.session, True)
+    run = RunHistory(killed={P: [1000.0]}, ended_at=1e6)
+    assert not result_of("1", [old, held], run).broken
+    assert result_of("1", [new, held], run).broken and result_of("1", [old, held], RunHistory(ended_at=1e6)).broken
--- a/tests/rules/test_views.py
+++ b/tests/rules/test_views.py
@@ -1,4 +1,4 @@
-"""The judge of views: an honest record passes, and each way of breaking a promise is found in it."""
+"""The checks of views: an honest record passes, and each way of breaking a promise is found in it."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 import pytest
 
 from sprucepost.peers.codec import encode
-from sprucepost.rules.checks import Run, Verdict
+from sprucepost.rules.checker import RuleResult, RunHistory
 from sprucepost.rules.streams import Closed, Message
-from sprucepost.rules.views import PEER, judge_views
+from sprucepost.rules.views import PEER, check_views
 from sprucepost.view.words import Beat, Hello, News, Word
 from tests.view.test_view import record
 
@@ -55,13 +55,15 @@
         message = Message(at, len(self.frames), stream, client, target, PEER, 1, from_client, encode(word), 0.0)
         self.frames.append(message)
 
-    def judged(self, run: Run | None = None) -> dict[str, Verdict]:
-        return {verdict.rule: verdict for verdict in judge_views(self.frames, self.events, self.lines, run or Run())}
+    def checked(self, run: RunHistory | None = None) -> dict[str, RuleResult]:
+        return {
+            result.rule: result for result in check_views(self.frames, self.events, self.lines, run or RunHistory())
+        }
 
 
 def test_an_honest_record_passes_and_is_looked_at() -> None:
-    for verdict in Record().judged().values():
-        assert not verdict.broken and not verdict.undecided and verdict.checked > 0
+    for result in Record().checked().values():
+        assert not result.broken and not result.undecided and result.checked > 0
 
 
 def another_digest(record: Record) -> None:
@@ -109,20 +111,20 @@
 def test_each_broken_promise_is_found(plant: Callable[[Record], None], rule: str) -> None:
     record = Record()
     plant(record)
-    broken = {name for name, verdict in record.judged().items() if verdict.broken}
+    broken = {name for name, result in record.checked().items() if result.broken}
     assert broken == {rule}
 
 
-def test_what_cannot_be_known_is_not_judged_or_undecided() -> None:
+def test_what_cannot_be_known_is_not_checked_or_undecided() -> None:
     record = Record()
     calls_a_living_one_away(record)
     record.events[5:5] = [
         {"what": "fault", "at": 43_000.0, "kind": "peer_cut"},
         {"what": "fault_over", "at": 44_000.0, "kind": "peer_cut"},
     ]
-    assert not record.judged()["view is told"].broken, "links were cut shortly before"
+    assert not record.checked()["view is told"].broken, "links were cut shortly before"
     record = Record()
     calls_a_living_one_away(record)
-    starved = Run(starved={"placer-2": [(47_000.0, 49_000.0)]})
-    found = record.judged(starved)["view is told"]
+    starved = RunHistory(starved={"placer-2": [(47_000.0, 49_000.0)]})
+    found = record.checked(starved)["view is told"]
     assert not found.broken and len(found.undecided) == 1
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1,9 +1,9 @@
-"""Plant defects in the placer, one at a time, and count the drawn days until the judge catches each.
+"""Plant defects in the placer, one at a time, and count the drawn days until a checker catches each.
 
     python tools/mutants.py [NAME ...] [--jobs 6] [--days 30] [--seed N] [--out docs/results/mutants.json]
 
 A mutation is a piece of the placer's text and what stands there instead (``mutations.json`` beside this file), applied to a
-copy of the package; stand-ins and judge in the copy are as they are here. Exit status 1 if one was not caught.
+copy of the package; stand-ins and checkers in the copy are as they are here. Exit status 1 if one was not caught.
 """
 
 from __future__ import annotations
