--- a/sprucepost/adapter.py
+++ b/sprucepost/adapter.py
@@ -15,10 +15,20 @@
 from sprucepost.brain import Scheduler
 
 EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
-PLACES = {"off": i.Place.NONE, "machine": i.Place.MACHINE, "cell": i.Place.CELL, "zone": i.Place.ZONE,
-          "all": i.Place.ALL}
-REPORTS = {"x0": "free_cores", "x1": "free_memory", "utilization": "busy", "backlog": "queue",
-           "recent_ms": "start_time"}
+PLACES = {
+    "off": i.Place.NONE,
+    "machine": i.Place.MACHINE,
+    "cell": i.Place.CELL,
+    "zone": i.Place.ZONE,
+    "all": i.Place.ALL,
+}
+REPORTS = {
+    "x0": "free_cores",
+    "x1": "free_memory",
+    "utilization": "busy",
+    "backlog": "queue",
+    "recent_ms": "start_time",
+}
 REPEAT_FLAG = 16
 
 
@@ -90,8 +100,9 @@
     if not len(cores) == len(memory) == len(names):
         raise ValueError("family_info.memory_by_kind: must give one value for each kind")
     return tuple(
-        i.MachineKind(str(name), _number("family_info.cores_by_kind", size),
-                      _number("family_info.memory_by_kind", room))
+        i.MachineKind(
+            str(name), _number("family_info.cores_by_kind", size), _number("family_info.memory_by_kind", room)
+        )
         for name, size, room in zip(names, cores, memory, strict=True)
     )
 
@@ -141,8 +152,9 @@
         over_share_worth=_number("over_share_worth", info.get("over_share_worth", 1.0)),
         max_retry_after=_number("policy_limits.max_retry_after", limits.get("max_retry_after", 0.0)),
         room_in_list=bool(family.get("free_in_list", False)),
-        report_counts=_choice("family_info.measured_by", {c.value: c for c in i.Counts},
-                              family.get("measured_by", "used")),
+        report_counts=_choice(
+            "family_info.measured_by", {c.value: c for c in i.Counts}, family.get("measured_by", "used")
+        ),
         runs_when_accepted=family.get("yes_at") == "running",
         preempts=bool(family.get("makes_room", False)),
     )
@@ -174,7 +186,7 @@
         return int(self.text(None if default is None else str(default)))
 
     def rest(self) -> str:
-        return " ".join(self.parts[self.at:])
+        return " ".join(self.parts[self.at :])
 
 
 def _entry(parts: _Parts) -> i.MachineEntry:
@@ -187,11 +199,26 @@
 
 def _request(parts: _Parts) -> i.TaskRequest:
     request, task_class, tenant, task, left = (
-        parts.integer(), parts.integer(), parts.integer(0), parts.text(""), parts.number())
+        parts.integer(),
+        parts.integer(),
+        parts.integer(0),
+        parts.text(""),
+        parts.number(),
+    )
     life = parts.text("")
     service, cores, memory, flags = parts.text(), parts.number(0.0), parts.number(0.0), parts.integer(0)
-    return i.TaskRequest(request, task_class, service, cores, memory, left, tenant, task,
-                         float(life) if life and flags & 1 else None, bool(flags & REPEAT_FLAG))
+    return i.TaskRequest(
+        request,
+        task_class,
+        service,
+        cores,
+        memory,
+        left,
+        tenant,
+        task,
+        float(life) if life and flags & 1 else None,
+        bool(flags & REPEAT_FLAG),
+    )
 
 
 class Adapter:
