--- a/tests/membership/test_course.py
+++ b/tests/membership/test_course.py
@@ -67,7 +67,9 @@
     assert stance(CHANGE, 5, Side.NEW, 2000.0).seat == 9
     assert stance(CHANGE, 3, Side.OLD, 2000.0, told=False).seat == 3
     back = replace(CHANGE, rollback=True)
-    assert stance(back, 5, Side.NEW, 2000.0, told=False) == stance(back, 5, Side.NEW, 2000.0), "everybody keeps its seat"
+    assert stance(back, 5, Side.NEW, 2000.0, told=False) == stance(back, 5, Side.NEW, 2000.0), (
+        "everybody keeps its seat"
+    )
 
 
 def seat(generation: Generation, number: int, side: Side, now: float, told: bool = True) -> i.Membership:
--- a/tests/support.py
+++ b/tests/support.py
@@ -64,9 +64,7 @@
 class Cluster:
     """One scheduler, a clock and the machines it was told of."""
 
-    def __init__(
-        self, config: i.Settings, *entries: i.MachineEntry, seed: int = 1, now: float = 100000.0
-    ) -> None:
+    def __init__(self, config: i.Settings, *entries: i.MachineEntry, seed: int = 1, now: float = 100000.0) -> None:
         self.scheduler = Scheduler(config, seed)
         self.now = now
         self.requests = 0
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -103,9 +103,7 @@
 def test_larger_machines_are_candidates_more_often() -> None:
     kinds = i.MachineKind("small", 16.0, 32.0), i.MachineKind("large", 64.0, 128.0)
     rooms = (16.0, 32.0), (64.0, 128.0)
-    machines = [
-        entry(f"m{n}", kind=n % 2, free_cores=rooms[n % 2][0], free_memory=rooms[n % 2][1]) for n in range(20)
-    ]
+    machines = [entry(f"m{n}", kind=n % 2, free_cores=rooms[n % 2][0], free_memory=rooms[n % 2][1]) for n in range(20)]
     cluster = Cluster(settings(kinds=kinds), *machines)
     orders = [cluster.scheduler.order(f"s{n}") for n in range(200)]
     assert 130 < sum(order[0].entry.kind for order in orders) < 190  # four fifths in the mean
@@ -294,9 +292,7 @@
         cluster = Cluster(settings(cls, accepts_cores=2.5, accepts_memory=2.0), entry("m"))
         cluster.at(0.0, i.TaskFound(cluster.ask("old"), "m"))
         for _ in range(1500):
-            cluster.at(
-                0.0, i.Note(1, 0, i.NoteKind.CORES_USED, use), i.Note(1, 0, i.NoteKind.MEMORY_USED, 2 * use)
-            )
+            cluster.at(0.0, i.Note(1, 0, i.NoteKind.CORES_USED, use), i.Note(1, 0, i.NoteKind.MEMORY_USED, 2 * use))
         return sum(cluster.place(f"s{n}", memory=0.1) is not None for n in range(100))
 
     assert placed(0.3) == 80
@@ -475,8 +471,10 @@
             cluster.end(running.pop(rng.randrange(len(running))), ending, 1.0, closed=True)
         if rng.random() < 0.1:
             cluster.at(1.0, full_list(entry("m", free_cores=20.0)))
-        sums = [sum(sign * attempt.task.ask.cores for _, sign, attempt in machine.ledger),
-                sum(sign * attempt.task.ask.memory for _, sign, attempt in machine.ledger)]
+        sums = [
+            sum(sign * attempt.task.ask.cores for _, sign, attempt in machine.ledger),
+            sum(sign * attempt.task.ask.memory for _, sign, attempt in machine.ledger),
+        ]
         assert machine.own == pytest.approx(sums, abs=1e-9)
 
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -34,9 +34,7 @@
     """Keeps its own account of what is allowed and checks every action against it."""
 
     def __init__(self, mode: i.ListMode) -> None:
-        config = settings(
-            *CLASSES, list_mode=mode, fall=FALL, warm_after=3000.0, cold_bears=6.0, max_attempts=4
-        )
+        config = settings(*CLASSES, list_mode=mode, fall=FALL, warm_after=3000.0, cold_bears=6.0, max_attempts=4)
         self.places = {f"m{n}": (n // 2, n % 3) for n in range(MACHINES)}
         self.state = dict.fromkeys(self.places, i.MachineState.READY)
         self.started = dict.fromkeys(self.places, 0.0)
@@ -127,9 +125,7 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(
-            ["ask", "ask", "ask", "accept", "end", "end", "list", "failed", "note", "wait", "gone"]
-        ),
+        st.sampled_from(["ask", "ask", "ask", "accept", "end", "end", "list", "failed", "note", "wait", "gone"]),
         st.integers(0, 10**6),
         st.integers(0, 7),
     ),
@@ -177,11 +173,7 @@
             judge.feed(i.Note(request, number, i.NoteKind(1 + other % 5), (pick % 100) / 100))
         elif word == "end" and live:
             request, number, sent = live[pick % len(live)]
-            endings = (
-                [i.Ending.OK, i.Ending.RESET]
-                if sent.accepted
-                else [e for e in i.Ending if e is not i.Ending.OK]
-            )
+            endings = [i.Ending.OK, i.Ending.RESET] if sent.accepted else [e for e in i.Ending if e is not i.Ending.OK]
             sent.ending = endings[pick % len(endings)]
             reason = i.Reason(other)
             judge.feed(i.Outcome(request, number, sent.ending, request in judge.answered, reason))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -77,9 +77,7 @@
 
 
 def test_a_keyed_task_that_may_run_stays_in_its_cell_and_its_window() -> None:
-    cluster = Cluster(
-        settings(task_class(**KEYED_CELL), max_attempts=4), entry("m", cell=1), entry("n", cell=2)
-    )
+    cluster = Cluster(settings(task_class(**KEYED_CELL), max_attempts=4), entry("m", cell=1), entry("n", cell=2))
     offer = cluster.place()
     assert offer is not None
     again = offers(cluster.end(offer, i.Ending.TIMEOUT))
@@ -154,13 +152,9 @@
         assert sum(first <= moment < first + 2000.0 + 2 * tick for moment in sent) <= 12 / 3
 
 
-@pytest.mark.parametrize(
-    ("n", "bears"), [(1, 6.0), (3, 7.0), (3, 2.0), (3, 1.0), (300, 40.0), (300, 1.0), (300, 0.0)]
-)
+@pytest.mark.parametrize(("n", "bears"), [(1, 6.0), (3, 7.0), (3, 2.0), (3, 1.0), (300, 40.0), (300, 1.0), (300, 0.0)])
 def test_all_schedulers_together_keep_to_the_cold_allowance_and_use_it(n: int, bears: float) -> None:
-    clusters = [
-        Cluster(settings(number=number, n_instances=n, cold_bears=bears), seed=number) for number in range(n)
-    ]
+    clusters = [Cluster(settings(number=number, n_instances=n, cold_bears=bears), seed=number) for number in range(n)]
     cold, sent = entry("cold", started=100001.0), []
     for cluster in clusters:
         cluster.at(10.0, full_list(cold))
@@ -221,4 +215,3 @@
     final = answers(cluster.at(3000.0, *late, *due, *late, *due))
     assert sorted(a.request for a in final) == sorted({ask.request for ask in asks} - accepted)
     assert not cluster.at(10.0, *late, *(timer for timer in due if timer.name != "turn"))
-
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -119,7 +119,19 @@
 
 
 def test_a_search_that_is_ended_ends_its_days(tmp_path: Path) -> None:
-    command = [sys.executable, "-m", "sprucepost", "badday", "--random", "--seeds", "1..2", "--jobs", "2", "--length", "24"]
+    command = [
+        sys.executable,
+        "-m",
+        "sprucepost",
+        "badday",
+        "--random",
+        "--seeds",
+        "1..2",
+        "--jobs",
+        "2",
+        "--length",
+        "24",
+    ]
     search = subprocess.Popen([*command, "--out", str(tmp_path)], stderr=subprocess.DEVNULL)
     until = time.monotonic() + 30.0
     while not list(tmp_path.glob("*/capture.bin")) and time.monotonic() < until:
