--- a/benchmarks/bursts.py
+++ b/benchmarks/bursts.py
@@ -39,7 +39,10 @@
 
     def __init__(self, loop: EpollLoop, scope: Scope, address: str) -> None:
         host, _, port = address.rpartition(":")
-        self.loop, self.link = loop, OwnerLink(loop, scope, (host, int(port)), "owner", self._frame, lambda resumed: None)
+        self.loop, self.link = (
+            loop,
+            OwnerLink(loop, scope, (host, int(port)), "owner", self._frame, lambda resumed: None),
+        )
         self.sent: dict[str, float] = {}
         self.bound: list[float] = []
         self.refused = self.failed = self.number = 0
@@ -60,7 +63,9 @@
             self.number += 1
             name = f"t{self.number}"
             self.sent[name] = self.loop.now()
-            task = common_pb2.Task(task_class="web", service=f"s{self.number % 50}", cores=0.01, memory=0.01, life_ms=100)
+            task = common_pb2.Task(
+                task_class="web", service=f"s{self.number % 50}", cores=0.01, memory=0.01, life_ms=100
+            )
             self.link.submit(name, task, 3000.0)
 
     def play(self, size: int, every_ms: float, length_ms: float) -> Co[dict[str, float]]:
--- a/benchmarks/light.py
+++ b/benchmarks/light.py
@@ -32,6 +32,7 @@
     def attach(self, call: ServerCall) -> None:
         seq = 0
         seen = 0
+
         def send(frame: machine_pb2.FromMachine) -> None:
             nonlocal seq
             seq += 1
@@ -78,7 +79,9 @@
         update = fleet_pb2.FleetUpdate(whole=True, entries=entries, beat_ms=600_000).SerializeToString()
         call.on_message = lambda data: call.send(update)
 
-    listing = Server(loop, scope, {"/sprucepost.v1.Fleet/Watch": Method(attach=watch)}, Options()).listen(("127.0.0.1", 0))
+    listing = Server(loop, scope, {"/sprucepost.v1.Fleet/Watch": Method(attach=watch)}, Options()).listen(
+        ("127.0.0.1", 0)
+    )
     print(json.dumps({"list": listing[1]}), flush=True)
     if sys.argv[3:] == ["serve"]:  # machines and list alone, for others' load
         yield from sleep(7_200_000)
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -27,7 +27,10 @@
 from tests.placer.support import cluster
 
 HOGS, GENERATORS, LENGTH_S = 3, 3, 5.0
-SEEK = (300.0, 1.4)  # asks a second at first, and the factor until less than FULFILLED of what is offered is placed in time
+SEEK = (
+    300.0,
+    1.4,
+)  # asks a second at first, and the factor until less than FULFILLED of what is offered is placed in time
 FULFILLED = 0.8
 TIMES = (2.0, 5.0)
 OWNERS = {"credit": {"credit": True, "batches": True}, "of before": {"credit": False, "batches": False}}
--- a/benchmarks/pairs.py
+++ b/benchmarks/pairs.py
@@ -52,7 +52,9 @@
     if not middle:
         raise SystemExit("pairs: needs two processors at least")
     halves = [set(processors[:middle]), set(processors[middle:])]
-    kept = [(checkout / FILE, (checkout / FILE).read_bytes()) for checkout in checkouts]  # a pair is no result of its own
+    kept = [
+        (checkout / FILE, (checkout / FILE).read_bytes()) for checkout in checkouts
+    ]  # a pair is no result of its own
     ratios: dict[str, list[float]] = {name: [] for name in CASES}
     try:
         for _ in range(arguments.rounds):
--- a/benchmarks/refusals.py
+++ b/benchmarks/refusals.py
@@ -78,7 +78,11 @@
 def apart(less: dict[str, Any], more: dict[str, Any]) -> float:
     """What a refused ask costs, in placed ones, from two floods of which a different part was refused."""
     (placed, refused, cost_us), (placed_more, refused_more, cost_more_us) = (
-        (row["asked"] * (1.0 - row["refused_share"]), row["asked"] * row["refused_share"], row["asked"] * row["cpu_us_each"])
+        (
+            row["asked"] * (1.0 - row["refused_share"]),
+            row["asked"] * row["refused_share"],
+            row["asked"] * row["cpu_us_each"],
+        )
         for row in (less, more)
     )
     det = placed * refused_more - placed_more * refused
--- a/benchmarks/stream_cpu.py
+++ b/benchmarks/stream_cpu.py
@@ -84,8 +84,10 @@
                 "grpc_aio_us": round(mean["aio"], 1),
                 "ratio": round(mean["ours"] / mean["aio"], 2),
             }
-            print(f"{mode}: ours {mean['ours']:.1f} us, grpc.aio {mean['aio']:.1f} us a message, "
-                  f"ratio {result[mode]['ratio']}")
+            print(
+                f"{mode}: ours {mean['ours']:.1f} us, grpc.aio {mean['aio']:.1f} us a message, "
+                f"ratio {result[mode]['ratio']}"
+            )
         Path("docs/results/stream-cpu.json").write_text(json.dumps(result, indent=1) + "\n")
     finally:
         for process, _ in servers.values():
--- a/benchmarks/view_rough.py
+++ b/benchmarks/view_rough.py
@@ -40,7 +40,9 @@
         for moment, what in process.told
         if isinstance(what, Changed) and what.away and moment > SETTLE_MS
     ]
-    print(f"{members} members, {minutes} minutes, seed {seed}: {resets} times 5 % of streams reset, {stops} stops of 1 s")
+    print(
+        f"{members} members, {minutes} minutes, seed {seed}: {resets} times 5 % of streams reset, {stops} stops of 1 s"
+    )
     print(f"{len(told)} times somebody told a living member as away {told[:5]}; {world.words} words")
     return 1 if told else 0
 
