Stand-ins: the simulated machine apart from its types and from the copies of keyed tasks

Cause: standin/model.py held the machine's parameters, offers, events, the registry of keyed copies and the machine itself in 554 lines, and an attempt was named by a bare tuple. Scenario fields and the counters' names stay.

--- a/sprucepost/standin/daemons.py
+++ b/sprucepost/standin/daemons.py
@@ -12,8 +12,8 @@
 from sprucepost.loop import Address, Co, Loop, Scope, sleep
 from sprucepost.settings import Cluster
 from sprucepost.standin.listing import Listing
+from sprucepost.standin.machine_types import MachineModel
 from sprucepost.standin.machines import Field, class_models
-from sprucepost.standin.model import MachineModel
 from sprucepost.standin.orders import Orders
 from sprucepost.standin.owners import Owners, Service
 from sprucepost.standin.tap import Tap
--- /dev/null
+++ b/sprucepost/standin/machine_types.py
@@ -0,0 +1,174 @@
+"""Types of the simulated machine: its parameters, offers and tasks, and the events that it reports."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+
+class MachineState(Enum):
+    """Whether the machine runs, and takes new tasks."""
+
+    DOWN = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Reason(Enum):
+    """Refusals and losses, by the numbers of the wire."""
+
+    UNTOLD = 0
+    NO_CORES = 1
+    NO_MEMORY = 2
+    QUEUE_FULL = 3
+    NOT_HERE = 4
+    EVICTED = 5
+    PUSHED_OUT = 6
+    SENT_AWAY = 7
+
+
+class EndKind(Enum):
+    """How a task on the machine ended."""
+
+    DONE = 0
+    LOST = 1
+    STOPPED = 2
+    UNCLAIMED = 3
+
+
+@dataclass(frozen=True)
+class ClassModel:
+    """What tasks of a class do on a machine."""
+
+    name: str
+    work_ms: float = 40.0  # of a start, on a machine that holds the program
+    keyed: bool = False
+    window_ms: float = 0.0
+    kind: str | None = None
+    priority: int = 0
+    calm: float = 0.8
+    fade: float = 0.2
+    cores_use: float = 0.55  # mean share of what was asked
+    memory_use: float = 0.7
+    use_sigma: float = 0.4
+    burst: float = 2.0  # cap on use, times what was asked
+    memory_burst: float = 1.4
+
+
+@dataclass(frozen=True)
+class MachineModel:
+    """One machine's size and behaviour."""
+
+    name: str
+    kind: str
+    zone: str
+    cell: str
+    cores: float
+    memory: float
+    accepts_cores: float = 1.5
+    accepts_memory: float = 1.5
+    admit_ms: float = 15.0
+    admit_queue: int = 16
+    starts: int = 2
+    setup: float = 8.0
+    kept: int = 6
+    cold_from: float = 0.2
+    warm_ms: float = 15_000.0
+    cold_bears: float = 12.0
+    fall_ms: float = 2000.0
+    fall_multiple: float = 4.0
+    preempts: bool = False
+    sends_away: bool = True
+    report_ms: float = 400.0
+    report_counts: str = "used"
+    unclaimed_ms: float = 4000.0
+    change_ms: float = 8000.0
+
+
+class AttemptId(NamedTuple):
+    """Which attempt: that of which placer, and which incarnation of it."""
+
+    placer: int
+    incarnation: int
+    request: int
+    attempt: int
+
+
+@dataclass
+class Offer:
+    """An offer as it arrived."""
+
+    attempt_id: AttemptId
+    name: str
+    cls: ClassModel
+    service: str
+    cores: float
+    memory: float
+    tenant: str
+    life_ms: float
+    wait_ms: float
+    arrived: float = 0.0
+
+
+@dataclass
+class Task:
+    """An accepted offer."""
+
+    offer: Offer
+    accepted: float
+    running: bool = False
+    claimed: bool = True  # False: a copy that nobody waits for
+    use: tuple[float, float] = (0.0, 0.0)
+    factor: tuple[float, float] = (1.0, 1.0)
+    until: float = math.inf
+    has_ended: bool = False
+
+
+@dataclass(frozen=True)
+class OfferAnswered:
+    """An offer was looked at; ``reason`` None: accepted."""
+
+    attempt_id: AttemptId
+    reason: Reason | None
+
+
+@dataclass(frozen=True)
+class TaskStarted:
+    """A task has begun to run."""
+
+    attempt_id: AttemptId
+
+
+@dataclass(frozen=True)
+class TaskUse:
+    """What a task uses, how well it is served (None: in full) and the machine's memory (None: not short)."""
+
+    attempt_id: AttemptId
+    cores: float
+    memory: float
+    served: float | None
+    machine_memory: float | None
+
+
+@dataclass(frozen=True)
+class TaskEnded:
+    """A task has left the machine."""
+
+    attempt_id: AttemptId
+    kind: EndKind
+    reason: Reason = Reason.UNTOLD
+
+
+MachineEvent = OfferAnswered | TaskStarted | TaskUse | TaskEnded
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """A load report, as fresh as ``report_ms`` allows."""
+
+    free_cores: float
+    free_memory: float
+    busy: float
+    queue: float
--- a/sprucepost/standin/machines.py
+++ b/sprucepost/standin/machines.py
@@ -11,8 +11,10 @@
 
 from sprucepost.loop import Address, Co, Loop, Scope, TimedOut, Timer, sleep
 from sprucepost.settings import Cluster
-from sprucepost.standin import model as m
+from sprucepost.standin import machine_types as m
+from sprucepost.standin.key_group import KeyGroup
 from sprucepost.standin.orders import Orders
+from sprucepost.standin.simulated_machine import SimulatedMachine
 from sprucepost.v1 import common_pb2, fleet_pb2, machine_pb2
 from sprucepost.wire.client import ClientCall, open_client
 from sprucepost.wire.connection import Options
@@ -44,12 +46,12 @@
 
     def __init__(self, field: Field, model: m.MachineModel, address: Address) -> None:
         self.field, self.loop = field, field.loop
-        self.model = m.Machine(model, field.loop.rng(), self._happen, lambda cls: field.group(cls, model))
+        self.model = SimulatedMachine(model, field.loop.rng(), self._happen, lambda cls: field.group(cls, model))
         self.life = 0
         self.links: dict[int, Link] = {}
         self.answer_loss = 0.0
         self.lost_answers = 0
-        self._muted: set[m.Identity] = set()  # attempts of which no word goes out
+        self._muted: set[m.AttemptId] = set()  # attempts of which no word goes out
         self.counts: Counter[str] = Counter()
         self._rng = field.loop.rng()
         self._wanted = address
@@ -113,7 +115,7 @@
             call.finish(RpcError(Code.INVALID_ARGUMENT, "hello must come first"))
             return
         hello, link = frame.hello, self.links.get(frame.hello.number)
-        if self.model.state is m.State.DOWN or self.model.fallen:
+        if self.model.state is m.MachineState.DOWN or self.model.fallen:
             call.finish(RpcError(Code.UNAVAILABLE, "down"))
             return
         if link is not None and hello.incarnation < link.incarnation:
@@ -176,31 +178,42 @@
         if kind == "offer":
             self.counts["offers"] += 1
             offer = frame.offer
-            ident = (link.number, link.incarnation, offer.request, offer.attempt)
+            attempt_id = m.AttemptId(link.number, link.incarnation, offer.request, offer.attempt)
             cls = self.field.classes.get(offer.task.task_class)
             if cls is None:
-                self._happen(m.Answered(ident, m.Why.NOT_HERE))
+                self._happen(m.OfferAnswered(attempt_id, m.Reason.NOT_HERE))
             else:
                 task = offer.task
                 self.model.offer(
-                    m.Offer(ident, offer.name, cls, task.service, task.cores, task.memory, task.tenant, task.life_ms,
-                            offer.wait_ms),
+                    m.Offer(
+                        attempt_id,
+                        offer.name,
+                        cls,
+                        task.service,
+                        task.cores,
+                        task.memory,
+                        task.tenant,
+                        task.life_ms,
+                        offer.wait_ms,
+                    ),
                     now,
-                )  # fmt: skip
+                )
         elif kind == "withdraw":
             withdraw = frame.withdraw
-            self.model.withdraw((link.number, withdraw.incarnation, withdraw.request, withdraw.attempt), now)
+            attempt_id = m.AttemptId(link.number, withdraw.incarnation, withdraw.request, withdraw.attempt)
+            self.model.withdraw(attempt_id, now)
         elif kind == "release":
             release = frame.release
-            self.model.unclaim((link.number, release.incarnation, release.request, release.attempt), now)
+            attempt_id = m.AttemptId(link.number, release.incarnation, release.request, release.attempt)
+            self.model.unclaim(attempt_id, now)
         elif kind == "renounce":
             self.links.pop(link.number, None)
             call.finish()
             return
         elif kind == "adopt":
             adopt = frame.adopt
-            old = (link.number, adopt.old_incarnation, adopt.old_request, adopt.old_attempt)
-            new = (link.number, link.incarnation, adopt.request, 0)
+            old = m.AttemptId(link.number, adopt.old_incarnation, adopt.old_request, adopt.old_attempt)
+            new = m.AttemptId(link.number, link.incarnation, adopt.request, 0)
             if not self.model.adopt(old, new):
                 self._send(link, new, ended=machine_pb2.TaskEnded(how=machine_pb2.TaskEnded.LOST))
         self.schedule()
@@ -233,46 +246,46 @@
         self.model.advance(self.field.now())
         self.schedule()
 
-    def _happen(self, what: m.Happening) -> None:
-        number, incarnation = what.ident[:2]
+    def _happen(self, what: m.MachineEvent) -> None:
+        number, incarnation = what.attempt_id.placer, what.attempt_id.incarnation
         link = self.links.get(number)
-        if isinstance(what, m.Answered):
-            self.counts["accepted" if what.why is None else f"refused {what.why.name.lower()}"] += 1
+        if isinstance(what, m.OfferAnswered):
+            self.counts["accepted" if what.reason is None else f"refused {what.reason.name.lower()}"] += 1
             if self.answer_loss and self._rng.random() < self.answer_loss:
                 self._mute_task(what)
                 return
-        elif isinstance(what, m.Ended):
-            self.counts[f"ended {what.how.name.lower()}"] += 1
+        elif isinstance(what, m.TaskEnded):
+            self.counts[f"ended {what.kind.name.lower()}"] += 1
         self.field.touched(self)
-        if what.ident in self._muted:
+        if what.attempt_id in self._muted:
             return
         if link is None or link.incarnation != incarnation:
             return  # an older incarnation's: its successor learns of the task when it attaches
-        if isinstance(what, m.Answered):
-            if what.why is None:
-                self._send(link, what.ident, accepted=machine_pb2.Accepted())
+        if isinstance(what, m.OfferAnswered):
+            if what.reason is None:
+                self._send(link, what.attempt_id, accepted=machine_pb2.Accepted())
             else:
-                reason = _reason(what.why)
-                self._send(link, what.ident, refused=machine_pb2.OfferRefused(reason=reason))
-        elif isinstance(what, m.Started):
-            self._send(link, what.ident, running=machine_pb2.TaskRunning())
-        elif isinstance(what, m.Used):
+                reason = _reason(what.reason)
+                self._send(link, what.attempt_id, refused=machine_pb2.OfferRefused(reason=reason))
+        elif isinstance(what, m.TaskStarted):
+            self._send(link, what.attempt_id, running=machine_pb2.TaskRunning())
+        elif isinstance(what, m.TaskUse):
             use = machine_pb2.TaskUse(cores=what.cores, memory=what.memory)
             if what.served is not None:
                 use.served_share = what.served
             if what.machine_memory is not None:
                 use.machine_memory = what.machine_memory
-            self._send(link, what.ident, use=use)
+            self._send(link, what.attempt_id, use=use)
         else:
-            ended = machine_pb2.TaskEnded(how=_how(what.how), reason=_reason(what.why))
-            self._send(link, what.ident, ended=ended)
+            ended = machine_pb2.TaskEnded(how=_how(what.kind), reason=_reason(what.reason))
+            self._send(link, what.attempt_id, ended=ended)
 
-    def _mute_task(self, what: m.Answered) -> None:
+    def _mute_task(self, what: m.OfferAnswered) -> None:
         """The work is done, but nothing of it ever comes back. Nobody will claim the copy by this stream."""
         self.lost_answers += 1
-        self._muted.add(what.ident)
-        if what.why is None:
-            self.model.unclaim(what.ident, self.field.now())
+        self._muted.add(what.attempt_id)
+        if what.reason is None:
+            self.model.unclaim(what.attempt_id, self.field.now())
 
     def _load(self) -> machine_pb2.Load:
         report = self.model.report(self.field.now())
@@ -280,8 +293,8 @@
             free_cores=report.free_cores, free_memory=report.free_memory, busy=report.busy, queue=report.queue
         )
 
-    def _send(self, link: Link, ident: m.Identity, **body: Any) -> None:
-        frame = Frame(request=ident[2], attempt=ident[3], load=self._load(), **body)
+    def _send(self, link: Link, attempt_id: m.AttemptId, **body: Any) -> None:
+        frame = Frame(request=attempt_id.request, attempt=attempt_id.attempt, load=self._load(), **body)
         try:
             frame.seq = link.session.number(frame)
         except SessionBroken:
@@ -296,10 +309,10 @@
     def entry(self) -> fleet_pb2.ListedMachine:
         """What the list is told of this machine."""
         model = self.model
-        cores, memory = model.asked()
+        cores, memory = model.requested()
         return fleet_pb2.ListedMachine(
             name=model.model.name,
-            state=_STATES[m.State.DOWN if model.fallen else model.state],
+            state=_STATES[m.MachineState.DOWN if model.fallen else model.state],
             zone=model.model.zone,
             cell=model.model.cell,
             kind=model.model.kind,
@@ -311,17 +324,17 @@
 
 
 _STATES = {
-    m.State.DOWN: fleet_pb2.MACHINE_STATE_GONE,
-    m.State.READY: fleet_pb2.MACHINE_STATE_READY,
-    m.State.DRAINING: fleet_pb2.MACHINE_STATE_DRAINING,
+    m.MachineState.DOWN: fleet_pb2.MACHINE_STATE_GONE,
+    m.MachineState.READY: fleet_pb2.MACHINE_STATE_READY,
+    m.MachineState.DRAINING: fleet_pb2.MACHINE_STATE_DRAINING,
 }
 
 
-def _reason(why: m.Why) -> common_pb2.Reason:
+def _reason(why: m.Reason) -> common_pb2.Reason:
     return common_pb2.Reason.Name(why.value)  # type: ignore[return-value]
 
 
-def _how(how: m.Over) -> machine_pb2.TaskEnded.How:
+def _how(how: m.EndKind) -> machine_pb2.TaskEnded.How:
     return machine_pb2.TaskEnded.How.Name(how.value)  # type: ignore[return-value]
 
 
@@ -343,9 +356,9 @@
             memory=offer.memory,
             tenant=offer.tenant,
         ),
-        request=offer.ident[2],
-        attempt=offer.ident[3],
-        incarnation=offer.ident[1],
+        request=offer.attempt_id.request,
+        attempt=offer.attempt_id.attempt,
+        incarnation=offer.attempt_id.incarnation,
         running=task.running,
     )
 
@@ -358,7 +371,7 @@
     ) -> None:
         self.loop, self.scope, self.cluster, self.classes = loop, scope, cluster, classes
         self.hosts: dict[str, MachineHost] = {}
-        self._groups: dict[str, m.KeyGroup] = {}
+        self._groups: dict[str, KeyGroup] = {}
         self._scopes = {cls.name: cls.group for cls in cluster.classes}
         self._list_at = list_at
         self._changed: dict[str, MachineHost] = {}
@@ -368,10 +381,10 @@
         """Wall-clock ms, as machines name their start by it."""
         return self.loop.now() + self._offset
 
-    def group(self, cls: m.ClassModel, model: m.MachineModel) -> m.KeyGroup:
+    def group(self, cls: m.ClassModel, model: m.MachineModel) -> KeyGroup:
         scope = self._scopes.get(cls.name, "all")
         place = {"all": "", "zone": model.zone, "cell": model.cell}[scope]
-        return self._groups.setdefault(f"{cls.name} {scope} {place}", m.KeyGroup())
+        return self._groups.setdefault(f"{cls.name} {scope} {place}", KeyGroup())
 
     def touched(self, host: MachineHost) -> None:
         """Its room has changed: the list hears of it with the next report."""
--- a/tests/placer/support.py
+++ b/tests/placer/support.py
@@ -15,8 +15,8 @@
 from sprucepost.settings import Cluster, PlacerFile, PlacerOptions
 from sprucepost.settings.cluster import Kind, TaskClass
 from sprucepost.standin.listing import Listing
+from sprucepost.standin.machine_types import MachineModel
 from sprucepost.standin.machines import Field, MachineHost, class_models
-from sprucepost.standin.model import MachineModel
 from sprucepost.standin.owner_link import OwnerLink
 from sprucepost.standin.tap import Tap
 from sprucepost.v1 import common_pb2
