Membership: a resize and the fleet's membership by their names; callbacks in a typed object

membership/course is membership/resize (Resize, KnownPlacer, is_known_to_all, is_complete, propose_end), placer/company is placer/fleet_membership. Its constructor took eight arguments, five of them callbacks: they are MembershipCallbacks now.

--- a/sprucepost/membership/course.py
+++ b/sprucepost/membership/resize.py
@@ -1,4 +1,4 @@
-"""A change of size in a fleet whose placers see each other: which generation counts, who has heard of it, when it is over.
+"""A resize of a fleet whose placers see each other: which generation counts, who knows of it, when it is over.
 
 Each placer's record says under which generation it runs, so an operator need tell one of them only. What follows from the
 records is this, and nothing else of another placer is used:
@@ -9,11 +9,11 @@
 newest           the highest number; of two with one number and  all run under one generation in the end
                  unlike content the larger size (which spends
                  less), then a fixed order
-disputed         somebody who is remembered holds another one    nobody takes a seat until all have the same
-                 of the same number
-told             nobody who is remembered has an older one       the new side takes its seats (else it is held)
-reported         every number of the new size is held by one     an end is proposed, ``LEAD_MS`` ahead; of several
-                 who is here, and nobody else is remembered      proposals the earliest counts
+is_disputed      a known placer holds another generation of the  nobody takes a seat until all have the same
+                 same number
+is_known_to_all  no known placer has an older generation         the new side takes its seats (else it is held)
+is_complete      every number of the new size is held by one     an end is proposed, ``LEAD_MS`` ahead; of several
+                 who is here, and nobody else is known           proposals the earliest counts
 ===============  ==============================================  ===================================================
 
 The end is a moment told ahead, not an order: all change seats at one time, which two layouts side by side would not bear.
@@ -30,12 +30,12 @@
 
 
 @dataclass(frozen=True)
-class Seated:
-    """Another placer, as its record tells it: here, or remembered and away."""
+class KnownPlacer:
+    """Another placer that has not left, as its record tells it: here, or away."""
 
     number: int
     generation: Generation
-    here: bool = True
+    is_here: bool = True
 
 
 def newest(one: Generation, other: Generation) -> Generation:
@@ -47,40 +47,40 @@
 
 
 @dataclass(frozen=True)
-class Course:
-    """What a placer of that number makes of what it and the others run under. ``others`` have not left."""
+class Resize:
+    """What a placer of that number knows of a resize: its own generation, and those of the others."""
 
     number: int
     generation: Generation
-    others: Collection[Seated]
+    others: Collection[KnownPlacer]
 
     @property
-    def disputed(self) -> bool:
-        """Somebody was told another thing under the same number."""
+    def is_disputed(self) -> bool:
+        """Whether another placer has another generation of the same number."""
         mine = self.generation
         return any(
             other.generation.number == mine.number and other.generation.order != mine.order for other in self.others
         )
 
     @property
-    def told(self) -> bool:
-        """Whether everybody who is remembered has heard of this generation."""
+    def is_known_to_all(self) -> bool:
+        """Whether every known placer has heard of this generation."""
         return all(other.generation.number >= self.generation.number for other in self.others)
 
     @property
-    def reported(self) -> bool:
+    def is_complete(self) -> bool:
         """Whether the fleet is what this generation wants it to be, and everybody runs under it."""
         numbers = [self.number, *(other.number for other in self.others)]
         return (
-            all(other.here and other.generation.order == self.generation.order for other in self.others)
+            all(other.is_here and other.generation.order == self.generation.order for other in self.others)
             and len(numbers) == self.generation.size
             and set(numbers) == set(range(self.generation.size))
         )
 
-    def over(self, now_ms: float) -> Generation | None:
-        """The generation with an end proposed, where the change can end before its overlap does."""
+    def propose_end(self, now_ms: float) -> Generation | None:
+        """The generation with an end proposed, where the resize can end before its overlap does; else None."""
         mine = self.generation
-        if mine.previous is None or mine.over_ms is not None or now_ms < mine.begins_ms or not self.reported:
+        if mine.previous is None or mine.over_ms is not None or now_ms < mine.begins_ms or not self.is_complete:
             return None
         ends = now_ms + LEAD_MS
         return replace(mine, over_ms=ends) if ends < mine.ends_ms else None
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -17,9 +17,9 @@
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
 from sprucepost.membership import Generation, Side
 from sprucepost.peers import Peers
-from sprucepost.placer.company import Company
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.fleet import FleetWatch
+from sprucepost.placer.fleet_membership import FleetMembership, MembershipCallbacks
 from sprucepost.placer.lease import resolve
 from sprucepost.placer.life import Facts, State, judge
 from sprucepost.placer.links import Links
@@ -105,7 +105,7 @@
         )
         self.health = Health()
         self.peers = self._peers()
-        self.company = self._company()
+        self.fleet_membership = self._membership()
         services = [SERVICE, "grpc.health.v1.Health"] + [PEER_SERVICE] * (self.peers is not None)
         methods = {
             **self.owners.methods(),
@@ -164,23 +164,25 @@
             tuple(options.seeds),
             self.file.placer.source,
             self._seen,
-            lambda: self.company.look() if self.company is not None else None,
+            self._check_membership,
             lambda event, **more: self.log.debug(event, **more),
         )
 
-    def _company(self) -> Company | None:
+    def _membership(self) -> FleetMembership | None:
         if self.peers is None:
             return None
-        return Company(
-            self.loop,
-            self.peers.view,
-            self.engine.desk.now,
-            self._adopt,
-            self.engine.desk.hear_fleet,
-            self._number_shared,
-            self._predecessor,
-            self._begin_links,
+        callbacks = MembershipCallbacks(
+            adopt=self._adopt,
+            resize_known=self.engine.desk.hear_fleet,
+            number_shared=self._number_shared,
+            predecessor=self._predecessor,
+            others_heard=self._begin_links,
         )
+        return FleetMembership(self.loop, self.peers.view, self.engine.desk.now, callbacks)
+
+    def _check_membership(self) -> None:
+        if self.fleet_membership is not None:
+            self.fleet_membership.check()
 
     def _seen(self, step: Changed) -> None:
         view = self.peers.view if self.peers is not None else None
@@ -252,9 +254,10 @@
         self.links.incarnation = self.owners.incarnation = self.incarnation
         self.log = self.log.bind(incarnation=self.incarnation)
         self.log.warning("incarnation_raised", known=known)
-        if self.company is not None and self.peers is not None:
-            self.company.incarnation = self.incarnation >> 16
-            self.peers.view.update(incarnation=max(self.company.incarnation, self.peers.view.me.incarnation))
+        if self.fleet_membership is not None and self.peers is not None:
+            self.fleet_membership.incarnation = self.incarnation >> 16
+            known_incarnation = self.peers.view.me.incarnation
+            self.peers.view.update(incarnation=max(self.fleet_membership.incarnation, known_incarnation))
         return True
 
     def _info(self, event: str, **more: Any) -> None:
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -8,8 +8,8 @@
 
 from sprucepost.loop import Loop
 from sprucepost.peers import Peers
-from sprucepost.placer.company import Company
 from sprucepost.placer.engine import Engine
+from sprucepost.placer.fleet_membership import FleetMembership
 from sprucepost.placer.links import Links
 from sprucepost.placer.owners import Owners
 from sprucepost.view import View
@@ -27,7 +27,7 @@
     server: Server
     slot_trouble: str
     peers: Peers | None
-    company: Company | None
+    fleet_membership: FleetMembership | None
 
     def not_ready(self) -> str: ...
     def list_age_ms(self) -> float: ...
@@ -54,13 +54,13 @@
 
 def _view_line(placer: Shown) -> str:
     """The fleet as it is seen from here, in one line; nothing where no view is kept."""
-    if placer.peers is None or placer.company is None:
+    if placer.peers is None or placer.fleet_membership is None:
         return ""
     view = placer.peers.view
     settled = (placer.loop.now() - view.moved) / 1000.0
     words = [f"view: {len(view.here)} here, {len(view.away)} away, size {view.me.generation.size}"]
     words += [f"digest {view.digest:016x}", f"settled for {settled:.1f} s"]
-    words += ["generation disputed"] * placer.company.disputed
+    words += ["generation disputed"] * placer.fleet_membership.disputed
     return ", ".join(words) + "\n"
 
 
@@ -135,7 +135,7 @@
                 peers.add_metric([side, name], count)
         yield from (outcomes, events, refusals, peers)
         if placer.peers is not None:
-            yield from _view_gauges(placer.peers, placer.company, placer.loop.now())
+            yield from _view_gauges(placer.peers, placer.fleet_membership, placer.loop.now())
         links = placer.links.all()
         for name, text, value in (
             ("open_tasks", "Tasks taken and not answered", engine.ledger.open),
@@ -159,7 +159,7 @@
             yield gauge
 
 
-def _view_gauges(peers: Peers, company: Company | None, now: float) -> Iterator[Any]:
+def _view_gauges(peers: Peers, company: FleetMembership | None, now: float) -> Iterator[Any]:
     from prometheus_client.core import GaugeMetricFamily
 
     view = peers.view
--- a/tests/membership/test_course.py
+++ b/tests/membership/test_resize.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from sprucepost import interface as i
-from sprucepost.membership import Course, Generation, Phase, Seated, Side, newest, stance
-from sprucepost.membership.course import LEAD_MS
+from sprucepost.membership import Generation, KnownPlacer, Phase, Resize, Side, newest, stance
+from sprucepost.membership.resize import LEAD_MS
 from tests.cold_fleet import START, Member, worst_window
 
 CHANGE = Generation(2, 6, previous=4, begins_ms=1000.0, overlap_ms=60_000.0, announced=True)
@@ -28,38 +28,38 @@
     assert newest(a, b).number == max(a.number, b.number)
 
 
-def others(*more: Seated, size: int = 6, generation: Generation = CHANGE) -> list[Seated]:
-    return [*(Seated(n, generation) for n in range(1, size)), *more]
+def others(*more: KnownPlacer, size: int = 6, generation: Generation = CHANGE) -> list[KnownPlacer]:
+    return [*(KnownPlacer(n, generation) for n in range(1, size)), *more]
 
 
 @pytest.mark.parametrize(
-    "seen, told, reported, disputed",
+    "seen, known, complete, disputed",
     [
         (others(), True, True, False),
         (others(size=5), True, False, False),  # one of the new size is missing
-        (others(Seated(6, CHANGE)), True, False, False),  # one above the new size is there
-        (others(Seated(5, CHANGE)), True, False, False),  # a number twice
-        (others(Seated(3, BEFORE, here=False)), False, False, False),  # cut off, and has not heard
-        (others(Seated(3, BEFORE)), False, False, False),
-        (others(Seated(3, CHANGE, here=False)), True, False, False),
-        (others(Seated(3, replace(CHANGE, size=9))), True, False, True),
-        (others(Seated(3, replace(CHANGE, over_ms=5.0))), True, False, False),  # its end is not another content
+        (others(KnownPlacer(6, CHANGE)), True, False, False),  # one above the new size is there
+        (others(KnownPlacer(5, CHANGE)), True, False, False),  # a number twice
+        (others(KnownPlacer(3, BEFORE, is_here=False)), False, False, False),  # cut off, and has not heard
+        (others(KnownPlacer(3, BEFORE)), False, False, False),
+        (others(KnownPlacer(3, CHANGE, is_here=False)), True, False, False),
+        (others(KnownPlacer(3, replace(CHANGE, size=9))), True, False, True),
+        (others(KnownPlacer(3, replace(CHANGE, over_ms=5.0))), True, False, False),  # its end is not another content
         (others(generation=replace(CHANGE, over_ms=9e9)), True, True, False),
     ],
 )
-def test_what_is_made_of_the_others(seen: list[Seated], told: bool, reported: bool, disputed: bool) -> None:
-    course = Course(0, CHANGE, seen)
-    assert (course.told, course.reported, course.disputed) == (told, reported, disputed)
+def test_what_is_made_of_the_others(seen: list[KnownPlacer], known: bool, complete: bool, disputed: bool) -> None:
+    resize = Resize(0, CHANGE, seen)
+    assert (resize.is_known_to_all, resize.is_complete, resize.is_disputed) == (known, complete, disputed)
 
 
 def test_an_end_is_proposed_ahead_once_and_only_where_it_helps() -> None:
-    course = Course(0, CHANGE, others())
-    assert course.over(999.0) is None, "it has not begun"
-    assert course.over(2000.0) == replace(CHANGE, over_ms=2000.0 + LEAD_MS)
-    assert course.over(61_000.0 - LEAD_MS) is None, "the overlap ends as soon"
-    assert Course(0, replace(CHANGE, over_ms=9000.0), others()).over(2000.0) is None
-    assert Course(0, CHANGE, others(size=5)).over(2000.0) is None
-    assert Course(0, Generation(2, 6), others(generation=Generation(2, 6))).over(2000.0) is None, "no change"
+    resize = Resize(0, CHANGE, others())
+    assert resize.propose_end(999.0) is None, "it has not begun"
+    assert resize.propose_end(2000.0) == replace(CHANGE, over_ms=2000.0 + LEAD_MS)
+    assert resize.propose_end(61_000.0 - LEAD_MS) is None, "the overlap ends as soon"
+    assert Resize(0, replace(CHANGE, over_ms=9000.0), others()).propose_end(2000.0) is None
+    assert Resize(0, CHANGE, others(size=5)).propose_end(2000.0) is None
+    assert Resize(0, Generation(2, 6), others(generation=Generation(2, 6))).propose_end(2000.0) is None, "no change"
 
 
 def test_the_new_side_waits_for_all_to_have_heard_and_the_old_one_does_not() -> None:
