Node: a release that overtakes its held-up answer is passed on, not offered again

Traced, both kinds alike: the host sends notes on the set-up (it stands there), its answer is held up by five seconds, and 0.2 to 0.35 s after the notes a release with cause 41 and the reason "sent_away" comes on the same connection. Tasks.answered took it for a set-up that broke on its way, whatever had been said before; notes on an open set-up were dropped in Hosts._line. The module offered the task to another host under the same id, which answered, and the client never heard of the end. The limit that ran out is the second after the host's release, less 50 ms: no host was silent, no connection dead, and the list played no part.

Now a release of an open set-up ends the task where a note came before it, or where its reason is one of tasks that had been accepted (evicted, pushed out, sent away): the client hears at once that it has failed, and comes again under another id.

Tests: tests/node/test_overtaken_answers.py, over loopback. Planted back, with both proofs or one of them left out, the rows of that proof fail (7, 4 and 3 of 10); without the note that the task is over the client that names it again is kept for ever; with full and moot taken for an end too, those rows fail. tests/node: 297 passed.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -413,6 +413,8 @@
             self._tasks.answered(out, line)
             self._retire(host, link)
             self._serve(host)
+        elif out is not None and line.word is Word.EVENT:
+            out.noted = True
         elif out is None and line.word in (Word.READY, Word.CLOSE, Word.EVENT):
             self._tasks.heard(host.uid, line)
 
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -13,6 +13,9 @@
 out         answer                            ``Accepted``; the owner gets the answer                        standing
 out         its end (16) with a description   ``Accepted``, ``Outcome`` ok; the owner gets answer and release  (over)
 out         refusal, error, moot, reset       ``Outcome``                                                    held
+out         reset of a task that had stood    ``Outcome`` reset; the owner hears that it has failed          (over)
+            there: its answer is still on
+            its way
 out         its time is up                    given up; ``Outcome`` timeout, or connect_failed if unwritten  held
 out         its connection broke              ``Outcome`` reset                                              held
 standing    note                              ``Note``
@@ -52,6 +55,9 @@
 LOOKED_MS = 100.0  # after a look at all sockets: later than that nothing is sent on without another
 BATCH_MOST = 8  # new tasks in one batch: each may cost the module 2 ms of a whole core, its service's first ask
 
+# A host resets a task for these only once it has answered it: before that it hands the task back as full.
+STOOD_REASONS = frozenset((i.Reason.EVICTED, i.Reason.PUSHED_OUT, i.Reason.SENT_AWAY))
+
 
 class Taken(Enum):
     """What became of a set-up."""
@@ -140,13 +146,14 @@
 class Out:
     """One attempt, from the module's decision until its end."""
 
-    __slots__ = ("entry", "link", "machine", "mark", "number", "sent", "timer", "until")
+    __slots__ = ("entry", "link", "machine", "mark", "noted", "number", "sent", "timer", "until")
 
     def __init__(self, entry: Entry, number: int, machine: str, sent: float, until: float) -> None:
         self.entry, self.number, self.machine, self.sent, self.until = entry, number, machine, sent, until
         self.timer: Timer | None = None
         self.link: Any = None  # the host's connection that carries it, or is to
         self.mark = 0  # so many bytes of that connection have been sent once it is out whole
+        self.noted = False  # whether the host has sent a note on the task, which it does only after its answer
 
     @property
     def sid(self) -> str:
@@ -400,7 +407,25 @@
             self.heard(out.machine, line)
             return
         ending = {34: i.Ending.FULL, 47: i.Ending.ERROR, 102: i.Ending.MOOT}.get(line.code or 0, i.Ending.RESET)
-        self.end(out, ending, self._reason(line), self._report(line.attrs.get("load")))
+        reason, report = self._reason(line), self._report(line.attrs.get("load"))
+        if ending is i.Ending.RESET and (out.noted or reason in STOOD_REASONS):
+            self._fail_unanswered(out, reason, report)
+        else:
+            self.end(out, ending, reason, report)
+
+    def _fail_unanswered(self, out: Out, reason: i.Reason, report: i.LoadReport | None) -> None:
+        """The task stood at its host and is over, and the host's answer has not come: it was held up, or lost.
+
+        What has stood and is over must be released towards its client within a second, so there is no further attempt:
+        under the same id the client would hear of the next one instead.
+        """
+        entry = out.entry
+        self.counters["failed_unanswered"] += 1
+        self._crossed.add(entry.request)
+        self._settle(entry, Outcome.FAILED)
+        self.early.note(entry.name, Early.OVER, self.loop.now())
+        self.end(out, i.Ending.RESET, reason, report)
+        entry.ask.owner.refuse(entry.name, FAILED, 0.0)
 
     def _accept(self, out: Out, text: str) -> None:
         entry, now = out.entry, self.loop.now()
