Node: an answer read while the module's refusal of the same task is carried out ends no placer

A host's answer read there settles the task; a Refuse or Fail of the same batch then met "which is over", an AssertionError that ends the process. Needs a request whose time is up together with its answer and a batch that stops for longer than 100 ms. The guard was there for what owners give up (_crossed) and is now for what hosts settle too.

--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -185,7 +185,7 @@
         self.on_settled: Callable[[], None] = lambda: None
         self.early = EarlyWords(LATE_MS)
         self._queue: FairQueue[Entry] = FairQueue()  # new tasks of which the module is to be told
-        self._crossed: set[int] = set()  # requests given up while the module's actions were carried out
+        self._crossed: set[int] = set()  # requests settled while the module's actions were carried out
         self._found: set[str] = set()  # services of tasks that stand, read since the last new ones were told
         desk.carry, desk.before = self._carry, self._tell
 
@@ -433,6 +433,7 @@
         if out.timer is not None:
             out.timer.cancel()
         entry.machine, entry.attempt = out.machine, out.number
+        self._crossed.add(entry.request)
         self._settle(entry, Outcome.PLACED)
         self._stand(entry)
         self._hold(entry, entry.ask.owner)
--- a/tests/node/test_overtaken_answers.py
+++ b/tests/node/test_overtaken_answers.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from sprucepost import interface as i
 from sprucepost.loop import Co, sleep
 from sprucepost.node.binary import Kind
 from sprucepost.node.jsonl import Line, Word
 from tests.node.platform import Day, Host, Link, answers, heard, play, setup
+from tests.node.test_tasks import SID, Around
 from tests.wire.support import wait_for
 
 TASK = "c0155aa5c7e00001"
@@ -107,3 +109,31 @@
         assert TASK not in day.service.tasks.standing.get(uid, {})
 
     play(tmp_path, body)
+
+
+@pytest.mark.parametrize(
+    ("line", "heard_by_client"),
+    [
+        (Line(Word.READY, SID, text="made"), ("answer", SID, "made")),
+        (Line(Word.CLOSE, SID, {"note": "sent_away"}, 41), ("refuse", SID, 41, 0.0)),
+    ],
+)
+@pytest.mark.parametrize("action", [i.Refuse, i.Fail])
+def test_what_its_host_settles_while_the_module_gives_it_up_is_settled_once(
+    line: Line, heard_by_client: tuple[object, ...], action: type[i.Refuse] | type[i.Fail]
+) -> None:
+    """Sockets are read between a decision and its being carried out; the task is not open any more by then."""
+    around = Around()
+    around.ask()
+    [out] = around.outs()
+
+    def decide(now: float, events: list[i.Event]) -> list[i.Action]:
+        if len(around.events) > 1:
+            return []
+        around.tasks.answered(out, line)
+        return [i.Fail(out.entry.request) if action is i.Fail else i.Refuse(out.entry.request, 0.0)]
+
+    around.desk.scheduler.handle = decide  # type: ignore[method-assign, assignment]
+    around.desk.wake()
+    around.loop.pass_ms(0.0)
+    assert around.events[1:] == [heard_by_client]
