Node: health checks and what silence means in a file of their own, behaviour unchanged

Names of the field: health check for test, SUSPECT_AFTER_MS, SILENT_AFTER_MS, CHECK_TIMEOUT_MS, REDIAL_MS, last_heard, silence_timer. Counters keep their names, since they are read in logs.

One difference in order: the silence of a host is reviewed before a host that has gone is forgotten, where both were in one loop; a host without tasks has neither to be suspected nor to be checked, so nothing follows from it.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -1,97 +1,31 @@
-"""Hosts' connections, and what their silence means.
+"""Hosts' connections.
 
 A set-up goes on a connection that carries no other where there may be one more: a line that cannot be read makes every
 set-up open on its connection one that may have run. A connection on which a set-up's time was up is used for no other:
 what may still come there belongs to that set-up, also where the same task is offered to the same host again.
 
 A standing task belongs to no connection, so one is kept to every host that has one. What the ends of connections prove:
-a refused one, that the process is gone, and its tasks with it; one that was reset or closed, nothing about standing tasks;
-one that says nothing, nothing either, until the host has answered no test for so long that the owners must be released.
-But a process that dies resets its connections, and not each reset comes through: so when the host ends one, or the list
-says that it has gone, the others are tested at once. A dead peer's system answers with a reset, and the next dial is
-refused.
-
-========== ================================ ==========================================================================
-a host     while                            what is done
-========== ================================ ==========================================================================
-heard      its last word is younger than    nothing: notes, answers and releases are words, and most hosts are heard
-           ``QUIET_MS``                     more often than that without being asked
-suspected  older, and a task of ours        a test on its connection; one without an answer within ``TEST_MS`` ends the
-           stands there                     connection; without one it is dialled every ``AGAIN_MS``, and a new connection
-                                            begins with a test
-silent     older than ``SILENT_MS``         its tasks' owners are released, at that moment; back again, it lets them go
-========== ================================ ==========================================================================
-
-A test costs the host work, and every placer of the fleet tests the same hosts: so the first one is as late as leaves time
-for the rest. A cut shorter than ``SILENT_MS`` is outlived by a task whose host was heard shortly before it, if the way back
-is found at once.
+a refused one, that the process is gone, and its tasks with it; one that was reset or closed, nothing about standing tasks.
+What silence means, and how it is told from an idle connection, is in ``health``.
 """
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 
 from sprucepost import interface as i
-from sprucepost.loop import Co, Loop, Scope, TimedOut, Timer, Transport, connect, current
-from sprucepost.node.bounds import LINGER_MS, MOST
+from sprucepost.loop import Co, Loop, Scope, TimedOut, connect, current
+from sprucepost.node import health
+from sprucepost.node.bounds import LINGER_MS
 from sprucepost.node.bulletin import Address, Told
-from sprucepost.node.jsonl import Decoder, Line, Word, encode
-from sprucepost.node.tasks import GIVEN_UP, LATE_MS, Out, Tasks
-
-TEST_MS = 1000.0  # a connection on which a test is not answered within this is of no use
-SILENT_MS = (
-    LATE_MS - 200.0
-)  # what is over must be released by then, and silence may begin with the end; the rest is slack
-QUIET_MS = SILENT_MS - 3 * TEST_MS  # a host with tasks is tested after that silence: three tests in a row may get lost
-AGAIN_MS = 200.0  # until a connection that failed is tried again, doubled for each before unless the host is suspected
-AGAIN_MOST_MS = 1600.0  # five in SILENT_MS: a host that is back is found while what stands there can still be told
-ENDED_MOST = 64  # ended set-ups that a connection remembers: copies of answers come within milliseconds
-TASKLESS = "0" * 16  # the id of a test
-
-
-class HostLink:
-    """One connection to a host.
-
-    A word is sorted by the id of its task alone. So a set-up that has ended here without an answer is sent again on another
-    connection where one is free: a second copy of that end would be taken for the end of the new attempt. None is opened
-    for it: hosts send copies of answers, by the platform's word, not of refusals, and most second attempts at once go to
-    a host that failed the first (a handshake each cost 0.010 of G on zone, two seeds, and on join).
-    """
-
-    def __init__(self, transport: Transport, now: float) -> None:
-        self.transport = transport
-        self.decoder = Decoder()
-        self.open: dict[str, Out] = {}
-        self.ended: deque[str] = deque(maxlen=ENDED_MOST)  # set-ups that ended here without an answer
-        self.used = now
-        self.tested: float | None = None  # since when a test has had no answer
-        self.retired = False
-
-    def overdue(self, now: float) -> bool:
-        """Whether a test has had no answer in its time."""
-        return self.tested is not None and now - self.tested > TEST_MS
+from sprucepost.node.health import HealthChecks
+from sprucepost.node.host import Host, HostLink
+from sprucepost.node.jsonl import Line, Word, encode
+from sprucepost.node.tasks import GIVEN_UP, Out, Tasks
 
-    @property
-    def usable(self) -> bool:
-        """Whether a set-up may be written now, whole."""
-        return not (self.retired or self.transport.closed or self.transport.buffered or self.decoder.waiting)
-
-
-class Host:
-    """One host of the list."""
-
-    def __init__(self, uid: str, address: Address, started: float) -> None:
-        self.uid, self.address, self.started = uid, address, started
-        self.links: list[HostLink] = []
-        self.waiting: list[Out] = []  # offers for which a connection is being opened
-        self.dialing = 0
-        self.failures = 0
-        self.dial_at = 0.0
-        self.heard = 0.0  # when it last said something; while it has no task, that does not matter
-        self.verdict: Timer | None = None  # when its silence will have lasted too long
-        self.letting: dict[str, float] = {}  # tasks that it is to end, and until when that is worth saying
-        self.gone = False
+REDIAL_MS = 200.0  # until a connection that failed is tried again, doubled for each before unless the host is suspected
+REDIAL_MOST_MS = 1600.0  # five in the time until it is silent: a host that is back is found while that helps
 
 
 class Hosts:
@@ -112,6 +46,7 @@
         self._most, self._connect_ms, self._idle = most, connect_ms, idle_ms
         self.spare: Callable[[], int] = lambda: most  # connections that there may be more, to anybody
         self.hosts: dict[str, Host] = {}
+        self._health = HealthChecks(loop, tasks, counters, self._listed, self._end, self._release_silent)
 
     # The list
 
@@ -159,7 +94,7 @@
         self._tasks.close(host.uid, True)
         self._unwritten(host)
         self._tidy(host)
-        self._doubt(host)
+        self._check_all(host)
         self._find(host)
 
     def _unwritten(self, host: Host) -> None:
@@ -265,7 +200,7 @@
         if link is not None:
             link.transport.write(encode(Word.CLOSE, sid, code=GIVEN_UP))
         else:
-            host.letting[sid] = self.loop.now() + SILENT_MS
+            host.letting[sid] = self.loop.now() + health.SILENT_AFTER_MS
 
     def adopt(self, machine: str, sid: str) -> bool:
         """An owner has handed the task back: it is not to be let go any more."""
@@ -335,12 +270,13 @@
             transport.write(encode(Word.CLOSE, sid, code=GIVEN_UP))
         host.letting.clear()
         self._serve(host)
-        if self._suspected(host):
-            self._test(link)
+        if self._health.suspected(host):
+            self._health.check(link)
 
     def _not_connected(self, host: Host, error: Exception, began: float) -> None:
         host.failures += 1
-        pause = AGAIN_MS if self._suspected(host) else min(AGAIN_MS * 2.0 ** (host.failures - 1), AGAIN_MOST_MS)
+        suspected = self._health.suspected(host)
+        pause = REDIAL_MS if suspected else min(REDIAL_MS * 2.0 ** (host.failures - 1), REDIAL_MOST_MS)
         host.dial_at = self.loop.now() + pause
         refused = isinstance(error, ConnectionRefusedError)
         self.counters["connect_refused" if refused else "connect_failed"] += 1
@@ -352,16 +288,16 @@
         if refused:
             self._lost(host, "refused", before=began)  # what stands since came from its next life
             self._tidy(host)
-        if self._suspected(host):
+        if self._health.suspected(host):
             self.loop.call_later(pause, lambda: self._find(host))
 
     def _find(self, host: Host) -> None:
         """Dial a host on which something of ours stands, or is to end, where no connection may still bring word."""
         now = self.loop.now()
-        wanted = self.hosts.get(host.uid) is host and (host.uid in self._tasks.standing or bool(host.letting))
-        hopeful = any(not link.retired and not link.overdue(now) for link in host.links)
+        wanted = self._listed(host) and (host.uid in self._tasks.standing or bool(host.letting))
+        hopeful = bool(self._health.answering(host))
         due = wanted and not hopeful and not host.dialing and now >= host.dial_at
-        if due and (self.spare() > 0 or (self._suspected(host) and self.make_room())):
+        if due and (self.spare() > 0 or (self._health.suspected(host) and self.make_room())):
             self._dial(host)
 
     def _end(self, host: Host, link: HostLink, why: str) -> None:
@@ -382,14 +318,14 @@
             self._serve(host)
             self._find(host)
         if why in ("reset", "ended"):
-            self._doubt(host)
+            self._check_all(host)
 
     # Words
 
     def _data(self, host: Host, link: HostLink, data: bytes) -> None:
         for line in link.decoder.feed(data):
-            host.heard = link.used = self.loop.now()
-            link.tested = None
+            link.used = self.loop.now()
+            self._health.heard(host, link)
             self._line(link, host, line)
         if link.decoder.error is not None:
             self.counters["host_malformed"] += 1
@@ -418,13 +354,13 @@
         elif out is None and line.word in (Word.READY, Word.CLOSE, Word.EVENT):
             self._tasks.heard(host.uid, line)
 
-    # Silence
+    # Standing tasks
 
     def tick(self) -> None:
         """Look after the hosts on which something of ours stands."""
         now = self.loop.now()
         for uid in self._tasks.standing.keys() - self.hosts.keys():  # handed to us; no list has told of their host
-            self._tasks.lost(uid, "unlisted", before=self.loop.wall() - SILENT_MS)
+            self._tasks.lost(uid, "unlisted", before=self.loop.wall() - health.SILENT_AFTER_MS)
         for host in list(self.hosts.values()):
             standing = host.uid in self._tasks.standing
             for link in list(host.links):
@@ -432,57 +368,29 @@
                 if idle and not link.transport.look():
                     self._end(host, link, "idle")
             host.letting = {sid: until for sid, until in host.letting.items() if until > now}
+            self._health.review(host)
             if not standing:
-                host.heard = 0.0
                 self._tidy(host)
                 if not host.letting:
                     continue
-            if standing:
-                host.heard = host.heard or now
-                self._listen(host, now)
             self._find(host)
 
-    def _suspected(self, host: Host) -> bool:
-        return host.uid in self._tasks.standing and host.heard > 0 and self.loop.now() - host.heard >= QUIET_MS
+    def _listed(self, host: Host) -> bool:
+        """Whether it has not been removed, or replaced by another of its id."""
+        return self.hosts.get(host.uid) is host
 
-    def _doubt(self, host: Host) -> None:
-        """It may have died: where something of ours stands there, have the connections that are left tell."""
-        if self.hosts.get(host.uid) is not host or host.uid not in self._tasks.standing:
-            return
-        for link in host.links:
-            if not link.retired and link.tested is None and not link.transport.buffered:
-                self._test(link)
-
-    def _listen(self, host: Host, now: float) -> None:
-        for link in [link for link in host.links if link.overdue(now) and not link.open]:
-            self._end(host, link, "untested")
-        if not self._suspected(host):
-            return
-        if host.verdict is None:  # a host that could not be heard, since we stood still, has the time of one test
-            due = max(host.heard + SILENT_MS - now, TEST_MS)
-            host.verdict = self.loop.call_later(due, lambda: self._judge(host))
-        links = [link for link in host.links if not link.retired and not link.overdue(now)]
-        if links and all(link.tested is None for link in links) and links[0].transport.buffered < MOST:
-            self._test(links[0])
-
-    def _test(self, link: HostLink) -> None:
-        link.tested = self.loop.now()
-        self.counters["tests"] += 1
-        link.transport.write(encode(Word.PROBE, TASKLESS, code=0))
-
-    def _judge(self, host: Host) -> None:
-        """The time is up at which a host that has said nothing since it was suspected is silent."""
-        host.verdict = None
+    def _check_all(self, host: Host) -> None:
+        """It may have died: have the connections that are left tell."""
+        if self._listed(host):
+            self._health.check_all(host)
+
+    def _release_silent(self, host: Host) -> None:
+        """Its tasks count as over; it is to end them should it come back. Nothing more will pass on its connections."""
         now = self.loop.now()
-        if self.hosts.get(host.uid) is not host or not self._suspected(host):
-            return
-        if now - host.heard < SILENT_MS - 1.0:  # heard meanwhile, and suspected again
-            host.verdict = self.loop.call_later(host.heard + SILENT_MS - now, lambda: self._judge(host))
-            return
         sids = list(self._tasks.standing[host.uid])
         self._lost(host, "silent")
         host.letting.update((sid, now + self._idle) for sid in sids)
-        for link in [link for link in host.links if not link.open]:  # nothing more will pass there
+        for link in [link for link in host.links if not link.open]:
             self._end(host, link, "silent")
 
     def _lost(self, host: Host, why: str, before: float | None = None) -> None:
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -21,8 +21,9 @@
 from sprucepost import interface as i
 from sprucepost import loop
 from sprucepost.loop import Co, connect, current, sleep
-from sprucepost.node import binary, hosts, owners, tasks
+from sprucepost.node import binary, health, hosts, owners, tasks
 from sprucepost.node.binary import Code, Kind
+from sprucepost.node.host import HostLink
 from sprucepost.node.jsonl import Line, Word
 from tests.node.platform import Day, Host, Link, answers, heard, play, settings, setup
 from tests.wire.support import wait_for
@@ -189,9 +190,9 @@
             for link in first.links:
                 link.transport.abort()
             yield from sleep(20)
-            real = hosts.HostLink
+            real = HostLink
 
-            def link_made(*args: Any) -> hosts.HostLink:
+            def link_made(*args: Any) -> HostLink:
                 if not done and day.service.hosts.hosts["s-1"].waiting:
                     done.append(True)
                     left()
@@ -641,7 +642,7 @@
     play(tmp_path, body)
 
 
-def take_only(link: hosts.HostLink | owners.OwnerLink, room: int) -> None:
+def take_only(link: HostLink | owners.OwnerLink, room: int) -> None:
     """The system takes so many bytes more on that connection, and no others."""
     sock, left = link.transport._sock, [room]
     send = sock.send
@@ -780,7 +781,7 @@
         began = day.loop.now()
         for sid in SIDS[:2]:
             assert (yield from heard(owner, sid, Kind.RELEASE, 4000)).cause == 41
-        assert day.loop.now() - began < hosts.QUIET_MS - 1000.0
+        assert day.loop.now() - began < health.SUSPECT_AFTER_MS - 1000.0
 
     play(tmp_path, body)
 
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -14,7 +14,7 @@
 import pytest
 
 from sprucepost.loop import Co, TimedOut, connect, current, sleep
-from sprucepost.node import binary, feed, hosts, owners, service, tasks
+from sprucepost.node import binary, feed, health, hosts, owners, service, tasks
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, Word
 from tests.node.platform import DESCRIPTION, Day, Host, Link, answers, heard, play, settings, setup
@@ -115,9 +115,9 @@
 def test_a_silent_host_is_tested_and_its_tasks_released_in_time(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(hosts, "QUIET_MS", 100.0)
-    monkeypatch.setattr(hosts, "SILENT_MS", 1200.0)
-    monkeypatch.setattr(hosts, "TEST_MS", 300.0)
+    monkeypatch.setattr(health, "SUSPECT_AFTER_MS", 100.0)
+    monkeypatch.setattr(health, "SILENT_AFTER_MS", 1200.0)
+    monkeypatch.setattr(health, "CHECK_TIMEOUT_MS", 300.0)
     monkeypatch.setattr(service, "TICK_MS", 50.0)
 
     def body(day: Day) -> Co[None]:
@@ -139,7 +139,8 @@
 
 def test_a_host_is_not_tested_before_its_silence_matters(tmp_path: Path) -> None:
     """Sixteen placers tested four hundred hosts after every 1.5 s of silence: two tests for each task."""
-    assert hosts.SILENT_MS < 8000 and hosts.SILENT_MS - hosts.QUIET_MS >= 3 * hosts.TEST_MS
+    assert health.SILENT_AFTER_MS < 8000
+    assert health.SILENT_AFTER_MS - health.SUSPECT_AFTER_MS >= 3 * health.CHECK_TIMEOUT_MS
 
     def body(day: Day) -> Co[None]:
         host = day.host("s-1")
@@ -149,11 +150,11 @@
         yield from sleep(2500)
         assert not host.lines(Word.PROBE)
         known = day.service.hosts.hosts["s-1"]
-        known.heard -= 2000  # it spoke so long before
+        known.last_heard -= 2000  # it spoke so long before
         host.links[0].say(Word.EVENT, SIDS[0], {"note": "cores", "value": "1"})
         yield from sleep(600)
         assert not host.lines(Word.PROBE), "a note is a sign of life"
-        known.heard -= 4500
+        known.last_heard -= 4500
         yield from wait_for(lambda: host.lines(Word.PROBE), 1000)
 
     play(tmp_path, body)
@@ -165,9 +166,9 @@
 ) -> None:
     """Connections that came up no more were tried less and less often, and the way back was found too late. ``busy``: with
     a set-up open on the connection that was tested, none other was tried at all."""
-    monkeypatch.setattr(hosts, "TEST_MS", 200.0)
-    monkeypatch.setattr(hosts, "QUIET_MS", 400.0)
-    monkeypatch.setattr(hosts, "SILENT_MS", 2600.0)
+    monkeypatch.setattr(health, "CHECK_TIMEOUT_MS", 200.0)
+    monkeypatch.setattr(health, "SUSPECT_AFTER_MS", 400.0)
+    monkeypatch.setattr(health, "SILENT_AFTER_MS", 2600.0)
     monkeypatch.setattr(service, "TICK_MS", 50.0)
     cut = [False]
 
@@ -207,7 +208,7 @@
         day.start()
         owner = yield from day.owner()
         yield from placed(day, owner, SIDS[0])
-        day.service.hosts.hosts["s-1"].heard -= 20_000  # nothing was read all that time
+        day.service.hosts.hosts["s-1"].last_heard -= 20_000  # nothing was read all that time
         yield from wait_for(lambda: host.lines(Word.PROBED) or host.lines(Word.PROBE), 1000)
         yield from sleep(1500)
         assert day.standing() == 1 and not day.service.counters["lost_silent"]
@@ -418,7 +419,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Tasks at a host that no list names stayed for ever; an owner whose reads all end within a message was cut."""
-    monkeypatch.setattr(hosts, "SILENT_MS", 900.0)
+    monkeypatch.setattr(health, "SILENT_AFTER_MS", 900.0)
     monkeypatch.setattr(owners, "UNPROVEN_MS", 400.0)
     monkeypatch.setattr(service, "TICK_MS", 50.0)
 
