Stand-ins: the fault injector in a package, a module for each kind of target

Now faults/: context (FleetControl, FaultContext), machine, client, discovery, placer and link faults as functions, and FaultInjector, which plays them. Three faults that set something on machines for a while share one function. Kinds, orders and records keep their names.

--- a/sprucepost/cli/badday.py
+++ b/sprucepost/cli/badday.py
@@ -22,7 +22,7 @@
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.rules import record
 from sprucepost.rules.views import LAST_MS, SETTLED_MS
-from sprucepost.standin.director import Director
+from sprucepost.standin.faults import FaultInjector
 from sprucepost.standin.scenario import Scenario
 from sprucepost.view.view import STEP_MOST_MS
 
@@ -72,14 +72,14 @@
 
     def _play(self, scope: Scope, fleet: Fleet) -> Co[dict[str, Any]]:
         self._began = self.loop.now()
-        director = Director(self.loop, self.scenario, fleet)
+        injector = FaultInjector(self.loop, self.scenario, fleet)
         yield from fleet.start()
-        yield from director.setup()
+        yield from injector.setup()
         yield from sleep(self.scenario.list_late_ms + 500.0)
         yield from fleet.start_owners()
         self._began = self.loop.now()
-        self.note("started", {"placers": self.scenario.placers, "machines": len(director.machines)})
-        director.play(scope)
+        self.note("started", {"placers": self.scenario.placers, "machines": len(injector.machines)})
+        injector.play(scope)
         probes: dict[int, Task[None]] = {}
         end = self._began + self.scenario.length_s * 1000.0
         while self.loop.now() < end:
@@ -91,7 +91,7 @@
             fleet.check_alive()
             self._progress()
         yield from fleet.owners("asking", on=False)
-        yield from director.over()  # faults that reach past the end are lifted
+        yield from injector.wait_until_lifted()  # faults that reach past the end are lifted
         if self.scenario.peers:
             self.note("peers_quiet", {})
             yield from self._settled(fleet)
--- a/sprucepost/cli/fleet.py
+++ b/sprucepost/cli/fleet.py
@@ -82,7 +82,7 @@
 
 
 class Fleet:
-    """All processes of a run; the :class:`~sprucepost.standin.director.Stage` that a director plays on."""
+    """All processes of a run; the :class:`~sprucepost.standin.faults.FleetControl` of the fault injector."""
 
     def __init__(
         self, loop: Loop, scenario: Scenario, folder: Path, note: Callable[[str, dict[str, Any]], None]
--- /dev/null
+++ b/sprucepost/standin/faults/discovery_faults.py
@@ -0,0 +1,54 @@
+"""Faults of the discovery service: it is down, late or wrong. Of several wrong lists the latest holds; its end brings the
+true one back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sprucepost.loop import Co
+from sprucepost.standin.faults.context import FaultContext, FaultPlay, hold
+from sprucepost.standin.scenario import Fault
+
+
+def _send_wrong_list(context: FaultContext, fault: Fault, **what: Any) -> Co[None]:
+    yield from context.control.listing("lie", **what)
+    yield from hold(fault)
+    yield from context.control.listing("truth")
+
+
+def list_down(context: FaultContext, fault: Fault, number: int) -> Co[None]:
+    """No stream of the list opens or goes on."""
+    yield from context.control.listing("down", down=True)
+    yield from hold(fault)
+    yield from context.control.listing("down", down=False)
+
+
+def list_stale(context: FaultContext, fault: Fault, number: int) -> Co[None]:
+    """``size``: seconds by which the list is later than it is anyway."""
+    yield from context.control.listing("late", late_ms=context.scenario.list_late_ms + fault.size * 1000.0)
+    yield from hold(fault)
+    yield from context.control.listing("late", late_ms=context.scenario.list_late_ms)
+
+
+def list_empty(context: FaultContext, fault: Fault, number: int) -> Co[None]:
+    """The list names no machine."""
+    yield from _send_wrong_list(context, fault, kind="empty")
+
+
+def list_back(context: FaultContext, fault: Fault, number: int) -> Co[None]:
+    """``size``: seconds back."""
+    yield from _send_wrong_list(context, fault, kind="back", back_ms=fault.size * 1000.0)
+
+
+def list_gone(context: FaultContext, fault: Fault, number: int) -> Co[None]:
+    """``part`` of the machines are named gone."""
+    yield from _send_wrong_list(context, fault, kind="gone", machines=context.pick_machines(fault, number))
+
+
+DISCOVERY_FAULTS: dict[str, FaultPlay] = {
+    "discovery_down": list_down,
+    "discovery_stale": list_stale,
+    "list_empty": list_empty,
+    "list_back": list_back,
+    "list_gone": list_gone,
+}
--- a/tests/standin/test_drawing.py
+++ b/tests/standin/test_drawing.py
@@ -10,8 +10,8 @@
 
 from sprucepost.loop import Co, Scope, in_scope
 from sprucepost.settings.reading import decode
-from sprucepost.standin.director import Director
 from sprucepost.standin.drawing import COLD, FAULTS, PEERS, draw, kinds_of
+from sprucepost.standin.faults import FaultInjector
 from sprucepost.standin.scenario import Fault, Kind, Scenario
 from tests.placing.support import VirtualLoop
 
@@ -39,7 +39,7 @@
 
 
 class Stage:
-    """Writes down what a director does, and what is not undone."""
+    """Writes down what the fault injector does, and what is not undone."""
 
     def __init__(self) -> None:
         self.conditions: set[str] = set()
@@ -131,10 +131,10 @@
     loop, stage = VirtualLoop(), Stage()
 
     def main(scope: Scope) -> Co[None]:
-        director = Director(loop, day, stage)
-        yield from director.setup()
-        director.play(scope)
-        yield from director.over()
+        injector = FaultInjector(loop, day, stage)
+        yield from injector.setup()
+        injector.play(scope)
+        yield from injector.wait_until_lifted()
 
     loop.run(lambda: in_scope(main))
     return stage
