Placer: the watch on the list of machines is DiscoveryWatch, its settings a typed object

placer/fleet had the name of something else; it is placer/discovery, and its constructor takes WatchOptions in place of five arguments.

--- a/benchmarks/list_storm.py
+++ b/benchmarks/list_storm.py
@@ -14,7 +14,7 @@
 
 from sprucepost.loop import Co, Loop, Scope, in_scope, sleep
 from sprucepost.loop.epoll import EpollLoop
-from sprucepost.placer.fleet import FleetWatch
+from sprucepost.placer.discovery import DiscoveryWatch, WatchOptions
 from sprucepost.standin.listing import CALL_LINES, Listing
 from sprucepost.wire.server import Server
 
@@ -41,9 +41,9 @@
     listing._admit = admit  # type: ignore[method-assign]
     address = Server(loop, scope, listing.methods()).listen(("127.0.0.1", 0))
     began, heard, rng = loop.now(), dict[int, float](), loop.rng()
-    watches: list[FleetWatch] = []
+    watches: list[DiscoveryWatch] = []
 
-    def watch(number: int) -> FleetWatch:
+    def watch(number: int) -> DiscoveryWatch:
         def failed(found: Any) -> None:
             if found.kind.name == "FAILED":
                 loop.call_later(again_ms * rng.uniform(0.5, 1.0), lambda: watches[number].ask())
@@ -51,8 +51,13 @@
         def told(now_ms: float) -> None:
             heard.setdefault(number, loop.now() - began)
 
-        return FleetWatch(
-            loop, scope, address, None, number, ["room-a"], ["std"], failed, lambda machine, address: None, told
+        return DiscoveryWatch(
+            loop,
+            scope,
+            WatchOptions(address, None, number, ("room-a",), ("std",)),
+            failed,
+            lambda machine, address: None,
+            told,
         )
 
     watches += [watch(n) for n in range(size)]
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -17,8 +17,8 @@
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
 from sprucepost.membership import Generation, Side
 from sprucepost.peers import Peers
+from sprucepost.placer.discovery import DiscoveryWatch, WatchOptions
 from sprucepost.placer.engine import Engine
-from sprucepost.placer.fleet import FleetWatch
 from sprucepost.placer.fleet_membership import FleetMembership, MembershipCallbacks
 from sprucepost.placer.lease import resolve
 from sprucepost.placer.life import Facts, State, judge
@@ -67,7 +67,7 @@
         # Ordered by time, so that a machine knows the newer of two; random below, so that two never share one.
         self.incarnation = int(loop.wall()) << 16 | int.from_bytes(loop.token(2), "big")
         self.log = logs.log.bind(placer=options.number, incarnation=self.incarnation)
-        self.engine = Engine(loop, cluster, options, lambda: self.fleet.ask(), self._info, file.generation())
+        self.engine = Engine(loop, cluster, options, lambda: self.discovery.ask(), self._info, file.generation())
         self.owners = Owners(
             loop,
             options.number,
@@ -91,14 +91,16 @@
             self._taken,
         )
         self.engine.connect(self.owners, self.links)
-        self.fleet = FleetWatch(
+        self.discovery = DiscoveryWatch(
             loop,
             scope,
-            address_of(options.list),
-            options.source,
-            options.number,
-            list(cluster.zones),
-            [kind.name for kind in cluster.kinds],
+            WatchOptions(
+                address_of(options.list),
+                options.source,
+                options.number,
+                tuple(cluster.zones),
+                tuple(kind.name for kind in cluster.kinds),
+            ),
             self.engine.roster.on_list,
             lambda machine, address: self._see(machine, address),
             self.engine.hear_list,
@@ -271,7 +273,7 @@
             self.log.warning("no_address", machine=machine, address=address)
 
     def list_age_ms(self) -> float:
-        heard = self.fleet.heard_at
+        heard = self.discovery.heard_at
         return float("inf") if heard is None else self.loop.now() - heard
 
     def not_ready(self) -> str:
--- a/sprucepost/placer/fleet.py
+++ b/sprucepost/placer/discovery.py
@@ -1,8 +1,9 @@
-"""The list of machines: asked for when the module says so, turned into its entries."""
+"""Service discovery: a watch on the list of machines, begun when the scheduler says so, turned into its entries."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from sprucepost import interface as i
 from sprucepost.loop import Address, Cancelled, Co, Loop, Scope, Task, TimedOut, current, within
@@ -14,18 +15,30 @@
 WATCH = "/sprucepost.v1.Fleet/Watch"
 CONNECT_MS = 2000.0
 ANSWER_MS = 5000.0  # for the first update of a watch
-PATIENCE = 8  # times that, once a call was not answered by then
-ALIVE = Options(keepalive_ms=10_000.0, keepalive_wait_ms=5000.0)  # more pings than that are taken for a flood
-BEATS = 3  # beats of silence after which a watch counts as broken: one may be late, two tell nothing of the cause
+SLOW_LIST_FACTOR = 8  # times that, once a call was not answered by then
+KEEPALIVE = Options(keepalive_ms=10_000.0, keepalive_wait_ms=5000.0)  # more pings than that are taken for a flood
+MISSED_HEARTBEATS = 3  # of silence after which a watch counts as broken: one may be late, two tell nothing of the cause
 
 
-class FleetWatch:
-    """One watch at a time. ``on_list`` gets what the module is to hear, ``on_address`` where each machine listens.
+@dataclass(frozen=True, slots=True)
+class WatchOptions:
+    """``address``: of the list. ``source``: the address to connect from. ``number``: this placer's."""
 
-    A watch that breaks, or is silent for too long, is word of a failed call; when to ask again is the module's decision.
+    address: Address
+    source: str | None
+    number: int
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
 
-    Who has not been answered in time waits much longer the next time: with the same patience each time, 350 placers that
-    started together on a list that answers 15 a second threw away their places in its line again and again, and all
+
+class DiscoveryWatch:
+    """One watch at a time. ``on_list`` gets what the scheduler is told, ``on_address`` where each machine listens.
+
+    A watch that breaks, or is silent for too long, is reported as a failed call; when to ask again is the scheduler's
+    decision.
+
+    A placer that was not answered in time waits much longer the next time: with the same time-out each time, 350 placers
+    that started together on a list that answers 15 a second threw away their places in its queue again and again, and all
     but the first 75 never got it. Pings tell a list that is slow from one that is gone.
     """
 
@@ -33,27 +46,23 @@
         self,
         loop: Loop,
         scope: Scope,
-        address: Address,
-        source: str | None,
-        number: int,
-        zones: list[str],
-        kinds: list[str],
+        options: WatchOptions,
         on_list: Callable[[i.MachineList], None],
         on_address: Callable[[str, str], None],
         on_time: Callable[[float], None],
     ) -> None:
-        self._loop, self._scope, self._address, self._source, self._number = loop, scope, address, source, number
-        self._zones = {name: n for n, name in enumerate(zones)}
-        self._kinds = {name: n for n, name in enumerate(kinds)}
+        self._loop, self._scope, self._options = loop, scope, options
+        self._zones = {name: n for n, name in enumerate(options.zones)}
+        self._kinds = {name: n for n, name in enumerate(options.kinds)}
         self._cells: dict[str, int] = {}
         self._on_list, self._on_address, self._on_time = on_list, on_address, on_time
         self._task: Task[None] | None = None
-        self._patience_ms = ANSWER_MS
+        self._answer_timeout_ms = ANSWER_MS
         self.heard_at: float | None = None  # when the latest update came, on the loop's clock
         self.failures = 0
 
     def ask(self) -> None:
-        """Begin a watch, unless one is on."""
+        """Begin a watch, unless one is open."""
         if self._task is None or self._task.done:
             self._task = self._scope.spawn(self._watch(), "list")
 
@@ -61,27 +70,29 @@
         connection: ClientConnection | None = None
         try:
             task = yield from current()
-            connection = yield from open_client(self._loop, self._address, CONNECT_MS, ALIVE, self._source)
+            connection = yield from open_client(
+                self._loop, self._options.address, CONNECT_MS, KEEPALIVE, self._options.source
+            )
             call = connection.call(WATCH)
-            call.send(pb.WatchRequest(number=self._number).SerializeToString())
+            call.send(pb.WatchRequest(number=self._options.number).SerializeToString())
             call.end()
-            patience, heard = self._patience_ms, False
+            timeout_ms, heard = self._answer_timeout_ms, False
             while True:
                 try:
-                    data = yield from within(task, patience, call.receive())
+                    data = yield from within(task, timeout_ms, call.receive())
                 except TimedOut:
                     if not heard:
-                        self._patience_ms = PATIENCE * ANSWER_MS
+                        self._answer_timeout_ms = SLOW_LIST_FACTOR * ANSWER_MS
                     raise
                 if data is None:
                     break
-                heard, self._patience_ms = True, ANSWER_MS
+                heard, self._answer_timeout_ms = True, ANSWER_MS
                 update = pb.FleetUpdate.FromString(data)
-                patience = BEATS * update.beat_ms if update.beat_ms > 0 else ANSWER_MS
+                timeout_ms = MISSED_HEARTBEATS * update.beat_ms if update.beat_ms > 0 else ANSWER_MS
                 self.heard_at = self._loop.now()
                 self._on_time(update.now_ms)
                 if update.whole or update.entries:
-                    self._take(update)
+                    self._handle_entries(update)
         except Cancelled:
             raise
         except (OSError, RpcError, TimedOut, ValueError):
@@ -96,11 +107,11 @@
         self._task = None
         self._on_list(i.MachineList(i.ListKind.FAILED))
 
-    def _take(self, update: pb.FleetUpdate) -> None:
+    def _handle_entries(self, update: pb.FleetUpdate) -> None:
         entries = []
         for entry in update.entries:
             if entry.kind not in self._kinds or not entry.name:
-                continue  # a kind that the settings do not know cannot be judged
+                continue  # a kind that the settings do not know cannot be used
             if entry.state != pb.MACHINE_STATE_GONE:
                 self._on_address(entry.name, entry.address)
             entries.append(
--- a/tests/placer/test_path.py
+++ b/tests/placer/test_path.py
@@ -431,7 +431,7 @@
         owner, followed = world.owner(placer.listen)
         yield from world.ready(placer, 1)
         world.listing._down(True)
-        yield from wait_for(lambda: placer.fleet.failures >= 1)
+        yield from wait_for(lambda: placer.discovery.failures >= 1)
         owner.submit("t", task(), 2000)
         yield from wait_for(lambda: followed.outcomes("t"))  # known machines serve on
         world.listing._down(False)
--- a/tests/placer/test_storms.py
+++ b/tests/placer/test_storms.py
@@ -8,7 +8,7 @@
 
 from benchmarks.list_storm import played
 from sprucepost.loop import Co, sleep
-from sprucepost.placer import fleet
+from sprucepost.placer import discovery
 from tests.placer.support import World, play, task
 from tests.wire.support import wait_for
 
@@ -60,9 +60,9 @@
 ) -> None:
     """Sixty first calls at once, four fifths of them not answered within a placer's patience. With the same patience each
     time only those ever got it that came first: the others' calls kept the list busy."""
-    monkeypatch.setattr(fleet, "ANSWER_MS", 400.0)
+    monkeypatch.setattr(discovery, "ANSWER_MS", 400.0)
 
     found = played(60, 30.0, 300.0, 12_000.0)
     assert found["heard"] == 60 and found["most_calls_open"] <= 60 and found["calls"] <= 130
-    monkeypatch.setattr(fleet, "PATIENCE", 1)  # as it was
+    monkeypatch.setattr(discovery, "SLOW_LIST_FACTOR", 1)  # as it was
     assert played(60, 30.0, 300.0, 8000.0)["heard"] < 60
--- a/tests/rules/test_broken_placers.py
+++ b/tests/rules/test_broken_placers.py
@@ -119,7 +119,7 @@
         entries = tuple(dataclasses.replace(entry, state=i.MachineState.READY) for entry in change.entries)
         real(i.MachineList(change.kind, entries))
 
-    placer.fleet._on_list = on_list
+    placer.discovery._on_list = on_list
 
 
 def drain_m1(world: World) -> Co[None]:
