Attempts go out right after a look at all sockets: nothing is sent for a client that left

LOOKED_MS (tasks.py) was 100 ms, the whole of it: below that age of the look only the client's own connection was read before a write (Tasks.look, Hosts._serve), so a give-up on another connection could be 100 ms old, and Transport.write sends at the turn's end, behind another decision where one of the batch was found to have left. One epoll wait named 1,023 sockets at most, an acceptor took 64 newcomers and their bytes were read by the next wait only.

Offers that can be written wait for the turn's end; then all sockets are looked at, what is ready to its end, until a look is younger than 25 ms, and each attempt is written and flushed in one step as long as that holds. Newcomers are read when they are taken within a look; a connection of which a whole read left something behind holds its own client's attempts alone; a give-up that comes while a connection lingers counts.

--- a/sprucepost/loop/accept.py
+++ b/sprucepost/loop/accept.py
@@ -42,6 +42,7 @@
             self._take(sock)
             if self._closed:
                 return
+        self._loop.left_unread = True
 
     def drain(self) -> None:
         """Take all that waits in the backlog, as far as there are descriptors."""
--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -17,6 +17,7 @@
 """An IP address and port, or the path of a unix socket."""
 
 LOOK_MS = 50.0  # a loop that is to know of its pauses looks at its sockets so often: one within a wait leaves no trace
+LOOK_ROUNDS = 4  # looks in a row until nothing is left unread; who needs more than that has no time for anything else
 OVERSLEPT_MS = 5.0  # a wait that ends later than that was not the system's rounding
 
 Call = Callable[[], None]
@@ -79,6 +80,8 @@
         self._main: Task[object] | None = None
         self.turns = 0
         self.blind_ms = 0.0  # what just became readable may have waited so long: the loop stood still, or was busy
+        self.looking = False  # a look in the midst of a turn: what is ready is read to its end
+        self.left_unread = False  # to be set where a look leaves something: it is looked again
         self._looked_at: float | None = None
         self._gap: tuple[float, Callable[[float], None]] | None = None
         self.late_ms = 0.0  # how late the latest turn's first due timer was: the loop's own lag
@@ -150,9 +153,33 @@
         """How long ago the sockets were looked at."""
         return self.now() - self._looked_at if self._looked_at is not None else 0.0
 
+    @property
+    def looked_at(self) -> float:
+        """When the sockets were looked at, in ms of :meth:`now`."""
+        return self._looked_at if self._looked_at is not None else 0.0
+
     def look(self) -> None:
-        """Read what has come to the sockets now, in the midst of a turn: for who must know it before it acts."""
-        self._poll(0.0)
+        """Read what has come to the sockets now, in the midst of a turn: for who must know it before it acts. One system
+        call where nothing has come, however many sockets there are."""
+        self.looking = True
+        try:
+            self._poll(0.0)
+        finally:
+            self.looking = False
+
+    def look_until(self, most_ms: float) -> bool:
+        """Look until all that had come ``most_ms`` ago has been read. What comes during a look is left for the next one, so
+        one that took long is followed by another. False where ``LOOK_ROUNDS`` do not suffice: reading takes all time.
+
+        Two things may stay unread: what lies behind a whole read of one connection (``Transport.behind``), and newcomers
+        behind as many as one look takes, ``LOOK_ROUNDS`` times over.
+        """
+        for _ in range(LOOK_ROUNDS):
+            self.left_unread = False
+            self.look()
+            if not self.left_unread and self.since_look_ms <= most_ms:
+                return True
+        return self.since_look_ms <= most_ms
 
     def call_soon(self, call: Call) -> None:
         """In this turn or the next."""
--- a/sprucepost/loop/epoll.py
+++ b/sprucepost/loop/epoll.py
@@ -18,6 +18,7 @@
 
 _WAIT = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 STOOD_MS = 5.0  # a wait that ends so much late was a pause of the process, not the kernel's timer slack
+READY_MOST = 1023  # sockets that one wait names, as the system's default; more where more are watched
 _RESET = struct.pack("ii", 1, 0)
 
 
@@ -178,12 +179,13 @@
         # Rounded up to whole ms, which epoll counts in: rounded down it would spin through the last one.
         wait = -1.0 if wait_ms is None else math.ceil(wait_ms) / 1000.0
         began = self.now()
-        ready = self._epoll.poll(wait)
+        most = max(READY_MOST, len(self._watched))  # all that are ready: none may hide behind the others
+        ready = self._epoll.poll(wait, most)
         if wait >= 0.0 and self.now() - began > wait * 1000.0 + STOOD_MS:
             # After SIGSTOP and SIGCONT the call was interrupted and returns what was ready before, or nothing: every
             # time-out would then go before the answers that lie in the sockets, and what is read a turn later would not
             # count as having waited (an owner's answer was late by the pause).
-            ready = self._epoll.poll(0.0)
+            ready = self._epoll.poll(0.0, most)
         self._polled(began, None if wait_ms is None else wait * 1000.0)
         for fd, mask in ready:
             readable, writable = self._watched.get(fd, (None, None))
--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -162,9 +162,22 @@
             found += 1
         return found > 0
 
+    @property
+    def behind(self) -> bool:
+        """Whether the last read was a whole one, and the latest look found that more lies there or came before it: what is
+        unread may be older than that look. It is read in the next turn."""
+        return self._more > 0.0 and self._more >= self._loop.looked_at
+
     def _readable(self) -> None:
-        if not self._delivering:  # else a look at all sockets in the midst of it: it is read in the next turn
-            self._read(self._loop.blind_ms)
+        if self._delivering:  # a look at all sockets in the midst of it: it is read in the next turn
+            return
+        looking = self._loop.looking
+        if looking and self._more:  # it has had its part of this turn: a loud peer cannot keep the others waiting
+            now = self._loop.now()
+            self.waited_ms, self._more = self.waited_ms + now - self._more, now
+            return
+        if self._read(self._loop.blind_ms) and looking and not self._more:
+            self.look()  # the peer's end may lie right behind what was read
 
     def _read(self, unseen_ms: float) -> bool:
         """Take what is there, which may have waited so long; False where nothing was."""
@@ -197,7 +210,13 @@
         if not self._blocked and not self.closed:
             self._rewatch()
 
+    def flush(self) -> None:
+        """Send what was written now, and not at the turn's end."""
+        self._first_flush()
+
     def _first_flush(self) -> None:
+        if not self._flush_due:  # sent already
+            return
         if not self.closed and not self.may_go():
             self._lost(OSError("stood still with bytes that must not be late"))
             return
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -36,6 +36,7 @@
 from sprucepost.loop import Co, Loop, Scope, TimedOut, Timer, Transport, connect, current
 from sprucepost.node.bounds import LINGER_MS, MOST
 from sprucepost.node.bulletin import Address, Told
+from sprucepost.node.dispatch import Dispatcher
 from sprucepost.node.jsonl import Decoder, Line, Word, encode
 from sprucepost.node.tasks import GIVEN_UP, LATE_MS, Out, Tasks
 
@@ -75,7 +76,7 @@
     @property
     def usable(self) -> bool:
         """Whether a set-up may be written now, whole."""
-        return not (self.retired or self.transport.closed or self.transport.buffered or self.decoder.waiting)
+        return not (self.retired or self.transport.closed or self.transport.blocked or self.decoder.waiting)
 
 
 class Host:
@@ -112,6 +113,7 @@
         self._most, self._connect_ms, self._idle = most, connect_ms, idle_ms
         self.spare: Callable[[], int] = lambda: most  # connections that there may be more, to anybody
         self.hosts: dict[str, Host] = {}
+        self._dispatcher: Dispatcher[Host] = Dispatcher(loop, self._serve, counters)
 
     # The list
 
@@ -194,9 +196,10 @@
         self._serve(host)
 
     def _serve(self, host: Host) -> None:
-        """Write what waits: each on a free connection, or on a new one, or where there may be none on the least used."""
-        looked: set[object] = set()
-        while host.waiting:
+        """Write what waits: each on a free connection, or on a new one, or where there may be none on the least used. What
+        can be written is, as soon as the dispatcher allows it."""
+        held = 0
+        while held < len(host.waiting):
             now, out = self.loop.now(), host.waiting[0]
             usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
             free = [link for link in usable if not link.open]
@@ -209,14 +212,15 @@
                 if host.dialing < len(host.waiting) and not full and (self.spare() > 0 or self.make_room()):
                     self._dial(host)
                 return
-            if not {link, out} <= looked:
-                # Its owner may have left, and the host may have ended the connection, since the sockets were looked at; what
-                # is read there may change all that was found above.
-                looked |= {link, out}
-                self._tasks.look(out)
-                link.transport.look()
-                continue
+            if not self._dispatcher.may_write:
+                self._dispatcher.add(host)
+                return
             host.waiting.remove(out)
+            if not self._tasks.caught_up(out):
+                held += 1
+                host.waiting.append(out)
+                self._dispatcher.postpone(host)
+                continue
             self._write(host, link, out)
 
     def _write(self, host: Host, link: HostLink, out: Out) -> None:
@@ -229,6 +233,7 @@
         link.used = self.loop.now()
         link.transport.write(data)
         out.mark = link.transport.written
+        link.transport.flush()
 
     def went_out(self, out: Out) -> bool:
         """Whether it was written and the system has taken all of it. A part of it is a line without an end, which no host
@@ -345,7 +350,7 @@
         refused = isinstance(error, ConnectionRefusedError)
         self.counters["connect_refused" if refused else "connect_failed"] += 1
         self._log("host_not_connected", host=host.uid, why=str(error) or type(error).__name__)
-        if not host.dialing:
+        if not host.dialing and host not in self._dispatcher:
             waiting, host.waiting = host.waiting, []
             for out in waiting:
                 self._tasks.end(out, i.Ending.CONNECT_FAILED)
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -70,9 +70,9 @@
         if not self._owners.held[self.whose]:
             del self._owners.held[self.whose]
 
-    def look(self) -> None:
-        """Read now what lies there."""
-        self.transport.look()
+    def caught_up(self) -> bool:
+        """Whether nothing of its owner was left unread by the latest look: a give-up may come on any connection."""
+        return self._owners.caught_up(self.whose)
 
     def forget(self, sid: str) -> None:
         """That set-up is owed no answer any more."""
@@ -135,6 +135,7 @@
         self.others_yield: Callable[[], bool] = lambda: False  # have somebody else give up one that is idle
         self.links: dict[OwnerLink, None] = {}
         self.held: Counter[str] = Counter()  # tasks that stand, by whose they are
+        self._behind: dict[OwnerLink, None] = {}  # of which a read may have left something behind
         self.leaving_soon = False  # tests fail, so that nothing more is sent
         self.leaving = False  # what comes now is refused
         # Releases that found no connection: until, whose, id, cause.
@@ -157,7 +158,10 @@
         link.transport.on_data = lambda data: self._data(link, data)
         link.transport.on_end = lambda: self.drop(link, "ended")
         link.transport.on_lost = lambda error: self._forget(link)
+        link.transport.on_late = lambda data: self._late(link, data)
         link.transport.start()
+        if self.loop.looking:  # what the newcomer has said already belongs to the look
+            link.transport.look()
 
     def _make_room(self, unproven: bool = False) -> bool:
         for _ in range(2):  # what is found unread the first time may be answered by the second
@@ -197,6 +201,7 @@
     def _forget(self, link: OwnerLink) -> None:
         if self.links.pop(link, self) is not None:
             return
+        self._behind.pop(link, None)
         if link.open:
             sids, link.open = sorted(link.open), set()
             self._tasks.owner_gone(sids)
@@ -232,7 +237,22 @@
 
     # Messages
 
+    def caught_up(self, whose: str) -> bool:
+        """Whether the latest look has left nothing unread on that owner's connections."""
+        for link in [link for link in self._behind if not link.transport.behind]:
+            del self._behind[link]
+        return all(link.whose != whose for link in self._behind)
+
+    def _late(self, link: OwnerLink, data: bytes) -> None:
+        """What was on its way when we ended the connection. A set-up is sent again by its owner, but what is given up or
+        ended there counts."""
+        for message in link.decoder.feed(data):
+            if message.kind == Kind.RELEASE:
+                self._tasks.owner_released(message.task)
+
     def _data(self, link: OwnerLink, data: bytes) -> None:
+        if link.transport.behind:
+            self._behind[link] = None
         messages = link.decoder.feed(data)
         if messages:
             link.partial_since = None  # a busy owner's reads may all end within a message, each another one
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -49,7 +49,6 @@
 GIVEN_UP = 16  # the cause with which a set-up is taken back, and a standing task let go
 LATE_MS = 8000.0  # an owner that could not be released hears of it for so long
 FOUND_FIRST_MS = 100.0  # a new set-up waits so long for those that stand: half of the 0.2 s after which these count
-LOOKED_MS = 100.0  # after a look at all sockets: later than that nothing is sent on without another
 BATCH_MOST = 8  # new tasks in one batch: each may cost the module 2 ms of a whole core, its service's first ask
 
 
@@ -75,8 +74,8 @@
         """Such a task is over."""
         ...
 
-    def look(self) -> None:
-        """Read now what lies there: the owner may have left, or given something up."""
+    def caught_up(self) -> bool:
+        """Whether all that had come from that owner by the latest look has been read, on each of its connections."""
         ...
 
     def forget(self, sid: str) -> None:
@@ -336,13 +335,10 @@
 
     # Attempts
 
-    def look(self, out: Out) -> None:
-        """Before it is written: whoever waits for it may have left, or given it up, since the sockets were looked at. Only
-        its own connection is looked at where that was a short time ago, since each look costs a system call."""
-        if self.loop.since_look_ms > LOOKED_MS:
-            self.loop.look()
-        else:
-            out.entry.ask.owner.look()
+    def caught_up(self, out: Out) -> bool:
+        """Whether the latest look would have shown that whoever waits for it has left, or has given it up."""
+        owner: OwnerPort = out.entry.ask.owner
+        return owner.caught_up()
 
     def write(self, out: Out) -> bytes | None:
         """The offer as it is to go out now, with what is left of its time; None where it must not go out any more."""
--- a/tests/loop/test_net.py
+++ b/tests/loop/test_net.py
@@ -250,14 +250,14 @@
         real = loop._epoll
 
         class Interrupted:
-            def poll(self, wait: float) -> list[tuple[int, int]]:
+            def poll(self, wait: float, most: int) -> list[tuple[int, int]]:
                 if not loop.ahead:
                     for client in clients:
                         client.sendall(b"x")
                     time.sleep(0.05)
                     loop.ahead = 2000.0
-                    return real.poll(0.0)[:1]
-                return real.poll(wait)
+                    return real.poll(0.0, most)[:1]
+                return real.poll(wait, most)
 
             def __getattr__(self, name: str) -> object:
                 return getattr(real, name)
--- a/tests/node/platform.py
+++ b/tests/node/platform.py
@@ -247,9 +247,9 @@
     return listener.address[1]
 
 
-def play(folder: Path, body: Callable[[Day], Co[None]]) -> None:
-    """Run a test's coroutine beside everything else on one loop."""
-    loop = EpollLoop(1)
+def play(folder: Path, body: Callable[[Day], Co[None]], loop: EpollLoop | None = None) -> None:
+    """Run a test's coroutine beside everything else on one loop, which is closed afterwards."""
+    loop = loop or EpollLoop(1)
 
     def main(scope: Scope) -> Co[None]:
         yield from body(Day(loop, scope, folder))
--- /dev/null
+++ b/tests/node/test_clients_that_left.py
@@ -0,0 +1,611 @@
+"""Clients that left: no attempt is sent more than 50 ms after the client's bytes lay in our kernel, half of the 100 allowed.
+
+Time is stepped (:mod:`tests.node.stepped`): a decision or a read takes as long as a test says, on any machine.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sprucepost import interface as i
+from sprucepost.loop import Co, Transport, connect, sleep
+from sprucepost.loop.epoll import EpollSock
+from sprucepost.node import binary, dispatch, hosts, jsonl, tasks
+from sprucepost.node.binary import Code, Kind
+from sprucepost.node.jsonl import Word
+from tests.node.platform import Day, Host, Link, heard, play, setup
+from tests.node.stepped import SteppedLoop, all_lies_unread, lies_unread
+from tests.node.test_crossings import OTHER, SIDS, Raw, deciding, opened, patient, release, warm
+from tests.wire.support import wait_for
+
+ALLOWED_MS = 50.0  # between the client's bytes in our kernel and an attempt's bytes
+BUSY_MS = 60.0  # what the placer does meanwhile takes: more than is allowed, and a batch on a third of a core
+LEAVING, STAYING = SIDS[1], SIDS[2]
+WAYS = ["close", "half-close", "reset", "give-up", "give-up on another connection", "give-up on a new connection"]
+
+
+class Attempts:
+    """When each attempt's last byte was sent."""
+
+    def __init__(self, loop: SteppedLoop, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.sent: list[tuple[str, float]] = []
+        real = EpollSock.send
+
+        def send(sock: EpollSock, data: bytes | memoryview) -> int:
+            took = real(sock, data)
+            for line in bytes(data[:took]).split(b"\n")[:-1]:
+                if line.startswith(b'{"msg":"open"'):
+                    [found] = jsonl.Decoder().feed(line + b"\n")
+                    self.sent.append((found.sid, loop.time))
+            return took
+
+        monkeypatch.setattr(EpollSock, "send", send)
+
+    def times(self, sid: str) -> list[float]:
+        return [at for name, at in self.sent if name == sid]
+
+    def late(self, sid: str, left_at: float) -> list[float]:
+        """How long after the client had left, where that was too long."""
+        return [at - left_at for at in self.times(sid) if at > left_at + ALLOWED_MS]
+
+
+class Client:
+    """A client with two connections that have been read, and how it leaves."""
+
+    def __init__(self, day: Day, loop: SteppedLoop, way: str) -> None:
+        self.day, self.loop, self.way = day, loop, way
+        self.own, self.other = Raw(day), Raw(day)
+        self.new: socket.socket | None = None
+        self.left_at: float | None = None
+
+    def known(self) -> Co[None]:
+        """Both connections have been taken and read."""
+        for raw, sid in ((self.own, SIDS[390]), (self.other, SIDS[391])):
+            raw.send(setup(sid, FIGURES=OTHER))
+            assert (yield from raw.message()).kind == Kind.ANSWER
+
+    def ask(self, sid: str = LEAVING) -> None:
+        self.own.send(setup(sid))
+
+    def leave(self) -> None:
+        """Leave; it lies in the placer's kernel when this returns. What the placer does next takes ``BUSY_MS``."""
+        owners = self.day.service.owners
+        fd = self.own.taken(self.day).transport._sock.fd  # type: ignore[attr-defined]
+        if self.way == "close":
+            self.own.close()
+        elif self.way == "half-close":
+            self.own.half_close()
+        elif self.way == "reset":
+            self.own.reset()
+        elif self.way == "give-up":
+            self.own.send(release(LEAVING))
+        elif self.way == "give-up on another connection":
+            fd = self.other.taken(self.day).transport._sock.fd  # type: ignore[attr-defined]
+            self.other.send(release(LEAVING))
+        else:
+            fd = owners._acceptor._listener.fd  # type: ignore[attr-defined]
+            self.new = socket.create_connection(self.day.service.config.listen)
+            self.new.send(release(LEAVING))
+        lies_unread(fd)
+        self.left_at = self.loop.time
+        self.loop.time += BUSY_MS
+
+    def close(self) -> None:
+        for sock in (self.own.sock, self.other.sock, self.new):
+            if sock is not None:
+                sock.close()
+
+
+def at_its_offer(day: Day, sid: str, number: int, call: Callable[[], None]) -> None:
+    """Call it once the module has decided on the task's ``number``-th attempt, before that is carried out."""
+    seen: list[i.Offer] = []
+
+    def act(events: list[i.Event], actions: list[i.Action]) -> None:
+        mine = [
+            action
+            for action in actions
+            if isinstance(action, i.Offer)
+            and (entry := day.service.tasks.ledger.by_request(action.request)) is not None
+            and entry.name == sid
+        ]
+        if len(seen) < number <= len(seen) + len(mine):
+            call()
+        seen.extend(mine)
+
+    deciding(day, act)
+
+
+# Where the request waits when its client leaves; each returns once that has happened
+
+
+def first_attempt(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
+    at_its_offer(day, LEAVING, 1, client.leave)
+    client.ask()
+    yield from wait_for(lambda: client.left_at is not None)
+
+
+def in_the_queue(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
+    """Behind others, one a batch, each of which costs as much."""
+    monkeypatch.setattr(tasks, "BATCH_MOST", 1)
+    at_its_offer(day, LEAVING, 1, client.leave)
+    client.other.send(b"".join(setup(sid, FIGURES=OTHER) for sid in SIDS[300:304]))
+    client.ask()
+    yield from wait_for(lambda: client.left_at is not None)
+
+
+def next_attempt(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
+    """The first one has been refused."""
+    host.on_open = lambda link, line: link.say(Word.CLOSE, line.sid, code=102)
+    at_its_offer(day, LEAVING, 2, client.leave)
+    client.ask()
+    yield from wait_for(lambda: client.left_at is not None)
+
+
+def refused_in_one_wake_up(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
+    """The host's refusal is read first, the client's end lies right behind it."""
+
+    def refuse(link: Link, line: jsonl.Line) -> None:
+        link.say(Word.CLOSE, line.sid, code=102)
+        link.transport.flush()
+        [ours] = [mine for mine in day.service.hosts.hosts["s-1"].links if LEAVING in mine.open]
+        lies_unread(ours.transport._sock.fd)  # type: ignore[attr-defined]
+        client.leave()
+
+    host.on_open = refuse
+    client.ask()
+    yield from wait_for(lambda: client.left_at is not None)
+
+
+def at_an_answer(day: Day, sid: str, call: Callable[[], None]) -> None:
+    """Call it once a host has answered that task, before what waits for its connection is looked at."""
+    real = day.service.tasks.answered
+
+    def answered(out: tasks.Out, line: jsonl.Line) -> None:
+        real(out, line)
+        if out.sid == sid:
+            call()
+
+    day.service.tasks.answered = answered  # type: ignore[method-assign]
+
+
+def for_a_connection(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
+    """There may be no more to its host, and on none of them can be written: half a line has come there."""
+    day.service.hosts._most = 2
+    busy, halves = SIDS[310:312], list[tuple[Link, bytes]]()
+
+    def half(link: Link, line: jsonl.Line) -> None:
+        whole = jsonl.encode(Word.READY, line.sid, None, None, jsonl.quoted("x"))
+        link.transport.write(whole[:9])
+        halves.append((link, whole[9:]))
+
+    host.on_open = half
+    for sid in busy:
+        client.other.send(setup(sid, FIGURES=OTHER))
+    ours = day.service.hosts.hosts["s-1"]
+    yield from wait_for(lambda: len(halves) == 2 and all(link.decoder.waiting for link in ours.links))
+    host.on_open = lambda link, line: None
+    client.ask()
+    yield from wait_for(lambda: len(ours.waiting) == 1)
+    at_an_answer(day, busy[0], client.leave)
+    for link, rest in halves:
+        link.transport.write(rest)
+    yield from wait_for(lambda: client.left_at is not None)
+
+
+def for_a_descriptor(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
+    """The one connection to its host is taken, and there is no descriptor for another."""
+    taken: list[tuple[Link, str]] = []
+    host.on_open = lambda link, line: taken.append((link, line.sid))
+    client.other.send(setup(SIDS[310], FIGURES=OTHER))
+    yield from wait_for(lambda: taken)
+    day.service.hosts.spare = lambda: 0
+    ours = day.service.hosts.hosts["s-1"]
+    for idle in [link for link in ours.links if not link.open]:
+        day.service.hosts._end(ours, idle, "idle")
+    client.ask()
+    yield from wait_for(lambda: len(ours.waiting) == 1)
+    at_an_answer(day, SIDS[310], client.leave)
+    [(link, sid)] = taken
+    link.say(Word.READY, sid, text="x")
+    yield from wait_for(lambda: client.left_at is not None)
+
+
+def for_a_dial(
+    day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch, dial_ms: float = 50.0
+) -> Co[None]:
+    """There is no connection to its host; one comes up, and the client has just left."""
+    ours, real, dial = day.service.hosts.hosts["s-1"], hosts.HostLink, connect
+
+    def link_made(*args: Any) -> hosts.HostLink:
+        if client.left_at is None and ours.waiting:
+            client.leave()
+        return real(*args)
+
+    def dialled(*args: Any) -> Co[Transport]:
+        yield from sleep(dial_ms)
+        return (yield from dial(*args))
+
+    monkeypatch.setattr(hosts, "HostLink", link_made)
+    monkeypatch.setattr(hosts, "connect", dialled)
+    for link in list(ours.links):
+        day.service.hosts._end(ours, link, "idle")
+    client.ask()
+    yield from wait_for(lambda: client.left_at is not None)
+
+
+def for_a_late_dial(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
+    """Likewise, half a second later."""
+    yield from for_a_dial(day, host, client, monkeypatch, dial_ms=500.0)
+
+
+WAITS = [
+    first_attempt, in_the_queue, next_attempt, refused_in_one_wake_up, for_a_connection, for_a_descriptor, for_a_dial,
+    for_a_late_dial,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("waits", WAITS, ids=lambda waits: waits.__name__)
+def test_no_attempt_is_sent_for_a_client_that_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, waits: Callable[..., Co[None]], way: str
+) -> None:
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start(settings=patient())
+        staying = yield from warm(day, SIDS[0])
+        client = Client(day, loop, way)
+        yield from client.known()
+        yield from waits(day, host, client, monkeypatch)
+        assert client.left_at is not None
+        yield from wait_for(lambda: day.service.counters["given_up"] == 1)
+        yield from sleep(300)
+        assert not attempts.late(LEAVING, client.left_at)
+        assert not day.service.hosts.hosts["s-1"].waiting
+        assert not any(LEAVING in link.open for link in day.service.owners.links)
+        host.on_open = lambda link, line: link.say(Word.READY, line.sid, text="x")
+        staying.transport.write(setup(STAYING))
+        yield from heard(staying, STAYING, Kind.ANSWER)
+        client.close()
+
+    play(tmp_path, body, loop)
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("waits", [next_attempt, for_a_late_dial], ids=lambda waits: waits.__name__)
+def test_a_process_that_is_to_end_sends_nothing_for_a_client_that_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, waits: Callable[..., Co[None]], way: str
+) -> None:
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start(settings=patient())
+        yield from warm(day, SIDS[0])
+        client = Client(day, loop, way)
+        yield from client.known()
+        day.service.leave()
+        yield from waits(day, host, client, monkeypatch)
+        assert client.left_at is not None
+        yield from wait_for(lambda: day.service.ended, 10_000)
+        assert not attempts.late(LEAVING, client.left_at) and day.service.counters["given_up"] == 1
+        client.close()
+
+    play(tmp_path, body, loop)
+
+
+# What a look must reach
+
+
+def placed_while(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    busy: Callable[[Day, Client], None],
+    prepare: Callable[[Day], Co[None]] | None = None,
+    sockets: int = 1024,
+) -> None:
+    """``busy`` happens between the decision on a client's request and the wire, and has the client give it up: nothing may
+    be sent for it, and what comes afterwards is served."""
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start(settings=patient(), limits={"cores": 1.0, "memory_mb": 64, "sockets": sockets})
+        staying = yield from warm(day, SIDS[0])
+        client = Client(day, loop, "give-up on another connection")
+        yield from client.known()
+        if prepare is not None:
+            yield from prepare(day)
+        at_its_offer(day, LEAVING, 1, lambda: busy(day, client))
+        client.ask()
+        yield from wait_for(lambda: day.service.counters["given_up"] == 1)
+        yield from sleep(300)
+        assert client.left_at is not None and not attempts.late(LEAVING, client.left_at)
+        staying.transport.write(setup(STAYING))
+        yield from heard(staying, STAYING, Kind.ANSWER)
+        client.close()
+
+    play(tmp_path, body, loop)
+
+
+def test_a_give_up_behind_two_thousand_readable_sockets(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """One wait of the system's names 1,023 sockets unless it is asked for more."""
+    others: list[Raw] = []
+
+    def prepare(day: Day) -> Co[None]:
+        for _ in range(40):
+            others.extend(Raw(day) for _ in range(50))
+            yield from sleep(2)
+        yield from wait_for(lambda: len(day.service.owners.links) > 2000)
+
+    def busy(day: Day, client: Client) -> None:
+        for n, raw in enumerate(others):
+            raw.send(binary.encode(Kind.TEST, f"{n:016x}", [(Code.CAUSE, b"\0")]))
+        client.leave()
+
+    placed_while(tmp_path, monkeypatch, busy, prepare, sockets=8192)
+    for raw in others:
+        raw.close()
+
+
+def test_a_give_up_on_the_last_of_two_hundred_new_connections(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    newcomers: list[Raw] = []
+
+    def busy(day: Day, client: Client) -> None:
+        newcomers.extend(Raw(day) for _ in range(200))
+        client.way = "give-up on a new connection"
+        client.leave()
+
+    placed_while(tmp_path, monkeypatch, busy)
+    for raw in newcomers:
+        raw.close()
+
+
+def filler() -> bytes:
+    """More than one read takes, in messages that mean nothing."""
+    parameters = [(Code.CAUSE, bytes([16])), (Code.DESCRIPTION, bytes(15_000))]
+    return b"".join(binary.encode(Kind.RELEASE, sid, parameters) for sid in SIDS[200:206])
+
+
+@pytest.mark.parametrize("own", [True, False])
+def test_a_give_up_that_lies_deeper_than_one_read_reaches(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, own: bool
+) -> None:
+    """Also where the connection is another one of that client's: it waits until that has been read."""
+
+    def busy(day: Day, client: Client) -> None:
+        raw = client.own if own else client.other
+        sock = raw.taken(day).transport._sock._sock  # type: ignore[attr-defined]
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        data = filler() + release(LEAVING)
+        raw.sock.setblocking(True)
+        raw.sock.sendall(data)
+        raw.sock.setblocking(False)
+        all_lies_unread(sock, len(data))
+        client.left_at = day.loop.now()
+        assert isinstance(day.loop, SteppedLoop)
+        day.loop.time += BUSY_MS
+
+    placed_while(tmp_path, monkeypatch, busy)
+
+
+def test_a_client_with_much_unread_holds_nobody_elses_attempts(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection has its part of each turn, and only what its own client asked for waits for the rest."""
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start(settings=patient())
+        yield from warm(day, SIDS[0])
+        client = Client(day, loop, "give-up")
+        yield from client.known()
+        loud = client.other.taken(day)
+        loud.whose = "127.0.0.2"  # as if it called from another host
+        rest, reads = bytearray(), [0]
+
+        def flood() -> None:
+            """Whenever something is read there is more."""
+            reads[0] += 1
+            loop.time += 0.5
+            rest.extend(b"" if rest else filler())
+            with contextlib.suppress(BlockingIOError):
+                del rest[: client.other.sock.send(rest)]
+
+        loop.reading = flood
+        flood()
+        client.ask()
+        yield from wait_for(lambda: attempts.times(LEAVING))
+        assert reads[0] > 1 and loud.transport.behind
+        loop.reading = lambda: None
+        client.close()
+
+    play(tmp_path, body, loop)
+
+
+def test_a_give_up_on_a_connection_that_we_are_closing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def busy(day: Day, client: Client) -> None:
+        link = client.other.taken(day)
+        fd = link.transport._sock.fd  # type: ignore[attr-defined]
+        day.service.owners.drop(link, "idle")
+        client.other.send(release(LEAVING))
+        lies_unread(fd)
+        client.left_at = day.loop.now()
+        assert isinstance(day.loop, SteppedLoop)
+        day.loop.time += BUSY_MS
+
+    placed_while(tmp_path, monkeypatch, busy)
+
+
+# How old a look may be
+
+
+def test_what_comes_during_a_long_look_is_read_by_another(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    noise: list[Raw] = []
+
+    def prepare(day: Day) -> Co[None]:
+        noise.append(Raw(day))
+        yield from wait_for(lambda: len(day.service.owners.links) == 4)
+
+    def busy(day: Day, client: Client) -> None:
+        assert isinstance(day.loop, SteppedLoop)
+
+        def reading() -> None:
+            day.loop.reading = lambda: None  # type: ignore[attr-defined]
+            client.leave()
+
+        day.loop.reading = reading
+        noise[0].send(binary.encode(Kind.TEST, "0" * 16, [(Code.CAUSE, b"\0")]))
+        lies_unread(noise[0].taken(day).transport._sock.fd)  # type: ignore[attr-defined]
+
+    placed_while(tmp_path, monkeypatch, busy, prepare)
+    noise[0].close()
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_attempts_that_are_sent_one_after_another(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, way: str) -> None:
+    """The last of a batch leaves while the first is sent."""
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start(settings=patient())
+        yield from warm(day, SIDS[0])
+        client = Client(day, loop, way)
+        yield from client.known()
+        ours = day.service.hosts
+        real = ours._write
+
+        def write(host: hosts.Host, link: hosts.HostLink, out: tasks.Out) -> None:
+            real(host, link, out)
+            if client.left_at is None:
+                assert out.sid != LEAVING, "it is not the first one"
+                client.leave()
+
+        ours._write = write  # type: ignore[method-assign]
+        client.other.send(b"".join(setup(sid) for sid in SIDS[320:323]))
+        client.ask()
+        yield from wait_for(lambda: day.service.counters["given_up"] == 1)
+        yield from sleep(300)
+        assert client.left_at is not None and not attempts.late(LEAVING, client.left_at)
+        client.close()
+
+    play(tmp_path, body, loop)
+
+
+def test_no_decision_comes_between_the_look_and_the_wire(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of three in a batch the second is found to have left, which the module is told at once: that takes as long as a batch,
+    and the third has given up meanwhile."""
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start(settings=patient())
+        yield from warm(day, SIDS[0])
+        client, gone = Client(day, loop, "give-up on another connection"), Raw(day)
+        yield from client.known()
+        yield from wait_for(lambda: len(day.service.owners.links) == 4)
+
+        def act(events: list[i.Event], actions: list[i.Action]) -> None:
+            if any(isinstance(event, i.Gone) for event in events):
+                loop.time += BUSY_MS
+            if client.left_at is None and sum(isinstance(action, i.Offer) for action in actions) == 3:
+                gone.close()
+                client.leave()
+
+        deciding(day, act)
+        gone.send(setup(SIDS[331]))
+        client.other.send(setup(SIDS[330]))
+        client.ask()
+        yield from wait_for(lambda: day.service.counters["given_up"] == 2)
+        yield from sleep(300)
+        assert client.left_at is not None and not attempts.late(LEAVING, client.left_at)
+        client.close()
+
+    play(tmp_path, body, loop)
+
+
+def test_while_reading_takes_all_time_nothing_is_sent(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each read takes longer than a look may be old, and there is always more to read: a give-up might lie behind it."""
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start(settings=patient())
+        yield from warm(day, SIDS[0])
+        client, noise = Client(day, loop, "give-up"), Raw(day)
+        yield from client.known()
+        test = binary.encode(Kind.TEST, "0" * 16, [(Code.CAUSE, b"\0")])
+
+        def reading() -> None:
+            loop.time += dispatch.LOOK_AGE_MS + 1.0
+            noise.send(test)
+
+        client.ask()
+        noise.send(test)
+        loop.reading = reading
+        yield from wait_for(lambda: day.service.counters["dispatch_held"] >= 3)
+        assert not attempts.times(LEAVING)
+        loop.reading = lambda: None
+        yield from wait_for(lambda: attempts.times(LEAVING))
+        noise.close()
+        client.close()
+
+    play(tmp_path, body, loop)
+
+
+# What goes out as before
+
+
+def test_a_dial_that_fails_during_the_look_ends_nothing_that_can_be_written(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    loop = SteppedLoop()
+    attempts = Attempts(loop, monkeypatch)
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start(settings=patient())
+        owner = yield from warm(day, SIDS[0])
+        ours, look_until, failed = day.service.hosts.hosts["s-1"], loop.look_until, list[bool]()
+
+        def look(most_ms: float) -> bool:
+            if ours.waiting and not failed:
+                failed.append(True)
+                day.service.hosts._not_connected(ours, OSError("no way there"), loop.wall())
+            return look_until(most_ms)
+
+        loop.look_until = look  # type: ignore[method-assign]
+        owner.transport.write(setup(LEAVING))
+        yield from heard(owner, LEAVING, Kind.ANSWER)
+        assert failed and len(attempts.times(LEAVING)) == 1
+        assert not day.service.counters["ended_connect_failed"]
+
+    play(tmp_path, body, loop)
+
+
+def test_a_connection_on_which_a_test_was_just_written_is_used(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start(settings=patient())
+        owner = yield from warm(day, SIDS[0])
+        [link] = day.service.hosts.hosts["s-1"].links
+        at_its_offer(day, LEAVING, 1, lambda: day.service.hosts._test(link))
+        owner.transport.write(setup(LEAVING))
+        yield from heard(owner, LEAVING, Kind.ANSWER)
+        assert len(host.links) == 1 and opened(host) == [SIDS[0], LEAVING]
+
+    play(tmp_path, body, SteppedLoop())
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -60,7 +60,9 @@
     def answer(self, sid: str, text: str) -> None:
         self.events.append(("answer", sid, text))
 
-    def look(self) -> None: ...
+    def caught_up(self) -> bool:
+        return True
+
     def forget(self, sid: str) -> None: ...
     def recall(self, services: set[str]) -> None: ...
     def went_out(self, out: Out) -> bool:
