Descriptors: every one is accounted for, and a newcomer has 50 ms before its place is given on

Seen: 120 clients that were served once and then say nothing are closed for idleness in one step, come back at once and keep their old sockets open; with 180 silent ones beside them a placer with RLIMIT_NOFILE 256 held all 256. Dials to hosts then failed with "Too many open files", and each was told to the module as a connection that failed, so healthy hosts were suspected for sure (14 in one trial of 17 s). SIGHUP read at such a moment was refused for good.

At fault: Service.__init__ counted the connections that live and left a sixteenth of the limit for those that are ending, however many of these there were (up to all that one tick closes, for LINGER_MS each); Hosts._connect took every OSError for the host's; Service.reload took a file that could not be opened for one that cannot be used.

- node.descriptors accounts for closes that linger.
The longest of them end when a connection wants the descriptor; what they had not sent goes out first.
- The limit is the configuration's or RLIMIT_NOFILE, whichever is lower.
- A dial that finds no descriptor says nothing of the host and is made again; a reload that finds none is made later.
- A newcomer is not closed for the next one within 50 ms of its coming: where only such could make room the listener rests.
Under some 2,000 to 5,000 returns a second 1 to 3 of 230 usual clients were pushed out before their set-up had arrived.

Ruled out: discovery's dial failed for want of a descriptor in none of the trials that did not reach the limit; nobody with work open was closed. A reserved descriptor, closed when wanted, was not taken: it serves one want.

--- a/sprucepost/loop/accept.py
+++ b/sprucepost/loop/accept.py
@@ -21,10 +21,18 @@
         self._loop, self._listener, self._take = loop, listener, take
         self.address: Address = listener.address
         self.short = 0
-        self._closed = False
+        self._closed = self._resting = False
         self._resume()
 
+    def rest(self, ms: float) -> None:
+        """Leave what comes in the backlog for so long."""
+        if not (self._closed or self._resting):
+            self._resting = True
+            self._loop.watch(self._listener, None, None)
+            self._loop.call_later(ms, self._resume)
+
     def _resume(self) -> None:
+        self._resting = False
         if not self._closed:
             self._loop.watch(self._listener, self._readable, None)
 
@@ -34,13 +42,12 @@
                 sock = self._listener.accept()
             except OSError:
                 self.short += 1
-                self._loop.watch(self._listener, None, None)
-                self._loop.call_later(SHORT_PAUSE_MS, self._resume)
+                self.rest(SHORT_PAUSE_MS)
                 return
             if sock is None:
                 return
             self._take(sock)
-            if self._closed:
+            if self._closed or self._resting:
                 return
 
     def drain(self) -> None:
--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 from abc import ABC, abstractmethod
 from collections import deque
@@ -19,6 +20,14 @@
 LOOK_MS = 50.0  # a loop that is to know of its pauses looks at its sockets so often: one within a wait leaves no trace
 OVERSLEPT_MS = 5.0  # a wait that ends later than that was not the system's rounding
 
+_SHORTAGE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+def is_shortage(error: BaseException) -> bool:
+    """Whether the system had no descriptor or no memory to give: that says nothing of the peer, and passes by itself."""
+    return isinstance(error, OSError) and error.errno in _SHORTAGE
+
+
 Call = Callable[[], None]
 Rng = random.Random
 
--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -48,6 +48,7 @@
         self.gone = False  # the socket has been given back
         self.linger_ms = 0.0
         self.on_late: Callable[[bytes], None] = lambda data: None  # what comes while it lingers
+        self.on_gone: Callable[[], None] = lambda: None  # called once, when the socket has been given back
         self._lingering: Timer | None = None
         self._delivering = False  # within on_data
         self.sent = 0  # bytes that the system has taken, ever
@@ -110,6 +111,13 @@
         if not self.closed:
             self._shut(True)
 
+    def cut(self) -> None:
+        """End a close that lingers now; the peer sees a reset where the system does not take all that was written."""
+        if self._out:
+            self._flush()
+        if not self.gone:
+            self._shut(bool(self._out))
+
     def _shut(self, reset: bool) -> None:
         self.closed = self.gone = True
         if self._lingering is not None:
@@ -117,6 +125,7 @@
         self._loop.watch(self._sock, None, None)
         self._sock.close(reset)
         self._out, self.buffered = [], 0
+        self.on_gone()
 
     def _finish(self) -> None:
         """All is sent: close, or see the peer's end first."""
--- a/sprucepost/node/config.py
+++ b/sprucepost/node/config.py
@@ -10,6 +10,7 @@
 
 from sprucepost import interface as i
 from sprucepost.adapter import report_fields, settings_from
+from sprucepost.loop import is_shortage
 from sprucepost.node.bulletin import Address, address_of
 
 FILE_MOST = 16 * 1024 * 1024
@@ -19,6 +20,10 @@
     """One plain line: what is wrong, and where."""
 
 
+class ConfigUnavailable(ConfigError):
+    """The file could not be opened for want of a descriptor or of memory: another try may succeed."""
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the platform gives the process."""
@@ -58,7 +63,8 @@
         with path.open("rb") as file:
             data = file.read(FILE_MOST + 1)
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
+        kind = ConfigUnavailable if is_shortage(error) else ConfigError
+        raise kind(f"{path}: {error.strerror}") from None
     if len(data) > FILE_MOST:
         raise ConfigError(f"{path}: longer than {FILE_MOST} bytes")
     try:
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -33,9 +33,10 @@
 from collections.abc import Callable
 
 from sprucepost import interface as i
-from sprucepost.loop import Co, Loop, Scope, TimedOut, Timer, Transport, connect, current
+from sprucepost.loop import Co, Loop, Scope, TimedOut, Timer, Transport, connect, current, is_shortage
 from sprucepost.node.bounds import LINGER_MS, MOST
 from sprucepost.node.bulletin import Address, Told
+from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.jsonl import Decoder, Line, Word, encode
 from sprucepost.node.tasks import GIVEN_UP, LATE_MS, Out, Tasks
 
@@ -102,6 +103,7 @@
         loop: Loop,
         scope: Scope,
         tasks: Tasks,
+        descriptors: Descriptors,
         most: int,
         connect_ms: float,
         idle_ms: float,
@@ -109,8 +111,7 @@
         counters: Counter[str],
     ) -> None:
         self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
-        self._most, self._connect_ms, self._idle = most, connect_ms, idle_ms
-        self.spare: Callable[[], int] = lambda: most  # connections that there may be more, to anybody
+        self._descriptors, self._most, self._connect_ms, self._idle = descriptors, most, connect_ms, idle_ms
         self.hosts: dict[str, Host] = {}
 
     # The list
@@ -206,7 +207,8 @@
             elif usable and full and host.dialing < len(host.waiting):
                 link = min(usable, key=lambda link: len(link.open))
             else:
-                if host.dialing < len(host.waiting) and not full and (self.spare() > 0 or self.make_room()):
+                wanted = host.dialing < len(host.waiting) and not full
+                if wanted and (self._descriptors.spare() > 0 or self.make_room()):
                     self._dial(host)
                 return
             if not {link, out} <= looked:
@@ -306,6 +308,7 @@
         return False
 
     def _dial(self, host: Host) -> None:
+        self._descriptors.reclaim()
         host.dialing += 1
         self._scope.spawn(self._connect(host), f"host {host.uid}")
 
@@ -316,7 +319,9 @@
             transport = yield from connect(self.loop, task, host.address, self._connect_ms)
         except (OSError, TimedOut) as error:
             host.dialing -= 1
-            if self.hosts.get(host.uid) is host:
+            if self.hosts.get(host.uid) is host and is_shortage(error):
+                self._not_dialled(host)
+            elif self.hosts.get(host.uid) is host:
                 self._not_connected(host, error, began)
             return
         host.dialing -= 1
@@ -355,13 +360,26 @@
         if self._suspected(host):
             self.loop.call_later(pause, lambda: self._find(host))
 
+    def _not_dialled(self, host: Host) -> None:
+        """The system had no descriptor for the dial, which says nothing of the host: what waits is dialled for again."""
+        self.counters["dials_short"] += 1
+        self.make_room()
+        host.dial_at = self.loop.now() + AGAIN_MS
+
+        def again() -> None:
+            if self.hosts.get(host.uid) is host:
+                self._serve(host)
+                self._find(host)
+
+        self.loop.call_later(AGAIN_MS, again)
+
     def _find(self, host: Host) -> None:
         """Dial a host on which something of ours stands, or is to end, where no connection may still bring word."""
         now = self.loop.now()
         wanted = self.hosts.get(host.uid) is host and (host.uid in self._tasks.standing or bool(host.letting))
         hopeful = any(not link.retired and not link.overdue(now) for link in host.links)
         due = wanted and not hopeful and not host.dialing and now >= host.dial_at
-        if due and (self.spare() > 0 or (self._suspected(host) and self.make_room())):
+        if due and (self._descriptors.spare() > 0 or (self._suspected(host) and self.make_room())):
             self._dial(host)
 
     def _end(self, host: Host, link: HostLink, why: str) -> None:
@@ -372,7 +390,7 @@
         self.counters[f"host_link_{why}"] += 1
         if why in ("retired", "idle", "room"):
             link.transport.on_late = lambda data: self._late(host, link, data)
-            link.transport.close()
+            self._descriptors.end(link.transport)
         else:
             link.transport.abort()
         outs, link.open = list(link.open.values()), {}
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -30,10 +30,12 @@
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.binary import Code, Decoder, Kind, Message, encode
 from sprucepost.node.bounds import LINGER_MS, MOST
+from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.tasks import LATE_MS, REFUSED, OwnerPort, Taken, Tasks
 from sprucepost.node.words import Refused, Words
 
 UNPROVEN_MS = 1500.0  # for a connection that says nothing useful: half of the 3 s in which it is owed a close
+ARRIVAL_MS = 50.0  # what was on its way when a connection was taken, or crosses its close, comes within that
 UNREAD_MOST = 16 * MOST  # bytes that an owner may leave unread
 FINISH_LOOK_MS = 5.0  # between looks whether all connections have ended
 
@@ -114,6 +116,11 @@
             self._owners.loop.call_soon(lambda: self._owners.drop(self, "unread"))
 
 
+def _least_useful(link: OwnerLink) -> tuple[bool, float]:
+    """The order in which idle connections make room: those that brought nothing useful first, the longest idle first."""
+    return link.proven, link.used
+
+
 class Owners:
     """All owners' connections."""
 
@@ -123,6 +130,7 @@
         listener: Listener,
         tasks: Tasks,
         words: Words,
+        descriptors: Descriptors,
         most: int,
         most_open: int,
         idle_ms: float,
@@ -130,8 +138,7 @@
         counters: Counter[str],
     ) -> None:
         self.loop, self._tasks, self._words, self._log, self.counters = loop, tasks, words, log, counters
-        self._most, self._most_open, self._idle = most, most_open, idle_ms
-        self.spare: Callable[[], int] = lambda: most  # connections that there may be more, to anybody
+        self._descriptors, self._most, self._most_open, self._idle = descriptors, most, most_open, idle_ms
         self.others_yield: Callable[[], bool] = lambda: False  # have somebody else give up one that is idle
         self.links: dict[OwnerLink, None] = {}
         self.held: Counter[str] = Counter()  # tasks that stand, by whose they are
@@ -143,14 +150,21 @@
 
     # Connections
 
+    @property
+    def accepts_failed(self) -> int:
+        """How often the system had no descriptor for a connection that waited to be taken."""
+        return self._acceptor.short
+
     def _take(self, sock: Sock) -> None:
         full = len(self.links) >= self._most
-        if not full and self.spare() <= 0:  # those who have said nothing yet go before anybody else's connections
+        if not full and self._descriptors.spare() <= 0:
+            # Those who have said nothing yet go before anybody else's connections.
             full = not self._make_room(unproven=True) and not self.others_yield()
         if full and not self._make_room():
             self.counters["owners_turned_away"] += 1
             sock.close(reset=True)
             return
+        self._descriptors.reclaim()
         link = OwnerLink(self, Transport(self.loop, sock), self.loop.now())
         link.transport.linger_ms = LINGER_MS
         self.links[link] = None
@@ -158,12 +172,26 @@
         link.transport.on_end = lambda: self.drop(link, "ended")
         link.transport.on_lost = lambda error: self._forget(link)
         link.transport.start()
+        self._await_room()
+
+    def _await_room(self) -> None:
+        """Where the next newcomer could only have the place of one that has just come, it waits in the backlog: who comes
+        back the moment it is closed would else push out usual clients before their set-up has arrived."""
+        if len(self.links) < self._most and self._descriptors.spare() > 0:
+            return
+        idle = [link for link in self.links if not (link.open or link.standing)]
+        if not idle:
+            return
+        wait = min(idle, key=_least_useful).used + ARRIVAL_MS - self.loop.now()
+        if wait > 0:
+            self.counters["owners_awaited"] += 1
+            self._acceptor.rest(wait)
 
     def _make_room(self, unproven: bool = False) -> bool:
         for _ in range(2):  # what is found unread the first time may be answered by the second
             needed = self._needed()
             idle = [link for link in self.links if not (link.open or link in needed or (unproven and link.proven))]
-            for link in sorted(idle, key=lambda link: (link.proven, link.used)):
+            for link in sorted(idle, key=_least_useful):
                 if not link.transport.look():
                     self.drop(link, "room")
                 if link not in self.links:
@@ -185,11 +213,11 @@
             return
         self.counters[f"owner_{why}"] += 1
         if why in ("ended", "idle", "stopped"):
-            link.transport.close()
+            self._descriptors.end(link.transport)
         elif why in ("room", "silent"):
             if not link.transport.buffered:  # its descriptor is wanted, or it has said nothing: no lingering
                 link.transport.linger_ms = 0.0
-            link.transport.close()
+            self._descriptors.end(link.transport)
         else:
             link.transport.abort()
         self._forget(link)
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -34,7 +34,8 @@
 from sprucepost.node import words
 from sprucepost.node.bounds import Malformed
 from sprucepost.node.bulletin import Bulletin, Told
-from sprucepost.node.config import Config, ConfigError, read
+from sprucepost.node.config import Config, ConfigError, ConfigUnavailable, read
+from sprucepost.node.descriptors import Descriptors, usable
 from sprucepost.node.feed import BODY_PART, Feed
 from sprucepost.node.hosts import Hosts
 from sprucepost.node.log import Log
@@ -47,8 +48,6 @@
 COUNTS_MS = 10_000.0  # between lines with the counters
 LEAVE_MS = 700.0  # after SIGTERM set-ups are still sent for so long, 0.6 s by the platform's word; the rest is slack
 LONGEST_MS = 3000.0  # a process that ends is killed no earlier than the longest deadline, or this, after that
-SPARE_SOCKETS = 8  # standard streams, the loop's three, the listener, the bulletin, a file that is read
-SPARE_PART = 16  # of all descriptors, that many'th part for connections that are ending
 SPARE_MS = 60.0  # before it may be killed: what came at the end of LEAVE_MS has had its time by then
 SLEW = 0.05  # share of its own time by which the aligned clock follows a step of the system's
 
@@ -68,8 +67,19 @@
             lambda text: words.load(text, config.report_names, config.report_fields),
             self.counters,
         )
-        sockets = config.limits.sockets
-        self.hosts = Hosts(loop, scope, self.tasks, sockets // 3, config.connect_ms, config.idle_ms, log, self.counters)
+        sockets = usable(config.limits.sockets)
+        self.descriptors = Descriptors(sockets, lambda: len(self.owners.links) + self.hosts.connections)
+        self.hosts = Hosts(
+            loop,
+            scope,
+            self.tasks,
+            self.descriptors,
+            sockets // 3,
+            config.connect_ms,
+            config.idle_ms,
+            log,
+            self.counters,
+        )
         bulletin = Bulletin(settings.zones, settings.kinds)
         body_most = int(config.limits.memory_mb * 1024 * 1024) // BODY_PART
         self.feed = Feed(
@@ -80,6 +90,7 @@
             loop.listen(config.listen),
             self.tasks,
             words.Words(settings),
+            self.descriptors,
             sockets // 2,
             max(64, int(config.limits.memory_mb * 8)),
             config.idle_ms,
@@ -87,8 +98,6 @@
             self.counters,
         )
         self.tasks.owners, self.tasks.hosts = self.owners, self.hosts
-        spare = sockets // SPARE_PART + min(SPARE_SOCKETS, sockets // 8)
-        self.hosts.spare = self.owners.spare = lambda: sockets - spare - len(self.owners.links) - self.hosts.connections
         self.owners.others_yield = self.hosts.make_room
         self.ended = False  # all is answered, or time is up
         self._over: Queue[None] = Queue(1)
@@ -148,6 +157,8 @@
             owner_links=len(self.owners.links),
             owner_links_waiting=sum(bool(link.open) for link in self.owners.links),
             host_links=sum(len(host.links) for host in self.hosts.hosts.values()),
+            closing=self.descriptors.closing,
+            accepts_failed=self.owners.accepts_failed,
             hosts=len(self.hosts.hosts),
             services=len(scheduler.services),
             machines=len(scheduler.machines),
@@ -162,6 +173,10 @@
         """SIGHUP."""
         try:
             config = read(self._environment)
+        except ConfigUnavailable as error:
+            self.log("reload_delayed", why=str(error))
+            self.loop.call_later(TICK_MS, self.reload)
+            return
         except ConfigError as error:
             self.log("reload_refused", why=str(error))
             return
--- /dev/null
+++ b/tests/node/test_descriptors.py
@@ -0,0 +1,326 @@
+"""Descriptors: idle clients hold all that they can get, from before discovery goes down until it is back."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import json
+import os
+import signal
+import socket
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sprucepost.loop import Acceptor, Address, Co, Sock, Transport, sleep
+from sprucepost.loop.epoll import EpollLoop
+from sprucepost.node import binary
+from sprucepost.node.binary import Kind
+from sprucepost.node.descriptors import Descriptors
+from sprucepost.node.jsonl import Line, Word
+from tests.node.platform import Day, Host, Link, Paper, heard, play, settings, setup
+from tests.node.program import Program, connected, passes_test, running
+from tests.node.test_crossings import patient, release
+from tests.wire.support import wait_for
+
+LIMIT = 256  # the smallest that the platform gives
+PROVEN, SILENT = 120, 180  # idle clients that have been served once, and those that bring nothing of use
+KEEPALIVE_MS = 400.0  # so that connections are closed for idleness by the hundred, again and again
+SIDS = [f"de5c5aa5c7e{n:05x}" for n in range(2000)]
+STANDING, SLOW, FRONT = "5a" * 8, "5b" * 8, "5c" * 8
+SMALL = "cores:0.01;memory:0.01;service:00000000000000ff"
+
+
+class IdleClient:
+    """Holds a connection and says nothing useful. The moment it is closed it comes back, and leaves the old one half open
+    until it has lost the next one too."""
+
+    def __init__(self, day: Day, address: Address, number: int, seen: Counter[str]) -> None:
+        self._day, self._address, self._number, self._seen = day, address, number, seen
+        self._socks: list[Sock] = []
+        self._came = 0
+        self._on = True
+        self._dial()
+
+    def stop(self) -> None:
+        """Close all that it holds, and stay away."""
+        self._on = False
+        for sock in self._socks:
+            self._day.loop.watch(sock, None, None)
+            sock.close()
+
+    def _dial(self) -> None:
+        if not self._on:
+            return
+        sock = self._day.loop.dial(self._address)
+        self._socks.append(sock)
+        self._day.loop.watch(sock, None, lambda: self._up(sock))
+
+    def _up(self, sock: Sock) -> None:
+        try:
+            self._speak(sock)
+        except OSError:
+            self._seen["reset"] += 1
+            self._again(sock)
+            return
+        self._day.loop.watch(sock, lambda: self._read(sock), None)
+
+    def _speak(self, sock: Sock) -> None:
+        """Nothing, a part of a message, a test, or a task that is taken back at once."""
+        self._came += 1
+        sid = f"{self._number:08x}{self._came:08x}"
+        if self._number < PROVEN:
+            sock.send(setup(sid, FIGURES=SMALL) + release(sid))
+        else:
+            test = binary.encode(Kind.TEST, sid, [(binary.Code.CAUSE, b"\0")])
+            sock.send([b"", setup(sid)[:20], test][self._number % 3])
+
+    def _read(self, sock: Sock) -> None:
+        try:
+            data = sock.recv(65536)
+        except OSError:
+            data = b""
+        if data == b"":
+            self._seen["closed"] += 1
+            self._again(sock)
+
+    def _again(self, sock: Sock) -> None:
+        self._day.loop.watch(sock, None, None)
+        while len(self._socks) > 1:
+            self._socks.pop(0).close()
+        self._day.loop.call_later(10.0, self._dial)
+
+
+class UsualClients:
+    """One task every 20 ms, each on a new connection, which is closed once it has its answer."""
+
+    def __init__(self, day: Day, program: Program) -> None:
+        self._day, self._program = day, program
+        self.asked, self.answered, self.on, self.done = 0, 0, True, False
+
+    def run(self) -> Co[None]:
+        """Until ``on`` is taken away."""
+        while self.on:
+            sid = SIDS[self.asked]
+            self.asked += 1
+            with socket.create_connection(self._program.address) as sock:  # at once, however busy this loop is
+                sock.setblocking(False)
+                sock.send(setup(sid, FIGURES=SMALL))
+                self.answered += yield from self._answered(sock)
+            yield from sleep(20)
+        self.done = True
+
+    def _answered(self, sock: socket.socket) -> Co[bool]:
+        decoder, data = binary.Decoder(), list[bytes]()
+
+        def come() -> bool:
+            with contextlib.suppress(BlockingIOError):
+                data.append(sock.recv(65536))
+            return bool(data)
+
+        yield from wait_for(come, 8000)
+        return any(message.kind == Kind.ANSWER for message in decoder.feed(data[0]))
+
+
+def short_tasks(host: Host) -> None:
+    """The host runs each task for 20 ms, but the one that stands, and answers the slow one when the test says so."""
+
+    def run(link: Link, line: Line) -> None:
+        if line.sid == SLOW:
+            return
+        link.say(Word.READY, line.sid, text="x")
+        if line.sid != STANDING:
+            host.day.loop.call_later(20.0, lambda: link.say(Word.CLOSE, line.sid, code=16))
+
+    host.on_open = run
+
+
+def take_down(day: Day, how: str) -> None:
+    """Discovery's process has been killed, or is stopped: the system takes connections, and nobody answers."""
+    day.paper.mode = "silent"
+    if how == "killed":
+        day.paper.acceptor.close()
+
+
+def bring_back(day: Day, how: str) -> None:
+    day.paper.mode = "answers"
+    if how == "killed":
+        day.paper.acceptor = Acceptor(day.loop, day.loop.listen(day.paper.acceptor.address), day.paper._take)
+
+
+@pytest.mark.parametrize("how", ["killed", "stopped"])
+def test_idle_clients_hold_all_that_they_can_get_while_discovery_is_down(tmp_path: Path, how: str) -> None:
+    found = settings()
+    found["policy_limits"]["keepalive"] = KEEPALIVE_MS
+    seen: Counter[str] = Counter()
+    most = [0]
+
+    def body(day: Day) -> Co[None]:
+        for n in range(12):
+            short_tasks(day.host(f"s-{n}"))
+        day.paper.tell(*(host.entry() for host in day.hosts.values()), everything=True)
+        limits = {"cores": 1.0, "memory_mb": 64, "sockets": LIMIT}
+        with running(day, LIMIT, settings=found, limits=limits) as program:
+
+            def count() -> None:
+                if program.process.returncode is None:
+                    most[0] = max(most[0], program.descriptors())
+                    day.loop.call_later(2.0, count)
+
+            usual = yield from passes_test(day, program, FRONT)
+            usual.transport.write(setup(STANDING, FIGURES=SMALL) + setup(SLOW, LEFT="20000"))
+            yield from heard(usual, STANDING, Kind.ANSWER)
+            count()
+            idle = [IdleClient(day, program.address, n, seen) for n in range(PROVEN)]
+            yield from wait_for(lambda: seen["closed"] >= PROVEN / 2, 8000)  # all for idleness, in one step
+            idle += [IdleClient(day, program.address, PROVEN + n, seen) for n in range(SILENT)]
+            others = UsualClients(day, program)
+            day._scope.spawn(others.run(), "usual clients")
+            yield from wait_for(lambda: seen["closed"] > PROVEN + SILENT, 8000)
+            take_down(day, how)
+            yield from wait_for(lambda: len(program.lines("bulletin_failed")) >= 3, 8000)
+            yield from sleep(1500)
+            yield from passes_test(day, program, FRONT)
+            failed, asked = len(program.lines("bulletin_failed")), len(day.paper.asked)
+            bring_back(day, how)
+            day.paper.tell(day.host("newer").entry())
+            yield from wait_for(lambda: 2 in day.paper.asked, 15_000)  # what it has told is held
+            assert len(program.lines("bulletin_failed")) <= failed + 1, "the first dial that can reach it does"
+            assert day.paper.asked[asked:][:1] == [1]
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps({**json.loads(path.read_text()), "name": "moved"}))
+            os.kill(program.process.pid, signal.SIGHUP)
+            yield from wait_for(lambda: program.lines("reloaded"), 8000)
+            others.on = False
+            yield from wait_for(lambda: others.done, 8000)
+            for client in idle:
+                client.stop()
+            for host in day.hosts.values():
+                for line in host.lines(Word.OPEN):
+                    if line.sid == SLOW:
+                        host.links[-1].say(Word.READY, SLOW, text="x")
+            assert not usual.ended, "who has work open stays"
+            faults = [line for line in program.lines() if "Too many open files" in str(line.get("why"))]
+            assert not faults and not program.lines("reload_refused") and not program.lines("host_not_connected")
+            assert most[0] < LIMIT, "one is left for whatever must be opened"
+            assert others.asked == others.answered > 5
+
+    play(tmp_path, body)
+
+
+class Shortage:
+    """While it lasts the system has no descriptor for a dial to a host, nor for a file."""
+
+    def __init__(self, day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.on, self.refused = False, 0
+        dial, read = day.loop.dial, Path.open
+
+        def short_dial(address: Address, source: str | None = None) -> Sock:
+            self._refuse()
+            return dial(address, source)
+
+        def short_open(path: Path, mode: str = "r") -> Any:
+            self._refuse()
+            return read(path, mode)
+
+        monkeypatch.setattr(day.loop, "dial", short_dial)
+        monkeypatch.setattr(Path, "open", short_open)
+
+    def _refuse(self) -> None:
+        if self.on:
+            self.refused += 1
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+
+def test_a_dial_without_a_descriptor_says_nothing_of_its_host(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The whole machine may be out of them. The host was taken for dead, and its tasks went elsewhere or failed."""
+
+    def body(day: Day) -> Co[None]:
+        host = day.host("s-1")
+        day.start(settings=patient())
+        shortage = Shortage(day, monkeypatch)
+        owner = yield from day.owner()
+        shortage.on = True
+        owner.transport.write(setup(SIDS[0]))
+        yield from wait_for(lambda: shortage.refused >= 2)
+        assert not day.service.counters["connect_failed"] and not day.service.counters["ended_connect_failed"]
+        shortage.on = False
+        yield from heard(owner, SIDS[0], Kind.ANSWER)
+        assert [line.sid for line in host.lines(Word.OPEN)] == [SIDS[0]]
+        assert day.service.counters["offers"] == 1
+
+    play(tmp_path, body)
+
+
+def test_a_reload_without_a_descriptor_is_made_later(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It comes once: refused, the placer would ask a discovery that tells nothing any more until its end."""
+
+    def body(day: Day) -> Co[None]:
+        day.host("s-1")
+        day.start()
+        yield from wait_for(lambda: day.paper.asked)
+        old, day.paper = day.paper, Paper(day)
+        day.paper.items = list(old.items)
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**json.loads(path.read_text()), "bulletin": day.paper.address}))
+        shortage = Shortage(day, monkeypatch)
+        shortage.on = True
+        day.service.reload()
+        assert shortage.refused == 1 and not day.paper.asked
+        shortage.on = False
+        yield from wait_for(lambda: day.paper.asked)
+        assert any("reload_delayed" in line for line in day.lines)
+
+    play(tmp_path, body)
+
+
+def test_no_more_descriptors_are_counted_on_than_the_system_grants(tmp_path: Path) -> None:
+    def body(day: Day) -> Co[None]:
+        short_tasks(day.host("s-1"))
+        day.paper.tell(*(host.entry() for host in day.hosts.values()), everything=True)
+        seen: Counter[str] = Counter()
+        with running(day, 64, limits={"cores": 1.0, "memory_mb": 64, "sockets": LIMIT}) as program:
+            yield from passes_test(day, program, FRONT)
+            idle = [IdleClient(day, program.address, PROVEN + n, seen) for n in range(100)]
+            yield from wait_for(lambda: seen["closed"] > 100, 8000)
+            os.kill(program.process.pid, signal.SIGHUP)
+            yield from wait_for(lambda: program.lines("reloaded"), 8000)
+            usual = yield from connected(day, program)
+            usual.transport.write(setup(SIDS[0], FIGURES=SMALL))
+            yield from heard(usual, SIDS[0], Kind.ANSWER)
+            for client in idle:
+                client.stop()
+            assert not program.lines("reload_delayed") and not program.lines("host_not_connected")
+
+    play(tmp_path, body)
+
+
+def test_closes_that_linger_give_way_the_longest_first() -> None:
+    """Numbers alone: 64 descriptors, 8 of them for the process itself, 4 for closes that linger."""
+    connections = [0]
+    descriptors = Descriptors(64, lambda: connections[0])
+    loop = EpollLoop(1)
+    listener = loop.listen(("127.0.0.1", 0))
+    try:
+        ending = []
+        for _ in range(6):
+            transport = Transport(loop, loop.dial(listener.address))
+            transport.linger_ms = 1000.0
+            descriptors.end(transport)
+            ending.append(transport)
+        assert descriptors.closing == 6 and descriptors.spare() == 52
+        connections[0] = 49
+        descriptors.reclaim()
+        assert not any(transport.gone for transport in ending), "56 are for all, and one more fits"
+        connections[0] = 52
+        descriptors.reclaim()
+        assert [transport.gone for transport in ending] == [True, True, True, False, False, False]
+        assert descriptors.closing == 3 and descriptors.spare() == 0
+        for transport in ending:
+            transport.cut()
+        assert descriptors.closing == 0
+    finally:
+        listener.close()
+        loop.close()
--- /dev/null
+++ b/tests/node/test_newcomers.py
@@ -0,0 +1,111 @@
+"""Who is taken and who makes room while idle clients come by the hundred; on virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from sprucepost.adapter import settings_from
+from sprucepost.node import binary, words
+from sprucepost.node.binary import Code, Kind
+from sprucepost.node.descriptors import Descriptors
+from sprucepost.node.owners import ARRIVAL_MS, Owners
+from sprucepost.node.tasks import Tasks
+from sprucepost.placing.desk import Desk
+from tests.node.platform import settings, setup
+from tests.node.test_crossings import release
+from tests.node.virtual import SocketLoop, VirtualSock
+
+ADDRESS = ("127.0.0.1", 1)
+TEST = binary.encode(Kind.TEST, "5c" * 8, [(Code.CAUSE, b"\0")])
+
+
+class Front:
+    """Clients' side of a placer with 64 descriptors: 32 connections of clients."""
+
+    def __init__(self) -> None:
+        self.loop, self.counters = SocketLoop(), Counter[str]()
+        found = settings_from(settings())
+        desk = Desk(self.loop, found, 1, 0.05, lambda: None, lambda *a, **k: None, self.counters)
+        tasks = Tasks(self.loop, desk, found, lambda text: words.load(text, (), ()), self.counters)
+        descriptors = Descriptors(64, lambda: len(self.owners.links))
+        self.owners = Owners(
+            self.loop,
+            self.loop.listen(ADDRESS),
+            tasks,
+            words.Words(found),
+            descriptors,
+            32,
+            64,
+            30_000.0,
+            lambda *a, **k: None,
+            self.counters,
+        )
+        self.socks: list[VirtualSock] = []
+
+    def idle(self, number: int) -> None:
+        """So many connect and say nothing."""
+        self.socks += [self.loop.arrive(ADDRESS, f"127.0.1.1:{n}") for n in range(number)]
+
+    def come_back(self) -> None:
+        """Who was closed connects again at once."""
+        closed = [sock for sock in self.socks if sock.closed]
+        self.socks = [sock for sock in self.socks if not sock.closed]
+        self.idle(len(closed))
+
+
+def test_a_newcomer_whose_first_message_is_on_its_way_is_not_pushed_out_by_those_that_come_back() -> None:
+    front = Front()
+    front.idle(200)
+    front.loop.pass_ms(200.0)
+    for _ in range(20):
+        usual = front.loop.arrive(ADDRESS, "127.0.2.1:1")
+        waited = 0
+        while usual in front.loop.listeners[ADDRESS].backlog:
+            front.come_back()
+            front.loop.pass_ms(1.0)
+            waited += 1
+        for _ in range(int(ARRIVAL_MS) - 10):
+            front.come_back()
+            front.loop.pass_ms(1.0)
+        usual.inbox.append(TEST)
+        front.loop.pass_ms(1.0)
+        assert usual.sent and not usual.closed
+        assert waited <= 7 * ARRIVAL_MS, "200 before it, 32 of them at a time"
+    assert front.counters["owners_turned_away"] == 0
+
+
+def test_those_that_come_back_are_taken_no_faster_than_one_place_for_each_arrival() -> None:
+    front = Front()
+    front.idle(200)
+    for _ in range(1000):
+        front.come_back()
+        front.loop.pass_ms(1.0)
+    assert front.counters["owner_room"] <= 32 * 1000.0 / ARRIVAL_MS
+
+
+def test_a_newcomer_waits_for_nobody_where_there_is_room_or_one_that_has_been_idle() -> None:
+    front = Front()
+    front.idle(31)
+    front.loop.pass_ms(1.0)
+    usual = front.loop.arrive(ADDRESS, "127.0.2.1:1", TEST)
+    front.loop.pass_ms(1.0)
+    assert usual.sent
+    front.loop.pass_ms(ARRIVAL_MS + 1.0)
+    usual = front.loop.arrive(ADDRESS, "127.0.2.1:1", TEST)
+    front.loop.pass_ms(1.0)
+    assert usual.sent and front.counters["owner_room"] == 1
+
+
+def test_closes_that_linger_are_counted_with_the_connections() -> None:
+    """All that were served once are closed for idleness in one step, and come back while we wait for their end."""
+    front = Front()
+    for n in range(32):
+        sid = f"5ec{n:013x}"
+        front.socks.append(front.loop.arrive(ADDRESS, f"127.0.1.1:{n}", setup(sid) + release(sid)))
+    front.loop.pass_ms(30_100.0)
+    front.owners.tick()
+    assert all(sock.ended and not sock.closed for sock in front.socks)
+    newer = [front.loop.arrive(ADDRESS, f"127.0.2.1:{n}", TEST) for n in range(32)]
+    front.loop.pass_ms(1.0)
+    assert all(sock.sent for sock in newer)
+    assert sum(not sock.closed for sock in front.socks + newer) <= 56
