--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -18,6 +18,7 @@
 from sprucepost.loop.epoll import EpollSock
 from sprucepost.node import binary, dispatch, hosts, jsonl, tasks
 from sprucepost.node.binary import Code, Kind
+from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.host import Host as HostState
 from sprucepost.node.host import HostLink
 from sprucepost.node.jsonl import Word
@@ -206,7 +207,7 @@
     host.on_open = lambda link, line: taken.append((link, line.sid))
     client.other.send(setup(SIDS[310], FIGURES=OTHER))
     yield from wait_for(lambda: taken)
-    day.service.hosts.spare = lambda: 0
+    monkeypatch.setattr(day.service.hosts, "_descriptors", Descriptors(0, lambda: 0))
     ours = day.service.hosts.hosts["s-1"]
     for idle in [link for link in ours.links if not link.open]:
         day.service.hosts._end(ours, idle, "idle")
