Cold machines: an offer counts from its answer, and a list out of order forgets none

Seen in virtual time, the module itself, up to 32 instances: what the module decides within a window may arrive bunched. A first offer waits for its connection (up to a second), the one decided a window later finds it ready: both arrive within one `fall`. The lines: an offer was counted from its decision (`Machine.offers`, `_cold_room`).

Now an offer counts as long as it has no answer, and for `fall` (and two ticks, as before) after it. Whatever lay between decision and arrival, two offers of one process beyond its share cannot be in one window there. Costs a machine's answer time in each window.

A machine that has gone is now kept while it would be cold.

Ruled out: rounded shares, one tick for all, clocks 50 ms apart, bursts, uneven traffic, writes 60 ms late: none exceeds the allowance, since all that are late by the same law leave the window as they come into it.

--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -54,7 +54,7 @@
     own: list[float] = field(default_factory=lambda: [0.0, 0.0])  # cores and memory that the ledger comes to
     tidy_at: int = 64  # length of the ledger at which pairs are looked for
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
-    offers: deque[float] = field(default_factory=deque)
+    answered: deque[float] = field(default_factory=deque)  # when each offer of late had its answer
     doubts: dict[int, tuple[int, float]] = field(default_factory=dict)
     shut: dict[float, float] = field(default_factory=dict)
     strain: tuple[float, float] = (0.0, 0.0)
@@ -185,6 +185,7 @@
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is None or attempt.accepted:
             return
+        self._answered(attempt.machine)
         attempt.accepted, attempt.running = True, self.settings.runs_when_accepted
         attempt.machine.doubts.pop(attempt.task.ask.task_class, None)
         self.accepts = min(self.accepts + 1, 16)  # the first few count for more: they may be all there are
@@ -216,14 +217,13 @@
         for index in (machine.attempts, self.services[task.ask.service].attempts):
             index.pop((event.request, event.attempt))
         self.held[task.ask.tenant] -= task.ask.cores
+        if not attempt.accepted:
+            self._answered(machine)
         if attempt.accepted and machine.room is not None:
             machine.enter(self.now, -1, attempt)
         else:
             machine.keep(entry for entry in machine.ledger if entry[2] is not attempt)
-        if machine.entry.state is i.MachineState.GONE and not machine.attempts:
-            # Kept for its tasks; no list names it again, so else it would stay and be ranked for ever.
-            self.machines.pop(machine.entry.machine, None)
-            self._move(machine.entry)
+        self._forget_gone(machine)
         task.out = None
         if event.reason is Reason.UNTOLD and event.ending in (
                 Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET):
@@ -262,11 +262,22 @@
         machine.entry = entry
         if entry.started > machine.started:
             machine.started, machine.doubts, machine.shut = entry.started, {}, {}
-        if entry.state is i.MachineState.GONE and not machine.attempts:
+        if entry.state is i.MachineState.GONE and not self._needed(machine):
             del self.machines[entry.machine]
         elif self.settings.room_in_list:
             self._see_room(machine, entry.free_cores, entry.free_memory)
 
+    def _needed(self, machine: Machine) -> bool:
+        """Whether one that has gone is kept: for its tasks, and while it would be cold. A list that is out of order
+        names it again, and what it was sent and when it started still count."""
+        return bool(machine.attempts) or self._cold(machine)
+
+    def _forget_gone(self, machine: Machine) -> None:
+        """No list names it again, so else it would stay and be ranked for ever."""
+        if machine.entry.state is i.MachineState.GONE and not self._needed(machine):
+            self.machines.pop(machine.entry.machine, None)
+            self._move(machine.entry)
+
     def _call_list(self, wait: float) -> None:
         """Subscribe at a time drawn from the length of all schedulers' calls: they start together."""
         spread = max(wait / 2, min(LIST_CALL * self.fleet.n_instances, self.settings.ask_every / 2))
@@ -346,7 +357,14 @@
         ends = self.now % fall > fall - late
         if groups > 1 and (between or ends or self.fleet.seat % groups != turn % groups):
             return False
-        return sum(sent > self.now - fall - late for sent in machine.offers) < max(1, bears // seats)
+        pending = sum(not attempt.accepted for attempt in machine.attempts.values())
+        return pending + sum(at > self.now - fall - late for at in machine.answered) < max(1, bears // seats)
+
+    def _answered(self, machine: Machine) -> None:
+        """An offer was answered or given up: it reached the machine by now, if it did at all."""
+        while machine.answered and machine.answered[0] <= self.now - 2 * self.settings.fall:
+            machine.answered.popleft()
+        machine.answered.append(self.now)
 
     def _fits(self, machine: Machine, task: Task, push: bool = False) -> bool:
         """The filters: list, kind, room, refusals, suspicion, cold allowance, spread and key group."""
@@ -439,7 +457,9 @@
         return max(cores, memory) + BETA * overflow + starting + strain
 
     def _revise(self) -> None:
-        """Our turn: revise every service that still asks, and forget those that do not."""
+        """Our turn: revise every service that still asks; forget those that do not, and machines that have gone."""
+        for machine in list(self.machines.values()):
+            self._forget_gone(machine)
         for name, service in list(self.services.items()):
             service.ranking = []
             if service.asked and service.last is not None:
@@ -497,9 +517,6 @@
         if machine is None:
             return False
         attempt = task.out = Attempt(task, machine, self.now)
-        while machine.offers and machine.offers[0] <= self.now - 2 * self.settings.fall:
-            machine.offers.popleft()
-        machine.offers.append(self.now)
         if machine.room is not None:  # without any view there is nothing to correct
             machine.enter(self.now, 1, attempt)
         self._record(attempt, task.sent)
--- a/sprucepost/play/__init__.py
+++ b/sprucepost/play/__init__.py
@@ -4,6 +4,7 @@
 ``agenda``  what is to happen when
 ``world``   processes and the streams between them
 ``letters`` processes that send letters by name, and their disks
+``cold_starts`` decision modules of a whole fleet, and machines that start cold (``cold_conditions``: under which conditions)
 =========== ======================================================================================================
 
 A machine is played through its own calls and actions: in the ``world`` those of :mod:`sprucepost.view.words` (``tick``,
--- /dev/null
+++ b/sprucepost/play/cold_starts.py
@@ -0,0 +1,333 @@
+"""A fleet's decision modules and cold machines in virtual time: how many offers reach a machine in any window of `fall`.
+
+Every process hosts one :class:`~sprucepost.brain.Scheduler` with its own number, clock and random seed; no process knows
+of another. A machine starts cold at a drawn time, each process is told of it at a time of its own, and offers count when
+they *arrive*: after the delay between decision and write, a late connection and the network. Same seed, same play.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial
+
+from sprucepost import interface as i
+from sprucepost.brain import Scheduler
+from sprucepost.membership import Generation, Side, stance
+from sprucepost.play.agenda import Agenda
+from sprucepost.play.cold_conditions import ColdStart, Conditions, Life
+
+EPOCH_MS = 1_000_000.0  # when a play begins, by the wall clock
+LEAD_FALLS = 1.5  # the first cold start comes so many `fall` later: no process is new any more
+TICK_MS = 2.0
+TASK_LEFT_MS = 4000.0
+NETWORK_MS = (0.3, 3.0)
+DIAL_MS = (0.6, 6.0)
+REFUSED_CONNECTION_MS = 2.0
+SERVICES = 2
+ENDLESS_MS = 1e9
+ROOM = 1e6  # cores and memory: never short of them
+
+
+def _settings(conditions: Conditions) -> i.Settings:
+    """The settings that all processes share."""
+    return i.Settings(
+        number=0,
+        n_instances=conditions.size,
+        zone=0,
+        zones=("a",),
+        kinds=(i.MachineKind("std", ROOM, ROOM),),
+        classes=(i.TaskClass("web", 800.0, 8000.0, i.Effect.SAFE, 1.0),),
+        list_mode=i.ListMode.PUSH,
+        max_attempts=10**9,
+        accepts_cores=1.0,
+        accepts_memory=1.0,
+        cold_bears=conditions.bears,
+        fall=conditions.fall_ms,
+        warm_after=20 * conditions.fall_ms,
+        ask_every=10_000.0,
+        tick=TICK_MS,
+        room_in_list=True,
+    )
+
+
+def _entry(name: str, started: float) -> i.MachineEntry:
+    return i.MachineEntry(name, i.MachineState.READY, 0, 0, 0, started, ROOM, ROOM)
+
+
+class Address:
+    """Where machines listen, one after the other; ``life`` is None while nobody does."""
+
+    def __init__(self) -> None:
+        self.life: Life | None = None
+
+
+class Process:
+    """One life of a process."""
+
+    def __init__(self, scheduler: Scheduler, skew_ms: float) -> None:
+        self.scheduler, self.skew_ms = scheduler, skew_ms
+        self.alive = True
+        self.stopped_until = 0.0
+        self.told: dict[str, float] = {}  # the start that it knows of, by machine
+        self.attempts: Counter[int] = Counter()  # offers made so far, by request
+        self.idle: Counter[str] = Counter()  # connections on which no offer is open, by machine
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One offer, from its decision on."""
+
+    process: Process
+    request: int
+    number: int
+    machine: str
+    decided: float
+
+
+class FleetPlay(Agenda):
+    """One play of all processes and machines; :meth:`starts` plays it to its end."""
+
+    def __init__(self, conditions: Conditions, seed: int) -> None:
+        super().__init__()
+        self.conditions, self._seed = conditions, seed
+        self.rng = random.Random(seed)
+        self.now = EPOCH_MS
+        self._first = EPOCH_MS + LEAD_FALLS * conditions.fall_ms
+        self._end = self._first + conditions.ramp_falls * conditions.fall_ms
+        self._lives: list[Life] = []
+        self._addresses: dict[str, Address] = {}
+        self._processes: dict[int, Process] = {}  # the latest life of each number
+        self._running: list[Process] = []
+        self._listed: dict[str, i.MachineEntry] = {}  # what a process that starts now finds in the list
+        self._requests = 0
+        self._settings = _settings(conditions)
+
+    def starts(self) -> list[ColdStart]:
+        """What every life of a cold machine got that lasted for a whole window."""
+        conditions = self.conditions
+        for n in range(conditions.machines):
+            self._draw_machine(f"m{self._seed}-{n}")
+        live = self.rng.sample(range(conditions.size), round(conditions.live_share * conditions.size))
+        for number in live:
+            self.at(EPOCH_MS + self.rng.uniform(0.0, 50.0), partial(self._begin, number, conditions.size))
+        self._draw_restarts(live)
+        self._draw_stops(live)
+        self._draw_demand(live)
+        self._draw_change()
+        self.run(self._end)
+        return [
+            life.summary(conditions.fall_ms, conditions.bears, self._end)
+            for life in self._lives
+            if min(self._end, life.ended) - life.started >= conditions.fall_ms
+        ]
+
+    # What is drawn ahead
+
+    def _within_ramp(self) -> float:
+        """A moment in the first three fifths of the ramp."""
+        return self._first + self.rng.uniform(0.0, 0.6 * (self._end - self._first))
+
+    def _draw_machine(self, name: str) -> None:
+        conditions, fall = self.conditions, self.conditions.fall_ms
+        self._addresses[name] = Address()
+        started = self._first + (0.0 if conditions.news.together else self.rng.uniform(0.0, fall))
+        if conditions.news.known_before:
+            self._listed[name] = _entry(name, 0.0)
+        self.at(started, partial(self._start_machine, name, name))
+        if conditions.starts_again or conditions.address_taken:
+            dies = started + self.rng.uniform(0.5, 1.5) * fall
+            back = dies + self.rng.uniform(100.0, fall)
+            successor = f"{name}-next" if conditions.address_taken else name
+            self.at(dies, partial(self._end_machine, name))
+            self.at(back, partial(self._start_machine, successor, name))
+
+    def _draw_restarts(self, live: list[int]) -> None:
+        restarts = self.conditions.restarts
+        for number in self.rng.sample(live, round(restarts.share * len(live))):
+            for _ in range(restarts.times):
+                self.at(self._within_ramp(), partial(self._restart, number))
+
+    def _draw_stops(self, live: list[int]) -> None:
+        delays = self.conditions.delays
+        for number in self.rng.sample(live, round(delays.stop_share * len(live))):
+            self.at(self._within_ramp(), partial(self._stop, number, self.rng.uniform(*delays.stop_ms)))
+
+    def _draw_demand(self, live: list[int]) -> None:
+        """Tasks come at random, at the rate that the load asks for."""
+        demand, conditions = self.conditions.demand, self.conditions
+        if demand.load is None:
+            return
+        weights = [1.0 / (rank + 1) ** demand.uneven for rank in range(len(live))]
+        rate = demand.load * conditions.bears * conditions.machines / conditions.fall_ms
+        burst = self._within_ramp()
+        at = self._first
+        while at < self._end:
+            times = demand.burst_times if burst <= at < burst + demand.burst_ms else 1.0
+            at += self.rng.expovariate(rate * times)
+            number = self.rng.choices(live, weights)[0]
+            self.at(at, partial(self._ask_number, number))
+
+    def _draw_change(self) -> None:
+        """A change of size that is announced to the old processes before it begins (docs/fleet.md)."""
+        size, new_size = self.conditions.size, round(self.conditions.growth * self.conditions.size)
+        if new_size == size:
+            return
+        begins = self._within_ramp()
+        generation = Generation(2, new_size, size, begins, ENDLESS_MS, announced=True)
+        for number in range(max(size, new_size)):
+            side = Side.OLD if number < size else Side.NEW
+            self.at(begins + self.rng.uniform(0.0, 200.0), partial(self._take_seat, generation, number, side))
+
+    # Machines
+
+    def _start_machine(self, name: str, address: str) -> None:
+        """A machine starts cold at an address; whatever was listed there before is gone."""
+        life = Life(name, self.now)
+        self._lives.append(life)
+        self._addresses.setdefault(name, self._addresses[address])
+        self._addresses[name].life = life
+        news = [_entry(name, self.now)]
+        if name != address:
+            news.append(replace(self._listed[address], state=i.MachineState.GONE))
+        self._listed.update((entry.machine, entry) for entry in news)
+        self._tell_all(tuple(news))
+
+    def _end_machine(self, name: str) -> None:
+        life = self._addresses[name].life
+        assert life is not None
+        life.ended, self._addresses[name].life = self.now, None
+
+    def _tell_all(self, entries: tuple[i.MachineEntry, ...]) -> None:
+        news = self.conditions.news
+        for process in self._running:
+            at = self.now + (0.0 if news.together else self.rng.uniform(*news.delay_ms))
+            self.at(at, partial(self._do, process, partial(self._tell, process, entries)))
+            if self.rng.random() < news.out_of_order_share:
+                gone = tuple(replace(entry, state=i.MachineState.GONE, started=0.0) for entry in entries)
+                at += self.rng.uniform(0.1, 1.0) * self.conditions.fall_ms
+                self.at(at, partial(self._do, process, partial(self._tell, process, gone)))
+                at += self.rng.uniform(0.0, 200.0)
+                self.at(at, partial(self._do, process, partial(self._tell, process, entries)))
+
+    def _tell(self, process: Process, entries: tuple[i.MachineEntry, ...]) -> None:
+        for entry in entries:
+            process.told[entry.machine] = max(entry.started, process.told.get(entry.machine, 0.0))
+        self._handle(process, i.MachineList(i.ListKind.DELTA, entries))
+
+    # Processes
+
+    def _begin(self, number: int, size: int) -> None:
+        settings = replace(self._settings, number=number, n_instances=size)
+        skew = self.rng.uniform(-self.conditions.skew_ms, self.conditions.skew_ms)
+        process = Process(Scheduler(settings, self.rng.randrange(2**32)), skew)
+        self._processes[number] = process
+        self._running.append(process)
+        process.told = {name: entry.started for name, entry in self._listed.items()}
+        self._handle(process, i.MachineList(i.ListKind.FULL, tuple(self._listed.values())))
+        if self.conditions.demand.load is None:
+            for _ in range(SERVICES):
+                self._ask(process)
+
+    def _restart(self, number: int) -> None:
+        restarts, process = self.conditions.restarts, self._processes.pop(number, None)
+        if process is None:  # it is down
+            return
+        size = process.scheduler.settings.n_instances
+        self.at(self.now + restarts.overlap_ms, partial(self._kill, process))
+        self.at(self.now + self.rng.uniform(*restarts.down_ms), partial(self._begin, number, size))
+
+    def _kill(self, process: Process) -> None:
+        process.alive = False
+        self._running.remove(process)
+
+    def _stop(self, number: int, length: float) -> None:
+        if (process := self._processes.get(number)) is not None:
+            process.stopped_until = self.now + length
+
+    def _take_seat(self, generation: Generation, number: int, side: Side) -> None:
+        found = stance(generation, number, side, self.now)
+        if side is Side.NEW:
+            self._begin(number, generation.size)
+        event = i.Membership(found.n_instances, found.seat if found.seats else 0, found.seats)
+        self._handle(self._processes[number], event)
+
+    def _do(self, process: Process, call: Callable[[], None]) -> None:
+        """Now, or when the process runs again."""
+        if not process.alive:
+            return
+        if self.now < process.stopped_until:
+            self.at(process.stopped_until, partial(self._do, process, call))
+        else:
+            call()
+
+    def _handle(self, process: Process, *events: i.Event) -> None:
+        self._do(process, partial(self._decide, process, list(events)))
+
+    def _decide(self, process: Process, events: list[i.Event]) -> None:
+        for action in process.scheduler.handle(self.now + process.skew_ms, events):
+            if isinstance(action, i.SetTimer):
+                self._set_timer(process, action)
+            elif isinstance(action, i.Offer):
+                self._offer(process, action)
+
+    def _set_timer(self, process: Process, action: i.SetTimer) -> None:
+        at = self.now + action.delay
+        if at < self._end:
+            self.at(at, partial(self._handle, process, i.TimerFired(action.name)))
+
+    # Tasks
+
+    def _ask_number(self, number: int) -> None:
+        if (process := self._processes.get(number)) is not None:
+            self._ask(process)
+
+    def _ask(self, process: Process) -> None:
+        self._requests += 1
+        left = TASK_LEFT_MS if self.conditions.demand.load is not None else ENDLESS_MS
+        service = f"s{self._requests % SERVICES}"
+        self._handle(process, i.TaskRequest(self._requests, 0, service, 0.01, 0.01, left))
+
+    def _offer(self, process: Process, offer: i.Offer) -> None:
+        attempt = Attempt(process, offer.request, process.attempts[offer.request], offer.machine, self.now)
+        process.attempts[offer.request] += 1
+        written = self.now + self.rng.uniform(*self.conditions.delays.write_ms)
+        self.at(written, partial(self._do, process, partial(self._connect, attempt)))
+        if self.conditions.demand.load is None:
+            self.at(self.now, partial(self._ask, process))
+
+    def _connect(self, attempt: Attempt) -> None:
+        """Each open offer has a connection of its own: one that is idle, or a new one."""
+        idle, delays = attempt.process.idle, self.conditions.delays
+        if idle[attempt.machine]:
+            idle[attempt.machine] -= 1
+            self._write(attempt)
+            return
+        dial = self.rng.uniform(*DIAL_MS)
+        if self.rng.random() < delays.late_dials:
+            dial += self.rng.uniform(0.0, delays.late_dial_ms)
+        self.at(self.now + dial, partial(self._do, attempt.process, partial(self._write, attempt)))
+
+    def _write(self, attempt: Attempt) -> None:
+        self.at(self.now + self.rng.uniform(*NETWORK_MS), partial(self._arrive, attempt))
+
+    def _arrive(self, attempt: Attempt) -> None:
+        life = self._addresses[attempt.machine].life
+        if life is None:
+            attempt.process.idle[attempt.machine] = 0
+            self.at(self.now + REFUSED_CONNECTION_MS, partial(self._refuse_connection, attempt))
+            return
+        life.arrivals.append((self.now, attempt.process.told.get(life.name, 0.0) >= life.started))
+        self.at(self.now + self.rng.uniform(*self.conditions.delays.answer_ms), partial(self._answer, attempt))
+
+    def _refuse_connection(self, attempt: Attempt) -> None:
+        ended = i.Outcome(attempt.request, attempt.number, i.Ending.CONNECT_FAILED, False)
+        self._handle(attempt.process, ended)
+
+    def _answer(self, attempt: Attempt) -> None:
+        attempt.process.idle[attempt.machine] += 1
+        accepted = i.Accepted(attempt.request, attempt.number, self.now - attempt.decided)
+        ended = i.Outcome(attempt.request, attempt.number, i.Ending.OK, True)
+        self._handle(attempt.process, accepted, ended)
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -319,7 +319,7 @@
     assert len(around.tasks.ledger) == 0 and not around.tasks.standing
     assert not scheduler.tasks and not scheduler.attempts and not scheduler.due
     assert len(scheduler.services) == 0 and len(scheduler.orders) == 0
-    assert all(not m.attempts and len(m.offers) <= 600 for m in scheduler.machines.values())
+    assert all(not m.attempts and len(m.answered) <= 600 for m in scheduler.machines.values())
 
 
 @pytest.mark.parametrize(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from sprucepost import interface as i
@@ -176,6 +178,56 @@
     assert len(sent) >= int(bears) * 14000 / 2000.0 / 2 * 0.75  # one pause for each turn
 
 
+@pytest.mark.parametrize("ending", [i.Ending.FULL, i.Ending.TIMEOUT, i.Ending.CONNECT_FAILED, None])
+def test_an_offer_to_a_cold_machine_counts_until_a_window_after_its_answer(ending: i.Ending | None) -> None:
+    """It may have waited a second for its connection: the next one would find it in the same window there."""
+    cluster = Cluster(settings(cold_bears=3.0), entry("m", free_cores=0.0))
+    cluster.at(10.0, i.MachineList(i.ListKind.DELTA, (entry("cold", started=100005.0),)))
+    first = cluster.place("a")
+    assert first is not None
+    if ending is None:
+        cluster.accept(first, later=1000.0)
+    else:
+        cluster.end(first, ending, later=1000.0, reason=i.Reason.QUEUE_FULL)
+    answered = cluster.now
+    cluster.scheduler.machines["cold"].doubts.clear()
+    cluster.place("b", later=5.0)
+    sent: list[float] = []
+    while not sent and cluster.now < answered + 6000.0:
+        if cluster.place("b", later=25.0) is not None:
+            sent.append(cluster.now)
+    assert answered + 2000.0 < sent[0] < answered + 2200.0
+
+
+@pytest.mark.parametrize("other_start", [0.0, 100001.0])
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_cold_machine_that_the_list_drops_and_names_again_has_no_second_allowance(
+    other_start: float, whole: bool
+) -> None:
+    """As where a list comes out of order: first the start, then what was before it, then the start again."""
+    full, cold = entry("m", free_cores=0.0), entry("cold", started=100005.0)
+    before = i.MachineList(i.ListKind.DELTA, (entry("cold", state=GONE, started=other_start),))
+    cluster = Cluster(settings(cold_bears=3.0), full)
+    cluster.at(10.0, full_list(full, cold))
+    first = cluster.place("a")
+    assert first is not None
+    cluster.accept(first)
+    cluster.at(5.0, i.Outcome(first.request, 0, i.Ending.OK, True))
+    cluster.at(100.0, full_list(full) if whole else before)
+    cluster.at(100.0, i.MachineList(i.ListKind.DELTA, (replace(cold, started=other_start),)))
+    assert cluster.place("b") is None
+    assert len(offers(cluster.at(2000.0, i.TimerFired("look")))) == 1
+
+
+def test_a_cold_machine_that_has_gone_is_forgotten_once_it_would_be_warm() -> None:
+    cluster = Cluster(settings(), entry("m"))
+    cluster.at(10.0, full_list(entry("m"), entry("cold", started=100005.0)))
+    cluster.at(10.0, full_list(entry("m")))
+    assert set(cluster.scheduler.machines) == {"m", "cold"}
+    cluster.at(15_000.0, i.TimerFired("turn"))
+    assert set(cluster.scheduler.machines) == {"m"}
+
+
 def test_a_restarted_scheduler_counts_the_cold_allowance_as_spent() -> None:
     cluster = Cluster(settings(), entry("cold", started=99000.0))
     assert cluster.place() is None
