--- a/sprucepost/play/cold_starts.py
+++ b/sprucepost/play/cold_starts.py
@@ -90,9 +90,11 @@
 class FleetPlay(Agenda):
     """One play of all processes and machines; :meth:`starts` plays it to its end."""
 
-    def __init__(self, conditions: Conditions, seed: int) -> None:
+    def __init__(
+        self, conditions: Conditions, seed: int, scheduler: Callable[[i.Settings, int], Scheduler] = Scheduler
+    ) -> None:
         super().__init__()
-        self.conditions, self._seed = conditions, seed
+        self.conditions, self._seed, self._scheduler = conditions, seed, scheduler
         self.rng = random.Random(seed)
         self.now = EPOCH_MS
         self._first = EPOCH_MS + LEAD_FALLS * conditions.fall_ms
@@ -222,7 +224,7 @@
     def _begin(self, number: int, size: int) -> None:
         settings = replace(self._settings, number=number, n_instances=size)
         skew = self.rng.uniform(-self.conditions.skew_ms, self.conditions.skew_ms)
-        process = Process(Scheduler(settings, self.rng.randrange(2**32)), skew)
+        process = Process(self._scheduler(settings, self.rng.randrange(2**32)), skew)
         self._processes[number] = process
         self._running.append(process)
         process.told = {name: entry.started for name, entry in self._listed.items()}
