--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -39,7 +39,8 @@
 ) -> tuple[int, int]:
     """The most offers that any window of ``fall`` brought to a machine, and how many there were in all.
 
-    Every member has tasks waiting at all times; each offer is refused at once, so that the next may follow.
+    Every member has tasks waiting at all times; each offer is accepted at once and done, so that the next may follow: a
+    refusal would keep its member away for longer than ``fall``, whatever its allowance.
     """
     base = settings(
         cold_bears=bears, fall=fall, warm_after=length * 2, accepts_cores=1e6, accepts_memory=1e6, max_attempts=10**9
@@ -49,7 +50,7 @@
     order = itertools.count()
     queue: list[tuple[float, int, int, i.Event | None]] = []
     schedulers: dict[int, Scheduler] = {}
-    requests = itertools.count(1)
+    requests, services = itertools.count(1), itertools.count()
 
     def push(at: float, index: int, event: i.Event | None) -> None:
         heapq.heappush(queue, (at, next(order), index, event))
@@ -91,10 +92,9 @@
                 while window[0] <= now - fall:
                     window.popleft()
                 worst = max(worst, len(window))
-                attempt = max(number for request, number in scheduler.attempts if request == action.request)
-                push(
-                    now + answer(now),
-                    index,
-                    i.Outcome(action.request, attempt, i.Ending.FULL, False, i.Reason.UNTOLD),
-                )
+                answered = now + answer(now)
+                push(answered, index, i.Accepted(action.request, 0, answered - now))
+                push(answered, index, i.Outcome(action.request, 0, i.Ending.OK, True))
+                service = next(services)
+                push(answered, index, i.TaskRequest(next(requests), 0, f"s{service % 2}", 0.01, 0.01, length * 10))
     return worst, total
