--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -268,8 +268,8 @@
             self._see_room(machine, entry.free_cores, entry.free_memory)
 
     def _needed(self, machine: Machine) -> bool:
-        """Whether one that has gone is kept: for its tasks, and while it would be cold. A list that is out of order
-        names it again, and what it was sent and when it started still count."""
+        """Whether one that has gone is kept: for its tasks, and while it would be cold. A list out of order may
+        name it again; what it was sent and when it started still count."""
         return bool(machine.attempts) or self._cold(machine)
 
     def _forget_gone(self, machine: Machine) -> None:
@@ -460,7 +460,7 @@
         return max(cores, memory) + BETA * overflow + starting + strain
 
     def _revise(self) -> None:
-        """Our turn: revise every service that still asks; forget those that do not, and machines that have gone."""
+        """Our turn: revise every service that still asks; forget the others, and machines that have gone."""
         for machine in list(self.machines.values()):
             self._forget_gone(machine)
         for name, service in list(self.services.items()):
