--- a/sprucepost/brain.py
+++ b/sprucepost/brain.py
@@ -268,8 +268,8 @@
             self._see_room(machine, entry.free_cores, entry.free_memory)
 
     def _needed(self, machine: Machine) -> bool:
-        """Whether one that has gone is kept: for its tasks, and while it would be cold. A list out of order may
-        name it again; what it was sent and when it started still count."""
+        """Whether one that has gone is kept: for its tasks, and while it would be cold. A list out of order
+        may name it again; what it was sent and when it started still count."""
         return bool(machine.attempts) or self._cold(machine)
 
     def _forget_gone(self, machine: Machine) -> None:
