--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -33,7 +33,7 @@
     @property
     def usable(self) -> bool:
         """Whether a set-up may be written now, whole."""
-        return not (self.retired or self.transport.closed or self.transport.buffered or self.decoder.waiting)
+        return not (self.retired or self.transport.closed or self.transport.blocked or self.decoder.waiting)
 
 
 class Host:
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -15,10 +15,12 @@
 from collections.abc import Callable
 
 from sprucepost import interface as i
-from sprucepost.loop import Co, Loop, Scope, TimedOut, connect, current
+from sprucepost.loop import Co, Loop, Scope, TimedOut, connect, current, is_shortage
 from sprucepost.node import health
 from sprucepost.node.bounds import LINGER_MS
 from sprucepost.node.bulletin import Address, Told
+from sprucepost.node.descriptors import Descriptors
+from sprucepost.node.dispatch import Dispatcher
 from sprucepost.node.health import HealthChecks
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.jsonl import Line, Word, encode
@@ -36,6 +38,7 @@
         loop: Loop,
         scope: Scope,
         tasks: Tasks,
+        descriptors: Descriptors,
         most: int,
         connect_ms: float,
         idle_ms: float,
@@ -43,10 +46,10 @@
         counters: Counter[str],
     ) -> None:
         self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
-        self._most, self._connect_ms, self._idle = most, connect_ms, idle_ms
-        self.spare: Callable[[], int] = lambda: most  # connections that there may be more, to anybody
+        self._descriptors, self._most, self._connect_ms, self._idle = descriptors, most, connect_ms, idle_ms
         self.hosts: dict[str, Host] = {}
         self._health = HealthChecks(loop, tasks, counters, self._listed, self._end, self._release_silent)
+        self._dispatcher: Dispatcher[Host] = Dispatcher(loop, self._serve, counters)
 
     # The list
 
@@ -129,9 +132,10 @@
         self._serve(host)
 
     def _serve(self, host: Host) -> None:
-        """Write what waits: each on a free connection, or on a new one, or where there may be none on the least used."""
-        looked: set[object] = set()
-        while host.waiting:
+        """Write what waits: each on a free connection, or on a new one, or where there may be none on the least used. What
+        can be written is, as soon as the dispatcher allows it."""
+        held = 0
+        while held < len(host.waiting):
             now, out = self.loop.now(), host.waiting[0]
             usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
             free = [link for link in usable if not link.open]
@@ -141,17 +145,19 @@
             elif usable and full and host.dialing < len(host.waiting):
                 link = min(usable, key=lambda link: len(link.open))
             else:
-                if host.dialing < len(host.waiting) and not full and (self.spare() > 0 or self.make_room()):
+                wanted = host.dialing < len(host.waiting) and not full
+                if wanted and (self._descriptors.spare() > 0 or self.make_room()):
                     self._dial(host)
                 return
-            if not {link, out} <= looked:
-                # Its owner may have left, and the host may have ended the connection, since the sockets were looked at; what
-                # is read there may change all that was found above.
-                looked |= {link, out}
-                self._tasks.look(out)
-                link.transport.look()
-                continue
+            if not self._dispatcher.may_write:
+                self._dispatcher.add(host)
+                return
             host.waiting.remove(out)
+            if not self._tasks.caught_up(out):
+                held += 1
+                host.waiting.append(out)
+                self._dispatcher.postpone(host)
+                continue
             self._write(host, link, out)
 
     def _write(self, host: Host, link: HostLink, out: Out) -> None:
@@ -164,6 +170,7 @@
         link.used = self.loop.now()
         link.transport.write(data)
         out.mark = link.transport.written
+        link.transport.flush()
 
     def went_out(self, out: Out) -> bool:
         """Whether it was written and the system has taken all of it. A part of it is a line without an end, which no host
@@ -241,6 +248,7 @@
         return False
 
     def _dial(self, host: Host) -> None:
+        self._descriptors.reclaim()
         host.dialing += 1
         self._scope.spawn(self._connect(host), f"host {host.uid}")
 
@@ -251,7 +259,9 @@
             transport = yield from connect(self.loop, task, host.address, self._connect_ms)
         except (OSError, TimedOut) as error:
             host.dialing -= 1
-            if self.hosts.get(host.uid) is host:
+            if self.hosts.get(host.uid) is host and is_shortage(error):
+                self._not_dialled(host)
+            elif self.hosts.get(host.uid) is host:
                 self._not_connected(host, error, began)
             return
         host.dialing -= 1
@@ -281,7 +291,7 @@
         refused = isinstance(error, ConnectionRefusedError)
         self.counters["connect_refused" if refused else "connect_failed"] += 1
         self._log("host_not_connected", host=host.uid, why=str(error) or type(error).__name__)
-        if not host.dialing:
+        if not host.dialing and host not in self._dispatcher:
             waiting, host.waiting = host.waiting, []
             for out in waiting:
                 self._tasks.end(out, i.Ending.CONNECT_FAILED)
@@ -291,13 +301,26 @@
         if self._health.suspected(host):
             self.loop.call_later(pause, lambda: self._find(host))
 
+    def _not_dialled(self, host: Host) -> None:
+        """The system had no descriptor for the dial, which says nothing of the host: what waits is dialled for again."""
+        self.counters["dials_short"] += 1
+        self.make_room()
+        host.dial_at = self.loop.now() + REDIAL_MS
+
+        def again() -> None:
+            if self.hosts.get(host.uid) is host:
+                self._serve(host)
+                self._find(host)
+
+        self.loop.call_later(REDIAL_MS, again)
+
     def _find(self, host: Host) -> None:
         """Dial a host on which something of ours stands, or is to end, where no connection may still bring word."""
         now = self.loop.now()
         wanted = self._listed(host) and (host.uid in self._tasks.standing or bool(host.letting))
         hopeful = bool(self._health.answering(host))
         due = wanted and not hopeful and not host.dialing and now >= host.dial_at
-        if due and (self.spare() > 0 or (self._health.suspected(host) and self.make_room())):
+        if due and (self._descriptors.spare() > 0 or (self._health.suspected(host) and self.make_room())):
             self._dial(host)
 
     def _end(self, host: Host, link: HostLink, why: str) -> None:
@@ -308,7 +331,7 @@
         self.counters[f"host_link_{why}"] += 1
         if why in ("retired", "idle", "room"):
             link.transport.on_late = lambda data: self._late(host, link, data)
-            link.transport.close()
+            self._descriptors.end(link.transport)
         else:
             link.transport.abort()
         outs, link.open = list(link.open.values()), {}
