Test of a number held twice: waits until all show one view before it asks for the status

The younger placer knows of the conflict as soon as it has heard one member; the placer that the test then asks may have its record and not see it as here for some 100 ms ("3 here, 1 away"). It waits for the settled view of all four now, which it did not ask for before: what is asserted is the same.

--- a/tests/peers/test_processes.py
+++ b/tests/peers/test_processes.py
@@ -137,6 +137,7 @@
         assert took < 20 and "conflict" in next(m["status"] for m in fleet.seen(0)["members"] if m["name"] == "p3")
         assert "has number 1" in fleet.text(3, "/readyz")
         assert not fleet.logged(1, "number_shared"), "who was there first goes on"
+        fleet.wait(fleet.settled)  # until then another placer may know of the conflict and not see the younger as here
         done = command("status", f"127.0.0.1:{fleet.ports[4]}")
         assert done.returncode == 1 and "number 1 is held by p1, p3" in done.stdout
         fleet.end(1, signal.SIGTERM)
