--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -18,6 +18,9 @@
 from sprucepost.loop.epoll import EpollSock
 from sprucepost.node import binary, dispatch, hosts, jsonl, tasks
 from sprucepost.node.binary import Code, Kind
+from sprucepost.node.descriptors import Descriptors
+from sprucepost.node.host import Host as HostState
+from sprucepost.node.host import HostLink
 from sprucepost.node.jsonl import Word
 from tests.node.platform import Day, Host, Link, heard, play, setup
 from tests.node.stepped import SteppedLoop, all_lies_unread, lies_unread
@@ -204,7 +207,7 @@
     host.on_open = lambda link, line: taken.append((link, line.sid))
     client.other.send(setup(SIDS[310], FIGURES=OTHER))
     yield from wait_for(lambda: taken)
-    day.service.hosts.spare = lambda: 0
+    monkeypatch.setattr(day.service.hosts, "_descriptors", Descriptors(0, lambda: 0))
     ours = day.service.hosts.hosts["s-1"]
     for idle in [link for link in ours.links if not link.open]:
         day.service.hosts._end(ours, idle, "idle")
@@ -220,9 +223,9 @@
     day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch, dial_ms: float = 50.0
 ) -> Co[None]:
     """There is no connection to its host; one comes up, and the client has just left."""
-    ours, real, dial = day.service.hosts.hosts["s-1"], hosts.HostLink, connect
+    ours, real, dial = day.service.hosts.hosts["s-1"], HostLink, connect
 
-    def link_made(*args: Any) -> hosts.HostLink:
+    def link_made(*args: Any) -> HostLink:
         if client.left_at is None and ours.waiting:
             client.leave()
         return real(*args)
@@ -503,7 +506,7 @@
         ours = day.service.hosts
         real = ours._write
 
-        def write(host: hosts.Host, link: hosts.HostLink, out: tasks.Out) -> None:
+        def write(host: HostState, link: HostLink, out: tasks.Out) -> None:
             real(host, link, out)
             if client.left_at is None and out.sid in SIDS[320:323]:
                 assert not attempts.times(LEAVING), "it is not the first one"
@@ -613,13 +616,15 @@
     play(tmp_path, body, loop)
 
 
-def test_a_connection_on_which_a_test_was_just_written_is_used(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_on_which_a_health_check_was_just_written_is_used(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def body(day: Day) -> Co[None]:
         host = day.host("s-1")
         day.start(settings=patient())
         owner = yield from warm(day, SIDS[0])
         [link] = day.service.hosts.hosts["s-1"].links
-        at_its_offer(day, LEAVING, 1, lambda: day.service.hosts._test(link))
+        at_its_offer(day, LEAVING, 1, lambda: day.service.hosts._health.check(link))
         owner.transport.write(setup(LEAVING))
         yield from heard(owner, LEAVING, Kind.ANSWER)
         assert len(host.links) == 1 and opened(host) == [SIDS[0], LEAVING]
