Ready after a restart: measured in ten conditions; lists that a later one overrides are not kept

Need: nine in ten restarted placers have to be ready within 10 s, whatever discovery does.

What was dear: a configuration whose known events are whole lists.

Not changed: a configuration of more than 16 MB is refused as before.

--- /dev/null
+++ b/benchmarks/node_ready.py
@@ -0,0 +1,253 @@
+"""When a started `sprucepost node` is ready, and what that costs: ``python -m benchmarks.node_ready``.
+
+A placer is ready when it passes its first test, which is sent as soon as it takes a connection. For each condition the real
+program is started ten times with its hosts in ``known``, and measured until then: its CPU time, the times it gave the
+processor up to wait, and the real time. On a third of a core a start takes three times its CPU time and whatever it really
+waits; the waits it has do not depend on the machine, so they are counted and not timed. Writes
+``docs/results/node-ready.json``.
+
+=============== ==================================================================
+condition       discovery
+=============== ==================================================================
+answers         answers at once, when it has something to tell
+late            answers after 3 s
+whole lists     tells the whole list anew in every answer
+silent          takes connections and answers nothing
+down            refuses connections
+unreachable     its system answers no dial
+reload          answers; SIGHUP comes when the process listens, and every 20 ms
+many lists      answers; what is known are fifty whole lists, one after the other
+idle crowd      answers; 300 idle clients dial all the time and come back the moment they are closed
+thirty at once  answers; thirty processes are started together
+=============== ==================================================================
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from sprucepost.cli.tables import table
+from sprucepost.loop import Co, Transport, connect, current, sleep
+from sprucepost.node import binary
+from sprucepost.node.binary import Code, Kind
+from tests.node.platform import Day, Link, Paper, play
+from tests.node.test_descriptors import PROVEN, IdleClient
+
+CORE = 1 / 3  # the share of a core by which CPU time becomes time
+LIMIT_S = 10.0  # within which a restarted placer has to be ready
+LATE_MS, RELOAD_MS, AGAIN_MS, GIVE_UP_MS = 3000.0, 20.0, 2.0, 60_000.0
+STARTS, TOGETHER = 10, 30
+HOSTS = (400, 1000)
+CONDITIONS = (
+    "answers", "late", "whole lists", "silent", "down", "unreachable", "reload", "many lists", "idle crowd", "thirty at once"
+)  # fmt: skip
+MANY_LISTS, IDLE_CLIENTS = 50, 300
+TEST = "7e" * 8
+PORT = 2905
+
+
+@dataclass(frozen=True)
+class Start:
+    """One start until its first test was passed."""
+
+    cpu_s: float
+    waits: int
+    real_s: float
+
+
+class Discovery(Paper):
+    """``condition`` says how it treats a question."""
+
+    condition = "answers"
+
+    def _answer(self, transport: Transport, after: int) -> None:
+        if self.condition == "late":
+            self.day.loop.call_later(LATE_MS, lambda: super(Discovery, self)._answer(transport, after))
+        else:
+            super()._answer(transport, after)
+
+    def _question(self, transport: Transport, data: bytes) -> None:
+        if self.condition == "whole lists":
+            last = self.items[-1]
+            self.items = [{"no": last["no"] + 1, "roster": last["roster"]}]
+        super()._question(transport, data)
+
+    def document(self, after: int = 0) -> dict[str, Any]:
+        return {"no": self.items[-1]["no"], "items": [item for item in self.items if item["no"] > after]}
+
+
+def discovery(day: Day, condition: str, hosts: int) -> Discovery:
+    """A discovery that behaves so and knows so many hosts."""
+    found = Discovery(day)
+    host = day.host("s-0")
+    found.tell(*(host.entry(uid=f"s-{n}", endpoint=f"127.1.{n // 250}.{n % 250 + 1}:9") for n in range(hosts)),
+               everything=True)  # fmt: skip
+    if condition == "many lists":
+        roster = found.items[0]["roster"]
+        found.items = [{"no": n + 1, "roster": roster} for n in range(MANY_LISTS)]
+    found.condition = condition
+    if condition == "silent":
+        found.mode = "silent"
+    elif condition == "down":
+        found.acceptor.close()
+    return found
+
+
+@contextmanager
+def unreachable() -> Iterator[str]:
+    """An address that takes no connection: its backlog is full, and further dials are not answered."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        yield f"{address[0]}:{address[1]}"
+        for filler in fillers:
+            filler.close()
+
+
+def cpu_s(pid: int) -> float:
+    """Processor time of a process, in seconds."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
+def waits(pid: int) -> int:
+    """How often it has given up the processor by itself."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("voluntary_ctxt_switches"))
+
+
+def start(day: Day, environment: dict[str, str], listen: tuple[str, int], condition: str, found: list[Start]) -> Co[None]:
+    """Start the program, test it until it passes, and end it."""
+    began = day.loop.now()
+    with subprocess.Popen(
+        [sys.executable, "-m", "sprucepost", "node"], env={**os.environ, **environment}, stdout=subprocess.DEVNULL
+    ) as process:
+        try:
+            link = yield from listening(day, listen)
+            if condition == "reload":
+                reload(day, process)
+            link.transport.write(binary.encode(Kind.TEST, TEST, [(Code.CAUSE, b"\0")]))
+            while not link.got:
+                yield from sleep(1.0)
+                if day.loop.now() - began > GIVE_UP_MS or process.poll() is not None:
+                    raise SystemExit(f"{condition}: the program did not become ready")
+            assert [message.cause for message in link.got] == [1]
+            found.append(Start(cpu_s(process.pid), waits(process.pid), (day.loop.now() - began) / 1000.0))
+            link.transport.abort()
+        finally:
+            process.kill()
+
+
+def listening(day: Day, address: tuple[str, int]) -> Co[Link]:
+    """A connection to the program, as soon as it takes one."""
+    task = yield from current()
+    while True:
+        try:
+            transport = yield from connect(day.loop, task, address, GIVE_UP_MS)
+        except OSError:
+            yield from sleep(AGAIN_MS)
+            continue
+        return Link(transport, binary.Decoder(), lambda link, message: None)
+
+
+def reload(day: Day, process: subprocess.Popen[bytes]) -> None:
+    """SIGHUP now, and again and again until the process has ended."""
+    if process.poll() is None:
+        process.send_signal(signal.SIGHUP)
+        day.loop.call_later(RELOAD_MS, lambda: reload(day, process))
+
+
+def condition_starts(condition: str, hosts: int, starts: int) -> list[Start]:
+    """All starts under one condition."""
+    found: list[Start] = []
+
+    def body(day: Day) -> Co[None]:
+        day.paper = discovery(day, condition, hosts)
+        together = TOGETHER if condition == "thirty at once" else 1
+        with unreachable() as nowhere:
+            address = nowhere if condition == "unreachable" else day.paper.address
+            for _ in range(0, starts, together):
+                wanted = len(found) + together
+                idle: list[IdleClient] = []
+                for n in range(together):
+                    environment, listen = configured(day, n, address)
+                    if condition == "idle crowd":
+                        idle = [IdleClient(day, listen, PROVEN + k, Counter()) for k in range(IDLE_CLIENTS)]
+                    day._scope.spawn(start(day, environment, listen, condition, found), f"start {n}")
+                while len(found) < wanted:
+                    yield from sleep(5.0)
+                for client in idle:
+                    client.stop()
+
+    with tempfile.TemporaryDirectory() as folder:
+        play(Path(folder), body)
+    return found
+
+
+def configured(day: Day, number: int, address: str) -> tuple[dict[str, str], tuple[str, int]]:
+    """A configuration of its own for one process: the environment that names it, and where that process will listen."""
+    folder = day.folder
+    day.folder = folder / f"n{number}"
+    day.folder.mkdir(exist_ok=True)
+    listen = f"127.2.0.{number + 1}", PORT  # an address of its own: nobody else takes that port meanwhile
+    environment = day.environment(
+        name=day.folder.name, listen=f"{listen[0]}:{listen[1]}", bulletin=address, limits={"memory_mb": 64, "sockets": 256}
+    )
+    day.folder = folder
+    return dict(environment), listen
+
+
+def summary(starts: list[Start]) -> dict[str, float]:
+    """What is kept of one condition: seconds, on a third of a core unless they say otherwise."""
+    cpu = [each.cpu_s for each in starts]
+    return {
+        "starts": len(starts),
+        "cpu_s_median": round(statistics.median(cpu), 3),
+        "cpu_s_most": round(max(cpu), 3),
+        "third_of_a_core_s_most": round(max(cpu) / CORE, 2),
+        "waits_most": max(each.waits for each in starts),
+        "real_s_most": round(max(each.real_s for each in starts), 2),
+        "ready_within_limit": sum(max(each.cpu_s / CORE, each.real_s) <= LIMIT_S for each in starts),
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--starts", type=int, default=STARTS)
+    parser.add_argument("--out", type=Path, default=Path("docs/results/node-ready.json"))
+    arguments = parser.parse_args()
+    report: dict[str, dict[str, dict[str, float]]] = {}
+    for hosts in HOSTS:
+        report[f"{hosts} hosts"] = {
+            condition: summary(condition_starts(condition, hosts, arguments.starts)) for condition in CONDITIONS
+        }
+    names = list(report["400 hosts"]["answers"])
+    rows = [
+        [hosts, condition, *(str(found[name]) for name in names)]
+        for hosts, conditions in report.items()
+        for condition, found in conditions.items()
+    ]
+    print(table(["", "condition", *names], rows))
+    arguments.out.write_text(json.dumps(report, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/sprucepost/node/bulletin.py
+++ b/sprucepost/node/bulletin.py
@@ -3,6 +3,8 @@
 Events are numbered; a document holds those after the number that was asked for. What is held is the last event taken
 whole and each host's entry. A repeated number is passed over; a number that skips some shows that something was missed,
 and the whole list is asked for again. What comes before an event that cannot be taken counts: it is told once only.
+An event that tells the whole list overrides those before it. Where each one does, a document with fifty of them for a
+thousand hosts is 9 MB; so what is overridden is forgotten while it is parsed, and is not read.
 """
 
 from __future__ import annotations
@@ -30,6 +32,32 @@
     faults: tuple[str, ...] = ()
 
 
+def parse(data: bytes | str) -> Any:
+    """A JSON document; of events in it that a later whole list overrides only the numbers are kept. ValueError or
+    RecursionError where it is none."""
+    earlier: list[dict[str, Any]] = []
+
+    def forget_overridden(found: dict[str, Any]) -> dict[str, Any]:
+        if _is_event(found):
+            if _is_whole_list(found):
+                for event in earlier:
+                    if event["no"] < found["no"]:
+                        event.pop("roster", None)
+                earlier.clear()
+            earlier.append(found)
+        return found
+
+    return json.loads(data, object_hook=forget_overridden)
+
+
+def _is_event(item: Any) -> bool:
+    return isinstance(item, dict) and _whole(item.get("no")) and isinstance(item.get("roster"), dict)
+
+
+def _is_whole_list(event: dict[str, Any]) -> bool:
+    return event["roster"].get("all") is True and isinstance(event["roster"].get("targets"), list)
+
+
 class Bulletin:
     """The events taken so far."""
 
@@ -42,7 +70,7 @@
     def read(self, data: bytes | str) -> Told | None:
         """Take a document; None where it tells nothing new, Malformed where it cannot be read."""
         try:
-            return self.take(json.loads(data))
+            return self.take(parse(data))
         except (ValueError, RecursionError):
             raise Malformed("not JSON") from None
 
@@ -56,7 +84,7 @@
         faults: list[str] = []
         full = taken = False
         stopped = ""
-        for item in items:
+        for item in items[self._start(items) :]:
             number, roster = (item.get("no"), item.get("roster")) if isinstance(item, dict) else (None, None)
             if not _whole(number):
                 stopped = "an event without a number"
@@ -99,6 +127,15 @@
         kind = i.ListKind.FULL if full else i.ListKind.DELTA
         return Told(i.MachineList(kind, tuple(changed.values())), addresses, tuple(faults))
 
+    def _start(self, items: list[Any]) -> int:
+        """Where the last whole list that is new stands in the list of events; 0 where there is none."""
+        whole = (
+            n
+            for n in range(len(items) - 1, -1, -1)
+            if _is_event(items[n]) and _is_whole_list(items[n]) and items[n]["no"] > self.last
+        )
+        return next(whole, 0)
+
     def _entry(self, raw: Any) -> tuple[i.MachineEntry, Address | None]:
         if not isinstance(raw, dict) or not isinstance(raw.get("uid"), str) or not raw["uid"]:
             raise ValueError("a host without an id")
--- a/sprucepost/node/config.py
+++ b/sprucepost/node/config.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -11,7 +10,7 @@
 from sprucepost import interface as i
 from sprucepost.adapter import report_fields, settings_from
 from sprucepost.loop import is_shortage
-from sprucepost.node.bulletin import Address, address_of
+from sprucepost.node.bulletin import Address, address_of, parse
 
 FILE_MOST = 16 * 1024 * 1024
 
@@ -68,7 +67,7 @@
     if len(data) > FILE_MOST:
         raise ConfigError(f"{path}: longer than {FILE_MOST} bytes")
     try:
-        raw = json.loads(data)
+        raw = parse(data)
     except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(raw, dict):
--- a/tests/node/test_bulletin.py
+++ b/tests/node/test_bulletin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +11,7 @@
 
 from sprucepost import interface as i
 from sprucepost.node.bounds import Malformed
-from sprucepost.node.bulletin import Bulletin, Told
+from sprucepost.node.bulletin import Bulletin, Told, parse
 from sprucepost.node.config import ConfigError, read
 from tests.node.platform import settings
 
@@ -69,6 +70,61 @@
     assert told.list.kind is i.ListKind.FULL and list(board.entries) == ["s-2"] and board.last == 3
 
 
+def drawn_events(rng: random.Random) -> list[tuple[int, bool, list[Any]]]:
+    """The first tells the whole list, and so do some of the others."""
+    return [
+        (
+            number,
+            number == 1 or rng.random() < 0.3,
+            [
+                entry(f"s-{n}", state=rng.choice(["SERVING", "DRAINING", "DELETED"]), pod_group=number)
+                for n in rng.sample(range(6), rng.randrange(5))
+            ],
+        )
+        for number in range(1, rng.randrange(2, 12))
+    ]
+
+
+def test_the_last_whole_list_is_taken_whatever_number_the_first_has() -> None:
+    board = bulletin()
+    board.read(json.dumps(document((5, True, [entry("s-1")]), (6, True, [entry("s-2")]), (7, False, [entry("s-3")]))))
+    assert board.last == 7 and list(board.entries) == ["s-2", "s-3"]
+
+
+def test_a_whole_list_that_is_held_already_hides_nothing_new() -> None:
+    board = bulletin()
+    take(board, (1, True, [entry("s-1")]))
+    board.read(json.dumps(document((2, False, [entry("s-2")]), (1, True, [entry("s-1")]))))
+    assert board.last == 2 and list(board.entries) == ["s-1", "s-2"]
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_a_document_with_many_whole_lists_leaves_what_its_events_leave_one_by_one(seed: int) -> None:
+    rng = random.Random(seed)
+    events = drawn_events(rng)
+    one_by_one, at_once = bulletin(), bulletin()
+    held = rng.randrange(len(events))
+    for event in events[:held]:
+        one_by_one.take(document(event))
+        at_once.take(document(event))
+    for event in events[held:]:
+        one_by_one.take(document(event))
+    at_once.read(json.dumps(document(*events)))
+    assert at_once.entries == one_by_one.entries and at_once.last == one_by_one.last
+
+
+def test_what_a_later_whole_list_overrides_is_forgotten_while_it_is_parsed() -> None:
+    events = [(n, n in (1, 3, 5), [entry(f"s-{n}")]) for n in range(1, 7)]
+    found = parse(json.dumps(document(*events)))
+    assert [item["no"] for item in found["items"] if "roster" in item] == [5, 6]
+    assert found["items"][0] == {"no": 1}
+    backwards = parse(json.dumps(document(events[5], events[4])))
+    assert all("roster" in item for item in backwards["items"]), "an event that came later in number is not overridden"
+    broken = document((1, True, [entry("s-1")]), (2, True, [entry("s-2")]))
+    broken["items"][1]["roster"]["targets"] = None
+    assert "roster" in parse(json.dumps(broken))["items"][0], "a list that cannot be read overrides nothing"
+
+
 @pytest.mark.parametrize(
     "bad",
     [
--- a/tests/node/test_newcomers.py
+++ b/tests/node/test_newcomers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from pathlib import Path
 
 from sprucepost.adapter import settings_from
+from sprucepost.loop import Co, sleep
 from sprucepost.node import binary, words
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.descriptors import Descriptors
@@ -13,9 +15,9 @@
 from sprucepost.placing.desk import Desk
 from tests.node.platform import settings, setup
 from tests.node.test_crossings import release
-from tests.node.virtual import SocketLoop, VirtualSock
+from tests.node.virtual import DISCOVERY, LISTEN, Placer, SocketLoop, VirtualSock, known, play_virtual
 
-ADDRESS = ("127.0.0.1", 1)
+ADDRESS = LISTEN
 TEST = binary.encode(Kind.TEST, "5c" * 8, [(Code.CAUSE, b"\0")])
 
 
@@ -109,3 +111,35 @@
     front.loop.pass_ms(1.0)
     assert all(sock.sent for sock in newer)
     assert sum(not sock.closed for sock in front.socks + newer) <= 56
+
+
+def test_closes_of_hosts_connections_are_counted_too(tmp_path: Path) -> None:
+    """Forty are closed for idleness in one step and forty others are dialled, with 64 descriptors."""
+
+    def body(placer: Placer) -> Co[None]:
+        client = placer.loop.arrive(ADDRESS, "127.0.0.9:1")
+
+        def held() -> int:
+            return sum(not sock.closed for address, sock in placer.loop.dialled if address != DISCOVERY)
+
+        def ask(first: int) -> Co[None]:
+            client.inbox.append(b"".join(setup(f"5ec{n:013x}") for n in range(first, first + 40)))
+            for _ in range(20):
+                placer.serve_hosts()
+                yield from sleep(1)
+                assert held() + 1 <= 56
+
+        yield from ask(1)
+        before = held()
+        assert before > 30
+        while not placer.service.counters["host_link_idle"]:
+            yield from sleep(10)
+        assert held() == before, "their ends have not come"
+        yield from ask(100)
+        assert placer.service.counters["over_ok"] == 80
+
+    found = settings()
+    found["policy_limits"]["keepalive"] = 1000.0
+    most_alone = {"class_spread": ["machine"] * 2, "most_together": [1, 1]}
+    found["family_info"] = {**found["family_info"], **most_alone}
+    play_virtual(tmp_path, body, known=known(60), settings=found)
--- a/tests/node/virtual.py
+++ b/tests/node/virtual.py
@@ -1,14 +1,25 @@
-"""A loop on virtual time with sockets that lie in memory: what a placer does, in the order of events alone."""
+"""A loop on virtual time with sockets that lie in memory, and a placer on it: what it does, in the order of events alone."""
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
-
-from sprucepost.loop import Address, Listener, Sock
+from pathlib import Path
+from typing import Any
+
+from sprucepost.loop import Address, Co, Listener, Scope, Sock, in_scope
+from sprucepost.node import jsonl
+from sprucepost.node.config import read
+from sprucepost.node.jsonl import Word
+from sprucepost.node.log import Log
+from sprucepost.node.service import Service
+from tests.node.platform import settings
 from tests.placing.support import VirtualLoop
 
 Call = Callable[[], None]
 
+LISTEN, DISCOVERY = ("127.0.0.1", 2905), ("127.0.0.2", 2379)
+
 
 class VirtualSock(Sock):
     """One side's end. ``up`` is whether connecting has come through; ``sent`` holds what the other side can read."""
@@ -104,3 +115,66 @@
             elif writable is not None and getattr(sock, "up", True):
                 found.append((sock, writable))
         return found
+
+
+def host_address(number: int) -> tuple[str, int]:
+    """Where the host of that number listens."""
+    return f"10.0.{number // 250}.{number % 250 + 1}", 2905
+
+
+def known(hosts: int) -> dict[str, Any]:
+    """What a configuration tells of so many hosts: one whole list."""
+    entries = [
+        {
+            "uid": f"s-{n}", "endpoint": "{}:{}".format(*host_address(n)), "az": "room-a", "model": "std",
+            "pod_group": n, "state": "SERVING", "boot_ms": 0, "open": [32.0, 64.0],
+        }
+        for n in range(hosts)
+    ]  # fmt: skip
+    return {"no": 1, "items": [{"no": 1, "roster": {"rev": 1, "all": True, "targets": entries}}]}
+
+
+class Placer:
+    """A whole placer among virtual sockets; nobody answers its dials unless a test does."""
+
+    def __init__(self, loop: SocketLoop, scope: Scope, folder: Path, changes: dict[str, Any]) -> None:
+        self.loop = loop
+        self.lines: list[dict[str, Any]] = []
+        self.path = folder / "config.json"
+        self.document: dict[str, Any] = {
+            "name": "n0", "listen": "{}:{}".format(*LISTEN), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64}, "bulletin": "{}:{}".format(*DISCOVERY),
+            "known": known(1), "settings": settings(), **changes,
+        }  # fmt: skip
+        self.path.write_text(json.dumps(self.document))
+        environment = {"BALANCER_CONFIG": str(self.path)}
+        log = Log(loop, "n0", lambda line: self.lines.append(json.loads(line)))
+        self.service = Service(loop, scope, environment, read(environment), log)
+        scope.spawn(self.service.run(), "placer")
+
+    def dialled(self, address: Address) -> list[VirtualSock]:
+        """The dials to that address so far."""
+        return [sock for to, sock in self.loop.dialled if to == address]
+
+    def serve_hosts(self) -> None:
+        """Each dial to a host comes up, and each host runs what it is sent and ends it at once."""
+        for address, sock in self.loop.dialled:
+            if address == DISCOVERY or sock.closed:
+                continue
+            sock.up = True
+            lines, sock.sent = jsonl.Decoder().feed(bytes(sock.sent)), bytearray()
+            for line in lines:
+                if line.word is Word.OPEN:
+                    sock.inbox.append(jsonl.encode(Word.READY, line.sid, text=jsonl.quoted("x")))
+                    sock.inbox.append(jsonl.encode(Word.CLOSE, line.sid, code=16))
+
+
+def play_virtual(folder: Path, body: Callable[[Placer], Co[None]], **changes: Any) -> None:
+    """Run a test's coroutine beside a placer whose configuration has these changes."""
+    loop = SocketLoop()
+
+    def main(scope: Scope) -> Co[None]:
+        yield from body(Placer(loop, scope, folder, changes))
+        scope.cancel()
+
+    loop.run(lambda: in_scope(main))
