--- a/benchmarks/node_ready.py
+++ b/benchmarks/node_ready.py
@@ -45,6 +45,7 @@
 from sprucepost.node import binary
 from sprucepost.node.binary import Code, Kind
 from tests.node.platform import Day, Link, Paper, play
+from tests.node.program import cpu_s
 from tests.node.test_descriptors import PROVEN, IdleClient
 
 CORE = 1 / 3  # the share of a core by which CPU time becomes time
@@ -123,11 +124,6 @@
             filler.close()
 
 
-def cpu_s(pid: int) -> float:
-    """Processor time of a process, in seconds."""
-    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
-
-
 def waits(pid: int) -> int:
     """How often it has given up the processor by itself."""
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
--- a/benchmarks/node_setups.py
+++ b/benchmarks/node_setups.py
@@ -19,6 +19,7 @@
 from sprucepost.node import binary
 from sprucepost.node.jsonl import Line, Word
 from tests.node.platform import Day, Link, play, setup
+from tests.node.program import cpu_s
 
 RATE, SECONDS, LIFE_MS, HOSTS, SERVICES = 90, 30, 5000.0, 12, 60
 
@@ -50,7 +51,7 @@
             link = Link(
                 (yield from connect(day.loop, task, (listen[0], int(listen[1])), 3000.0)), binary.Decoder(), _ignore
             )
-            began, before = day.loop.now(), _cpu_s(process.pid)
+            began, before = day.loop.now(), cpu_s(process.pid)
             for n in range(RATE * SECONDS):
                 yield from sleep(max(0.0, began + n * 1000.0 / RATE - day.loop.now()))
                 figures = f"cores:0.1;memory:0.1;service:{n % SERVICES:016x}"
@@ -59,7 +60,7 @@
                     process.stdout.read()
             yield from sleep(LIFE_MS + 500)
             found["set_ups"], found["answered"] = RATE * SECONDS, sum(m.kind == binary.Kind.ANSWER for m in link.got)
-            found["cpu_ms_a_set_up"] = round(1000 * (_cpu_s(process.pid) - before) / (RATE * SECONDS), 3)
+            found["cpu_ms_a_set_up"] = round(1000 * (cpu_s(process.pid) - before) / (RATE * SECONDS), 3)
             status = Path(f"/proc/{process.pid}/status").read_text()
             found["resident_kib"] = next(
                 int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS")
@@ -77,11 +78,6 @@
     """The load does not wait for answers."""
 
 
-def _cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def shares(profile: Path) -> dict[str, float]:
     """The part of the profiled time spent in each file itself, waiting left out."""
     total: dict[str, float] = {}
--- a/tests/node/program.py
+++ b/tests/node/program.py
@@ -22,6 +22,11 @@
 STARTED_MS = 20_000.0  # for a start on a machine that is busy with other things
 
 
+def cpu_s(pid: int) -> float:
+    """Processor time that the one thread of a process has used, user and system, in seconds."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
 @dataclass(frozen=True)
 class Program:
     """A running placer: its process, where it listens, and the file that its log goes to."""
@@ -40,11 +45,6 @@
         """How many descriptors it holds now."""
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
-    def cpu_s(self) -> float:
-        """Processor time that it has used, user and system, in seconds."""
-        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(") ")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
 
 @contextmanager
 def running(day: Day, descriptors: int | None = None, **changes: Any) -> Iterator[Program]:
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -17,6 +17,7 @@
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Word
 from tests.node.platform import Day, Link, answers, heard, play, setup
+from tests.node.program import cpu_s
 from tests.wire.support import wait_for
 
 SIDS = [f"5c07aa5c7e{n:06x}" for n in range(400)]
@@ -90,11 +91,11 @@
             for _ in range(24):  # the system takes them all; the process cannot
                 others.append((yield from connect(day.loop, task, address, 3000.0)))
             yield from sleep(300)
-            before = _cpu_s(pid)
+            before = cpu_s(pid)
             link.transport.write(setup(SIDS[1]))
             yield from heard(link, SIDS[1], Kind.ANSWER)
             yield from sleep(700)
-            assert _cpu_s(pid) - before < 0.5, "a listener that cannot be served keeps nobody busy"
+            assert cpu_s(pid) - before < 0.5, "a listener that cannot be served keeps nobody busy"
             for transport in others:
                 transport.abort()
             newer = yield from owner(day, address)
@@ -104,11 +105,6 @@
     play(tmp_path, body)
 
 
-def _cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def test_two_on_one_core_answer_everything_in_time(tmp_path: Path) -> None:
     core = min(os.sched_getaffinity(0))
 
