--- a/benchmarks/node_ready.py
+++ b/benchmarks/node_ready.py
@@ -130,7 +130,9 @@
     return next(int(line.split()[1]) for line in lines if line.startswith("voluntary_ctxt_switches"))
 
 
-def start(day: Day, environment: dict[str, str], listen: tuple[str, int], condition: str, found: list[Start]) -> Co[None]:
+def start(
+    day: Day, environment: dict[str, str], listen: tuple[str, int], condition: str, found: list[Start]
+) -> Co[None]:
     """Start the program, test it until it passes, and end it."""
     began = day.loop.now()
     with subprocess.Popen(
@@ -205,7 +207,10 @@
     day.folder.mkdir(exist_ok=True)
     listen = f"127.2.0.{number + 1}", PORT  # an address of its own: nobody else takes that port meanwhile
     environment = day.environment(
-        name=day.folder.name, listen=f"{listen[0]}:{listen[1]}", bulletin=address, limits={"memory_mb": 64, "sockets": 256}
+        name=day.folder.name,
+        listen=f"{listen[0]}:{listen[1]}",
+        bulletin=address,
+        limits={"memory_mb": 64, "sockets": 256},
     )
     day.folder = folder
     return dict(environment), listen
