--- /dev/null
+++ b/sprucepost/configuration/document.py
@@ -0,0 +1,151 @@
+"""Settings documents as flat maps of key paths to values, and back.
+
+A change names single keys, so that two operators who change different keys don't hinder each other. A JSON document becomes
+a map of paths such as ``cluster.max_attempts``. Elements of a list of objects that all have a ``name`` are addressed by it
+(``cluster.classes[batch].aim_ms``), and the order of such a list is a key of its own (``cluster.classes[]``); elements that
+it doesn't mention follow in the order of their names. Any other list is one value.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+Value = Any  # what JSON can hold: None, bool, int, float, str, and lists and dicts of these
+Settings = Mapping[str, Value]
+
+ORDER = "[]"  # ends the key that holds the order of a list of named objects
+
+
+class DocumentError(Exception):
+    """Keys that can't stand together in one document. The text is one line that names the key."""
+
+
+def flatten(document: Mapping[str, Value], prefix: str = "") -> dict[str, Value]:
+    """The values of a document by key path."""
+    found: dict[str, Value] = {}
+    for name, value in document.items():
+        found.update(_flattened(f"{prefix}.{name}" if prefix else name, value))
+    return found
+
+
+def expand(settings: Settings) -> dict[str, Value]:
+    """The document that these values make; DocumentError where one key is inside another or a path is malformed."""
+    root = _Node()
+    for key in sorted(settings):
+        _place(root, key, settings[key])
+    document = _built(root)
+    return document if isinstance(document, dict) else {}
+
+
+def canonical(value: Value) -> str:
+    """JSON text that is equal for equal values, whatever the order of their keys."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False)
+
+
+def fingerprint(text: str) -> int:
+    """64 bits of a hash of the text."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def key_fingerprint(key: str, value: Value) -> int:
+    """The part of one key in the digest of a whole configuration."""
+    return fingerprint(f"{key}={canonical(value)}")
+
+
+def settings_digest(settings: Settings) -> int:
+    """64 bits that are equal for equal configurations."""
+    digest = 0
+    for key, value in settings.items():
+        digest ^= key_fingerprint(key, value)
+    return digest
+
+
+class _Node:
+    """One object or list of named objects under construction."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, Value | _Node] = {}
+        self.named: dict[str, _Node] = {}
+        self.order: list[str] | None = None
+
+
+def _flattened(path: str, value: Value) -> dict[str, Value]:
+    if isinstance(value, dict):
+        return flatten(value, path)
+    if isinstance(value, list) and (not value or all(_is_named(element) for element in value)):
+        names = [element["name"] for element in value]
+        if len(set(names)) == len(names):
+            found: dict[str, Value] = {f"{path}{ORDER}": names}
+            for element in value:
+                rest = {key: each for key, each in element.items() if key != "name"}
+                found.update(flatten(rest, f"{path}[{element['name']}]") or {f"{path}[{element['name']}]": {}})
+            return found
+    return {path: value}
+
+
+def _is_named(element: Value) -> bool:
+    if not isinstance(element, dict) or not isinstance(element.get("name"), str):
+        return False
+    name: str = element["name"]
+    return bool(name) and not set(name) & set("[]")
+
+
+def _steps(key: str) -> Iterator[tuple[str, str | None]]:
+    """The steps of a path: a member's name and, for an element of a list, the element's name."""
+    rest = key
+    while rest:
+        name_length = min((rest.find(mark) for mark in ".[" if mark in rest), default=len(rest))
+        name, rest = rest[:name_length], rest[name_length:]
+        element: str | None = None
+        if rest.startswith("["):
+            element, closed, rest = rest[1:].partition("]")
+            if not closed:
+                raise DocumentError(f"{key}: a bracket isn't closed")
+        if not name:
+            raise DocumentError(f"{key or 'key'}: not a key path")
+        yield name, element
+        if rest:
+            if not rest.startswith(".") or rest == ".":
+                raise DocumentError(f"{key}: not a key path")
+            rest = rest[1:]
+
+
+def _place(root: _Node, key: str, value: Value) -> None:
+    steps = list(_steps(key))
+    if not steps:
+        raise DocumentError("key: empty")
+    node = root
+    for depth, (name, element) in enumerate(steps):
+        last = depth == len(steps) - 1
+        if last and element is None:
+            if name in node.members:
+                raise DocumentError(f"{key}: another key stands inside it")
+            node.members[name] = value
+            return
+        inner = node.members.setdefault(name, _Node())
+        if not isinstance(inner, _Node):
+            raise DocumentError(f"{key}: stands inside another key's value")
+        node = inner
+        if element is None:
+            continue
+        if not element:
+            if not last or not isinstance(value, list):
+                raise DocumentError(f"{key}: not the order of a list")
+            node.order = [each for each in value if isinstance(each, str)]
+            return
+        node = node.named.setdefault(element, _Node())
+    if value != {}:
+        raise DocumentError(f"{key}: an element of a list is set by its keys")
+
+
+def _built(node: _Node) -> Value:
+    if node.named or node.order is not None:
+        if node.members:
+            raise DocumentError(f"{next(iter(node.members))}: stands in a list of named objects")
+        ordered = [name for name in node.order or [] if name in node.named]
+        ordered += sorted(name for name in node.named if name not in ordered)
+        return [{"name": name, **_built(node.named[name])} for name in ordered]
+    return {name: _built(value) if isinstance(value, _Node) else value for name, value in node.members.items()}
--- /dev/null
+++ b/sprucepost/configuration/state.py
@@ -0,0 +1,78 @@
+"""The values that a fold has reached, which change set each, and how to take a step back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sprucepost.configuration.change import Edit, Position
+from sprucepost.configuration.document import Value, canonical, key_fingerprint
+
+
+@dataclass(frozen=True, slots=True)
+class Undo:
+    """What one key had before it was edited."""
+
+    key: str
+    present: bool
+    value: Value
+    setter: Position | None
+
+
+class SettingsState:
+    """Values by key, with their digest and size kept up to date. A removed key keeps its setter."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, Value] = {}
+        self.setters: dict[str, Position] = {}
+        self.digest = 0
+        self.size = 0  # bytes of canonical JSON
+
+    def copy(self) -> SettingsState:
+        other = SettingsState()
+        other.values, other.setters = dict(self.values), dict(self.setters)
+        other.digest, other.size = self.digest, self.size
+        return other
+
+    def edit(self, edit: Edit, setter: Position) -> Undo:
+        """Apply one edit; the result takes it back."""
+        key = edit.key
+        undo = Undo(key, key in self.values, self.values.get(key), self.setters.get(key))
+        self._remove(key)
+        if not edit.removed:
+            self._put(key, edit.value)
+        self.setters[key] = setter
+        return undo
+
+    def put(self, key: str, value: Value, setter: Position) -> None:
+        """A value with its setter, as a snapshot has it."""
+        self._remove(key)
+        self._put(key, value)
+        self.setters[key] = setter
+
+    def restore(self, undo: Undo) -> None:
+        """Take one edit back; edits are taken back in the reverse of their order."""
+        self._remove(undo.key)
+        if undo.present:
+            self._put(undo.key, undo.value)
+        if undo.setter is None:
+            self.setters.pop(undo.key, None)
+        else:
+            self.setters[undo.key] = undo.setter
+
+    def forget_removed(self, up_to: Position | None = None) -> None:
+        """Drop the setters of keys that have no value, where given of those removed by then."""
+        gone = [key for key in self.setters if key not in self.values]
+        for key in gone:
+            if up_to is None or self.setters[key] <= up_to:
+                del self.setters[key]
+
+    def _put(self, key: str, value: Value) -> None:
+        self.values[key] = value
+        self.digest ^= key_fingerprint(key, value)
+        self.size += len(key.encode()) + len(canonical(value).encode())
+
+    def _remove(self, key: str) -> None:
+        if key in self.values:
+            value = self.values.pop(key)
+            self.digest ^= key_fingerprint(key, value)
+            self.size -= len(key.encode()) + len(canonical(value).encode())
