--- a/sprucepost/configuration/door.py
+++ b/sprucepost/configuration/door.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from sprucepost.configuration.change import Edit, Position, Version
+from sprucepost.configuration.change import Change, Edit, Position, Version
 from sprucepost.configuration.document import Value
 from sprucepost.configuration.history import VersionLog
 from sprucepost.configuration.judge import Judge
@@ -97,6 +97,16 @@
             if edit.key in touched:
                 raise Refusal(f"{edit.key}: has changed since version {proposal.against}")
 
+    def checked_baseline(self, baseline: Change) -> SettingsState:
+        """The configuration that the placer's own file makes; it must be valid before anything is changed in it."""
+        state = SettingsState()
+        for edit in baseline.edits:
+            state.edit(edit, baseline.position)
+        problems = self._judge.problems(state)
+        if problems:
+            raise Refusal(f"{problems[0].line} (in this placer's own file, from which the fleet would begin)")
+        return state
+
     def check_result(self, edits: Sequence[Edit], state: SettingsState) -> None:
         """The whole configuration with these edits is one that this placer can run with."""
         trial = state.copy()
--- a/sprucepost/configuration/messages.py
+++ b/sprucepost/configuration/messages.py
@@ -60,7 +60,21 @@
     forgotten: bool  # whether there were more changes than fingerprints
 
 
-Message = Digest | Summary | Changes | SnapshotRequest | Snapshot
+@dataclass(frozen=True, slots=True)
+class VerdictsRequest:
+    """From a replica that couldn't judge all changes: asks for the verdicts of one that could."""
+
+
+@dataclass(frozen=True, slots=True)
+class Verdicts:
+    """For that set of changes: the agreed configuration, and the fingerprints of the live changes that are refused."""
+
+    changes: int
+    outcome: int
+    refused: tuple[int, ...]
+
+
+Message = Digest | Summary | Changes | SnapshotRequest | Snapshot | VerdictsRequest | Verdicts
 
 
 # Outputs to the carrier
--- a/sprucepost/configuration/peer.py
+++ b/sprucepost/configuration/peer.py
@@ -22,7 +22,8 @@
     caught_up: bool = False  # it had the same changes once
     differs: int = 0  # digests in a row that weren't ours
     summarized_ms: float = float("-inf")  # when a summary went to it last
-    requested_ms: float = float("-inf")  # when a snapshot was asked of it last
+    requested_ms: float = float("-inf")  # when a snapshot was asked of it last,
+    verdicts_ms: float = float("-inf")  # and its verdicts
     sent: int = 0  # bytes of changes since the last tick
     pending: dict[Position, None] = field(default_factory=dict)  # changes that are to go out to it
 
--- a/sprucepost/configuration/replica.py
+++ b/sprucepost/configuration/replica.py
@@ -4,7 +4,7 @@
 
     replica = ConfigurationReplica(origin, flatten(file["cluster"], "cluster"), validator, changeable, now, kept=kept)
     replica.connected(now, stream)             # a stream to a peer is open and past its greeting
-    replica.received(now, stream, message)     # a Digest, Summary, Changes, SnapshotRequest or Snapshot came
+    replica.received(now, stream, message)     # one of messages.Message came
     replica.disconnected(now, stream)
     replica.tick(now)                          # every 500 ms or so; nothing depends on its being exact
     receipt = replica.propose(now, proposal)   # an operator's change: receipt.refusal is one line, or empty
@@ -63,6 +63,8 @@
     Snapshot,
     SnapshotRequest,
     Summary,
+    Verdicts,
+    VerdictsRequest,
 )
 from sprucepost.configuration.peer import DIFFERS, Peer
 from sprucepost.configuration.state import SettingsState
@@ -130,7 +132,7 @@
         self._version = Version(0, 0)
         self._clock = 0
         self._peers: dict[int, Peer] = {}
-        self._confirmed: tuple[int, int] | None = None  # set of changes and outcome that a peer has confirmed
+        self._confirmed = BEGINNING  # up to there a peer that could judge everything had the same result
         self._diverged: tuple[int, int] | None = None  # the last that was told
         self._in_force: dict[str, Value] | None = None
         self._in_force_digest = settings_digest(self._file)
@@ -245,8 +247,12 @@
             self._take_changes(now, known, message.changes)
         elif isinstance(message, SnapshotRequest):
             self._send(peer, self._snapshot())
-        else:
+        elif isinstance(message, Snapshot):
             self._take_snapshot(now, known, message)
+        elif isinstance(message, VerdictsRequest):
+            self._send_verdicts(known)
+        else:
+            self._take_verdicts(known, message)
         self._flush()
 
     def tick(self, now: float) -> None:
@@ -284,6 +290,9 @@
         """The change that the proposal becomes, behind a baseline where there is none yet."""
         self._door.check_form(proposal, edits_most)
         self._door.check_against(proposal, self._versions)
+        unjudged = self._unconfirmed()
+        if unjudged is not None:
+            raise Refusal(f"{unjudged.line}: it can't judge changes until a placer that knows the key confirms them")
         if len(self._timeline.entries) >= self.limits.live_changes * LIVE_OVER:
             raise Refusal("this placer can't keep more changes: it doesn't know a key of the configuration")
         changes: list[Change] = []
@@ -292,9 +301,7 @@
             if not all(peer.caught_up for peer in self._peers.values()):
                 raise Refusal("not caught up with the connected placers yet: try again")
             changes.append(self._baseline(proposal))
-            state = SettingsState()
-            for edit in changes[0].edits:
-                state.edit(edit, changes[0].position)
+            state = self._door.checked_baseline(changes[0])
         edits = tuple(Edit(edit.key, edit.value, edit.removed, state.setters.get(edit.key)) for edit in proposal.edits)
         self._door.check_result(edits, state)
         change = Change(
@@ -358,6 +365,8 @@
     def _take_in(self, now: float, changes: Sequence[Change], source: Peer | None) -> None:
         """Changes that are new here and later than the cut."""
         before = self._before()
+        if changes and changes[0].position < self._confirmed:
+            self._confirmed = BEGINNING
         self._timeline.insert([Entry(change, now) for change in changes])
         digest = self._version.digest
         for change in changes:
@@ -380,25 +389,52 @@
         if digest.changes == self._version.digest:
             peer.differs = 0
             peer.caught_up = True
-            self._compare_outcome(peer, digest.outcome)
+            self._compare_outcome(now, peer, digest.outcome)
             return
         peer.differs += 1
         if first or peer.differs >= DIFFERS:
             self._summarize(now, peer)
 
-    def _compare_outcome(self, peer: Peer, outcome: int) -> None:
+    def _compare_outcome(self, now: float, peer: Peer, outcome: int) -> None:
         """The peer knows the same changes: has it the same configuration?"""
         if outcome == NO_OUTCOME or not self._timeline.based:
             return
+        if self._unconfirmed() is None:
+            self._check_divergence(peer, outcome)
+        elif outcome == _outcome_of(self._timeline.state):
+            self._confirm()
+        elif now - peer.verdicts_ms >= self.limits.sync_ms:
+            peer.verdicts_ms = now
+            self._send(peer.ident, VerdictsRequest())
+
+    def _confirm(self) -> None:
+        """A peer that could judge all changes has come to the same configuration."""
+        self._confirmed = self._timeline.entries[-1].position
+        self._settle()
+
+    def _check_divergence(self, peer: Peer, outcome: int) -> None:
         present = self._version.digest, _outcome_of(self._timeline.state)
-        if self._timeline.unjudged is not None:
-            if outcome == present[1] and self._confirmed != present:
-                self._confirmed = present
-                self._settle()
-        elif outcome != present[1] and self._diverged != present:
+        if outcome != present[1] and self._diverged != present:
             self._diverged = present
             self._tell(Diverged(peer.ident, self._version))
 
+    def _send_verdicts(self, peer: Peer) -> None:
+        if self._outcome() != NO_OUTCOME:
+            entries = self._timeline.entries
+            refused = tuple(entry.change.fingerprint for entry in entries if entry.verdict is Verdict.REFUSED)
+            self._send(peer.ident, Verdicts(self._version.digest, self._outcome(), refused))
+
+    def _take_verdicts(self, peer: Peer, verdicts: Verdicts) -> None:
+        if verdicts.changes != self._version.digest or self._unconfirmed() is None:
+            return
+        before = self._before()
+        self._timeline.judge_again(self._live[each] for each in verdicts.refused if each in self._live)
+        if verdicts.outcome == _outcome_of(self._timeline.state):
+            self._confirm()
+        else:
+            self._check_divergence(peer, verdicts.outcome)
+        self._tell_outcomes(before)
+
     def _summarize(self, now: float, peer: Peer) -> None:
         if now - peer.summarized_ms >= self.limits.sync_ms:
             peer.summarized_ms = now
@@ -520,6 +556,7 @@
         held = set(snapshot.fingerprints)
         lost = [] if snapshot.forgotten else [e for e in self._archive if e.change.position <= snapshot.cut]
         dropped = self._timeline.rebase(snapshot.cut, base)
+        self._confirmed = BEGINNING
         self._base_digest, self._forgotten = snapshot.digest, snapshot.forgotten
         self._base_fingerprints = deque(snapshot.fingerprints, self.limits.remembered_fingerprints)
         for entry in dropped:
@@ -569,10 +606,14 @@
                 self._tell(Overwritten(setter, key, by))
 
     def _outcome(self) -> int:
-        if not self._timeline.based or self._timeline.unjudged is not None:
+        if not self._timeline.based or self._unconfirmed() is not None:
             return NO_OUTCOME
         return _outcome_of(self._timeline.state)
 
+    def _unconfirmed(self) -> Entry | None:
+        """A change that this program couldn't judge, and whose outcome no peer has confirmed."""
+        return self._timeline.unjudged_after(self._confirmed)
+
     def _settle(self) -> None:
         """Put the agreed configuration in force, or hold the last one and say why."""
         if not self._timeline.based:
@@ -593,8 +634,8 @@
         problems: Sequence[Problem] = self._judge.problems(state)
         if problems:
             return Held(problems[0].key, problems[0].line)
-        unjudged = self._timeline.unjudged
-        if unjudged is not None and self._confirmed != (self._version.digest, _outcome_of(state)):
+        unjudged = self._unconfirmed()
+        if unjudged is not None:
             return Held(unjudged.line.partition(":")[0], unjudged.line)
         return None
 
--- a/sprucepost/configuration/timeline.py
+++ b/sprucepost/configuration/timeline.py
@@ -105,6 +105,7 @@
         self.entries: list[Entry] = []
         self.size = 0  # bytes of the live changes
         self._by_position: dict[Position, Entry] = {}
+        self._refused_elsewhere: frozenset[Position] = frozenset()
         self._based = False  # whether a baseline is behind the present point of the fold
 
     def __contains__(self, position: Position) -> bool:
@@ -119,17 +120,19 @@
         """Whether there is any agreed configuration."""
         return self._based
 
-    @property
-    def unjudged(self) -> Entry | None:
-        """The first change that this program couldn't judge."""
-        return next((entry for entry in self.entries if entry.verdict is Verdict.UNJUDGED), None)
+    def unjudged_after(self, position: Position) -> Entry | None:
+        """The first change later than that which this program couldn't judge."""
+        unjudged = (entry for entry in self.entries if entry.verdict is Verdict.UNJUDGED and entry.position > position)
+        return next(unjudged, None)
 
     def insert(self, entries: Iterable[Entry]) -> None:
         """Put changes in their places; they are later than the cut and not here yet."""
         new = sorted(entries, key=lambda entry: entry.position)
         if not new:
             return
-        place = bisect_left(self.entries, new[0].position, key=lambda entry: entry.position)
+        first = new[0].position
+        self._refused_elsewhere = frozenset(each for each in self._refused_elsewhere if each < first)
+        place = bisect_left(self.entries, first, key=lambda entry: entry.position)
         self._step_back(place)
         for entry in new:
             self._by_position[entry.position] = entry
@@ -144,8 +147,10 @@
             return entry.verdict in APPLIED
         return self.base.setters.get(key) == position
 
-    def judge_again(self) -> None:
-        """Fold all live changes once more, as after a change of what the validator rests on."""
+    def judge_again(self, refused_elsewhere: Iterable[Position] = ()) -> None:
+        """Fold all live changes once more: what the validator rests on has changed, or a replica that knows more keys has
+        refused these. Only changes that can't be judged here are refused for that."""
+        self._refused_elsewhere = frozenset(refused_elsewhere)
         self._step_back(0)
         self._step_forward(0)
 
@@ -224,16 +229,21 @@
     def _verdict(self, change: Change) -> tuple[Verdict, str]:
         foreign = self._judge.foreign_key(change)
         if foreign is not None:
-            return Verdict.UNJUDGED, f"{foreign}: not a deployment-wide key of this program"
+            return self._unjudged(change, f"{foreign}: not a deployment-wide key of this program")
         problems = self._judge.problems(self.state)
         unknown = first_of(problems, ProblemKind.UNKNOWN_KEY)
         if unknown is not None:
-            return Verdict.UNJUDGED, unknown.line
+            return self._unjudged(change, unknown.line)
         invalid = first_of(problems, ProblemKind.INVALID)
         if invalid is not None:
             return Verdict.REFUSED, invalid.line
         return Verdict.ACCEPTED, ""
 
+    def _unjudged(self, change: Change, line: str) -> tuple[Verdict, str]:
+        if change.position in self._refused_elsewhere:
+            return Verdict.REFUSED, f"{line}; refused by a placer that knows it"
+        return Verdict.UNJUDGED, line
+
     def _mark(self, step: Undo, by: Position | None) -> None:
         """The change that had set this key was superseded there, or is no more."""
         earlier = None if step.setter is None else self._by_position.get(step.setter)
--- /dev/null
+++ b/tests/configuration/oracle.py
@@ -0,0 +1,66 @@
+"""An independent fold of changes, by the words of docs/configuration.md, to compare replicas with."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from sprucepost.configuration import Change, Position, ProblemKind, State
+from sprucepost.configuration.document import Value
+from tests.configuration.support import rules
+
+
+@dataclass
+class Folded:
+    """The agreed values, and each change's state."""
+
+    values: dict[str, Value] = field(default_factory=dict)
+    states: dict[Position, State] = field(default_factory=dict)
+    superseded_by: dict[Position, dict[str, Position]] = field(default_factory=dict)
+
+
+def valid(values: dict[str, Value]) -> bool:
+    return not any(problem.kind is ProblemKind.INVALID for problem in rules()(values))
+
+
+def fold(changes: Iterable[Change]) -> Folded:
+    """All changes from the first on, in their order."""
+    result = Folded()
+    setters: dict[str, Position] = {}
+    accepted: list[Change] = []
+    for change in sorted(changes, key=lambda each: each.position):
+        if change.baseline and accepted:
+            result.states[change.position] = State.SUPERSEDED
+            continue
+        if not change.baseline and not accepted:
+            result.states[change.position] = State.WAITING
+            continue
+        trial = dict(result.values)
+        for edit in change.edits:
+            if edit.removed:
+                trial.pop(edit.key, None)
+            else:
+                trial[edit.key] = edit.value
+        if not valid(trial):
+            result.states[change.position] = State.REFUSED
+            continue
+        result.values = trial
+        accepted.append(change)
+        result.superseded_by[change.position] = {}
+        for edit in change.edits:
+            if edit.key in setters:
+                result.superseded_by[setters[edit.key]][edit.key] = change.position
+            setters[edit.key] = change.position
+    for change in accepted:
+        replaced = len(result.superseded_by[change.position]) == len(change.edits)
+        result.states[change.position] = State.SUPERSEDED if replaced else State.IN_FORCE
+    return result
+
+
+def saw(changes: dict[Position, Change], after: Position, before: Position, key: str) -> bool:
+    """Whether the author of ``after`` saw ``before`` as the value of ``key``, at first hand or through others."""
+    latest: Position | None = after
+    while latest is not None and latest > before and latest in changes:
+        edit = next((each for each in changes[latest].edits if each.key == key), None)
+        latest = None if edit is None else edit.replaces
+    return latest == before
--- /dev/null
+++ b/tests/configuration/schedules.py
@@ -0,0 +1,388 @@
+"""Schedules drawn from a seed, played with configuration replicas alone, and what must hold after the last fault.
+
+``problems(seed)`` plays one and returns what broke, a line each; the same seed plays the same schedule.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from sprucepost.configuration import KeptState, KeyEdit, Limits, Position, Proposal, Receipt, State, Version
+from sprucepost.configuration.document import Value
+from sprucepost.configuration.messages import Held
+from sprucepost.play import Process, World
+from tests.configuration.member import TICK_MS, Member, Observed, Program
+from tests.configuration.oracle import fold
+from tests.configuration.support import FILE, KNOWN
+
+SETTLED_MS = 10_000.0  # promised: after that, all that live and reach each other hold the same
+
+USUAL = Limits()
+TINY = Limits(
+    horizon_ms=40_000.0, live_changes=12, live_bytes=6000, archived_changes=400, set_aside_changes=100,
+    message_bytes=900, flush_bytes=2000, remembered_fingerprints=200, known_versions=8,
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """A change that an operator was told is accepted, and by which life."""
+
+    receipt: Receipt
+    life: int
+    proposal: Proposal | None
+
+
+class Fleet:
+    """Members in a world, each with a program of its own that it keeps over its lives."""
+
+    def __init__(self, world: World, rng: random.Random, limits: Limits) -> None:
+        self.world, self.rng, self.limits = world, rng, limits
+        self.observed = Observed()
+        self.regions = rng.choice((1, 2, 2, 3))
+        self.programs: dict[str, Program] = {}
+        self.processes: dict[str, Process] = {}
+        self.accepted: list[Accepted] = []
+        self.refusals: list[tuple[Proposal, str]] = []
+        self.stateless: set[int] = set()  # lives that ended and left nothing
+        self._lives: dict[str, int] = {}
+        self._life = 0
+
+    def add(self, address: str, knows_all: bool) -> None:
+        file = dict(FILE)
+        if self.rng.random() < 0.2:
+            file.update({"c.a": self.rng.randint(1, 5), "c.low": self.rng.randint(0, 25)})  # an old file
+        self.programs[address] = Program(
+            number=self.rng.randint(0, 8) if self.rng.random() < 0.3 else 0,
+            known=KNOWN if knows_all else KNOWN - {"new"},
+            file=file,
+            limits=self.limits,
+            clock_offset_ms=self.rng.choice((0.0, self.rng.uniform(0, 1e9))),
+            clock_rate=self.rng.uniform(0.95, 1.05),
+        )
+
+    def start(self, address: str, kept: KeptState | None = None, earlier: Version | None = None) -> None:
+        self._life += 1
+        self._lives[address] = self._life
+        member = Member(
+            address, self._life, self.programs[address], lambda: self.neighbours(address), self.observed,
+            self.world.now, kept, earlier,
+        )  # fmt: skip
+        region = f"r{int(address[1:]) % self.regions}"
+        self.processes[address] = self.world.start(address, member, region)
+
+    def neighbours(self, address: str) -> list[str]:
+        """The next two among the living, and one from afar: as a view of the fleet would have it."""
+        living = sorted(each for each, process in self.processes.items() if process.alive)
+        place = living.index(address) if address in living else 0
+        return sorted({living[(place + step) % len(living)] for step in (1, 2, len(living) // 2)} - {address})
+
+    @property
+    def living(self) -> list[Member]:
+        return [member_of(process) for process in self.processes.values() if process.alive]
+
+    def life_of(self, address: str) -> int:
+        return self._lives[address]
+
+    def do(self, address: str, call: Callable[[Member], tuple[Receipt, list[Any]]], proposal: Proposal | None) -> None:
+        """An operator asks something of a member, if it runs."""
+        process = self.processes.get(address)
+        if process is None or not process.alive or self.world.now < process.stopped_until:
+            return
+        receipt, actions = call(member_of(process))
+        if receipt.position is not None:
+            self._check_accepted(address, receipt)
+            self.accepted.append(Accepted(receipt, self.life_of(address), proposal))
+        elif proposal is not None:
+            self.refusals.append((proposal, receipt.refusal))
+        self.world.do(process, lambda: actions)
+
+    def _check_accepted(self, address: str, receipt: Receipt) -> None:
+        """What was accepted is in force at that member at once."""
+        replica = member_of(self.processes[address]).replica
+        shown = {entry.change.position: entry for entry in replica.history}[receipt.position]  # type: ignore[index]
+        if shown.state is not State.IN_FORCE or shown.superseded_by or replica.held is not None:
+            self.observed.wrong(f"{address}: {receipt.position} was accepted and is {shown.state}")
+        for edit in shown.change.edits:
+            if replica.configuration.get(edit.key) != (None if edit.removed else edit.value):
+                self.observed.wrong(f"{address}: {edit.key} was accepted and isn't in force")
+
+
+def member_of(process: Process) -> Member:
+    assert isinstance(process.machine, Member)
+    return process.machine
+
+
+def _cut(rng: random.Random, fleet: Fleet) -> Callable[[Process, Process], bool]:
+    """A cut between regions, around one member, or between drawn sides; both ways or one way."""
+    addresses = sorted(fleet.programs)
+    kind = rng.choice(("region", "region", "halves", "one", "one_way"))
+    if kind == "region":
+        side = {address: int(int(address[1:]) % fleet.regions == 0) for address in addresses}
+    elif kind == "halves":
+        side = {address: rng.randrange(2) for address in addresses}
+    else:
+        one = rng.choice(addresses)
+        side = {address: int(address == one) for address in addresses}
+    towards = rng.randrange(2)
+
+    def cut(one: Process, other: Process) -> bool:
+        a, b = side.get(one.address, 0), side.get(other.address, 0)
+        return a != b and (kind != "one_way" or a == towards)
+
+    return cut
+
+
+class Drawn:
+    """Faults and operators' requests, drawn and put on the world's clock; ``over`` is when the last one is."""
+
+    def __init__(self, world: World, fleet: Fleet, rng: random.Random, length_ms: float) -> None:
+        self.world, self.fleet, self.rng, self.length_ms = world, fleet, rng, length_ms
+        self.over = 0.0
+
+    def at(self, moment: float, call: Callable[[], None]) -> None:
+        self.world.at(moment, call)
+        self.over = max(self.over, moment)
+
+    def fault(self) -> None:
+        rng = self.rng
+        began = rng.uniform(2000, self.length_ms)
+        length = rng.choice((300.0, 2000.0, 8000.0, 30_000.0, 150_000.0))
+        address = rng.choice(sorted(self.fleet.programs))
+        kind = rng.choice(("cut", "cut", "cut", "reset", "pause", "crash", "crash", "late"))
+        if kind == "cut":
+            cut = _cut(rng, self.fleet)
+            self.at(began, lambda: self.world.cuts.append(cut))
+            self.at(began + length, lambda: self.world.cuts.remove(cut))
+        elif kind == "reset":
+            for step in range(rng.choice((1, 5))):
+                self.at(began + 700 * step, lambda: self.world.reset(0.4))
+        elif kind == "pause":
+            length = min(length, 30_000.0)
+            self.at(began, lambda: self._pause(address, length))
+            self.over = max(self.over, began + length)
+        elif kind == "crash":
+            silently, state = rng.random() < 0.4, rng.choice(("kept", "kept", "lagging", "none"))
+            self.at(began, lambda: self._crash(address, silently, state, began + length))
+            self.over = max(self.over, began + length)
+        else:
+            self.at(began, lambda: self._lag(address, 400.0))
+            self.at(began + length, lambda: self._lag(address, 0.0))
+
+    def join(self, address: str) -> None:
+        """A late joiner, with whatever file it has."""
+        self.at(self.rng.uniform(5000, self.length_ms), lambda: self.fleet.start(address))
+
+    def request(self) -> None:
+        """An operator's change, or two operators at once, or a rollback."""
+        rng, moment = self.rng, self.rng.uniform(1500, self.length_ms)
+        addresses = sorted(self.fleet.programs)
+        draw = rng.random()
+        if draw < 0.1:
+            address, pick = rng.choice(addresses), rng.random()
+            self.at(moment, lambda: self._roll_back(address, pick))
+            return
+        for _ in range(2 if draw < 0.4 else 1):
+            self._ask(moment, rng.choice(addresses), self._proposal())
+
+    def _ask(self, moment: float, address: str, proposal: Proposal) -> None:
+        """A proposal, some of them made against a version that was read before."""
+        rng = self.rng
+        if rng.random() < 0.3:
+            reader = rng.choice((address, rng.choice(sorted(self.fleet.programs))))
+            before = rng.choice((0.0, 50.0, 3000.0))
+            self.at(max(0.0, moment - before), lambda: self._read(reader, address, proposal, moment))
+        else:
+            self.at(moment, lambda: self._propose(address, proposal))
+
+    def _proposal(self) -> Proposal:
+        rng = self.rng
+        names = rng.sample(("a", "b", "d", "low", "high", "size", "new", "e"), rng.choice((1, 1, 2, 3)))
+        edits = []
+        for name in names:
+            removed = name in ("new", "e") and rng.random() < 0.5
+            edits.append(KeyEdit(f"c.{name}", None if removed else self._value(name), removed))
+        return Proposal(tuple(edits), rng.choice(("ann", "bob")), "", rng.uniform(0, 1e12))
+
+    def _value(self, name: str) -> Value:
+        rng = self.rng
+        if rng.random() < 0.05:
+            return "nonsense"
+        return {"low": rng.randint(0, 30), "high": rng.randint(5, 40), "size": rng.randint(4, 12)}.get(
+            name, rng.randint(0, 8)
+        )
+
+    def _read(self, reader: str, address: str, proposal: Proposal, moment: float) -> None:
+        """An operator reads the version at one member, and names it in a proposal at another later."""
+        if self._runs(reader):
+            replica = member_of(self.fleet.processes[reader]).replica
+            named = replace(proposal, against=replica.version)
+            known, cut = {entry.change.position for entry in replica.history}, replica.cut
+            self.at(
+                moment, lambda: self._propose(address, named, lambda position: position <= cut or position in known)
+            )
+
+    def _propose(
+        self, address: str, proposal: Proposal, known: Callable[[Position], bool] = lambda position: True
+    ) -> None:
+        if not self._runs(address):
+            return
+        replica = member_of(self.fleet.processes[address]).replica
+        keys = {edit.key for edit in proposal.edits}
+        changed = [
+            entry.change.position
+            for entry in replica.history
+            if not known(entry.change.position)
+            if any(edit.key in keys for edit in entry.change.edits)
+        ]
+        accepted = len(self.fleet.accepted)
+        self.fleet.do(address, lambda member: member.propose(self.world.now, proposal), proposal)
+        if changed and len(self.fleet.accepted) > accepted:
+            self.fleet.observed.wrong(f"{address}: took a change of keys that {changed} have changed since")
+
+    def _roll_back(self, address: str, pick: float) -> None:
+        def call(member: Member) -> tuple[Receipt, list[Any]]:
+            history = member.replica.history
+            entry = history[int(pick * len(history))]
+            return member.rollback(self.world.now, entry.change.position)
+
+        if self._runs(address) and member_of(self.fleet.processes[address]).replica.history:
+            self.fleet.do(address, call, None)
+
+    def _runs(self, address: str) -> bool:
+        process = self.fleet.processes.get(address)
+        return process is not None and process.alive
+
+    def _crash(self, address: str, silently: bool, state: str, again: float) -> None:
+        process = self.fleet.processes.get(address)
+        if process is None or not process.alive:
+            return
+        replica = member_of(process).replica
+        kept, earlier = replica.keep(), replica.version
+        if state != "kept":
+            self.fleet.stateless.add(self.fleet.life_of(address))
+        self.world.kill(process, silently)
+        if state == "kept":
+            self.world.at(again, lambda: self.fleet.start(address, kept, earlier))
+        elif state == "lagging":  # what was written down lacks the latest changes
+            lagging = KeptState(kept.snapshot, kept.changes[: len(kept.changes) // 2], (), None)
+            self.world.at(again, lambda: self.fleet.start(address, lagging))
+        else:
+            self.world.at(again, lambda: self.fleet.start(address))
+
+    def _pause(self, address: str, length_ms: float) -> None:
+        if address in self.fleet.processes:
+            self.world.stop(self.fleet.processes[address], length_ms)
+
+    def _lag(self, address: str, lag_ms: float) -> None:
+        if address in self.fleet.processes:
+            self.fleet.processes[address].lag_ms = lag_ms
+
+
+def play(seed: int) -> Fleet:
+    """Play a drawn schedule to the moment at which all must hold."""
+    rng = random.Random(seed)
+    world = World(seed, TICK_MS, rng.choice(((0.2, 2.0), (1.0, 60.0), (5.0, 200.0))))
+    world.repeats = rng.choice((0.0, 0.2))
+    fleet = Fleet(world, rng, TINY if rng.random() < 0.4 else USUAL)
+    members = rng.randint(2, 8)
+    limited = rng.choice((0, 0, 1, 2))
+    length_ms = rng.choice((10_000.0, 40_000.0, 200_000.0))
+    drawn = Drawn(world, fleet, rng, length_ms)
+    for number in range(members):
+        fleet.add(f"a{number}", number >= limited or number == members - 1)
+    late = {f"a{number}" for number in range(members) if number and rng.random() < 0.15}
+    for address in sorted(fleet.programs):
+        if address in late:
+            drawn.join(address)
+        else:
+            world.at(rng.uniform(0, 500.0), lambda address=address: fleet.start(address))  # type: ignore[misc]
+    for _ in range(rng.randint(0, 6)):
+        drawn.fault()
+    for _ in range(rng.choice((2, 6, 20, 40))):
+        drawn.request()
+    world.run(drawn.over + SETTLED_MS)
+    return fleet
+
+
+def problems(seed: int) -> list[str]:
+    """Play a drawn schedule; what broke."""
+    fleet = play(seed)
+    return fleet.observed.problems + unsettled(fleet) + unlike_the_oracle(fleet) + lost(fleet)
+
+
+def unsettled(fleet: Fleet) -> list[str]:
+    """One version, one configuration in force, but for those who can't run with it and say why."""
+    found = []
+    living = fleet.living
+    versions = {member.replica.version for member in living}
+    if len(versions) > 1:
+        found.append(f"{len(versions)} versions: {sorted(map(str, versions))}")
+    agreed = [member.replica.agreed for member in living if member.program.knows_all]
+    if any(each != agreed[0] for each in agreed):
+        found.append("unlike agreed configurations")
+    for member in living:
+        found += _not_following(member, agreed[0] if agreed else None)
+    return found
+
+
+def _not_following(member: Member, agreed: Any) -> list[str]:
+    """Why this member is neither following nor rightly held."""
+    replica = member.replica
+    if agreed is None:
+        return []
+    too_small = member.program.number >= agreed["c.size"]
+    unknown = not member.program.knows_all and "c.new" in agreed
+    if replica.held is None:
+        return [] if replica.configuration == agreed else [f"{member.address}: not held, and another configuration"]
+    if not (too_small or unknown):
+        return [f"{member.address}: held without need: {replica.held.line}"]
+    wanted = {"c.size"} if not unknown else {"c.new", "c.size"}
+    if replica.held.key not in wanted:
+        return [f"{member.address}: held for {replica.held.key}, not {sorted(wanted)}"]
+    if not any(isinstance(event, Held) and event == replica.held for event in member.events):
+        return [f"{member.address}: held without a word"]
+    return []
+
+
+def unlike_the_oracle(fleet: Fleet) -> list[str]:
+    """Where nothing was compacted, all is as an independent fold of the whole history has it."""
+    found = []
+    for member in fleet.living:
+        replica = member.replica
+        if replica.cut.clock or not member.program.knows_all:
+            continue
+        folded = fold(entry.change for entry in replica.history)
+        if replica.agreed is not None and replica.agreed != folded.values:
+            found.append(f"{member.address}: another configuration than the fold has")
+        for entry in replica.history:
+            expected = folded.states[entry.change.position]
+            if entry.state is not expected:
+                found.append(f"{member.address}: {entry.change.position} is {entry.state}, not {expected}")
+            if entry.state in (State.IN_FORCE, State.SUPERSEDED) and not entry.line:
+                by = folded.superseded_by[entry.change.position]
+                if dict(entry.superseded_by) != by:
+                    found.append(f"{member.address}: {entry.change.position} superseded by another")
+            if entry.state is State.REFUSED and not entry.line.startswith("c."):
+                found.append(f"{member.address}: a refusal without a key: {entry.line!r}")
+    return found
+
+
+def lost(fleet: Fleet) -> list[str]:
+    """Accepted changes that are shown nowhere, or not everywhere where no history was compacted."""
+    found = []
+    shown = [{entry.change.position for entry in member.replica.history} for member in fleet.living]
+    if not shown:
+        return []
+    compacted = any(member.replica.cut.clock for member in fleet.living)
+    whole = set.union(*shown) if compacted else set.intersection(*shown)
+    for accepted in fleet.accepted:
+        if accepted.life not in fleet.stateless and accepted.receipt.position not in whole:
+            found.append(f"{accepted.receipt.position}: accepted, and not in the history")
+    for proposal, refusal in fleet.refusals:
+        if "\n" in refusal or not refusal:
+            found.append(f"a refusal that isn't one line: {refusal!r} for {proposal}")
+    return found
--- a/tests/configuration/support.py
+++ b/tests/configuration/support.py
@@ -34,14 +34,14 @@
             for name in values
             if name not in known
         ]
-        for name in ("low", "high", "size"):
+        for name in ("low", "high", "size", "a", "b", "d"):
             if not isinstance(values.get(name), int):
                 found.append(Problem(ProblemKind.INVALID, f"c.{name}", f"c.{name}: expected an integer"))
         if any(problem.kind is ProblemKind.INVALID for problem in found):
             return found
         if values["low"] >= values["high"]:
             found.append(Problem(ProblemKind.INVALID, "c.low", "c.low: must be below c.high"))
-        if sum(values.get(name, 0) for name in ("a", "b", "d")) > TOTAL_MOST:
+        if values["a"] + values["b"] + values["d"] > TOTAL_MOST:
             found.append(Problem(ProblemKind.INVALID, "c.a", f"c.a: a, b and d make more than {TOTAL_MOST}"))
         if number >= values["size"]:
             found.append(Problem(ProblemKind.LOCAL, "c.size", f"c.size: must be above this placer's number {number}"))
