--- a/sprucepost/configuration/door.py
+++ b/sprucepost/configuration/door.py
@@ -74,11 +74,11 @@
             raise Refusal("no key is changed")
         if len(keys) > edits_most:
             raise Refusal(f"{len(keys)} keys in one change, {edits_most} at most")
+        if len(set(keys)) < len(keys):
+            raise Refusal(f"{next(key for key in keys if keys.count(key) > 1)}: appears twice")
         for key in keys:
             if len(key) > self._limits.text_length:
                 raise Refusal(f"{key[:40]}...: longer than {self._limits.text_length} characters")
-            if keys.count(key) > 1:
-                raise Refusal(f"{key}: appears twice")
             if key not in self._changeable:
                 raise Refusal(f"{key}: not a deployment-wide key; it belongs to each placer's own file")
         if len(proposal.author) > self._limits.text_length:
--- a/sprucepost/configuration/history.py
+++ b/sprucepost/configuration/history.py
@@ -27,6 +27,11 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def overflows(self) -> bool:
+        """Whether anything had to go for something newer."""
+        return self.dropped > 0
+
     def add(self, entry: HistoryEntry) -> None:
         self.remove(entry.change.position)
         self._entries[entry.change.position] = entry
--- a/sprucepost/configuration/replica.py
+++ b/sprucepost/configuration/replica.py
@@ -91,9 +91,10 @@
     """What a replica hands to its next life. ``in_force`` is None while that is the placer's file."""
 
     snapshot: Snapshot
-    changes: tuple[Change, ...]
-    set_aside: tuple[Change, ...]
-    in_force: Mapping[str, Value] | None
+    changes: tuple[Change, ...] = ()
+    archive: tuple[HistoryEntry, ...] = ()
+    set_aside: tuple[HistoryEntry, ...] = ()
+    in_force: Mapping[str, Value] | None = None
 
 
 @dataclass(frozen=True)
@@ -193,11 +194,11 @@
 
     def keep(self) -> KeptState:
         """All that the next life needs."""
-        changes = tuple(entry.change for entry in self._timeline.entries)
         return KeptState(
             self._snapshot(),
-            changes,
-            tuple(entry.change for entry in self._set_aside),
+            tuple(entry.change for entry in self._timeline.entries),
+            tuple(self._archive),
+            tuple(self._set_aside),
             None if self._in_force is None else dict(self._in_force),
         )
 
@@ -360,6 +361,7 @@
         if change.position in self._archive:
             return
         self._put_aside(change)
+        self._spread_aside([change], source)
         self._summarize(now, source)
 
     def _take_in(self, now: float, changes: Sequence[Change], source: Peer | None) -> None:
@@ -539,8 +541,11 @@
     def _take_snapshot(self, now: float, source: Peer, snapshot: Snapshot) -> None:
         if (snapshot.cut, snapshot.digest) <= self._rank():
             return
+        if snapshot.cut.clock > CLOCK_MOST or len(snapshot.settings) > self.limits.configuration_keys:
+            self.counters["implausible"] += 1
+            return
         before = self._before()
-        self._adopt(snapshot)
+        self._spread_aside(self._adopt(snapshot), None)
         self._tell_outcomes(before)
         self._settle()
         for peer in self._peers.values():
@@ -548,8 +553,8 @@
                 peer.summarized_ms = float("-inf")
                 self._summarize(now, peer)
 
-    def _adopt(self, snapshot: Snapshot) -> None:
-        """Take that base in place of the own one, and set aside what isn't in it."""
+    def _adopt(self, snapshot: Snapshot) -> list[Change]:
+        """Take that base in place of the own one, and set aside what isn't in it: these changes are the result."""
         base = SettingsState()
         for record in snapshot.settings:
             base.put(record.key, record.value, record.setter)
@@ -559,15 +564,14 @@
         self._confirmed = BEGINNING
         self._base_digest, self._forgotten = snapshot.digest, snapshot.forgotten
         self._base_fingerprints = deque(snapshot.fingerprints, self.limits.remembered_fingerprints)
+        not_held = [entry.change for entry in dropped if entry.change.fingerprint not in held]
+        not_held += [archived.change for archived in lost if archived.change.fingerprint not in held]
         for entry in dropped:
             if entry.change.fingerprint in held:
                 self._archive.add(entry.shown())
-            else:
-                self._put_aside(entry.change)
-        for archived in lost:
-            if archived.change.fingerprint not in held:
-                self._archive.remove(archived.change.position)
-                self._put_aside(archived.change)
+        for change in not_held:
+            self._archive.remove(change.position)
+            self._put_aside(change)
         for aside in self._set_aside:
             if aside.change.fingerprint in held:
                 self._set_aside.remove(aside.change.position)
@@ -578,9 +582,21 @@
             digest ^= fingerprint
         self._version = Version(self._clock, digest)
         self._versions = VersionLog(self.limits.known_versions, self._version)
+        return not_held
+
+    def _spread_aside(self, changes: Sequence[Change], source: Peer | None) -> None:
+        """Pass on what was set aside, so that it is shown everywhere; each replica does so once, and not without bound."""
+        if self._set_aside.overflows:
+            return
+        for peer in self._peers.values():
+            if peer is not source:
+                for change in changes:
+                    self._send(peer.ident, Changes((change,)))
 
     def _put_aside(self, change: Change) -> None:
-        line = f"{change.edits[0].key}: made before {self._timeline.cut}, when this fleet's history was compacted without it"
+        line = f"{change.edits[0].key}: not in the base, which holds all changes up to {self._timeline.cut}"
+        if self._forgotten:
+            line += "; if it is older than the changes that are remembered it may have been"
         self._set_aside.add(HistoryEntry(change, State.SET_ASIDE, line, {}))
         self._tell(SetAside(change.position))
 
@@ -659,8 +675,10 @@
         self._versions = VersionLog(self.limits.known_versions, self._version)
         if kept.snapshot.cut != BEGINNING:
             self._adopt(kept.snapshot)
-        for change in kept.set_aside:
-            self._put_aside(change)
+        for entry in kept.archive:
+            self._archive.add(entry)
+        for entry in kept.set_aside:
+            self._set_aside.add(entry)
         self._take_in(now, kept.changes, None)
 
 
--- /dev/null
+++ b/tests/configuration/defects.py
@@ -0,0 +1,304 @@
+"""Planted defects of the configuration, each a change to the code that serves; the drawn schedules must find every one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from sprucepost.configuration import replica as module
+from sprucepost.configuration.change import Position
+from sprucepost.configuration.door import Door
+from sprucepost.configuration.history import VersionLog
+from sprucepost.configuration.messages import Changes, Held, Overwritten, Refused, SetAside, Summary
+from sprucepost.configuration.peer import Peer
+from sprucepost.configuration.replica import ConfigurationReplica
+from sprucepost.configuration.state import SettingsState
+from sprucepost.configuration.timeline import Timeline, Verdict
+from sprucepost.configuration.validation import ProblemKind
+
+Plant = Callable[[], Any]
+
+
+def _drop(kind: type) -> Any:
+    """Outputs of that kind are never told."""
+    real = ConfigurationReplica._tell
+    return mock.patch.object(
+        ConfigurationReplica, "_tell", lambda self, event: None if isinstance(event, kind) else real(self, event)
+    )
+
+
+def _changes_are_folded_as_they_come() -> Any:
+    def insert(self: Timeline, entries: Any) -> None:
+        for entry in entries:
+            self._by_position[entry.position] = entry
+            self.size += entry.change.size
+            self.entries.append(entry)
+            self._step_forward(len(self.entries) - 1)
+
+    return mock.patch.object(Timeline, "insert", insert)
+
+
+def _order_by_origin_before_clock() -> Any:
+    return mock.patch.object(
+        Position, "__lt__", lambda self, other: (self.origin, self.clock) < (other.origin, other.clock)
+    )
+
+
+def _an_invalid_result_is_accepted() -> Any:
+    return mock.patch.object(Timeline, "_verdict", lambda self, change: (Verdict.ACCEPTED, ""))
+
+
+def _a_refused_change_keeps_some_edits() -> Any:
+    real = Timeline._apply
+
+    def apply(self: Timeline, entry: Any) -> Any:
+        result = real(self, entry)
+        if result[0] is Verdict.REFUSED and len(entry.change.edits) > 1:
+            entry.undo = [self.state.edit(entry.change.edits[0], entry.position)]
+        return result
+
+    return mock.patch.object(Timeline, "_apply", apply)
+
+
+def _own_limits_are_not_looked_at() -> Any:
+    def obstacle(self: ConfigurationReplica, state: Any) -> Any:
+        problems = [each for each in self._judge.problems(state) if each.kind is not ProblemKind.LOCAL]
+        return Held(problems[0].key, problems[0].line) if problems else None
+
+    return mock.patch.object(ConfigurationReplica, "_obstacle", obstacle)
+
+
+def _unknown_keys_come_into_force() -> Any:
+    return mock.patch.object(ConfigurationReplica, "_obstacle", lambda self, state: None)
+
+
+def _a_limited_program_trusts_its_guess() -> Any:
+    return mock.patch.object(ConfigurationReplica, "_unconfirmed", lambda self: None)
+
+
+def _a_limited_program_never_asks_for_verdicts() -> Any:
+    return mock.patch.object(ConfigurationReplica, "_send_verdicts", lambda self, peer: None)
+
+
+def _what_a_program_does_not_know_is_not_relayed() -> Any:
+    real = ConfigurationReplica._flush
+
+    def flush(self: ConfigurationReplica) -> None:
+        for peer in self._peers.values():
+            for position in list(peer.pending):
+                entry = self._timeline.entry(position)
+                if entry is not None and entry.verdict is Verdict.UNJUDGED:
+                    del peer.pending[position]
+        real(self)
+
+    return mock.patch.object(ConfigurationReplica, "_flush", flush)
+
+
+def _changes_of_others_are_not_passed_on() -> Any:
+    real = ConfigurationReplica._take_in
+
+    def take_in(self: ConfigurationReplica, now: float, changes: Any, source: Any) -> None:
+        before = {ident: dict(peer.pending) for ident, peer in self._peers.items()}
+        real(self, now, changes, source)
+        if source is not None:
+            for ident, peer in self._peers.items():
+                peer.pending = before[ident]
+
+    summary = mock.patch.object(ConfigurationReplica, "_summarize", lambda self, now, peer: None)
+    passed = mock.patch.object(ConfigurationReplica, "_take_in", take_in)
+    return _both(passed, summary)
+
+
+def _no_summaries() -> Any:
+    real = ConfigurationReplica._send
+    return mock.patch.object(
+        ConfigurationReplica,
+        "_send",
+        lambda self, peer, message: None if isinstance(message, Summary) else real(self, peer, message),
+    )
+
+
+def _no_snapshots() -> Any:
+    return mock.patch.object(ConfigurationReplica, "_request_snapshot", lambda self, now, peer: None)
+
+
+def _the_earlier_base_counts() -> Any:
+    def take(self: ConfigurationReplica, now: float, source: Any, snapshot: Any) -> None:
+        if (snapshot.cut, snapshot.digest) < self._rank():
+            self._adopt(snapshot)
+            self._settle()
+
+    return mock.patch.object(ConfigurationReplica, "_take_snapshot", take)
+
+
+def _what_is_older_than_the_base_is_dropped() -> Any:
+    return mock.patch.object(ConfigurationReplica, "_put_aside", lambda self, change: None)
+
+
+def _an_unseen_overwrite_is_not_told() -> Any:
+    return _drop(Overwritten)
+
+
+def _a_refusal_by_a_merge_is_not_told() -> Any:
+    return _drop(Refused)
+
+
+def _what_is_set_aside_is_not_told() -> Any:
+    return _drop(SetAside)
+
+
+def _the_clock_counts_own_changes_only() -> Any:
+    real = ConfigurationReplica._admitted
+
+    def admitted(self: ConfigurationReplica, now: float, proposal: Any, most: int) -> Any:
+        own = [entry.position.clock for entry in self._timeline.entries if entry.position.origin == self.origin]
+        clock, self._clock = self._clock, max(own, default=0)
+        try:
+            return real(self, now, proposal, most)
+        finally:
+            self._clock = clock
+
+    return mock.patch.object(ConfigurationReplica, "_admitted", admitted)
+
+
+def _a_named_version_is_not_compared() -> Any:
+    return mock.patch.object(Door, "check_against", lambda self, proposal, versions: None)
+
+
+def _only_the_last_step_counts_as_since() -> Any:
+    real = VersionLog.keys_since
+
+    def keys_since(self: VersionLog, version: Any) -> Any:
+        keys = real(self, version)
+        return keys and self._steps[-1][1]
+
+    return mock.patch.object(VersionLog, "keys_since", keys_since)
+
+
+def _proposals_are_not_validated() -> Any:
+    return mock.patch.object(Door, "check_result", lambda self, edits, state: None)
+
+
+def _a_file_that_cannot_be_is_a_baseline() -> Any:
+    def baseline(self: Door, change: Any) -> Any:
+        state = SettingsState()
+        for edit in change.edits:
+            state.edit(edit, change.position)
+        return state
+
+    return mock.patch.object(Door, "checked_baseline", baseline)
+
+
+def _every_baseline_counts() -> Any:
+    real = Timeline._apply
+
+    def apply(self: Timeline, entry: Any) -> Any:
+        based, self._based = self._based, self._based and not entry.change.baseline
+        result = real(self, entry)
+        self._based = self._based or based
+        return result
+
+    return mock.patch.object(Timeline, "_apply", apply)
+
+
+def _a_step_back_forgets_who_set_a_key() -> Any:
+    real = SettingsState.restore
+
+    def restore(self: Any, undo: Any) -> None:
+        real(self, replace(undo, setter=None))
+
+    return mock.patch.object(SettingsState, "restore", restore)
+
+
+def _messages_have_no_bound() -> Any:
+    def everything(self: Peer, timeline: Timeline, limits: Any) -> Any:
+        entries = [timeline.entry(position) for position in sorted(self.pending)]
+        self.pending.clear()
+        changes = tuple(entry.change for entry in entries if entry is not None)
+        return iter([Changes(changes)] if changes else [])
+
+    return mock.patch.object(Peer, "next_changes", everything)
+
+
+def _history_is_never_compacted() -> Any:
+    return mock.patch.object(ConfigurationReplica, "_compact", lambda self, now: None)
+
+
+def _what_one_flush_cannot_hold_is_lost() -> Any:
+    real = Peer.next_changes
+
+    def changes(self: Peer, timeline: Timeline, limits: Any) -> Any:
+        sent = list(real(self, timeline, limits))
+        self.pending.clear()
+        return iter(sent)
+
+    summary = mock.patch.object(module, "DIFFERS", 10**9)
+    return _both(mock.patch.object(Peer, "next_changes", changes), summary)
+
+
+def _the_next_life_forgets_what_was_kept() -> Any:
+    return mock.patch.object(ConfigurationReplica, "_resume", lambda self, now, kept: None)
+
+
+def _a_merge_is_not_put_in_force() -> Any:
+    real = ConfigurationReplica._take_in
+
+    def take_in(self: ConfigurationReplica, now: float, changes: Any, source: Any) -> None:
+        first = self._timeline.entries[-1].position if self._timeline.entries else Position(0, "")
+        if changes and changes[0].position < first:
+            with mock.patch.object(ConfigurationReplica, "_settle", lambda self: None):
+                real(self, now, changes, source)
+        else:
+            real(self, now, changes, source)
+
+    return mock.patch.object(ConfigurationReplica, "_take_in", take_in)
+
+
+@contextmanager
+def _both(one: Any, other: Any) -> Iterator[None]:
+    with one, other:
+        yield
+
+
+PLANTS: tuple[Plant, ...] = (
+    _changes_are_folded_as_they_come,
+    _order_by_origin_before_clock,
+    _an_invalid_result_is_accepted,
+    _a_refused_change_keeps_some_edits,
+    _own_limits_are_not_looked_at,
+    _unknown_keys_come_into_force,
+    _a_limited_program_trusts_its_guess,
+    _a_limited_program_never_asks_for_verdicts,
+    _what_a_program_does_not_know_is_not_relayed,
+    _changes_of_others_are_not_passed_on,
+    _no_summaries,
+    _no_snapshots,
+    _the_earlier_base_counts,
+    _what_is_older_than_the_base_is_dropped,
+    _an_unseen_overwrite_is_not_told,
+    _a_refusal_by_a_merge_is_not_told,
+    _what_is_set_aside_is_not_told,
+    _the_clock_counts_own_changes_only,
+    _a_named_version_is_not_compared,
+    _only_the_last_step_counts_as_since,
+    _proposals_are_not_validated,
+    _a_file_that_cannot_be_is_a_baseline,
+    _every_baseline_counts,
+    _a_step_back_forgets_who_set_a_key,
+    _messages_have_no_bound,
+    _history_is_never_compacted,
+    _what_one_flush_cannot_hold_is_lost,
+    _the_next_life_forgets_what_was_kept,
+    _a_merge_is_not_put_in_force,
+)
+DEFECTS: dict[str, Plant] = {plant.__name__.strip("_"): plant for plant in PLANTS}
+
+
+@contextmanager
+def planted(name: str) -> Iterator[None]:
+    """The program has that defect for as long."""
+    with DEFECTS[name]():
+        yield
--- a/tests/configuration/member.py
+++ b/tests/configuration/member.py
@@ -121,6 +121,7 @@
         self._beaten = now
         self._number = 0 if earlier is None else earlier.number
         self._setters: dict[str, Position | None] = {}
+        self._aside: set[Position] = set()
         self._look()
 
     # What is asked of it
@@ -221,6 +222,9 @@
         self._number = replica.version.number
         self._check_in_force()
         self._check_bounds()
+        for position in self._shown_aside() - self._aside:
+            if SetAside(position) not in told:
+                observed.wrong(f"{self.address}: {position} was set aside without a word")
         moved = self._setters
         self._look()
         for key, before in moved.items():
@@ -271,3 +275,7 @@
 
     def _look(self) -> None:
         self._setters = {key: self.replica.setter(key) for key in KEYS}
+        self._aside = self._shown_aside()
+
+    def _shown_aside(self) -> set[Position]:
+        return {entry.change.position for entry in self.replica._set_aside}
