--- a/sprucepost/configuration/document.py
+++ b/sprucepost/configuration/document.py
@@ -11,6 +11,7 @@
 import hashlib
 import json
 from collections.abc import Iterator, Mapping
+from functools import lru_cache
 from typing import Any
 
 Value = Any  # what JSON can hold: None, bool, int, float, str, and lists and dicts of these
@@ -66,6 +67,8 @@
 class _Node:
     """One object or list of named objects under construction."""
 
+    __slots__ = ("members", "named", "order")
+
     def __init__(self) -> None:
         self.members: dict[str, Value | _Node] = {}
         self.named: dict[str, _Node] = {}
@@ -93,8 +96,13 @@
     return bool(name) and not set(name) & set("[]")
 
 
-def _steps(key: str) -> Iterator[tuple[str, str | None]]:
+@lru_cache(maxsize=8192)
+def _steps(key: str) -> tuple[tuple[str, str | None], ...]:
     """The steps of a path: a member's name and, for an element of a list, the element's name."""
+    return tuple(_parsed(key))
+
+
+def _parsed(key: str) -> Iterator[tuple[str, str | None]]:
     rest = key
     while rest:
         name_length = min((rest.find(mark) for mark in ".[" if mark in rest), default=len(rest))
@@ -105,7 +113,7 @@
             if not closed:
                 raise DocumentError(f"{key}: a bracket isn't closed")
         if not name:
-            raise DocumentError(f"{key or 'key'}: not a key path")
+            raise DocumentError(f"{key}: not a key path")
         yield name, element
         if rest:
             if not rest.startswith(".") or rest == ".":
@@ -114,7 +122,7 @@
 
 
 def _place(root: _Node, key: str, value: Value) -> None:
-    steps = list(_steps(key))
+    steps = _steps(key)
     if not steps:
         raise DocumentError("key: empty")
     node = root
@@ -125,7 +133,9 @@
                 raise DocumentError(f"{key}: another key stands inside it")
             node.members[name] = value
             return
-        inner = node.members.setdefault(name, _Node())
+        inner = node.members.get(name)
+        if inner is None and name not in node.members:
+            inner = node.members[name] = _Node()
         if not isinstance(inner, _Node):
             raise DocumentError(f"{key}: stands inside another key's value")
         node = inner
@@ -136,7 +146,9 @@
                 raise DocumentError(f"{key}: not the order of a list")
             node.order = [each for each in value if isinstance(each, str)]
             return
-        node = node.named.setdefault(element, _Node())
+        if element not in node.named:
+            node.named[element] = _Node()
+        node = node.named[element]
     if value != {}:
         raise DocumentError(f"{key}: an element of a list is set by its keys")
 
@@ -146,6 +158,6 @@
         if node.members:
             raise DocumentError(f"{next(iter(node.members))}: stands in a list of named objects")
         ordered = [name for name in node.order or [] if name in node.named]
-        ordered += sorted(name for name in node.named if name not in ordered)
+        ordered += sorted(node.named.keys() - set(ordered))
         return [{"name": name, **_built(node.named[name])} for name in ordered]
     return {name: _built(value) if isinstance(value, _Node) else value for name, value in node.members.items()}
--- a/sprucepost/configuration/ledger.py
+++ b/sprucepost/configuration/ledger.py
@@ -4,8 +4,10 @@
 
 from collections import deque
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 
-from sprucepost.configuration.change import CLOCK_MOST, Change, Position, Version
+from sprucepost.configuration.change import BEGINNING, CLOCK_MOST, Change, Position, Version
+from sprucepost.configuration.document import Value
 from sprucepost.configuration.history import BoundedHistory, VersionLog
 from sprucepost.configuration.judge import Judge
 from sprucepost.configuration.limits import Limits
@@ -34,6 +36,7 @@
         self.fingerprints: deque[int] = deque(maxlen=limits.remembered_fingerprints)  # of changes in the base
         self._base_digest = 0
         self._forgotten = False  # whether the base holds more changes than fingerprints
+        self.unbroken_from = BEGINNING  # the archive holds every applied change from there on, or had to drop it
         self._live: dict[int, Position] = {}  # by fingerprint
 
     # What may be asked
@@ -54,6 +57,20 @@
         """Whether no more changes are taken, since none can be compacted."""
         return len(self.timeline.entries) >= self._limits.live_changes * LIVE_OVER
 
+    def settings_at(self, position: Position) -> dict[str, Value] | None:
+        """The agreed values right after the change at ``position``; None where that is no longer known."""
+        if position == self.timeline.cut or position in self.timeline:
+            return self.timeline.settings_at(position)
+        if position not in self.archive or position < self.unbroken_from:
+            return None
+        state = self.timeline.base.copy()
+        for entry in sorted(self.archive, key=lambda each: each.change.position, reverse=True):
+            if entry.change.position <= position:
+                break
+            for undo in reversed(entry.previous):
+                state.restore(undo)
+        return state.values
+
     def plausible(self, change: Change) -> bool:
         """Whether an honest replica could have sent that."""
         clock, origin = change.position.clock, change.position.origin
@@ -186,6 +203,7 @@
         for aside in self.set_aside:
             if aside.change.fingerprint in held:
                 self.set_aside.remove(aside.change.position)
+        self.unbroken_from = snapshot.cut
         self._count_again(snapshot.cut)
         return not_held
 
@@ -222,7 +240,7 @@
             self.fingerprints.append(fingerprint)
             self._base_digest ^= fingerprint
             del self._live[fingerprint]
-            self.archive.add(entry.shown())
+            self.archive.add(replace(entry.shown(), previous=tuple(entry.undo)))
 
 
 def _is_settled(entry: Entry) -> bool:
--- a/sprucepost/configuration/limits.py
+++ b/sprucepost/configuration/limits.py
@@ -13,10 +13,10 @@
     size, so ``message_bytes`` and ``configuration_bytes`` leave room.
     """
 
-    horizon_ms: float = 24 * 3_600_000.0  # a change known for so long may be compacted into the base
-    live_changes: int = 1024  # changes kept one by one; beyond that the oldest are compacted before the horizon
+    horizon_ms: float = 2 * 3_600_000.0  # a change known for so long may be compacted into the base
+    live_changes: int = 512  # changes that can be folded again; beyond that the oldest are compacted before the horizon
     live_bytes: int = 524_288
-    archived_changes: int = 1024  # compacted changes kept for display
+    archived_changes: int = 1024  # compacted changes kept for display and for rollbacks
     archived_bytes: int = 262_144
     remembered_fingerprints: int = 2048  # compacted changes whose fingerprints the base holds
     set_aside_changes: int = 256
--- a/sprucepost/configuration/replica.py
+++ b/sprucepost/configuration/replica.py
@@ -67,6 +67,7 @@
     snapshot: Snapshot
     changes: tuple[Change, ...] = ()
     archive: tuple[HistoryEntry, ...] = ()
+    unbroken_from: Position = BEGINNING
     set_aside: tuple[HistoryEntry, ...] = ()
     in_force: Mapping[str, Value] | None = None
 
@@ -151,6 +152,7 @@
             self._ledger.snapshot(),
             tuple(entry.change for entry in self._timeline.entries),
             tuple(self._ledger.archive),
+            self._ledger.unbroken_from,
             tuple(self._ledger.set_aside),
             self._enforcement.kept,
         )
@@ -163,7 +165,7 @@
 
     def rollback(self, now: float, position: Position, author: str, comment: str = "", made_ms: float = 0.0) -> Receipt:
         """A new change that restores the values as they were right after the change at ``position``."""
-        earlier = self._timeline.settings_at(position)
+        earlier = self._ledger.settings_at(position)
         if earlier is None:
             return Receipt(self.version, refusal=f"change {position} isn't in the history any more")
         edits = edits_between(self._timeline.state.values, earlier)
@@ -430,6 +432,7 @@
             self._ledger.adopt(kept.snapshot)
         for entry in kept.archive:
             self._ledger.archive.add(entry)
+        self._ledger.unbroken_from = kept.unbroken_from
         for entry in kept.set_aside:
             self._ledger.set_aside.add(entry)
         self._take_in(now, kept.changes, None)
--- a/sprucepost/configuration/timeline.py
+++ b/sprucepost/configuration/timeline.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from sprucepost.configuration.change import BEGINNING, Change, Position
+from sprucepost.configuration.document import Value
 from sprucepost.configuration.judge import Judge
 from sprucepost.configuration.state import SettingsState, Undo
 from sprucepost.configuration.validation import ProblemKind, first_of
@@ -43,12 +44,14 @@
 
 @dataclass(frozen=True)
 class HistoryEntry:
-    """A change as the history shows it. ``superseded_by``: for each key of it that was replaced, by which change."""
+    """A change as the history shows it. ``superseded_by``: for each key of it that was replaced, by which change.
+    ``previous``: of a compacted change, what its keys had before it."""
 
     change: Change
     state: State
     line: str
     superseded_by: Mapping[str, Position]
+    previous: tuple[Undo, ...] = ()
 
     def brought_up_to_date(self, setters: Mapping[str, Position]) -> HistoryEntry:
         """The entry of a compacted change, which later changes may have superseded since."""
@@ -106,6 +109,7 @@
         self.size = 0  # bytes of the live changes
         self._by_position: dict[Position, Entry] = {}
         self._refused_elsewhere: frozenset[Position] = frozenset()
+        self._unjudged_entries: list[Entry] = []
         self._based = False  # whether a baseline is behind the present point of the fold
 
     def __contains__(self, position: Position) -> bool:
@@ -122,8 +126,7 @@
 
     def unjudged_after(self, position: Position) -> Entry | None:
         """The first change later than that which this program couldn't judge."""
-        unjudged = (entry for entry in self.entries if entry.verdict is Verdict.UNJUDGED and entry.position > position)
-        return next(unjudged, None)
+        return next((entry for entry in self._unjudged_entries if entry.position > position), None)
 
     def insert(self, entries: Iterable[Entry]) -> None:
         """Put changes in their places; they are later than the cut and not here yet."""
@@ -166,6 +169,7 @@
             self.cut = entry.position
         self.base.forget_removed()
         self.state.forget_removed(up_to=self.cut)
+        self._note_unjudged()
         return compacted
 
     def rebase(self, cut: Position, base: SettingsState) -> list[Entry]:
@@ -174,14 +178,13 @@
         dropped = [entry for entry in everything if entry.position <= cut]
         self.cut, self.base, self.state = cut, base, base.copy()
         self.entries, self._by_position, self.size = [], {}, 0
+        self._note_unjudged()
         self._based = True
         self.insert([_unfolded(entry) for entry in everything if entry.position > cut])
         return dropped
 
-    def settings_at(self, position: Position) -> dict[str, object] | None:
-        """The agreed values right after the change at ``position``; None where that is no longer known."""
-        if position != self.cut and position not in self._by_position:
-            return None
+    def settings_at(self, position: Position) -> dict[str, Value]:
+        """The agreed values right after the change at ``position``, which is live or the cut."""
         state = self.base.copy()
         for entry in self.entries:
             if entry.position > position:
@@ -189,7 +192,7 @@
             if entry.verdict in APPLIED:
                 for edit in entry.change.edits:
                     state.edit(edit, entry.position)
-        return dict(state.values)
+        return state.values
 
     # The fold
 
@@ -207,6 +210,10 @@
     def _step_forward(self, place: int) -> None:
         for entry in self.entries[place:]:
             entry.verdict, entry.line = self._apply(entry)
+        self._note_unjudged()
+
+    def _note_unjudged(self) -> None:
+        self._unjudged_entries = [entry for entry in self.entries if entry.verdict is Verdict.UNJUDGED]
 
     def _apply(self, entry: Entry) -> tuple[Verdict, str]:
         change = entry.change
--- a/sprucepost/configuration/validation.py
+++ b/sprucepost/configuration/validation.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from sprucepost.configuration.document import DocumentError, Settings, expand
+from sprucepost.configuration.document import Settings
 
 
 class ProblemKind(Enum):
@@ -28,18 +28,9 @@
 
 
 Validator = Callable[[Settings], Sequence[Problem]]
-"""Judges a whole configuration, given as values by key path (:func:`document.expand` gives the document). It must depend on
-nothing but the configuration, apart from LOCAL problems, which may depend on this placer's own settings."""
-
-
-def structure_problems(settings: Settings) -> list[Problem]:
-    """Keys that can't stand together in one document."""
-    try:
-        expand(settings)
-    except DocumentError as error:
-        line = str(error)
-        return [Problem(ProblemKind.INVALID, line.partition(":")[0], line)]
-    return []
+"""Judges a whole configuration, given as values by key path. It is to make a document of them (:func:`document.expand`) and
+may let its DocumentError through: that counts as INVALID. It must depend on nothing but the configuration, apart from LOCAL
+problems, which may depend on this placer's own settings."""
 
 
 def first_of(problems: Sequence[Problem], kind: ProblemKind) -> Problem | None:
--- a/tests/configuration/member.py
+++ b/tests/configuration/member.py
@@ -122,6 +122,7 @@
         self._number = 0 if earlier is None else earlier.number
         self._setters: dict[str, Position | None] = {}
         self._aside: set[Position] = set()
+        self._checked: tuple[object, ...] = ()
         self._look()
 
     # What is asked of it
@@ -199,9 +200,17 @@
         for event in told:
             if isinstance(event, Diverged):
                 self._observed.wrong(f"{self.address}: told of a divergence")
-        self._check(told)
+        shape = self._shape()
+        if told or actions or shape != self._checked:  # else nothing can have changed since the last step
+            self._checked = shape
+            self._check(told)
         return actions
 
+    def _shape(self) -> tuple[object, ...]:
+        replica = self.replica
+        ledger, in_force = replica._ledger, replica._enforcement._in_force
+        return replica.version, replica.digest, replica.held, replica.cut, len(ledger.set_aside), id(in_force)
+
     def _measure(self, message: Message) -> None:
         if isinstance(message, Digest):
             return
--- a/tests/configuration/support.py
+++ b/tests/configuration/support.py
@@ -15,7 +15,7 @@
     ProblemKind,
     Proposal,
 )
-from sprucepost.configuration.document import Settings, Value
+from sprucepost.configuration.document import Settings, Value, expand
 from sprucepost.configuration.messages import Event, Send
 
 CHANGEABLE = ChangeableKeys(("c",))
@@ -28,6 +28,7 @@
     """The validator of a program that knows these keys, at the placer with this number."""
 
     def problems(settings: Settings) -> list[Problem]:
+        expand(settings)  # for its errors
         values = {key.removeprefix("c."): value for key, value in settings.items()}
         found = [
             Problem(ProblemKind.UNKNOWN_KEY, f"c.{name}", f"c.{name}: unknown key")
--- a/tests/configuration/test_replica.py
+++ b/tests/configuration/test_replica.py
@@ -387,3 +387,18 @@
     for each in fleet.replicas:
         assert "own.number" not in each.configuration and each.configuration["c.a"] == 1
         assert each.held is not None and each.held.key == "own.number"
+
+
+def test_the_history_leads_back_as_far_when_it_is_compacted() -> None:
+    one = replica(limits=Limits(proposals_burst=1000))
+    for number in range(2, 40):
+        one.propose(0.0, removal("e") if "c.e" in one.configuration else proposal(e=number, high=20 + number))
+    positions = [entry.change.position for entry in one.history]
+    before = [one._ledger.settings_at(position) for position in positions]
+    one.tick(1e9)
+    assert one.cut == positions[-1] and one.agreed == before[-1]
+    one.propose(1e9, proposal(e=99))
+    assert [one._ledger.settings_at(position) for position in positions] == before
+    two = replica("p0/2", kept=one.keep())
+    receipt = two.rollback(0.0, positions[4], "ann")
+    assert receipt.refusal == "" and two.configuration == before[4]
