--- a/sprucepost/configuration/messages.py
+++ b/sprucepost/configuration/messages.py
@@ -67,10 +67,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdicts:
-    """For that set of changes: the agreed configuration, and the fingerprints of the live changes that are refused."""
+    """For that set of changes: the agreed configuration, and the fingerprints of the changes that are refused among those
+    later than the sender's cut."""
 
     changes: int
     outcome: int
+    cut: Position
     refused: tuple[int, ...]
 
 
--- a/sprucepost/configuration/replica.py
+++ b/sprucepost/configuration/replica.py
@@ -202,7 +202,7 @@
         elif isinstance(message, VerdictsRequest):
             self._send_verdicts(known)
         else:
-            self._take_verdicts(known, message)
+            self._take_verdicts(now, known, message)
         self._flush()
 
     def tick(self, now: float) -> None:
@@ -396,10 +396,15 @@
     def _send_verdicts(self, peer: Peer) -> None:
         outcome = self._enforcement.outcome
         if outcome != NO_OUTCOME:
-            self._send(peer.ident, Verdicts(self.version.digest, outcome, self._ledger.refused_fingerprints()))
+            refused = self._ledger.refused_fingerprints()
+            self._send(peer.ident, Verdicts(self.version.digest, outcome, self.cut, refused))
 
-    def _take_verdicts(self, peer: Peer, verdicts: Verdicts) -> None:
-        if verdicts.changes != self.version.digest or self._enforcement.unconfirmed() is None:
+    def _take_verdicts(self, now: float, peer: Peer, verdicts: Verdicts) -> None:
+        unjudged = self._enforcement.unconfirmed()
+        if verdicts.changes != self.version.digest or unjudged is None:
+            return
+        if verdicts.cut > self.cut and unjudged.position <= verdicts.cut:
+            self._request_snapshot(now, peer)  # it has compacted some of them, with its verdicts
             return
         before = Outcomes(self._timeline)
         self._timeline.judge_again(self._ledger.positions(verdicts.refused))
--- a/tests/configuration/test_schedules.py
+++ b/tests/configuration/test_schedules.py
@@ -21,6 +21,14 @@
 }
 
 
+FOUND = (287, 5978, 8358, 9909)  # which broke a promise, or a check, of an earlier version
+
+
+@pytest.mark.parametrize("seed", FOUND)
+def test_schedules_that_once_found_something_keep_the_promises(seed: int) -> None:
+    assert problems(seed) == []
+
+
 @pytest.mark.parametrize("first", range(0, 200, 10))
 def test_drawn_schedules_keep_the_promises(first: int) -> None:
     broken = {seed: problems(seed) for seed in range(first, first + 10)}
