--- a/tests/placer/test_storms.py
+++ b/tests/placer/test_storms.py
@@ -8,7 +8,7 @@
 
 from benchmarks.list_storm import played
 from sprucepost.loop import Co, sleep
-from sprucepost.placer import fleet
+from sprucepost.placer import discovery
 from tests.placer.support import World, play, task
 from tests.wire.support import wait_for
 
@@ -17,7 +17,7 @@
 
 def test_every_owner_and_machine_reconnecting_at_once_loses_no_task() -> None:
     """Each owner has asks open when its stream breaks, and asks on while it has none. Every ask is answered once, and the
-    judge finds no rule broken in the bytes."""
+    checkers find no rule broken in the bytes."""
 
     def body(world: World) -> Co[Any]:
         for n in range(MACHINES):
@@ -47,7 +47,7 @@
         once = all(len(followed.outcomes(name)) == 1 for _, followed in owners for name in followed.frames)
         placed = sum(followed.outcomes(name) == ["bound"] for _, followed in owners for name in followed.frames)
         resumed = sum(sum(followed.sessions) for _, followed in owners)
-        broken = {rule: found for rule, found in world.judge().items() if found}
+        broken = {rule: found for rule, found in world.check_rules().items() if found}
         return asked, once, placed > asked / 4, resumed, broken, placer.engine.ledger.open
 
     asked, once, placed, resumed, broken, still = play(body)
@@ -60,9 +60,9 @@
 ) -> None:
     """Sixty first calls at once, four fifths of them not answered within a placer's patience. With the same patience each
     time only those ever got it that came first: the others' calls kept the list busy."""
-    monkeypatch.setattr(fleet, "ANSWER_MS", 400.0)
+    monkeypatch.setattr(discovery, "ANSWER_MS", 400.0)
 
     found = played(60, 30.0, 300.0, 12_000.0)
     assert found["heard"] == 60 and found["most_calls_open"] <= 60 and found["calls"] <= 130
-    monkeypatch.setattr(fleet, "PATIENCE", 1)  # as it was
+    monkeypatch.setattr(discovery, "SLOW_LIST_FACTOR", 1)  # as it was
     assert played(60, 30.0, 300.0, 8000.0)["heard"] < 60
