Peers carry the configuration replica's messages on the view's streams

Messages between configuration replicas are a further kind of the same frames; the replica's digest rides on the heartbeats of those members that carry a configuration.

The greeting also carries a digest of the settings without what running members can change: two members that both carry a configuration join each other with files that differ in that alone. Between all others the whole settings decide, as before.

What a peer leaves unread ends its stream as it does for the view: the bound is in one place for both.

--- a/sprucepost/peers/codec.py
+++ b/sprucepost/peers/codec.py
@@ -21,14 +21,19 @@
     """What a peer sent is no word."""
 
 
-def encode(word: Word) -> bytes:
-    """The frame of a word."""
+def encode(word: Word, configuration: pb.ConfigurationDigest | None = None) -> bytes:
+    """The frame of a word; a heartbeat's with the digest of the configuration, where the sender carries one."""
     if isinstance(word, Hello):
         frame = pb.PeerFrame(
-            hello=pb.PeerHello(cluster=word.cluster, settings=word.settings, record=_record(word.record))
+            hello=pb.PeerHello(
+                cluster=word.cluster,
+                settings=word.settings,
+                record=_record(word.record),
+                fixed_settings=word.fixed_settings,
+            )
         )
     elif isinstance(word, Beat):
-        frame = pb.PeerFrame(beat=pb.PeerBeat(digest=word.digest))
+        frame = pb.PeerFrame(beat=pb.PeerBeat(digest=word.digest, configuration=configuration))
     elif isinstance(word, News):
         frame = pb.PeerFrame(news=pb.PeerNews(records=[_record(record) for record in word.records]))
     else:
@@ -37,15 +42,25 @@
     return frame.SerializeToString()
 
 
-def decode(data: bytes) -> Word | None:
-    """The word of a frame; None for one of a kind that a later version may have. Malformed where it is none."""
+def parse(data: bytes) -> pb.PeerFrame:
+    """The frame; Malformed where it is none."""
     try:
-        frame = pb.PeerFrame.FromString(data)
+        return pb.PeerFrame.FromString(data)
     except DecodeError as error:
         raise Malformed("no frame") from error
+
+
+def decode(data: bytes) -> Word | None:
+    """The word of a frame, as ``word_of`` reads it."""
+    return word_of(parse(data))
+
+
+def word_of(frame: pb.PeerFrame) -> Word | None:
+    """The word of a frame; None for one of a kind that is no word of the view, or that a later version may have. Malformed
+    where it can't be."""
     kind = frame.WhichOneof("word")
     if kind == "hello":
-        return Hello(frame.hello.cluster, frame.hello.settings, _read(frame.hello.record))
+        return Hello(frame.hello.cluster, frame.hello.settings, _read(frame.hello.record), frame.hello.fixed_settings)
     if kind == "beat":
         return Beat(frame.beat.digest)
     if kind == "news":
--- a/sprucepost/peers/peers.py
+++ b/sprucepost/peers/peers.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable
 
 from sprucepost.loop import Address, Co, Loop, Scope, TimedOut, Timer
-from sprucepost.peers.codec import Malformed, decode, encode
+from sprucepost.peers.codec import Malformed, encode, parse, word_of
+from sprucepost.peers.configuration import ConfigurationCarrier
+from sprucepost.peers.configuration_codec import message_of
+from sprucepost.v1 import peer_pb2 as pb
 from sprucepost.view import Record, View
 from sprucepost.view.view import IDLE_TICK_MS, TICK_MS
-from sprucepost.view.words import Action, Changed, Close, Dial, Send
+from sprucepost.view.words import Action, Beat, Changed, Close, Dial, Send
 from sprucepost.wire.call import Call
 from sprucepost.wire.client import ClientConnection, open_client
 from sprucepost.wire.connection import Options
@@ -37,7 +40,8 @@
 
 
 class Peers:
-    """Carries one member's view. ``changed`` hears of each step, ``looked`` is called after each tick."""
+    """Carries one member's view, and where ``configuration`` is given its messages too. ``changed`` hears of each step,
+    ``looked`` is called after each tick."""
 
     def __init__(
         self,
@@ -51,10 +55,15 @@
         changed: Callable[[Changed], None],
         looked: Callable[[], None],
         log: Callable[..., None],
+        configuration: ConfigurationCarrier | None = None,
+        fixed_settings: str = "",
     ) -> None:
         self._loop, self._scope, self._source = loop, scope, source
         self._changed, self._looked, self._log = changed, looked, log
-        self.view = View(record, cluster, settings, seeds, loop.rng(), loop.now())
+        self.view = View(record, cluster, settings, seeds, loop.rng(), loop.now(), fixed_settings)
+        self._configuration = configuration
+        if configuration is not None:
+            configuration.transmit = self._transmit
         self.counters: Counter[str] = Counter()
         self._links: dict[int, _Link] = {}
         self._number = 0
@@ -86,6 +95,8 @@
             self._soon = True
             self._carry(self.view.tick(self._loop.now()))
             self._looked()
+            if self._configuration is not None:
+                self._configuration.tick()
             self._soon = self.view.restless
             self._next = self._loop.call_later(TICK_MS if self._soon else IDLE_TICK_MS, self._tick)
 
@@ -129,15 +140,24 @@
 
     def _heard(self, number: int, data: bytes) -> None:
         try:
-            word = decode(data)
+            frame = parse(data)
+            word = word_of(frame)
+            if word is not None:
+                self._carry(self.view.heard(self._loop.now(), number, word))
+            if self._configuration is not None:
+                self._heard_configuration(self._configuration, number, frame)
         except Malformed as error:
             self.counters["malformed"] += 1
             self._log("peer_malformed", why=str(error))
-            self._drop(number)
-            self._carry(self.view.ended(self._loop.now(), number))
-            return
-        if word is not None:
-            self._carry(self.view.heard(self._loop.now(), number, word))
+            self._over(number)
+
+    def _heard_configuration(self, configuration: ConfigurationCarrier, number: int, frame: pb.PeerFrame) -> None:
+        stream = self.view.streams.get(number)
+        if number not in self._links or stream is None or not stream.name:
+            return  # ended, or not past its greeting
+        message = message_of(frame)
+        if message is not None:
+            configuration.heard(number, message)
 
     def _over(self, number: int) -> None:
         if number in self._links:
@@ -146,6 +166,8 @@
 
     def _drop(self, number: int) -> None:
         link = self._links.pop(number, None)
+        if self._configuration is not None:
+            self._configuration.ended(number)
         if link is not None:
             link.close()
 
@@ -156,16 +178,10 @@
             self._next = self._loop.call_later(TICK_MS, self._tick)
         for action in actions:
             if isinstance(action, Send):
-                link = self._links.get(action.stream)
-                if link is None or link.call.over is not None:
-                    continue
-                if link.call.out_bytes > BEHIND_MOST:
-                    self.counters["behind"] += 1
-                    self._loop.call_soon(lambda number=action.stream: self._over(number))  # type: ignore[misc]
-                    continue
-                data = encode(action.word)
-                self.counters["bytes_out"] += len(data)
-                link.call.send(data)
+                digest = None
+                if self._configuration is not None and isinstance(action.word, Beat):
+                    digest = self._configuration.digest()
+                self._transmit(action.stream, encode(action.word, digest))
             elif isinstance(action, Dial):
                 self._scope.spawn(self._dial(action), f"peer {action.name or action.address}")
             elif isinstance(action, Close):
@@ -173,3 +189,15 @@
                 self._drop(action.stream)
             else:
                 self._changed(action)
+
+    def _transmit(self, number: int, data: bytes) -> None:
+        """Send a frame; a peer that leaves too much unread loses the stream."""
+        link = self._links.get(number)
+        if link is None or link.call.over is not None:
+            return
+        if link.call.out_bytes > BEHIND_MOST:
+            self.counters["behind"] += 1
+            self._loop.call_soon(lambda: self._over(number))
+            return
+        self.counters["bytes_out"] += len(data)
+        link.call.send(data)
--- a/sprucepost/view/view.py
+++ b/sprucepost/view/view.py
@@ -79,12 +79,21 @@
 
 
 class View:
-    """``record`` is this member's own; ``seeds`` are addresses, any of which may be dead."""
+    """``record`` is this member's own; ``seeds`` are addresses, any of which may be dead. ``fixed_settings``: the digest of
+    ``settings`` without what running members can change; empty where they change nothing."""
 
     def __init__(
-        self, record: Record, cluster: str, settings: str, seeds: tuple[str, ...], rng: Draws, now: float
+        self,
+        record: Record,
+        cluster: str,
+        settings: str,
+        seeds: tuple[str, ...],
+        rng: Draws,
+        now: float,
+        fixed_settings: str = "",
     ) -> None:
         self.me, self._cluster, self._settings, self._seeds, self._rng = record, cluster, settings, seeds, rng
+        self._fixed_settings = fixed_settings
         self.records: dict[str, Record] = {record.name: record}
         self.digest = fingerprint(record)
         self.here: frozenset[str] = frozenset({record.name})
@@ -162,7 +171,7 @@
         if dialled is not None:
             self._dialling.pop(dialled, None)
         self.streams[stream] = Stream(stream, dialled, now)
-        self._say(stream, Hello(self._cluster, self._settings, self.me))
+        self._say(stream, Hello(self._cluster, self._settings, self.me, self._fixed_settings))
         return self._out()
 
     def not_opened(self, now: float, dialled: str) -> list[Action]:
@@ -258,9 +267,14 @@
         pause = min(DIAL_MS * 2.0**times, DIAL_MOST_MS) * self._rng.uniform(0.5, 1.0)
         self._failed[dialled] = times + 1, now + pause
 
+    def _settings_agree(self, hello: Hello) -> bool:
+        """Equal settings, or unlike only in what both can change while they run."""
+        fixed = self._fixed_settings
+        return hello.settings == self._settings or (fixed != "" and hello.fixed_settings == fixed)
+
     def _hello(self, now: float, stream: Stream, word: Hello) -> None:
         peer = word.record
-        if word.cluster != self._cluster or word.settings != self._settings:
+        if word.cluster != self._cluster or not self._settings_agree(word):
             self._close(now, stream.ident, "another fleet")
         elif peer.life == self.me.life:
             self._close(now, stream.ident, "myself")
--- a/sprucepost/view/words.py
+++ b/sprucepost/view/words.py
@@ -14,6 +14,7 @@
     cluster: str
     settings: str  # a digest of what all members must agree on
     record: Record
+    fixed_settings: str = ""  # a digest of that without what a running member can change; empty: the same
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/view/test_view.py
+++ b/tests/view/test_view.py
@@ -294,3 +294,23 @@
 
 settings.register_profile("ci", deadline=None)
 settings.load_profile("ci")
+
+
+@pytest.mark.parametrize(
+    ("mine", "settings", "theirs", "joined"),
+    [
+        ("", "settings", "fixed", True),  # configuration off here, or an earlier version there
+        ("", "other", "fixed", False),
+        ("fixed", "settings", "", True),
+        ("fixed", "other", "", False),
+        ("fixed", "other", "fixed", True),
+        ("fixed", "other", "unlike", False),
+        ("fixed", "settings", "unlike", True),
+    ],
+)
+def test_settings_may_be_unlike_in_what_both_can_change(mine: str, settings: str, theirs: str, joined: bool) -> None:
+    view = View(record(0), "fleet", "settings", (), random.Random(1), 0.0, mine)
+    view.opened(0.0, 1, None)
+    actions = view.heard(1.0, 1, Hello("fleet", settings, record(1), theirs))
+    closed = [action.why for action in actions if isinstance(action, Close)]
+    assert closed == ([] if joined else ["another fleet"])
