Placers run with the agreed configuration: worth, quotas, attempts without a restart

Off unless placer.peers.configuration is given. A running placer takes max_attempts, max_retry_after_ms, over_share_worth, the tenants' quota_cores and share and the classes' worth and late_worth: each is read anew at each decision, by the module through Scheduler.settings (replaced between two calls of handle), by Tasks at each ask and by admission at each refusal.

aim_ms is left out: admission takes the bounds of its line, of its standing queue and of its reading from the shortest aim once, at the start. Tenants and classes are neither added nor removed while placers run: tasks hold their index.

A configuration is validated whole by the settings' own types and problems(); a line names the key with the element's name. The file of a reload that differs only in agreed keys is applied without them, with one line in the log.

--- a/sprucepost/admission/admission.py
+++ b/sprucepost/admission/admission.py
@@ -70,7 +70,7 @@
         self._was_empty = True  # the line, since the last look at the credit
         self._turned_away = 0  # by the line, since then
         self.reading: Reading[bytes] = Reading(shortest_aim_ms / 4.0)
-        self._most_retry, self._aim = most_retry_ms, shortest_aim_ms
+        self.most_retry_ms, self._aim = most_retry_ms, shortest_aim_ms
         # No more than half of what a line that stands bears: each ask waits for a turn besides.
         self._turn_ms = min(turn_ms, shortest_aim_ms / 8.0)
         self._retries = RetryBudget(now, burst=200.0, per_s=10.0)
@@ -87,7 +87,7 @@
         the worst most asks end here, so this costs next to nothing."""
         if self.room.total < self.room.most:
             return None
-        return FULL, self._spread(2.0 * self._most_retry)
+        return FULL, self._spread(2.0 * self.most_retry_ms)
 
     def turned(self, owner: str, worth: float, aim_ms: float, now: float) -> tuple[str, float] | None:
         """The same where, within a turn, an ask of that owner that was worth as much and could wait as long has been
@@ -106,7 +106,7 @@
         """Whether the ask is let in; then call :meth:`wait`."""
         why = self.room.why_not(ask.owner, ask.worth, now)
         if why:
-            retry = self._spread(2.0 * self._most_retry)
+            retry = self._spread(2.0 * self.most_retry_ms)
             self.room.turned_away(ask.owner, now + 2.0 * retry)
             return Verdict(why, retry)
         self.room.let_in(ask.owner)
@@ -123,9 +123,9 @@
         if ask.repeat:
             own = self._budget(ask.owner, now)
             if not own.repeat(now):
-                return Verdict("too many repeats of this owner", max(own.wait_ms(), self._most_retry))
+                return Verdict("too many repeats of this owner", max(own.wait_ms(), self.most_retry_ms))
             if not self._retries.repeat(now):
-                return Verdict("too many repeats", max(self._retries.wait_ms(), self._most_retry))
+                return Verdict("too many repeats", max(self._retries.wait_ms(), self.most_retry_ms))
         else:
             self._budget(ask.owner, now).fresh()
             self._retries.fresh()
@@ -150,7 +150,7 @@
         """Within half to one and a half times of it, evenly, and at most twice the longest retry time of the settings: those
         refused together must not come back together."""
         self._phase = (self._phase + GOLDEN) % 1.0
-        return max(1.0, min(ms, self._most_retry * 4.0 / 3.0) * (0.5 + self._phase))
+        return max(1.0, min(ms, self.most_retry_ms * 4.0 / 3.0) * (0.5 + self._phase))
 
     def _budget(self, owner: str, now: float) -> RetryBudget:
         budget = self._owners.pop(owner, None) or RetryBudget(now)
--- /dev/null
+++ b/sprucepost/placer/configuration.py
@@ -0,0 +1,134 @@
+"""The deployment's configuration in a running placer: its replica, what is put in force, and what is shown of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from sprucepost.configuration import ConfigurationReplica, HistoryEntry, Limits, Proposal, Receipt
+from sprucepost.configuration.change import Position
+from sprucepost.configuration.document import Value, settings_digest
+from sprucepost.configuration.messages import Diverged, Event, Held, InForce, Overwritten, Refused, SetAside
+from sprucepost.loop import Loop
+from sprucepost.peers.configuration import ConfigurationCarrier
+from sprucepost.settings import Cluster, ConfigurationOptions
+from sprucepost.settings.running import ClusterValidator, changeable_keys, flat_cluster, key_refusal
+
+KEYS_SHOWN = 64  # of one change, in a log line and on the page
+HISTORY_SHOWN = 100  # latest changes on the page
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationHost:
+    """What the placer gives: ``take`` puts a deployment's settings in force, ``info`` and ``warn`` log an event."""
+
+    take: Callable[[Cluster], None]
+    info: Callable[..., None]
+    warn: Callable[..., None]
+
+
+class PlacerConfiguration:
+    """``origin`` is unique to this life of this placer."""
+
+    def __init__(
+        self, loop: Loop, file_cluster: Cluster, options: ConfigurationOptions, origin: str, host: ConfigurationHost
+    ) -> None:
+        self._loop, self._file_cluster, self.options, self._host = loop, file_cluster, options, host
+        self.validator = ClusterValidator(file_cluster)
+        self.replica = ConfigurationReplica(
+            origin,
+            flat_cluster(file_cluster),
+            self.validator,
+            changeable_keys(file_cluster),
+            loop.now(),
+            Limits(horizon_ms=options.horizon_ms),
+        )
+        self.carrier = ConfigurationCarrier(self.replica, loop.now, self._told)
+        self._in_force: Mapping[str, Value] = dict(self.replica.configuration)
+
+    @property
+    def agreed(self) -> bool:
+        """Whether the fleet has a configuration; until its first change each placer runs with its own file."""
+        return self.replica.agreed is not None
+
+    def propose(self, proposal: Proposal) -> Receipt:
+        """An operator's change; the receipt's refusal is one line that names the key."""
+        for edit in proposal.edits:
+            refusal = key_refusal(edit.key, self._file_cluster)
+            if refusal:
+                return Receipt(self.replica.version, refusal=refusal)
+        return self.carrier.propose(proposal)
+
+    def rollback(self, position: Position, author: str, comment: str) -> Receipt:
+        """A new change that restores the values as they were right after that one."""
+        return self.carrier.rollback(position, author, comment, self._loop.wall())
+
+    def ineffective_keys(self, new: Cluster) -> list[str] | None:
+        """Keys by which that file's deployment differs from this placer's, where the fleet's configuration stands above all
+        of them; None where a key differs that it doesn't hold, or there is none."""
+        before, after = flat_cluster(self._file_cluster), flat_cluster(new)
+        differing = sorted(key for key in before.keys() | after.keys() if before.get(key) != after.get(key))
+        changeable = changeable_keys(self._file_cluster)
+        return differing if self.agreed and all(key in changeable for key in differing) else None
+
+    # Events of the replica
+
+    def _told(self, event: Event) -> None:
+        if isinstance(event, InForce):
+            self._take()
+        elif isinstance(event, Held):
+            self._host.warn("configuration_held", key=event.key, line=event.line)
+        elif isinstance(event, Overwritten):
+            self._host.warn("configuration_overwritten", change=str(event.position), key=event.key, by=str(event.by))
+        elif isinstance(event, Refused):
+            self._host.warn("configuration_refused", change=str(event.position), line=event.line)
+        elif isinstance(event, SetAside):
+            self._host.warn("configuration_set_aside", change=str(event.position))
+        elif isinstance(event, Diverged):
+            self._host.warn("configuration_diverged", version=str(event.version))
+
+    def _take(self) -> None:
+        before, self._in_force = self._in_force, dict(self.replica.configuration)
+        self._host.take(self.validator.cluster(self._in_force))
+        keys = sorted(before.keys() | self._in_force.keys())
+        changed = [key for key in keys if before.get(key) != self._in_force.get(key)]
+        version = self.replica.version
+        self._host.info(
+            "configuration",
+            number=version.number,
+            digest=f"{version.digest:016x}",
+            keys=changed[:KEYS_SHOWN],
+            at_ms=round(self._loop.wall(), 3),
+        )
+
+    # What is shown
+
+    def shown(self) -> dict[str, Any]:
+        """The page."""
+        replica, held = self.replica, self.replica.held
+        return {
+            "version": str(replica.version),
+            "agreed": self.agreed,
+            "digest": f"{settings_digest(replica.configuration):016x}",
+            "in_force": dict(replica.configuration),
+            "held": None if held is None else {"key": held.key, "line": held.line},
+            "peers": self.carrier.connected,
+            "history": [_shown_entry(entry) for entry in replica.history[-HISTORY_SHOWN:]],
+        }
+
+
+def _shown_entry(entry: HistoryEntry) -> dict[str, Any]:
+    change = entry.change
+    return {
+        "position": str(change.position),
+        "author": change.author,
+        "comment": change.comment,
+        "made_ms": change.made_ms,
+        "baseline": change.baseline,
+        "state": entry.state.value,
+        "line": entry.line,
+        "edits": {edit.key: None if edit.removed else edit.value for edit in change.edits[:KEYS_SHOWN]},
+        "removed": [edit.key for edit in change.edits[:KEYS_SHOWN] if edit.removed],
+        "superseded_by": {key: str(by) for key, by in sorted(entry.superseded_by.items())[:KEYS_SHOWN]},
+    }
--- /dev/null
+++ b/sprucepost/placer/configuration_service.py
@@ -0,0 +1,92 @@
+"""Operators' requests about the configuration, on the placer's gRPC port."""
+
+from __future__ import annotations
+
+import json
+
+from sprucepost.configuration import KeyEdit, Proposal, Receipt, Version
+from sprucepost.configuration.change import Position
+from sprucepost.loop import Co, Loop
+from sprucepost.peers.codec import Malformed
+from sprucepost.peers.configuration_codec import read_value
+from sprucepost.placer.configuration import PlacerConfiguration
+from sprucepost.v1 import configuration_pb2 as pb
+from sprucepost.wire.server import Method, ServerCall, unary
+
+SERVICE = "sprucepost.v1.Configuration"
+SHOW_PATH = f"/{SERVICE}/Show"
+PROPOSE_PATH = f"/{SERVICE}/Propose"
+
+
+class ConfigurationService:
+    """Answers them from one placer's configuration."""
+
+    def __init__(self, loop: Loop, configuration: PlacerConfiguration) -> None:
+        self._loop, self._configuration = loop, configuration
+
+    def methods(self) -> dict[str, Method]:
+        """What the gRPC port serves."""
+        return {
+            SHOW_PATH: unary(pb.ConfigurationShowRequest.FromString, self._show),
+            PROPOSE_PATH: unary(pb.ConfigurationProposal.FromString, self._propose),
+        }
+
+    def _show(self, request: pb.ConfigurationShowRequest, call: ServerCall) -> Co[pb.ConfigurationShown]:
+        return pb.ConfigurationShown(json=json.dumps(self._configuration.shown()))
+        yield
+
+    def _propose(self, request: pb.ConfigurationProposal, call: ServerCall) -> Co[pb.ConfigurationReceipt]:
+        receipt = self._decided(request)
+        position = "" if receipt.position is None else str(receipt.position)
+        return pb.ConfigurationReceipt(version=str(receipt.version), position=position, refusal=receipt.refusal)
+        yield
+
+    def _decided(self, request: pb.ConfigurationProposal) -> Receipt:
+        configuration = self._configuration
+        if not configuration.options.takes_changes:
+            return self._refused("this placer takes no changes: placer.peers.configuration.takes_changes is false")
+        try:
+            if request.rollback_to:
+                position = read_position(request.rollback_to)
+                return configuration.rollback(position, request.author, request.comment)
+            return configuration.propose(self._proposal(request))
+        except (Malformed, ValueError) as error:
+            return self._refused(str(error))
+
+    def _refused(self, line: str) -> Receipt:
+        return Receipt(self._configuration.replica.version, refusal=line)
+
+    def _proposal(self, request: pb.ConfigurationProposal) -> Proposal:
+        return Proposal(
+            tuple(_key_edit(edit) for edit in request.edits),
+            request.author,
+            request.comment,
+            self._loop.wall(),
+            read_version(request.against) if request.against else None,
+        )
+
+
+def _key_edit(edit: pb.ConfigurationKeyEdit) -> KeyEdit:
+    if edit.removed:
+        return KeyEdit(edit.key, removed=True)
+    try:
+        return KeyEdit(edit.key, read_value(edit.value))
+    except Malformed as error:
+        raise Malformed(f"{edit.key}: {error}") from error
+
+
+def read_position(text: str) -> Position:
+    """A position as it is shown; ValueError, one line, where it is none."""
+    clock, _, origin = text.partition("@")
+    if not clock.isdecimal() or not origin:
+        raise ValueError(f"{text!r} isn't a change: CLOCK@ORIGIN, as the history shows it")
+    return Position(int(clock), origin)
+
+
+def read_version(text: str) -> Version:
+    """A version as it is shown; ValueError, one line, where it is none."""
+    number, _, digest = text.partition("-")
+    try:
+        return Version(int(number), int(digest, 16))
+    except ValueError:
+        raise ValueError(f"{text!r} isn't a version: NUMBER-DIGEST, as the status shows it") from None
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -7,16 +7,18 @@
 import signal
 import sys
 from collections.abc import Callable
-from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
-from msgspec import structs, to_builtins
+from msgspec import structs
 
 from sprucepost.admission import SessionBook
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
 from sprucepost.membership import Generation, Side
 from sprucepost.peers import Peers
+from sprucepost.placer.configuration import ConfigurationHost, PlacerConfiguration
+from sprucepost.placer.configuration_service import SERVICE as CONFIGURATION_SERVICE
+from sprucepost.placer.configuration_service import ConfigurationService
 from sprucepost.placer.discovery import DiscoveryWatch, WatchOptions
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.fleet_membership import FleetMembership, MembershipCallbacks
@@ -29,6 +31,7 @@
 from sprucepost.placer.pages import pages
 from sprucepost.settings import PlacerFile, SettingsError, read
 from sprucepost.settings.reload import changes, refused
+from sprucepost.settings.running import settings_fingerprint
 from sprucepost.view import Record
 from sprucepost.view.words import Changed
 from sprucepost.wire.connection import Options
@@ -106,14 +109,17 @@
             self.engine.hear_list,
         )
         self.health = Health()
+        self.configuration: PlacerConfiguration | None = None
         self.peers = self._peers()
         self.fleet_membership = self._membership()
         services = [SERVICE, "grpc.health.v1.Health"] + [PEER_SERVICE] * (self.peers is not None)
+        services += [CONFIGURATION_SERVICE] * (self.configuration is not None)
         methods = {
             **self.owners.methods(),
             **self.health.methods(),
             **Reflection(services).methods(),
             **(self.peers.methods() if self.peers is not None else {}),
+            **(ConfigurationService(loop, self.configuration).methods() if self.configuration is not None else {}),
         }
         limits = options.limits
         self.server = Server(
@@ -156,20 +162,34 @@
             address=options.advertise,  # else told once it listens
             generation=self.file.generation(),
         )
-        agreed = blake2b(json.dumps(to_builtins(self.file.cluster), sort_keys=True).encode(), digest_size=8).hexdigest()
+        self.configuration = self._make_configuration(f"{record.name}/{record.life}")
         return Peers(
             self.loop,
             self.scope,
             record,
             options.cluster,
-            agreed,
+            settings_fingerprint(self.file.cluster),
             tuple(options.seeds),
             self.file.placer.source,
             self._seen,
             self._check_membership,
             lambda event, **more: self.log.debug(event, **more),
+            self.configuration.carrier if self.configuration is not None else None,
+            self.configuration.validator.fixed_fingerprint if self.configuration is not None else "",
         )
 
+    def _make_configuration(self, origin: str) -> PlacerConfiguration | None:
+        """The deployment's configuration, where the settings ask for it."""
+        peers = self.file.placer.peers
+        if peers is None or peers.configuration is None:
+            return None
+        host = ConfigurationHost(
+            take=self.engine.set_cluster,
+            info=self._info,
+            warn=lambda event, **more: self.log.warning(event, **more),
+        )
+        return PlacerConfiguration(self.loop, self.file.cluster, peers.configuration, origin, host)
+
     def _membership(self) -> FleetMembership | None:
         if self.peers is None:
             return None
@@ -360,6 +380,7 @@
 
     def reload(self, new: PlacerFile) -> list[str]:
         """Apply other settings, whole or not at all; the lines that say why not."""
+        new = self._without_agreed_keys(new)
         changed = changes(self.file, new)
         lines = refused(changed)
         if lines:
@@ -379,6 +400,14 @@
                 self.log.warning("generation_kept", number=self.generation.number, file=told.number)
         return []
 
+    def _without_agreed_keys(self, new: PlacerFile) -> PlacerFile:
+        """The file with this placer's own deployment, where it differs only in keys that the fleet's configuration holds."""
+        keys = self.configuration.ineffective_keys(new.cluster) if self.configuration is not None else None
+        if not keys:
+            return new
+        self.log.warning("file_keys_without_effect", keys=keys, text="the fleet's configuration holds them")
+        return structs.replace(new, cluster=self.file.cluster)
+
     def run(self) -> Co[int]:
         """From start to stop; the exit status: 0 all settled by itself, 1 some answered at the time's end."""
         if not self.stopping:
--- a/sprucepost/placer/engine.py
+++ b/sprucepost/placer/engine.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 from sprucepost import interface as i
 from sprucepost.admission import Admission
@@ -25,6 +26,12 @@
 from sprucepost.v1 import machine_pb2
 from sprucepost.v1 import placer_pb2 as pb
 
+LEAST_RETRY_MS = 200.0  # an owner that is turned away is told to wait for up to so long at the least
+
+
+def _most_retry_ms(cluster: Cluster) -> float:
+    return max(LEAST_RETRY_MS, cluster.max_retry_after_ms)
+
 
 class Engine:
     """One placer without its sockets; :meth:`connect` gives it those."""
@@ -47,11 +54,13 @@
             limits.open_tasks,
             min(cls.aim_ms for cls in cluster.classes),
             limits.lag_ms,
-            max(200.0, cluster.max_retry_after_ms),
+            _most_retry_ms(cluster),
         )
         seed = options.seed if options.seed is not None else int.from_bytes(loop.token(8), "big")
         settings = cluster.to_interface(options.number, options.instances, options.zone, options.answer_margin_ms)
-        tasks, margin = Tasks(cluster), options.answer_margin_ms
+        self._options = options
+        self.tasks = tasks = Tasks(cluster)
+        margin = options.answer_margin_ms
         self.desk = SeatedDesk(
             loop, settings, seed, options.clock_slew, cluster.clock_apart_ms, generation, ask_list, log, self.counters
         )
@@ -87,6 +96,22 @@
         """Other options, from a reload: the bound on open tasks moves with them."""
         self.admission.bound(options.limits.open_tasks)
 
+    def set_cluster(self, cluster: Cluster) -> None:
+        """Other values of the deployment's changeable keys (``settings.running``), from the next decision on. Not to be
+        called while the module decides. Tasks that it has keep their class as it was."""
+        options = self._options
+        new = cluster.to_interface(options.number, options.instances, options.zone, options.answer_margin_ms)
+        self.desk.scheduler.settings = replace(
+            self.desk.scheduler.settings,
+            classes=new.classes,
+            tenants=new.tenants,
+            max_attempts=new.max_attempts,
+            over_share_worth=new.over_share_worth,
+            max_retry_after=new.max_retry_after,
+        )
+        self.tasks.set_worth(cluster)
+        self.admission.most_retry_ms = _most_retry_ms(cluster)
+
     def _before(self) -> None:
         """Ahead of each batch for the module: what has changed about machines, and the asks whose turn it is."""
         self.roster.settle()
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -8,6 +8,7 @@
 
 from sprucepost.loop import Loop
 from sprucepost.peers import Peers
+from sprucepost.placer.configuration import PlacerConfiguration
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.fleet_membership import FleetMembership
 from sprucepost.placer.links import Links
@@ -28,6 +29,7 @@
     slot_trouble: str
     peers: Peers | None
     fleet_membership: FleetMembership | None
+    configuration: PlacerConfiguration | None
 
     def not_ready(self) -> str: ...
     def list_age_ms(self) -> float: ...
@@ -49,7 +51,18 @@
             return 404, "text/plain", b"off: no peers in the settings\n"
         return 200, "application/json", json.dumps(shown(placer.peers.view, placer.loop.now())).encode()
 
-    return {"/healthz": healthy, "/readyz": ready, "/metrics": _metrics(placer), "/members": members}
+    def configuration() -> tuple[int, str, bytes]:
+        if placer.configuration is None:
+            return 404, "text/plain", b"off: no placer.peers.configuration in the settings\n"
+        return 200, "application/json", json.dumps(placer.configuration.shown()).encode()
+
+    return {
+        "/healthz": healthy,
+        "/readyz": ready,
+        "/metrics": _metrics(placer),
+        "/members": members,
+        "/config": configuration,
+    }
 
 
 def _view_line(placer: Shown) -> str:
@@ -136,6 +149,8 @@
         yield from (outcomes, events, refusals, peers)
         if placer.peers is not None:
             yield from _view_gauges(placer.peers, placer.fleet_membership, placer.loop.now())
+        if placer.configuration is not None:
+            yield from _configuration_gauges(placer.configuration)
         links = placer.links.all()
         for name, text, value in (
             ("open_tasks", "Tasks taken and not answered", engine.ledger.open),
@@ -180,3 +195,25 @@
     digest = GaugeMetricFamily("sprucepost_view_digest", "1; equal labels are equal views", labels=["digest"])
     digest.add_metric([f"{view.digest:016x}"], 1)
     yield digest
+
+
+def _configuration_gauges(configuration: PlacerConfiguration) -> Iterator[Any]:
+    from prometheus_client.core import GaugeMetricFamily
+
+    replica, carrier = configuration.replica, configuration.carrier
+    for name, text, value in (
+        ("number", "The highest number of a change known here", replica.version.number),
+        ("held", "1 while the agreed configuration isn't in force here", replica.held is not None),
+        ("refused_changes", "Known changes that aren't applied", len(replica.refused)),
+        ("peers", "Streams to placers that carry a configuration", carrier.connected),
+        ("messages_sent", "Messages about it to other placers", carrier.counters["messages_out"]),
+        ("bytes_sent", "Their bytes, without the digests in heartbeats", carrier.counters["bytes_out"]),
+    ):
+        gauge = GaugeMetricFamily(f"sprucepost_configuration_{name}", text)
+        gauge.add_metric([], value)
+        yield gauge
+    digest = GaugeMetricFamily(
+        "sprucepost_configuration_version", "1; equal labels are equal sets of changes", labels=["version"]
+    )
+    digest.add_metric([str(replica.version)], 1)
+    yield digest
--- a/sprucepost/placing/tasks.py
+++ b/sprucepost/placing/tasks.py
@@ -16,12 +16,16 @@
     """The deployment's classes and tenants, by name."""
 
     def __init__(self, cluster: Cluster) -> None:
-        dearest = max(cls.worth for cls in cluster.classes) or 1.0
-        self.worth = {cls.name: cls.worth / dearest for cls in cluster.classes}  # relative to the dearest, 0 to 1
+        self.set_worth(cluster)
         self.aim_ms = [cls.aim_ms for cls in cluster.classes]
         self.classes = {cls.name: n for n, cls in enumerate(cluster.classes)}
         self._tenants = {tenant.name: n for n, tenant in enumerate(cluster.tenants)}
 
+    def set_worth(self, cluster: Cluster) -> None:
+        """What the classes are worth, from now on."""
+        dearest = max(cls.worth for cls in cluster.classes) or 1.0
+        self.worth = {cls.name: cls.worth / dearest for cls in cluster.classes}  # relative to the dearest, 0 to 1
+
     def problem(self, name: str, task: common_pb2.Task) -> str | None:
         """Why this task cannot be taken."""
         if not name or len(name) > NAME_MOST or not task.service or len(task.service) > NAME_MOST:
--- a/sprucepost/settings/__init__.py
+++ b/sprucepost/settings/__init__.py
@@ -5,11 +5,12 @@
 """
 
 from sprucepost.settings.cluster import Cluster, TaskClass
-from sprucepost.settings.placer import GenerationOptions, PeerOptions, PlacerFile, PlacerOptions
+from sprucepost.settings.placer import ConfigurationOptions, GenerationOptions, PeerOptions, PlacerFile, PlacerOptions
 from sprucepost.settings.reading import SettingsError, read, schema
 
 __all__ = [
     "Cluster",
+    "ConfigurationOptions",
     "GenerationOptions",
     "PeerOptions",
     "PlacerFile",
--- a/sprucepost/settings/placer.py
+++ b/sprucepost/settings/placer.py
@@ -45,6 +45,15 @@
     format: Literal["json", "console"] = "json"
 
 
+class ConfigurationOptions(Struct, forbid_unknown_fields=True, frozen=True):
+    """The deployment's configuration, changed at any placer and in force at all (docs/configuration.md)."""
+
+    horizon_ms: Annotated[
+        Positive, Meta(description="placers cut off from each other for less lose no change; the same at all")
+    ] = 7_200_000.0
+    takes_changes: Annotated[bool, Meta(description="operators may propose changes at this placer's gRPC port")] = True
+
+
 class PeerOptions(Struct, forbid_unknown_fields=True, frozen=True):
     """Whom to ask for the fleet's own view (docs/view.md)."""
 
@@ -56,6 +65,9 @@
     name: Annotated[str, Meta(max_length=64, description="the same after a restart; empty: from the number")] = ""
     host: Annotated[str, Meta(max_length=64, description="what fails together; empty: the listening address")] = ""
     room: Annotated[str, Meta(max_length=64, description="empty: the zone")] = ""
+    configuration: Annotated[
+        ConfigurationOptions | None, Meta(description="carry changes of the deployment's configuration; null: off")
+    ] = None
 
 
 class PlacerOptions(Struct, forbid_unknown_fields=True, frozen=True):
--- a/sprucepost/settings/reading.py
+++ b/sprucepost/settings/reading.py
@@ -39,17 +39,25 @@
         raw = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise SettingsError([f"{where}: not JSON: {error}"]) from None
+    try:
+        return convert(raw, kind)
+    except SettingsError as error:
+        raise SettingsError([f"{where}: {line}" for line in error.lines]) from None
+
+
+def convert(raw: Any, kind: type[C]) -> C:
+    """The settings in a parsed document; SettingsError with a line for each fault, its key's path in front."""
     lines = _unknown(raw, kind, "")
     if not lines:
         try:
             found = msgspec.convert(raw, kind)
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, OverflowError) as error:
             lines = [_plain(str(error))]
         else:
             lines = found.problems()
             if not lines:
                 return found
-    raise SettingsError([f"{where}: {line}" for line in lines])
+    raise SettingsError(lines)
 
 
 def schema(kind: type[Any]) -> str:
--- /dev/null
+++ b/sprucepost/settings/running.py
@@ -0,0 +1,118 @@
+"""Which deployment-wide keys a running placer takes, and whether a whole configuration of them can be.
+
+A key belongs here only where every use reads it anew at each decision. Tenants and classes are named by the file: they are
+neither added nor removed while placers run.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+from msgspec import to_builtins
+
+from sprucepost.configuration import ChangeableKeys, Problem, ProblemKind
+from sprucepost.configuration.document import Settings, Value, expand, flatten
+from sprucepost.settings.cluster import Cluster
+from sprucepost.settings.reading import SettingsError, convert
+
+ROOT = "cluster"
+SINGLE_KEYS = ("max_attempts", "max_retry_after_ms", "over_share_worth")
+TENANT_KEYS = ("quota_cores", "share")
+CLASS_KEYS = ("late_worth", "worth")
+
+
+@dataclass(frozen=True)
+class ExactKeys(ChangeableKeys):
+    """Changeable keys that have nothing under them: found at once, however many tenants there are."""
+
+    keys: frozenset[str]
+
+    def __contains__(self, key: object) -> bool:
+        return key in self.keys
+
+
+def flat_cluster(cluster: Cluster) -> dict[str, Value]:
+    """The deployment's settings by key path, defaults filled in."""
+    return flatten(to_builtins(cluster), ROOT)
+
+
+def changeable_keys(cluster: Cluster) -> ChangeableKeys:
+    """The keys that a running placer of this deployment takes."""
+    keys = [f"{ROOT}.{key}" for key in SINGLE_KEYS]
+    keys += [f"{ROOT}.tenants[{tenant.name}].{key}" for tenant in cluster.tenants for key in TENANT_KEYS]
+    keys += [f"{ROOT}.classes[{cls.name}].{key}" for cls in cluster.classes for key in CLASS_KEYS]
+    return ExactKeys(tuple(keys), frozenset(keys))
+
+
+def settings_fingerprint(settings: Any) -> str:
+    """Equal for equal settings."""
+    return blake2b(json.dumps(to_builtins(settings), sort_keys=True).encode(), digest_size=8).hexdigest()
+
+
+def key_refusal(key: str, cluster: Cluster) -> str:
+    """Why no change may name this key, in one line; empty where one may."""
+    if key in changeable_keys(cluster):
+        return ""
+    if key in flat_cluster(cluster):
+        return f"{key}: can't change while placers run; it needs a restart with another file"
+    if key.startswith(f"{ROOT}."):
+        return f"{key}: no such key in this deployment"
+    return f"{key}: not a deployment-wide key; it belongs to each placer's own file"
+
+
+class ClusterValidator:
+    """Judges configurations: the changeable keys' values, over what the file fixes."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        changeable = changeable_keys(cluster)
+        self._fixed = {key: value for key, value in flat_cluster(cluster).items() if key not in changeable}
+        self._names = _names(cluster)
+
+    @property
+    def fixed_fingerprint(self) -> str:
+        """Equal for files that differ in changeable keys alone."""
+        return settings_fingerprint(self._fixed)
+
+    def __call__(self, settings: Settings) -> Sequence[Problem]:
+        try:
+            self.cluster(settings)
+        except SettingsError as error:
+            return [Problem(ProblemKind.INVALID, line.partition(":")[0], line) for line in error.lines]
+        return []
+
+    def cluster(self, settings: Settings) -> Cluster:
+        """The deployment's settings with these values; SettingsError where there is a fault, DocumentError where keys can't
+        stand together."""
+        raw = expand({**self._fixed, **settings}).get(ROOT, {})
+        try:
+            found = convert(raw, Cluster)
+        except SettingsError as error:
+            raise SettingsError([f"{ROOT}.{_named(line, raw)}" for line in error.lines]) from None
+        for name in self._names:
+            if name not in _names(found):
+                raise SettingsError([f"{ROOT}.{name}: can't be removed while placers run"])
+        return found
+
+
+def _names(cluster: Cluster) -> list[str]:
+    return [f"tenants[{tenant.name}]" for tenant in cluster.tenants] + [
+        f"classes[{cls.name}]" for cls in cluster.classes
+    ]
+
+
+def _named(line: str, raw: dict[str, Any]) -> str:
+    """The line with an element's name in place of its index in the key's path."""
+    path, colon, text = line.partition(":")
+
+    def name(found: re.Match[str]) -> str:
+        try:
+            return f"{found[1]}[{raw[found[1]][int(found[2])]['name']}]"
+        except (KeyError, IndexError, TypeError):
+            return found[0]
+
+    return re.sub(r"^(\w+)\[(\d+)\]", name, path) + colon + text
