fleet config apply, status, history and rollback; tests with processes

The commands take the HTTP port of any placer and reach the gRPC ports of the members through its view.

--- /dev/null
+++ b/benchmarks/configuration_fleet.py
@@ -0,0 +1,135 @@
+"""Changes of the configuration at real placers, each a process: ``python -m benchmarks.configuration_fleet [SIZE ...]``.
+
+Changes are made one after another, each at a placer drawn at random. How long until a change is in force at each other placer
+is told by the placers' own log lines (one host, one clock), from the line of the placer at which it was made. Processor time
+and bytes for a change are those of the changing phase less those of a quiet phase of the same length. Writes
+``docs/results/configuration-fleet.json``.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from benchmarks.view_fleet import all_see, cpu_s, sent
+from sprucepost.cli.configuration import call
+from sprucepost.placer.configuration_service import PROPOSE_PATH
+from sprucepost.settings import ConfigurationOptions
+from sprucepost.settings.cluster import Tenant
+from sprucepost.v1 import configuration_pb2 as pb
+from tests.peers.fleet import Fleet
+
+CHANGES = 40
+EVERY_S = 1.0  # between two changes
+LAST_S = 10.0  # for the last one to be everywhere; what is missing then is counted as missing
+TENANTS = 230  # of the plan for two years
+OUT = Path("docs/results/configuration-fleet.json")
+
+
+def propose(fleet: Fleet, number: int, key: str, value: float) -> bool:
+    """One change at a placer; whether it was accepted."""
+    edits = [pb.ConfigurationKeyEdit(key=key, value=json.dumps(value))]
+    request = pb.ConfigurationProposal(edits=edits, author="benchmark").SerializeToString()
+    receipt = pb.ConfigurationReceipt.FromString(call(f"127.0.0.1:{fleet.ports[number]}", PROPOSE_PATH, request))
+    if receipt.refusal:
+        print(receipt.refusal, file=sys.stderr)
+    return not receipt.refusal
+
+
+def used(fleet: Fleet) -> tuple[float, float]:
+    """Processor seconds and bytes said to others so far, over all placers."""
+    cpu = sum(cpu_s(process.pid) for process in fleet.processes.values())
+    return cpu, sum(sent(fleet, number) for number in fleet.processes)
+
+
+def begin(fleet: Fleet) -> None:
+    """All see all, and have the fleet's first change."""
+    fleet.start(*range(fleet.size), deployment=deployment())
+    all_see(fleet, lambda shown: sum(m["condition"] == "here" for m in shown["members"]) == fleet.size, 180.0)
+    for _ in range(60):
+        if propose(fleet, 0, "cluster.max_attempts", 5):
+            break
+        time.sleep(1.0)
+    fleet.wait(lambda: all(fleet.logged(number, "configuration") for number in fleet.processes), 60.0)
+
+
+def deployment() -> dict[str, Any]:
+    return {"tenants": [Tenant(f"team-{number}", 1.0, 100.0) for number in range(TENANTS)]}
+
+
+def change(fleet: Fleet, rng: random.Random) -> int:
+    """One change after another; how many were accepted."""
+    accepted = 0
+    until = time.monotonic()
+    for step in range(CHANGES):
+        key = f"cluster.tenants[team-{rng.randrange(TENANTS)}].quota_cores"
+        accepted += propose(fleet, rng.randrange(fleet.size), key, 200.0 + step)
+        until += EVERY_S
+        time.sleep(max(0.0, until - time.monotonic()))
+    return accepted
+
+
+def delays(fleet: Fleet) -> tuple[list[float], list[float], int]:
+    """For each change and placer, and for each change at all of them: ms from the first log line of that change; and how
+    many of the placers' lines are missing."""
+    found: dict[int, list[float]] = {}
+    for number in fleet.processes:
+        for line in fleet.logged(number, "configuration"):
+            found.setdefault(line["number"], []).append(line["at_ms"])
+    first = min(found)  # the fleet's first change: not counted
+    each, whole, missing = [], [], 0
+    for times in (times for number, times in found.items() if number != first):
+        began = min(times)
+        each += [at - began for at in sorted(times)[1:]]
+        whole.append(max(times) - began)
+        missing += fleet.size - len(times)
+    return sorted(each), sorted(whole), missing
+
+
+def quantile(ordered: list[float], share: float) -> float:
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 1)
+
+
+def play(size: int, folder: Path) -> dict[str, Any]:
+    with Fleet(folder, size, f"fleet{size}", configuration=ConfigurationOptions()) as fleet:
+        begin(fleet)
+        time.sleep(3.0)
+        start = used(fleet)
+        time.sleep(CHANGES * EVERY_S)
+        quiet = used(fleet)
+        accepted = change(fleet, random.Random(size))
+        changed = used(fleet)
+        time.sleep(LAST_S)
+        each, whole, missing = delays(fleet)
+    extra = [(changed[n] - quiet[n]) - (quiet[n] - start[n]) for n in range(2)]
+    per = accepted * size
+    return {
+        "size": size, "changes": accepted, "missing": missing, "load_average": round(os.getloadavg()[0], 1),
+        "in_force_ms": {"p50": quantile(each, 0.5), "p99": quantile(each, 0.99), "worst": round(each[-1], 1)},
+        "in_force_at_all_ms": {"p50": quantile(whole, 0.5), "worst": round(whole[-1], 1)},
+        "cpu_ms_for_change_and_placer": round(1000.0 * extra[0] / per, 2),
+        "bytes_for_change_and_placer": round(extra[1] / per),
+        "quiet_cpu_percent": round(100.0 * (quiet[0] - start[0]) / (CHANGES * EVERY_S) / size, 2),
+        "quiet_bytes_per_s": round((quiet[1] - start[1]) / (CHANGES * EVERY_S) / size),
+    }  # fmt: skip
+
+
+def main() -> int:
+    rows = []
+    for size in [int(word) for word in sys.argv[1:]] or [24, 50]:
+        with tempfile.TemporaryDirectory(prefix="sprucepost-configuration-") as folder:
+            row = play(size, Path(folder))
+        print(json.dumps(row), flush=True)
+        rows.append(row)
+    OUT.write_text(json.dumps(rows, indent=1) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -11,6 +11,8 @@
 
 import click
 
+from sprucepost.cli.configuration import config as configuration
+
 C = TypeVar("C")
 
 _FILE = click.argument("file", type=click.Path(path_type=Path))
@@ -407,6 +409,8 @@
     """Placers on this machine, for tests and small sites."""
 
 
+fleet.add_command(configuration)
+
 _DIR = click.option("--dir", "folder", type=click.Path(path_type=Path), required=True, help="The fleet's folder.")
 
 
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from sprucepost.settings import PeerOptions, PlacerFile, PlacerOptions
+from sprucepost.settings import ConfigurationOptions, PeerOptions, PlacerFile, PlacerOptions
 from tests.placer.support import cluster
 
 ROOT = Path(__file__).parent.parent.parent
@@ -37,8 +37,15 @@
 class Fleet:
     """Placers by number; those that were started and not ended are ``processes``."""
 
-    def __init__(self, folder: Path, size: int, name: str = "test", seeds: list[int] | None = None) -> None:
-        self.folder, self.size, self.name = folder, size, name
+    def __init__(
+        self,
+        folder: Path,
+        size: int,
+        name: str = "test",
+        seeds: list[int] | None = None,
+        configuration: ConfigurationOptions | None = None,
+    ) -> None:
+        self.folder, self.size, self.name, self.configuration = folder, size, name, configuration
         self.ports = free_ports(2 * size)
         self.seeds = seeds or self.ports[: min(3, size)]
         self.processes: dict[int, subprocess.Popen[str]] = {}
@@ -53,19 +60,21 @@
             process.wait()
 
     def file(self, number: int, **changes: Any) -> Path:
-        """The settings of one placer."""
+        """The settings of one placer; ``deployment``: what is other than usual in the part that all share."""
+        deployment = cluster(**changes.pop("deployment", {}))
+        configuration = changes.pop("configuration", self.configuration)
         options = PlacerOptions(
             instances=changes.pop("instances", self.size), zone="room-a", list="127.0.0.1:1",
             number=changes.pop("its_number", number), listen=f"127.0.0.1:{self.ports[number]}",
             http=f"127.0.0.1:{self.ports[self.size + number]}",
             peers=changes.pop("peers", PeerOptions(
                 cluster=self.name, seeds=[f"127.0.0.1:{port}" for port in self.seeds],
-                name=f"p{number}", host=f"h{number // 2}", room=f"r{number % 3}",
+                name=f"p{number}", host=f"h{number // 2}", room=f"r{number % 3}", configuration=configuration,
             )),
             **changes,
         )  # fmt: skip
         path = self.folder / f"{self.name}-{number}.json"
-        path.write_bytes(msgspec.json.encode(PlacerFile(cluster(), options)))
+        path.write_bytes(msgspec.json.encode(PlacerFile(deployment, options)))
         return path
 
     def start(self, *numbers: int, **changes: Any) -> None:
@@ -117,6 +126,11 @@
         """The wall clock of its host is off by so much, where it is started by the command ``host``."""
         (self.folder / f"{self.name}-{number}.clock").write_text(f"{by_ms}")
 
+    def configuration_of(self, number: int) -> dict[str, Any]:
+        """What a placer shows of the deployment's configuration."""
+        document: dict[str, Any] = json.loads(self.page(number, "/config"))
+        return document
+
     def seen(self, number: int) -> dict[str, Any]:
         """What a placer shows of its view."""
         document: dict[str, Any] = json.loads(self.page(number, "/members"))
