--- /dev/null
+++ b/sprucepost/node/attempt.py
@@ -0,0 +1,112 @@
+"""What is kept of a task and of its attempts, and what its surroundings must be able to do. No I/O."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any, Protocol
+
+from sprucepost.loop import Timer
+from sprucepost.node.words import SetUp
+from sprucepost.placing.ledger import Entry
+
+
+class SetUpResult(Enum):
+    """What became of a set-up."""
+
+    TAKEN = "taken"
+    UNLISTED = "unlisted"  # taken, though its ``at`` names a host that no list has told of
+    UNWANTED = "unwanted"  # its owner gave it up before it was read
+    REPEATED = "repeated"  # its id is that of another task
+
+
+class OwnerPort(Protocol):
+    """One owner's connection."""
+
+    @property
+    def closed(self) -> bool: ...
+    def hold(self) -> None:
+        """A task that came on it stands: it, or another of its owner's, is needed until the release."""
+        ...
+
+    def unhold(self) -> None:
+        """Such a task is over."""
+        ...
+
+    def caught_up(self) -> bool:
+        """Whether all that had come from that owner by the latest look has been read, on each of its connections."""
+        ...
+
+    def forget(self, sid: str) -> None:
+        """No answer is owed to that set-up any more."""
+        ...
+
+    def answer(self, sid: str, text: str) -> None: ...
+    def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None: ...
+
+
+class OwnersPort(Protocol):
+    """All owners' connections."""
+
+    def release(self, link: OwnerPort, sid: str, cause: int) -> None:
+        """Tell the owner that its task is over: on that connection, else on another."""
+        ...
+
+
+class HostsPort(Protocol):
+    """All hosts' connections."""
+
+    def place(self, attempt: Attempt) -> None:
+        """Write the offer when :meth:`Tasks.write` gives it; end the attempt where it cannot be written."""
+        ...
+
+    def went_out(self, attempt: Attempt) -> bool:
+        """Whether the offer was written and has left whole: else the host cannot have read it."""
+        ...
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Take the set-up back where it was written; forget it where it was not."""
+        ...
+
+    def recall(self, services: set[str]) -> None:
+        """Offers of those services that still wait to be written are moot."""
+        ...
+
+    def let_go(self, machine: str, sid: str) -> None:
+        """Have the host end a standing task."""
+        ...
+
+    def adopt(self, machine: str, sid: str) -> bool:
+        """The task is ours to look after there, and not to be let go any more; False where the host is not listed."""
+        ...
+
+
+class TaskState:
+    """What the node keeps with a task's entry in the ledger (``Entry.ask``)."""
+
+    __slots__ = ("attempt", "held", "in_line", "may_run", "owner", "setup", "since")
+
+    def __init__(self, setup: SetUp, owner: OwnerPort) -> None:
+        self.setup, self.owner = setup, owner
+        self.attempt: Attempt | None = None
+        self.since = 0.0  # wall-clock ms from which it stands
+        self.held = False  # whether its owner's connection is kept for its release
+        self.in_line = False  # whether the module has not been told of it yet
+        self.may_run: float | None = None  # when the first attempt began that may have run
+
+
+class Attempt:
+    """One attempt, from the module's decision until its end."""
+
+    __slots__ = ("entry", "link", "machine", "mark", "noted", "number", "sent", "timer", "until")
+
+    def __init__(self, entry: Entry, number: int, machine: str, sent: float, until: float) -> None:
+        self.entry, self.number, self.machine, self.sent, self.until = entry, number, machine, sent, until
+        self.timer: Timer | None = None
+        self.link: Any = None  # the host's connection that carries it, or is to
+        self.mark = 0  # so many bytes of that connection have been sent once it is out whole
+        self.noted = False  # whether the host has sent a note on the task, which it does only after its answer
+
+    @property
+    def sid(self) -> str:
+        """The id of its task."""
+        return self.entry.name
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -5,9 +5,9 @@
 from collections import deque
 
 from sprucepost.loop import Timer, Transport
+from sprucepost.node.attempt import Attempt
 from sprucepost.node.bulletin import Address
 from sprucepost.node.jsonl import Decoder
-from sprucepost.node.tasks import Out
 
 ENDED_MOST = 64  # ended set-ups that a connection remembers: copies of answers come within milliseconds
 
@@ -24,7 +24,7 @@
     def __init__(self, transport: Transport, now: float) -> None:
         self.transport = transport
         self.decoder = Decoder()
-        self.open: dict[str, Out] = {}
+        self.open: dict[str, Attempt] = {}
         self.ended: deque[str] = deque(maxlen=ENDED_MOST)  # set-ups that ended here without an answer
         self.used = now
         self.check_sent: float | None = None  # since when a health check has had no answer
@@ -42,7 +42,7 @@
     def __init__(self, uid: str, address: Address, started: float) -> None:
         self.uid, self.address, self.started = uid, address, started
         self.links: list[HostLink] = []
-        self.waiting: list[Out] = []  # offers for which a connection is being opened
+        self.waiting: list[Attempt] = []  # offers for which a connection is being opened
         self.dialing = 0
         self.failures = 0
         self.dial_at = 0.0
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -17,6 +17,7 @@
 from sprucepost import interface as i
 from sprucepost.loop import Co, Loop, Scope, TimedOut, connect, current, is_shortage
 from sprucepost.node import health
+from sprucepost.node.attempt import Attempt
 from sprucepost.node.bounds import LINGER_MS
 from sprucepost.node.bulletin import Address, Told
 from sprucepost.node.descriptors import Descriptors
@@ -24,7 +25,7 @@
 from sprucepost.node.health import HealthChecks
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.jsonl import Line, Word, encode
-from sprucepost.node.tasks import GIVEN_UP, Out, Tasks
+from sprucepost.node.tasks import GIVEN_UP, Tasks
 
 REDIAL_MS = 200.0  # until a connection that failed is tried again, doubled for each before unless the host is suspected
 REDIAL_MOST_MS = 1600.0  # five in the time until it is silent: a host that is back is found while that helps
@@ -102,8 +103,8 @@
 
     def _unwritten(self, host: Host) -> None:
         waiting, host.waiting = host.waiting, []
-        for out in waiting:
-            self._tasks.end(out, i.Ending.MOOT)
+        for attempt in waiting:
+            self._tasks.end(attempt, i.Ending.MOOT)
 
     def _tidy(self, host: Host) -> None:
         """A host that has gone is forgotten once nothing of ours is left there."""
@@ -119,16 +120,16 @@
 
     # Set-ups
 
-    def place(self, out: Out) -> None:
+    def place(self, attempt: Attempt) -> None:
         """Write the offer on a connection of its own, or as soon as there is one."""
-        host = self.hosts.get(out.machine)
+        host = self.hosts.get(attempt.machine)
         if host is None:  # the module knows a host that is not listed any more
-            self._tasks.end(out, i.Ending.CONNECT_FAILED)
+            self._tasks.end(attempt, i.Ending.CONNECT_FAILED)
             return
-        if out.machine in self._tasks.closed:
-            self._tasks.end(out, i.Ending.MOOT)
+        if attempt.machine in self._tasks.closed:
+            self._tasks.end(attempt, i.Ending.MOOT)
             return
-        host.waiting.append(out)
+        host.waiting.append(attempt)
         self._serve(host)
 
     def _serve(self, host: Host) -> None:
@@ -136,12 +137,12 @@
         can be written is, as soon as the dispatcher allows it."""
         held = 0
         while held < len(host.waiting):
-            now, out = self.loop.now(), host.waiting[0]
+            now, attempt = self.loop.now(), host.waiting[0]
             usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
             free = [link for link in usable if not link.open]
             full = len(host.links) + host.dialing >= max(2, self._most // max(1, len(self.hosts)))
             if free:
-                link = max(free, key=lambda link: (out.sid not in link.ended, link.used))
+                link = max(free, key=lambda link: (attempt.sid not in link.ended, link.used))
             elif usable and full and host.dialing < len(host.waiting):
                 link = min(usable, key=lambda link: len(link.open))
             else:
@@ -152,45 +153,47 @@
             if not self._dispatcher.may_write:
                 self._dispatcher.add(host)
                 return
-            host.waiting.remove(out)
-            if not self._tasks.caught_up(out):
+            host.waiting.remove(attempt)
+            if not self._tasks.caught_up(attempt):
                 held += 1
-                host.waiting.append(out)
+                host.waiting.append(attempt)
                 self._dispatcher.postpone(host)
                 continue
-            self._write(host, link, out)
+            self._write(host, link, attempt)
 
-    def _write(self, host: Host, link: HostLink, out: Out) -> None:
-        data = self._tasks.write(out)
+    def _write(self, host: Host, link: HostLink, attempt: Attempt) -> None:
+        data = self._tasks.write(attempt)
         if data is None:
-            self._tasks.end(out, i.Ending.MOOT if out.machine in self._tasks.closed else i.Ending.CONNECT_FAILED)
+            self._tasks.end(
+                attempt, i.Ending.MOOT if attempt.machine in self._tasks.closed else i.Ending.CONNECT_FAILED
+            )
             return
-        out.link = link
-        link.open[out.sid] = out
+        attempt.link = link
+        link.open[attempt.sid] = attempt
         link.used = self.loop.now()
         link.transport.write(data)
-        out.mark = link.transport.written
+        attempt.mark = link.transport.written
         link.transport.flush()
 
-    def went_out(self, out: Out) -> bool:
+    def went_out(self, attempt: Attempt) -> bool:
         """Whether it was written and the system has taken all of it. A part of it is a line without an end, which no host
         obeys."""
-        return out.link is not None and out.link.transport.sent >= out.mark
+        return attempt.link is not None and attempt.link.transport.sent >= attempt.mark
 
-    def give_up(self, out: Out) -> None:
+    def give_up(self, attempt: Attempt) -> None:
         """Take it back: where it was written the host is told, and the connection is used for nothing else. Where the host
         cannot have read it whole, the connection ends at once: nothing of it needs to arrive."""
-        host = self.hosts.get(out.machine)
-        if host is not None and out in host.waiting:
-            host.waiting.remove(out)
-        link: HostLink | None = out.link
-        if host is None or link is None or link.open.get(out.sid) is not out:
+        host = self.hosts.get(attempt.machine)
+        if host is not None and attempt in host.waiting:
+            host.waiting.remove(attempt)
+        link: HostLink | None = attempt.link
+        if host is None or link is None or link.open.get(attempt.sid) is not attempt:
             return
-        del link.open[out.sid]
-        if not self.went_out(out) and not link.open:
+        del link.open[attempt.sid]
+        if not self.went_out(attempt) and not link.open:
             self._end(host, link, "unsent")
             return
-        link.transport.write(encode(Word.CLOSE, out.sid, code=GIVEN_UP))
+        link.transport.write(encode(Word.CLOSE, attempt.sid, code=GIVEN_UP))
         link.retired = True
         self._retire(host, link)
 
@@ -220,10 +223,10 @@
         """Offers that still wait for a connection, decided before such tasks were known to stand, are decided anew."""
         for host in self.hosts.values():
             if host.waiting:
-                for out in [out for out in host.waiting if out.entry.service in services]:
-                    host.waiting.remove(out)
+                for attempt in [attempt for attempt in host.waiting if attempt.entry.service in services]:
+                    host.waiting.remove(attempt)
                     self.counters["recalled"] += 1
-                    self._tasks.end(out, i.Ending.MOOT)
+                    self._tasks.end(attempt, i.Ending.MOOT)
 
     # Connections
 
@@ -293,8 +296,8 @@
         self._log("host_not_connected", host=host.uid, why=str(error) or type(error).__name__)
         if not host.dialing and host not in self._dispatcher:
             waiting, host.waiting = host.waiting, []
-            for out in waiting:
-                self._tasks.end(out, i.Ending.CONNECT_FAILED)
+            for attempt in waiting:
+                self._tasks.end(attempt, i.Ending.CONNECT_FAILED)
         if refused:
             self._lost(host, "refused", before=began)  # what stands since came from its next life
             self._tidy(host)
@@ -334,9 +337,9 @@
             self._descriptors.end(link.transport)
         else:
             link.transport.abort()
-        outs, link.open = list(link.open.values()), {}
-        for out in outs:
-            self._tasks.end(out, i.Ending.RESET if self.went_out(out) else i.Ending.MOOT)
+        attempts, link.open = list(link.open.values()), {}
+        for attempt in attempts:
+            self._tasks.end(attempt, i.Ending.RESET if self.went_out(attempt) else i.Ending.MOOT)
         if why != "room":
             self._serve(host)
             self._find(host)
@@ -364,17 +367,17 @@
                     self._tasks.heard(host.uid, line)
 
     def _line(self, link: HostLink, host: Host, line: Line) -> None:
-        out = link.open.get(line.sid)
-        if out is not None and (line.word is Word.CLOSE or (line.word is Word.READY and line.text is not None)):
+        attempt = link.open.get(line.sid)
+        if attempt is not None and (line.word is Word.CLOSE or (line.word is Word.READY and line.text is not None)):
             del link.open[line.sid]
             if line.word is Word.CLOSE:
                 link.ended.append(line.sid)
-            self._tasks.answered(out, line)
+            self._tasks.answered(attempt, line)
             self._retire(host, link)
             self._serve(host)
-        elif out is not None and line.word is Word.EVENT:
-            out.noted = True
-        elif out is None and line.word in (Word.READY, Word.CLOSE, Word.EVENT):
+        elif attempt is not None and line.word is Word.EVENT:
+            attempt.noted = True
+        elif attempt is None and line.word in (Word.READY, Word.CLOSE, Word.EVENT):
             self._tasks.heard(host.uid, line)
 
     # Standing tasks
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -28,10 +28,11 @@
 from collections.abc import Callable
 
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
+from sprucepost.node.attempt import OwnerPort, SetUpResult
 from sprucepost.node.binary import Code, Decoder, Kind, Message, encode
 from sprucepost.node.bounds import LINGER_MS, MOST
 from sprucepost.node.descriptors import Descriptors
-from sprucepost.node.tasks import LATE_MS, REFUSED, OwnerPort, Taken, Tasks
+from sprucepost.node.tasks import LATE_MS, REFUSED, Tasks
 from sprucepost.node.words import Refused, Words
 
 UNPROVEN_MS = 1500.0  # for a connection that says nothing useful: half of the 3 s in which it is owed a close
@@ -322,14 +323,14 @@
             link.refuse(message.task, REFUSED, 0.0)
             return
         taken = self._tasks.take(setup, link, link.transport.waited_ms)
-        if taken is Taken.REPEATED:
+        if taken is SetUpResult.REPEATED:
             self._log("owner_repeats_id", peer=link.transport.peer, task=message.task)
             self.drop(link, "malformed")
             return
         link.used = self.loop.now()
-        if not setup.at and taken is not Taken.UNWANTED:
+        if not setup.at and taken is not SetUpResult.UNWANTED:
             link.open.add(setup.sid)
-        if not link.proven and taken is not Taken.UNLISTED:
+        if not link.proven and taken is not SetUpResult.UNLISTED:
             link.proven = True
 
     # Releases
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -1,4 +1,4 @@
-"""The walk of a task from its set-up to its release; free of sockets.
+"""The states of a task from its set-up to its release; free of sockets.
 
 =========== ================================= ============================================================== ===========
 state       on                                does                                                           then
@@ -35,12 +35,11 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
-from enum import Enum
-from typing import Any, Protocol
 
 from sprucepost import interface as i
-from sprucepost.loop import Loop, Timer
+from sprucepost.loop import Loop
 from sprucepost.node import words
+from sprucepost.node.attempt import Attempt, HostsPort, OwnerPort, OwnersPort, SetUpResult, TaskState
 from sprucepost.node.early import Early, EarlyWords
 from sprucepost.node.jsonl import Line, Word, encode
 from sprucepost.node.queue import FairQueue
@@ -58,108 +57,6 @@
 STOOD_REASONS = frozenset((i.Reason.EVICTED, i.Reason.PUSHED_OUT, i.Reason.SENT_AWAY))
 
 
-class Taken(Enum):
-    """What became of a set-up."""
-
-    TAKEN = "taken"
-    UNLISTED = "unlisted"  # taken, though its ``at`` names a host that no list has told of
-    UNWANTED = "unwanted"  # its owner gave it up before it was read
-    REPEATED = "repeated"  # its id is that of another task
-
-
-class OwnerPort(Protocol):
-    """One owner's connection."""
-
-    @property
-    def closed(self) -> bool: ...
-    def hold(self) -> None:
-        """A task that came on it stands: it, or another of its owner's, is needed until the release."""
-        ...
-
-    def unhold(self) -> None:
-        """Such a task is over."""
-        ...
-
-    def caught_up(self) -> bool:
-        """Whether all that had come from that owner by the latest look has been read, on each of its connections."""
-        ...
-
-    def forget(self, sid: str) -> None:
-        """No answer is owed to that set-up any more."""
-        ...
-
-    def answer(self, sid: str, text: str) -> None: ...
-    def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None: ...
-
-
-class OwnersPort(Protocol):
-    """All owners' connections."""
-
-    def release(self, link: OwnerPort, sid: str, cause: int) -> None:
-        """Tell the owner that its task is over: on that connection, else on another."""
-        ...
-
-
-class HostsPort(Protocol):
-    """All hosts' connections."""
-
-    def place(self, out: Out) -> None:
-        """Write the offer when :meth:`Tasks.write` gives it; end the attempt where it cannot be written."""
-        ...
-
-    def went_out(self, out: Out) -> bool:
-        """Whether the offer was written and has left whole: else the host cannot have read it."""
-        ...
-
-    def give_up(self, out: Out) -> None:
-        """Take the set-up back where it was written; forget it where it was not."""
-        ...
-
-    def recall(self, services: set[str]) -> None:
-        """Offers of those services that still wait to be written are moot."""
-        ...
-
-    def let_go(self, machine: str, sid: str) -> None:
-        """Have the host end a standing task."""
-        ...
-
-    def adopt(self, machine: str, sid: str) -> bool:
-        """The task is ours to look after there, and not to be let go any more; False where the host is not listed."""
-        ...
-
-
-class Walk:
-    """What a task's entry in the ledger carries."""
-
-    __slots__ = ("held", "in_line", "may_run", "out", "owner", "setup", "since")
-
-    def __init__(self, setup: SetUp, owner: OwnerPort) -> None:
-        self.setup, self.owner = setup, owner
-        self.out: Out | None = None
-        self.since = 0.0  # wall-clock ms from which it stands
-        self.held = False  # whether its owner's connection is kept for its release
-        self.in_line = False  # whether the module has not been told of it yet
-        self.may_run: float | None = None  # when the first attempt began that may have run
-
-
-class Out:
-    """One attempt, from the module's decision until its end."""
-
-    __slots__ = ("entry", "link", "machine", "mark", "noted", "number", "sent", "timer", "until")
-
-    def __init__(self, entry: Entry, number: int, machine: str, sent: float, until: float) -> None:
-        self.entry, self.number, self.machine, self.sent, self.until = entry, number, machine, sent, until
-        self.timer: Timer | None = None
-        self.link: Any = None  # the host's connection that carries it, or is to
-        self.mark = 0  # so many bytes of that connection have been sent once it is out whole
-        self.noted = False  # whether the host has sent a note on the task, which it does only after its answer
-
-    @property
-    def sid(self) -> str:
-        """The id of its task."""
-        return self.entry.name
-
-
 class Tasks:
     """All tasks of this placer. ``owners`` and ``hosts`` are set by whoever puts the parts together."""
 
@@ -190,16 +87,16 @@
 
     # Owners
 
-    def take(self, setup: SetUp, owner: OwnerPort, waited_ms: float) -> Taken:
+    def take(self, setup: SetUp, owner: OwnerPort, waited_ms: float) -> SetUpResult:
         """A new task, or one that a host holds already."""
         entry = self.ledger.current(setup.sid)
         if entry is not None:
             if not setup.at or entry.outcome is not Outcome.PLACED or entry.machine != setup.at:
-                return Taken.REPEATED
+                return SetUpResult.REPEATED
             if entry.ask.held and entry.ask.owner.closed:  # the owner says it once more, on another connection
                 entry.ask.owner.unhold()
                 self._hold(entry, owner)
-            return Taken.TAKEN
+            return SetUpResult.TAKEN
         now = self.loop.now()
         said, line = self.early.get(setup.sid, now)
         if said is Early.UNWANTED:
@@ -207,11 +104,11 @@
             if setup.at:
                 self.hosts.let_go(setup.at, setup.sid)
                 self.early.note(setup.sid, Early.OVER, now)
-            return Taken.UNWANTED
+            return SetUpResult.UNWANTED
         if said is Early.OVER and setup.at:
-            return Taken.TAKEN
+            return SetUpResult.TAKEN
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
-        entry.ask = Walk(setup, owner)
+        entry.ask = TaskState(setup, owner)
         if setup.at:
             self.counters["found"] += 1
             entry.machine = setup.at
@@ -220,17 +117,17 @@
             self._desk.push(i.TaskFound(setup.request(entry.request, setup.left), setup.at))
             self._found.add(setup.service)
             if not self.hosts.adopt(setup.at, setup.sid):
-                return Taken.UNLISTED
+                return SetUpResult.UNLISTED
             self._hold(entry, owner)
             if said is Early.ENDED and line[0] == setup.at:
                 self.heard(*line)
-            return Taken.TAKEN
+            return SetUpResult.TAKEN
         self.counters["taken"] += 1
         entry.due = now + max(0.0, setup.left - waited_ms)
         entry.ask.in_line = True
         self._queue.put(owner, entry, now)
         self._desk.wake()
-        return Taken.TAKEN
+        return SetUpResult.TAKEN
 
     def _tell(self) -> None:
         """Ahead of a batch: tell the module of new tasks, once it knows of what stands.
@@ -325,116 +222,120 @@
 
     def _withdraw(self, entry: Entry) -> None:
         """The task has its answer: what is out for it is given up."""
-        out: Out | None = entry.ask.out
-        if out is not None:
-            self.hosts.give_up(out)
-            self.end(out, i.Ending.CANCELLED)
+        attempt: Attempt | None = entry.ask.attempt
+        if attempt is not None:
+            self.hosts.give_up(attempt)
+            self.end(attempt, i.Ending.CANCELLED)
 
     def _offer(self, entry: Entry, action: i.Offer) -> None:
         now = self.loop.now()
-        out = Out(entry, entry.attempts, action.machine, now, now + action.timeout)
+        attempt = Attempt(entry, entry.attempts, action.machine, now, now + action.timeout)
         entry.attempts += 1
-        entry.out = out.number
-        entry.ask.out = out
+        entry.out = attempt.number
+        entry.ask.attempt = attempt
         self.counters["offers"] += 1
-        out.timer = self.loop.call_later(action.timeout, lambda: self._expire(out))
-        self.hosts.place(out)
+        attempt.timer = self.loop.call_later(action.timeout, lambda: self._expire(attempt))
+        self.hosts.place(attempt)
 
     # Attempts
 
-    def caught_up(self, out: Out) -> bool:
+    def caught_up(self, attempt: Attempt) -> bool:
         """Whether the latest look would have shown that whoever waits for it has left, or has given it up."""
-        owner: OwnerPort = out.entry.ask.owner
+        owner: OwnerPort = attempt.entry.ask.owner
         return owner.caught_up()
 
-    def write(self, out: Out) -> bytes | None:
+    def write(self, attempt: Attempt) -> bytes | None:
         """The offer as it is to go out now, with what is left of its time; None where it must not go out any more."""
-        now, walk = self.loop.now(), out.entry.ask
-        left = out.until - now
-        if walk.out is not out or out.machine in self.closed or left < min(self._least, (out.until - out.sent) / 2):
+        now, state = self.loop.now(), attempt.entry.ask
+        left = attempt.until - now
+        if (
+            state.attempt is not attempt
+            or attempt.machine in self.closed
+            or left < min(self._least, (attempt.until - attempt.sent) / 2)
+        ):
             return None
-        window = self._windows[out.entry.task_class]
-        if window is not None and walk.may_run is not None and now + 2 * self._least > walk.may_run + window:
+        window = self._windows[attempt.entry.task_class]
+        if window is not None and state.may_run is not None and now + 2 * self._least > state.may_run + window:
             self.counters["beyond_window"] += 1  # in time when it was decided, and not any more: hosts forget the key
             return None
-        setup: SetUp = walk.setup
+        setup: SetUp = state.setup
         attrs = {"class": setup.class_name, "key": setup.name}
         if setup.key:
             attrs["idem"] = setup.key
         attrs["left"] = str(int(left))
         return encode(Word.OPEN, setup.sid, attrs, text=setup.text)
 
-    def _expire(self, out: Out) -> None:
-        if out.entry.ask.out is not out:
+    def _expire(self, attempt: Attempt) -> None:
+        if attempt.entry.ask.attempt is not attempt:
             return
-        went = self.hosts.went_out(out)
+        went = self.hosts.went_out(attempt)
         self.counters["timeouts" if went else "unsent"] += 1
-        self.hosts.give_up(out)
-        self.end(out, i.Ending.TIMEOUT if went else i.Ending.CONNECT_FAILED)
+        self.hosts.give_up(attempt)
+        self.end(attempt, i.Ending.TIMEOUT if went else i.Ending.CONNECT_FAILED)
 
     def end(
         self,
-        out: Out,
+        attempt: Attempt,
         ending: i.Ending,
         reason: i.Reason = i.Reason.UNTOLD,
         report: i.LoadReport | None = None,
     ) -> None:
         """The attempt is over without an answer: tell the module, once."""
-        entry = out.entry
-        if entry.ask.out is not out:
+        entry = attempt.entry
+        if entry.ask.attempt is not attempt:
             return
-        entry.ask.out = entry.out = None
-        if out.timer is not None:
-            out.timer.cancel()
+        entry.ask.attempt = entry.out = None
+        if attempt.timer is not None:
+            attempt.timer.cancel()
         self.counters[f"ended_{ending.value}"] += 1
         if ending not in (i.Ending.FULL, i.Ending.CONNECT_FAILED, i.Ending.MOOT) and entry.ask.may_run is None:
-            entry.ask.may_run = out.sent
+            entry.ask.may_run = attempt.sent
         closed = entry.outcome is not Outcome.OPEN
-        self._desk.push(i.Outcome(entry.request, out.number, ending, closed, reason, report))
+        self._desk.push(i.Outcome(entry.request, attempt.number, ending, closed, reason, report))
 
-    def answered(self, out: Out, line: Line) -> None:
+    def answered(self, attempt: Attempt, line: Line) -> None:
         """What a host says on the connection of an open set-up: an answer, or how the attempt ended."""
         if line.word is Word.READY and line.text is not None:
-            self._accept(out, line.text)
+            self._accept(attempt, line.text)
             return
         if line.code == ENDED and line.text is not None:
             # Where an answer says that the task runs, one may have ended before it could be called running: it was done.
-            self._accept(out, line.text)
-            self.heard(out.machine, line)
+            self._accept(attempt, line.text)
+            self.heard(attempt.machine, line)
             return
         ending = {34: i.Ending.FULL, 47: i.Ending.ERROR, 102: i.Ending.MOOT}.get(line.code or 0, i.Ending.RESET)
         reason, report = self._reason(line), self._report(line.attrs.get("load"))
-        if ending is i.Ending.RESET and (out.noted or reason in STOOD_REASONS):
-            self._fail_unanswered(out, reason, report)
+        if ending is i.Ending.RESET and (attempt.noted or reason in STOOD_REASONS):
+            self._fail_unanswered(attempt, reason, report)
         else:
-            self.end(out, ending, reason, report)
+            self.end(attempt, ending, reason, report)
 
-    def _fail_unanswered(self, out: Out, reason: i.Reason, report: i.LoadReport | None) -> None:
+    def _fail_unanswered(self, attempt: Attempt, reason: i.Reason, report: i.LoadReport | None) -> None:
         """The task stood at its host and is over, and the host's answer has not come: it was held up, or lost.
 
         What has stood and is over must be released towards its client within a second, so there is no further attempt:
         under the same id the client would hear of the next one instead.
         """
-        entry = out.entry
+        entry = attempt.entry
         self.counters["failed_unanswered"] += 1
         self._crossed.add(entry.request)
         self._settle(entry, Outcome.FAILED)
         self.early.note(entry.name, Early.OVER, self.loop.now())
-        self.end(out, i.Ending.RESET, reason, report)
+        self.end(attempt, i.Ending.RESET, reason, report)
         entry.ask.owner.refuse(entry.name, FAILED, 0.0)
 
-    def _accept(self, out: Out, text: str) -> None:
-        entry, now = out.entry, self.loop.now()
-        entry.ask.out = entry.out = None
-        if out.timer is not None:
-            out.timer.cancel()
-        entry.machine, entry.attempt = out.machine, out.number
+    def _accept(self, attempt: Attempt, text: str) -> None:
+        entry, now = attempt.entry, self.loop.now()
+        entry.ask.attempt = entry.out = None
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        entry.machine, entry.attempt = attempt.machine, attempt.number
         self._crossed.add(entry.request)
         self._settle(entry, Outcome.PLACED)
         self._stand(entry)
         self._hold(entry, entry.ask.owner)
         self.counters["placed"] += 1
-        self._desk.push(i.Accepted(entry.request, out.number, now - out.sent))
+        self._desk.push(i.Accepted(entry.request, attempt.number, now - attempt.sent))
         entry.ask.setup = replace(entry.ask.setup, text="")  # no host will get it again
         entry.ask.owner.answer(entry.name, text)
 
--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -17,6 +17,7 @@
 from sprucepost.loop import Co, Transport, connect, sleep
 from sprucepost.loop.epoll import EpollSock
 from sprucepost.node import binary, dispatch, hosts, jsonl, tasks
+from sprucepost.node.attempt import Attempt
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.host import Host as HostState
@@ -169,9 +170,9 @@
     """Call it once a host has answered that task, before what waits for its connection is looked at."""
     real = day.service.tasks.answered
 
-    def answered(out: tasks.Out, line: jsonl.Line) -> None:
-        real(out, line)
-        if out.sid == sid:
+    def answered(attempt: Attempt, line: jsonl.Line) -> None:
+        real(attempt, line)
+        if attempt.sid == sid:
             call()
 
     day.service.tasks.answered = answered  # type: ignore[method-assign]
@@ -506,9 +507,9 @@
         ours = day.service.hosts
         real = ours._write
 
-        def write(host: HostState, link: HostLink, out: tasks.Out) -> None:
-            real(host, link, out)
-            if client.left_at is None and out.sid in SIDS[320:323]:
+        def write(host: HostState, link: HostLink, attempt: Attempt) -> None:
+            real(host, link, attempt)
+            if client.left_at is None and attempt.sid in SIDS[320:323]:
                 assert not attempts.times(LEAVING), "it is not the first one"
                 client.leave()
 
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -22,6 +22,7 @@
 from sprucepost import loop
 from sprucepost.loop import Co, connect, current, sleep
 from sprucepost.node import binary, health, hosts, owners, tasks
+from sprucepost.node.attempt import Attempt
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.host import HostLink
 from sprucepost.node.jsonl import Line, Word
@@ -457,11 +458,11 @@
         owner, done = Raw(day), list[bool]()
         place = day.service.hosts.place
 
-        def placing(out: tasks.Out) -> None:
-            place(out)
-            if not done and out.sid == SIDS[0]:  # it waits for a connection now
+        def placing(attempt: Attempt) -> None:
+            place(attempt)
+            if not done and attempt.sid == SIDS[0]:  # it waits for a connection now
                 done.append(True)
-                owner.send(setup(SIDS[1], FIGURES=SPREAD + f";at:{out.machine}"))
+                owner.send(setup(SIDS[1], FIGURES=SPREAD + f";at:{attempt.machine}"))
 
         day.service.hosts.place = placing  # type: ignore[method-assign]
         owner.send(setup(SIDS[0]))
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -1,4 +1,4 @@
-"""The walk of a task without sockets: each row of its table, on virtual time."""
+"""The states of a task without sockets: each row of its table, on virtual time."""
 
 from __future__ import annotations
 
@@ -10,8 +10,9 @@
 from sprucepost import interface as i
 from sprucepost.adapter import settings_from
 from sprucepost.node import binary, jsonl, words
+from sprucepost.node.attempt import Attempt, SetUpResult
 from sprucepost.node.jsonl import Line, Word
-from sprucepost.node.tasks import Out, Taken, Tasks
+from sprucepost.node.tasks import Tasks
 from sprucepost.node.words import Refused, SetUp, Words
 from sprucepost.placing.desk import Desk
 from tests.node.platform import settings, setup
@@ -43,7 +44,7 @@
         )
         self.tasks.owners = self.tasks.hosts = self
         self.desk, self.events, self.down, self.closed = desk, [], False, False
-        self.holds, self.written = 0, set[Out]()
+        self.holds, self.written = 0, set[Attempt]()
         handle = desk.scheduler.handle
         self.told: list[Any] = []  # what the module got
         desk.scheduler.handle = lambda now, events: self.told.extend(events) or handle(now, events)  # type: ignore[method-assign, func-returns-value]
@@ -65,7 +66,7 @@
 
     def forget(self, sid: str) -> None: ...
     def recall(self, services: set[str]) -> None: ...
-    def went_out(self, out: Out) -> bool:
+    def went_out(self, out: Attempt) -> bool:
         return out in self.written
 
     def hold(self) -> None:
@@ -84,14 +85,14 @@
     def release(self, link: Any, sid: str, cause: int) -> None:
         self.events.append(("release", sid, cause))
 
-    def place(self, out: Out) -> None:
+    def place(self, out: Attempt) -> None:
         data = None if self.down else self.tasks.write(out)
         if data is not None:
             self.written.add(out)
             [line] = jsonl.Decoder().feed(data)
             self.events.append(("open", out, line))
 
-    def give_up(self, out: Out) -> None:
+    def give_up(self, out: Attempt) -> None:
         self.events.append(("give up", out))
 
     def let_go(self, machine: str, sid: str) -> None:
@@ -102,7 +103,7 @@
 
     # what comes
     def ask(self, sid: str = SID, **changes: Any) -> None:
-        assert self.tasks.take(read(sid, **changes), self, 0.0) is Taken.TAKEN
+        assert self.tasks.take(read(sid, **changes), self, 0.0) is SetUpResult.TAKEN
         self.loop.pass_ms(1)
 
     def say(
@@ -113,7 +114,7 @@
         self.tasks.answered(out, Line(word, out.sid, attrs or {}, code, text))
         self.loop.pass_ms(1)
 
-    def outs(self) -> list[Out]:
+    def outs(self) -> list[Attempt]:
         return [event[1] for event in self.events if event[0] == "open"]
 
     def kinds(self) -> list[str]:
@@ -225,7 +226,7 @@
     around = Around()
     around.down = True
     around.ask()
-    [out] = [entry.ask.out for entry in around.tasks.ledger.open_entries()]
+    [out] = [entry.ask.attempt for entry in around.tasks.ledger.open_entries()]
     around.loop.pass_ms(40)
     data = around.tasks.write(out)
     assert data is not None and float(jsonl.Decoder().feed(data)[0].attrs["left"]) <= out.until - out.sent - 39
@@ -269,9 +270,9 @@
 def test_an_id_in_use_is_not_taken_twice() -> None:
     around = Around()
     around.ask()
-    assert around.tasks.take(read(DESCRIPTION="another"), around, 0.0) is Taken.REPEATED
+    assert around.tasks.take(read(DESCRIPTION="another"), around, 0.0) is SetUpResult.REPEATED
     around.say(Word.READY, text="made")
-    assert around.tasks.take(read(), around, 0.0) is Taken.REPEATED
+    assert around.tasks.take(read(), around, 0.0) is SetUpResult.REPEATED
     assert len(around.outs()) == 1
 
 
