--- a/benchmarks/configuration_fleet.py
+++ b/benchmarks/configuration_fleet.py
@@ -1,8 +1,8 @@
 """Changes of the configuration at real placers, each a process: ``python -m benchmarks.configuration_fleet [SIZE ...]``.
 
-Changes are made one after another, each at a placer drawn at random. How long until a change is in force at each other placer
-is told by the placers' own log lines (one host, one clock), from the line of the placer at which it was made. Processor time
-and bytes for a change are those of the changing phase less those of a quiet phase of the same length. Writes
+Changes are made one after another, each at a placer drawn at random. How long until a change is in force at each other
+placer is told by the placers' own log lines (one host, one clock), from the first line of that change. Processor time and
+bytes for a change are those of the changing phase less those of a quiet phase of the same length. Writes
 ``docs/results/configuration-fleet.json``.
 """
 
--- a/sprucepost/placer/configuration.py
+++ b/sprucepost/placer/configuration.py
@@ -110,6 +110,7 @@
         return {
             "version": str(replica.version),
             "agreed": self.agreed,
+            "cut": str(replica.cut),
             "digest": f"{settings_digest(replica.configuration):016x}",
             "in_force": dict(replica.configuration),
             "held": None if held is None else {"key": held.key, "line": held.line},
--- a/tests/peers/test_configuration_processes.py
+++ b/tests/peers/test_configuration_processes.py
@@ -218,3 +218,18 @@
         assert status == 1 and "carries no configuration" in text
         status, text = operators.run(4, "apply", f"{ATTEMPTS}=5")
         assert status == 2 and text.count("\n") == 1
+
+
+def test_a_placer_that_starts_late_gets_the_base_in_place_of_compacted_changes(tmp_path: Path) -> None:
+    with Fleet(tmp_path, 3, configuration=ConfigurationOptions(horizon_ms=1000.0)) as fleet:
+        operators = Operators(fleet)
+        fleet.start(0, 1)
+        fleet.wait(lambda: fleet.by_condition(0, "here") == {"p0", "p1"}, BOUND_S)
+        operators.apply(0, f"{RETRY}=1200")
+        last = operators.apply(1, f"{ATTEMPTS}=7")
+        fleet.wait(lambda: {fleet.configuration_of(number)["cut"] for number in (0, 1)} == {last}, BOUND_S)
+        fleet.start(2, deployment={"max_attempts": 5})
+        operators.wait_in_force({RETRY: 1200, ATTEMPTS: 7}, (0, 1, 2))
+        assert fleet.configuration_of(2)["cut"] == last
+        operators.apply(2, f"{SHARE}=0.5")
+        operators.wait_in_force({RETRY: 1200, ATTEMPTS: 7, SHARE: 0.5}, (0, 1, 2))
