--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -72,7 +72,7 @@
 @_FILE
 def placer(file: Path) -> None:
     """Run one placer from a settings file."""
-    from sprucepost.placer.daemon import serve
+    from sprucepost.placer.process import serve
     from sprucepost.settings import PlacerFile
 
     settings = read_or_exit(file, PlacerFile)
@@ -96,7 +96,7 @@
 def host(file: Path) -> None:
     """Run one placer on a host whose wall clock a test can step."""
     from sprucepost.cli.host import SteppedLoop
-    from sprucepost.placer.daemon import serve
+    from sprucepost.placer.process import serve
     from sprucepost.settings import PlacerFile
 
     settings = read_or_exit(file, PlacerFile)
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -1,13 +1,7 @@
-"""The daemon: its parts put together, its start, its signals and its end."""
+"""The daemon: its parts put together, its start and its end."""
 
 from __future__ import annotations
 
-import json
-import os
-import signal
-import sys
-from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from msgspec import structs
@@ -22,14 +16,13 @@
 from sprucepost.placer.discovery import DiscoveryWatch, WatchOptions
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.fleet_membership import FleetMembership, MembershipCallbacks
-from sprucepost.placer.lease import resolve
 from sprucepost.placer.life import Facts, State, judge
 from sprucepost.placer.links import Links
 from sprucepost.placer.log import Logs
-from sprucepost.placer.notify import Notifier, activated
+from sprucepost.placer.notify import Notifier
 from sprucepost.placer.owners import Owners
 from sprucepost.placer.pages import pages
-from sprucepost.settings import PlacerFile, SettingsError, read
+from sprucepost.settings import PlacerFile
 from sprucepost.settings.reload import changes, refused
 from sprucepost.settings.running import settings_fingerprint
 from sprucepost.view import Record
@@ -45,7 +38,6 @@
 PEER_SERVICE = "sprucepost.v1.Peer"
 TAKEN_MS = 3000.0  # before a number that was taken is tried again
 FREE_MS = 1500.0  # without an objection the number is free
-SLOT_MS = 2000.0  # between two looks at the file that holds the number
 LEAVE_MS = 500.0  # for the last answers to be read
 FIRST_WORD_MS = 500.0  # a placer that keeps a view hears of its predecessor before it attaches to machines
 
@@ -454,65 +446,3 @@
         self.server.close()
         self.notifier.close()
         return 1 if forced else 0
-
-
-def serve(
-    loop: Loop, scope: Scope, file: PlacerFile, announce: Callable[[str], None], path: Path | None = None
-) -> Co[int]:
-    """What ``sprucepost placer`` runs: the placer with its signals. ``announce`` gets one JSON line when it listens and one,
-    the last report, when it has stopped. ``path``: where SIGHUP reads the settings again."""
-    options = file.placer
-    logs = Logs(loop, options.log.level, options.log.format)
-    file, lease = resolve(file, os.environ, os.getpid())
-    if lease.warning:
-        logs.log.warning("slot", text=lease.warning)
-    placer = Placer(loop, scope, file, logs, Notifier(loop, os.environ, os.getpid()))
-    placer.slot_trouble = lease.warning
-    placer.start(activated(loop, os.environ, os.getpid()))
-
-    def reload() -> None:
-        if path is None:
-            return
-        placer.notifier.tell(RELOADING="1")
-        try:
-            new = read(path, PlacerFile)
-            if new.placer.number < 0:  # the number that was taken at the start stays ours
-                new = structs.replace(new, placer=structs.replace(new.placer, number=lease.number))
-            lines = placer.reload(new)
-        except SettingsError as error:
-            lines = error.lines
-        for line in lines:
-            placer.log.error("reload_refused", line=line)
-        if not lines:
-            placer.log.info("reloaded", generation=placer.generation.number)
-        placer.notifier.tell(READY="1")
-
-    def look_at_slot() -> None:
-        if lease.look(os.getpid()):
-            placer.slot_trouble = lease.warning
-            placer.log.warning("slot", text=lease.warning or "number held as it should be")
-        loop.call_later(SLOT_MS, look_at_slot)
-
-    if lease.path is not None:
-        loop.call_later(SLOT_MS, look_at_slot)
-    # Before the announcement: whoever has read it may signal at once, and a signal without a handler ends the process.
-    loop.on_signal(signal.SIGTERM, placer.stop)
-    loop.on_signal(signal.SIGINT, placer.stop)
-    loop.on_signal(signal.SIGHUP, reload)
-    loop.on_signal(signal.SIGUSR1, lambda: placer.log.warning("log_level", now=logs.toggle()))
-    assert placer.http is not None
-    announce(
-        json.dumps(
-            {
-                "listen": address_text(placer.listen),
-                "http": address_text(placer.http.address),
-                "incarnation": placer.incarnation,
-            }
-        )
-    )
-    status = yield from placer.run()
-    announce(json.dumps({"stopped": placer.report}))
-    lease.close()
-    scope.cancel()
-    sys.stderr.flush()
-    return status
