--- a/sprucepost/configuration/ledger.py
+++ b/sprucepost/configuration/ledger.py
@@ -201,8 +201,11 @@
         for change in not_held:
             self.put_aside(change)
         for aside in self.set_aside:
-            if aside.change.fingerprint in held:
+            if (
+                aside.change.fingerprint in held
+            ):  # set aside for another base; what became of its keys, their setters tell
                 self.set_aside.remove(aside.change.position)
+                self.archive.add(HistoryEntry(aside.change, State.IN_FORCE, "", {}))
         self.unbroken_from = snapshot.cut
         self._count_again(snapshot.cut)
         return not_held
--- a/tests/configuration/defects.py
+++ b/tests/configuration/defects.py
@@ -152,6 +152,19 @@
     return mock.patch.object(Ledger, "is_behind", lambda self, change: False)
 
 
+def _what_a_later_base_holds_again_is_shown_no_more() -> Any:
+    real = Ledger.adopt
+
+    def adopt(self: Ledger, snapshot: Any) -> Any:
+        aside = [entry.change.position for entry in self.set_aside]
+        result = real(self, snapshot)
+        for position in aside:
+            self.archive.remove(position)
+        return result
+
+    return mock.patch.object(Ledger, "adopt", adopt)
+
+
 def _an_unseen_overwrite_is_not_told() -> Any:
     return _drop(Overwritten)
 
@@ -294,6 +307,7 @@
     _the_earlier_base_counts,
     _what_is_older_than_the_base_is_dropped,
     _what_is_older_than_the_base_is_applied,
+    _what_a_later_base_holds_again_is_shown_no_more,
     _an_unseen_overwrite_is_not_told,
     _a_refusal_by_a_merge_is_not_told,
     _what_is_set_aside_is_not_told,
--- a/tests/configuration/test_schedules.py
+++ b/tests/configuration/test_schedules.py
@@ -14,6 +14,7 @@
     "a_refused_change_keeps_some_edits": 49,
     "an_invalid_result_is_accepted": 19,
     "every_baseline_counts": 19,
+    "what_a_later_base_holds_again_is_shown_no_more": 12642,
     "what_a_program_does_not_know_is_not_relayed": 132,
     "what_is_older_than_the_base_is_dropped": 58,
     "what_one_flush_cannot_hold_is_lost": 83,
@@ -21,7 +22,7 @@
 }
 
 
-FOUND = (287, 5978, 8358, 9909)  # which broke a promise, or a check, of an earlier version
+FOUND = (287, 5978, 8358, 9909, 12642, 15605)  # which broke a promise, or a check, of an earlier version
 
 
 @pytest.mark.parametrize("seed", FOUND)
