fleet config: arguments and files that are no text or no object are one line

An author with bytes that are no UTF-8 ended the command with a traceback, as would a file of deep objects.

--- a/sprucepost/cli/configuration.py
+++ b/sprucepost/cli/configuration.py
@@ -10,7 +10,7 @@
 from collections.abc import Generator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import click
 
@@ -72,12 +72,10 @@
 ) -> None:
     """Change keys at the placer whose HTTP port is at ADDRESS: all of them or none. Exit status 2 where it is refused.
     VALUE is JSON, or else text."""
-    from sprucepost.v1 import configuration_pb2 as pb
-
     values = {**_from_file(path), **_from_pairs(pairs)}
-    edits = [pb.ConfigurationKeyEdit(key=key, value=json.dumps(value)) for key, value in values.items()]
-    edits += [pb.ConfigurationKeyEdit(key=key, removed=True) for key in removed]
-    _propose(address, pb.ConfigurationProposal(edits=edits, author=author, comment=comment, against=against))
+    edits: list[dict[str, Any]] = [{"key": key, "value": json.dumps(value)} for key, value in values.items()]
+    edits += [{"key": key, "removed": True} for key in removed]
+    _propose(address, edits=edits, author=author, comment=comment, against=against)
 
 
 @config.command()
@@ -87,9 +85,7 @@
 @_COMMENT
 def rollback(address: str, change: str, author: str, comment: str) -> None:
     """A new change that restores all values as they were right after CHANGE (a position that the history shows)."""
-    from sprucepost.v1 import configuration_pb2 as pb
-
-    _propose(address, pb.ConfigurationProposal(rollback_to=change, author=author, comment=comment))
+    _propose(address, rollback_to=change, author=author, comment=comment)
 
 
 @config.command()
@@ -124,7 +120,7 @@
     click.echo(table(["change", "state", "author", "keys", "why"], rows))
 
 
-def _fail(line: str) -> None:
+def _fail(line: str) -> NoReturn:
     click.echo(f"sprucepost: {line}", err=True)
     sys.exit(REFUSED)
 
@@ -137,13 +133,14 @@
         return {}
     try:
         document = json.loads(path.read_bytes())
+        keys = flatten(document) if isinstance(document, dict) else None
     except OSError as error:
         _fail(f"{path}: {error.strerror}")
     except (ValueError, RecursionError) as error:
         _fail(f"{path}: not JSON: {error}")
-    if not isinstance(document, dict):
+    if keys is None:
         _fail(f"{path}: not an object")
-    return {key: value for key, value in flatten(document).items() if not key.endswith(ORDER)}
+    return {key: value for key, value in keys.items() if not key.endswith(ORDER)}
 
 
 def _from_pairs(pairs: tuple[str, ...]) -> dict[str, Any]:
@@ -182,7 +179,6 @@
         return ask(address)
     except NoView as error:
         _fail(f"{address}: {error}")
-        raise
 
 
 def _page(address: str) -> dict[str, Any]:
@@ -213,11 +209,16 @@
     return MemberConfiguration(name, address, shown["version"], shown["digest"], "" if held is None else held["line"])
 
 
-def _propose(address: str, proposal: Any) -> None:
-    """Ask the placer for that change, and say what has become of it; exits 2 where it is refused."""
+def _propose(address: str, **fields: Any) -> None:
+    """Ask the placer for the change of these fields of a proposal, and say what has become of it; exits 2 where it is
+    refused."""
     from sprucepost.placer.configuration_service import PROPOSE_PATH
     from sprucepost.v1 import configuration_pb2 as pb
 
+    try:
+        proposal = pb.ConfigurationProposal(**fields)
+    except ValueError:  # UnicodeEncodeError: an argument with bytes that are no text
+        _fail("a key, author, comment or version isn't UTF-8")
     view = _view(address)
     target = next(member["address"] for member in view["members"] if member["name"] == view["name"])
     try:
