--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -11,6 +11,8 @@
 
 import click
 
+from sprucepost.cli.configuration import config as configuration
+
 C = TypeVar("C")
 
 _FILE = click.argument("file", type=click.Path(path_type=Path))
@@ -70,7 +72,7 @@
 @_FILE
 def placer(file: Path) -> None:
     """Run one placer from a settings file."""
-    from sprucepost.placer.daemon import serve
+    from sprucepost.placer.process import serve
     from sprucepost.settings import PlacerFile
 
     settings = read_or_exit(file, PlacerFile)
@@ -94,7 +96,7 @@
 def host(file: Path) -> None:
     """Run one placer on a host whose wall clock a test can step."""
     from sprucepost.cli.host import SteppedLoop
-    from sprucepost.placer.daemon import serve
+    from sprucepost.placer.process import serve
     from sprucepost.settings import PlacerFile
 
     settings = read_or_exit(file, PlacerFile)
@@ -407,6 +409,8 @@
     """Placers on this machine, for tests and small sites."""
 
 
+fleet.add_command(configuration)
+
 _DIR = click.option("--dir", "folder", type=click.Path(path_type=Path), required=True, help="The fleet's folder.")
 
 
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -1,34 +1,30 @@
-"""The daemon: its parts put together, its start, its signals and its end."""
+"""The daemon: its parts put together, its start and its end."""
 
 from __future__ import annotations
 
-import json
-import os
-import signal
-import sys
-from collections.abc import Callable
-from hashlib import blake2b
-from pathlib import Path
 from typing import Any
 
-from msgspec import structs, to_builtins
+from msgspec import structs
 
 from sprucepost.admission import SessionBook
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
 from sprucepost.membership import Generation, Side
 from sprucepost.peers import Peers
+from sprucepost.placer.configuration import ConfigurationHost, PlacerConfiguration
+from sprucepost.placer.configuration_service import SERVICE as CONFIGURATION_SERVICE
+from sprucepost.placer.configuration_service import ConfigurationService
 from sprucepost.placer.discovery import DiscoveryWatch, WatchOptions
 from sprucepost.placer.engine import Engine
 from sprucepost.placer.fleet_membership import FleetMembership, MembershipCallbacks
-from sprucepost.placer.lease import resolve
 from sprucepost.placer.life import Facts, State, judge
 from sprucepost.placer.links import Links
 from sprucepost.placer.log import Logs
-from sprucepost.placer.notify import Notifier, activated
+from sprucepost.placer.notify import Notifier
 from sprucepost.placer.owners import Owners
 from sprucepost.placer.pages import pages
-from sprucepost.settings import PlacerFile, SettingsError, read
+from sprucepost.settings import PlacerFile
 from sprucepost.settings.reload import changes, refused
+from sprucepost.settings.running import settings_fingerprint
 from sprucepost.view import Record
 from sprucepost.view.words import Changed
 from sprucepost.wire.connection import Options
@@ -42,7 +38,6 @@
 PEER_SERVICE = "sprucepost.v1.Peer"
 TAKEN_MS = 3000.0  # before a number that was taken is tried again
 FREE_MS = 1500.0  # without an objection the number is free
-SLOT_MS = 2000.0  # between two looks at the file that holds the number
 LEAVE_MS = 500.0  # for the last answers to be read
 FIRST_WORD_MS = 500.0  # a placer that keeps a view hears of its predecessor before it attaches to machines
 
@@ -106,14 +101,17 @@
             self.engine.hear_list,
         )
         self.health = Health()
+        self.configuration: PlacerConfiguration | None = None
         self.peers = self._peers()
         self.fleet_membership = self._membership()
         services = [SERVICE, "grpc.health.v1.Health"] + [PEER_SERVICE] * (self.peers is not None)
+        services += [CONFIGURATION_SERVICE] * (self.configuration is not None)
         methods = {
             **self.owners.methods(),
             **self.health.methods(),
             **Reflection(services).methods(),
             **(self.peers.methods() if self.peers is not None else {}),
+            **(ConfigurationService(loop, self.configuration).methods() if self.configuration is not None else {}),
         }
         limits = options.limits
         self.server = Server(
@@ -156,20 +154,34 @@
             address=options.advertise,  # else told once it listens
             generation=self.file.generation(),
         )
-        agreed = blake2b(json.dumps(to_builtins(self.file.cluster), sort_keys=True).encode(), digest_size=8).hexdigest()
+        self.configuration = self._make_configuration(f"{record.name}/{record.life}")
         return Peers(
             self.loop,
             self.scope,
             record,
             options.cluster,
-            agreed,
+            settings_fingerprint(self.file.cluster),
             tuple(options.seeds),
             self.file.placer.source,
             self._seen,
             self._check_membership,
             lambda event, **more: self.log.debug(event, **more),
+            self.configuration.carrier if self.configuration is not None else None,
+            self.configuration.validator.fixed_fingerprint if self.configuration is not None else "",
         )
 
+    def _make_configuration(self, origin: str) -> PlacerConfiguration | None:
+        """The deployment's configuration, where the settings ask for it."""
+        peers = self.file.placer.peers
+        if peers is None or peers.configuration is None:
+            return None
+        host = ConfigurationHost(
+            take=self.engine.set_cluster,
+            info=self._info,
+            warn=lambda event, **more: self.log.warning(event, **more),
+        )
+        return PlacerConfiguration(self.loop, self.file.cluster, peers.configuration, origin, host)
+
     def _membership(self) -> FleetMembership | None:
         if self.peers is None:
             return None
@@ -360,6 +372,7 @@
 
     def reload(self, new: PlacerFile) -> list[str]:
         """Apply other settings, whole or not at all; the lines that say why not."""
+        new = self._without_agreed_keys(new)
         changed = changes(self.file, new)
         lines = refused(changed)
         if lines:
@@ -379,6 +392,14 @@
                 self.log.warning("generation_kept", number=self.generation.number, file=told.number)
         return []
 
+    def _without_agreed_keys(self, new: PlacerFile) -> PlacerFile:
+        """The file with this placer's own deployment, where it differs only in keys that the fleet's configuration holds."""
+        keys = self.configuration.ineffective_keys(new.cluster) if self.configuration is not None else None
+        if not keys:
+            return new
+        self.log.warning("file_keys_without_effect", keys=keys, text="the fleet's configuration holds them")
+        return structs.replace(new, cluster=self.file.cluster)
+
     def run(self) -> Co[int]:
         """From start to stop; the exit status: 0 all settled by itself, 1 some answered at the time's end."""
         if not self.stopping:
@@ -425,65 +446,3 @@
         self.server.close()
         self.notifier.close()
         return 1 if forced else 0
-
-
-def serve(
-    loop: Loop, scope: Scope, file: PlacerFile, announce: Callable[[str], None], path: Path | None = None
-) -> Co[int]:
-    """What ``sprucepost placer`` runs: the placer with its signals. ``announce`` gets one JSON line when it listens and one,
-    the last report, when it has stopped. ``path``: where SIGHUP reads the settings again."""
-    options = file.placer
-    logs = Logs(loop, options.log.level, options.log.format)
-    file, lease = resolve(file, os.environ, os.getpid())
-    if lease.warning:
-        logs.log.warning("slot", text=lease.warning)
-    placer = Placer(loop, scope, file, logs, Notifier(loop, os.environ, os.getpid()))
-    placer.slot_trouble = lease.warning
-    placer.start(activated(loop, os.environ, os.getpid()))
-
-    def reload() -> None:
-        if path is None:
-            return
-        placer.notifier.tell(RELOADING="1")
-        try:
-            new = read(path, PlacerFile)
-            if new.placer.number < 0:  # the number that was taken at the start stays ours
-                new = structs.replace(new, placer=structs.replace(new.placer, number=lease.number))
-            lines = placer.reload(new)
-        except SettingsError as error:
-            lines = error.lines
-        for line in lines:
-            placer.log.error("reload_refused", line=line)
-        if not lines:
-            placer.log.info("reloaded", generation=placer.generation.number)
-        placer.notifier.tell(READY="1")
-
-    def look_at_slot() -> None:
-        if lease.look(os.getpid()):
-            placer.slot_trouble = lease.warning
-            placer.log.warning("slot", text=lease.warning or "number held as it should be")
-        loop.call_later(SLOT_MS, look_at_slot)
-
-    if lease.path is not None:
-        loop.call_later(SLOT_MS, look_at_slot)
-    # Before the announcement: whoever has read it may signal at once, and a signal without a handler ends the process.
-    loop.on_signal(signal.SIGTERM, placer.stop)
-    loop.on_signal(signal.SIGINT, placer.stop)
-    loop.on_signal(signal.SIGHUP, reload)
-    loop.on_signal(signal.SIGUSR1, lambda: placer.log.warning("log_level", now=logs.toggle()))
-    assert placer.http is not None
-    announce(
-        json.dumps(
-            {
-                "listen": address_text(placer.listen),
-                "http": address_text(placer.http.address),
-                "incarnation": placer.incarnation,
-            }
-        )
-    )
-    status = yield from placer.run()
-    announce(json.dumps({"stopped": placer.report}))
-    lease.close()
-    scope.cancel()
-    sys.stderr.flush()
-    return status
