Descriptors: clients' newcomers take idle host connections up to a third, before they push out one another

At fault: Owners._take closed any unproven client before an idle connection to a host, Owners._await_room waited whenever nothing was spare.

Connections to hosts had that third as a figure of their own; both sides take it from node.descriptors.

Virtual time, 64 descriptors all in use: 12 that come at once and speak 2 ms later are answered, also with 48 behind them. Planted: the old order, waiting within the share, no waiting beyond it; each fails a test.

--- a/sprucepost/node/descriptors.py
+++ b/sprucepost/node/descriptors.py
@@ -26,6 +26,7 @@
 accepted and not been decided on, and two that whoever started the process may have left open."""
 OWN_PART = 8  # of a limit too small for that, the part that is kept
 CLOSING_PART = 16
+SHARE_PART = 3  # the part that connections to hosts, and clients' connections, may have whatever the others want
 
 
 def usable(configured: int) -> int:
@@ -39,6 +40,7 @@
 
     def __init__(self, limit: int, connections: Callable[[], int]) -> None:
         self._connections = connections
+        self.share = limit // SHARE_PART
         self._shared = limit - min(OWN, limit // OWN_PART)
         self._most = self._shared - limit // CLOSING_PART
         self._closing: dict[Transport, None] = {}  # in the order in which they began to close
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -39,14 +39,13 @@
         scope: Scope,
         tasks: Tasks,
         descriptors: Descriptors,
-        most: int,
         connect_ms: float,
         idle_ms: float,
         log: Callable[..., None],
         counters: Counter[str],
     ) -> None:
         self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
-        self._descriptors, self._most, self._connect_ms, self._idle = descriptors, most, connect_ms, idle_ms
+        self._descriptors, self._connect_ms, self._idle = descriptors, connect_ms, idle_ms
         self.hosts: dict[str, Host] = {}
         self._health = HealthChecks(loop, tasks, counters, self._listed, self._end, self._release_silent)
         self._dispatcher: Dispatcher[Host] = Dispatcher(loop, self._serve, counters)
@@ -139,7 +138,7 @@
             now, out = self.loop.now(), host.waiting[0]
             usable = [link for link in host.links if link.usable and now - link.used < self._idle / 2]
             free = [link for link in usable if not link.open]
-            full = len(host.links) + host.dialing >= max(2, self._most // max(1, len(self.hosts)))
+            full = len(host.links) + host.dialing >= max(2, self._descriptors.share // max(1, len(self.hosts)))
             if free:
                 link = max(free, key=lambda link: (out.sid not in link.ended, link.used))
             elif usable and full and host.dialing < len(host.waiting):
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -157,11 +157,7 @@
         return self._acceptor.short
 
     def _take(self, sock: Sock) -> None:
-        full = len(self.links) >= self._most
-        if not full and self._descriptors.spare() <= 0:
-            # Those who have said nothing yet go before anybody else's connections.
-            full = not self._make_room(unproven=True) and not self.others_yield()
-        if full and not self._make_room():
+        if not self._find_room():
             self.counters["owners_turned_away"] += 1
             sock.close(reset=True)
             return
@@ -178,10 +174,28 @@
             link.transport.look()
         self._await_room()
 
+    def _find_room(self) -> bool:
+        """A place for a newcomer: where descriptors are short, that of a client that has brought nothing useful in its time,
+        else of an idle connection to a host, else of any idle client."""
+        if len(self.links) >= self._most:
+            return self._make_room()
+        return (
+            self._descriptors.spare() > 0
+            or self._make_room(lambda link: not (link.proven or self._arriving(link)))
+            or self.others_yield()
+            or self._make_room()
+        )
+
+    def _arriving(self, link: OwnerLink) -> bool:
+        """Whether what it was opened for may still be on its way."""
+        return self.loop.now() - link.used < ARRIVAL_MS
+
     def _await_room(self) -> None:
         """Where the next newcomer could only have the place of one that has just come, it waits in the backlog: who comes
-        back the moment it is closed would else push out usual clients before their set-up has arrived."""
-        if len(self.links) < self._most and self._descriptors.spare() > 0:
+        back the moment it is closed would else push out usual clients before their set-up has arrived. Clients that hold
+        less than their share need not wait: connections to hosts make room for them."""
+        within_share = len(self.links) < self._descriptors.share
+        if len(self.links) < self._most and (within_share or self._descriptors.spare() > 0):
             return
         idle = [link for link in self.links if not (link.open or link.standing)]
         if not idle:
@@ -191,10 +205,11 @@
             self.counters["owners_awaited"] += 1
             self._acceptor.rest(wait)
 
-    def _make_room(self, unproven: bool = False) -> bool:
+    def _make_room(self, may_go: Callable[[OwnerLink], bool] = lambda link: True) -> bool:
+        """Close an idle connection, one of those that may go; False where there is none."""
         for _ in range(2):  # what is found unread the first time may be answered by the second
             needed = self._needed()
-            idle = [link for link in self.links if not (link.open or link in needed or (unproven and link.proven))]
+            idle = [link for link in self.links if not (link.open or link in needed) and may_go(link)]
             for link in sorted(idle, key=_least_useful):
                 if not link.transport.look():
                     self.drop(link, "room")
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -74,7 +74,6 @@
             scope,
             self.tasks,
             self.descriptors,
-            sockets // 3,
             config.connect_ms,
             config.idle_ms,
             log,
--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -179,7 +179,7 @@
 
 def for_a_connection(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
     """There may be no more to its host, and on none of them can be written: half a line has come there."""
-    day.service.hosts._most = 2
+    day.service.hosts._descriptors.share = 2
     busy, halves = SIDS[310:312], list[tuple[Link, bytes]]()
 
     def half(link: Link, line: jsonl.Line) -> None:
--- a/tests/node/test_newcomers.py
+++ b/tests/node/test_newcomers.py
@@ -4,6 +4,9 @@
 
 from collections import Counter
 from pathlib import Path
+from typing import Any
+
+import pytest
 
 from sprucepost.adapter import settings_from
 from sprucepost.loop import Co, sleep
@@ -113,6 +116,13 @@
     assert sum(not sock.closed for sock in front.socks + newer) <= 56
 
 
+def alone_on_their_hosts() -> dict[str, Any]:
+    """Settings by which a service has one task on a host, so that many hosts are in use."""
+    found = settings()
+    spread = {"class_spread": ["machine"] * 2, "most_together": [1, 1]}
+    return {**found, "family_info": {**found["family_info"], **spread}}
+
+
 def test_closes_of_hosts_connections_are_counted_too(tmp_path: Path) -> None:
     """Forty are closed for idleness in one step and forty others are dialled, with 64 descriptors."""
 
@@ -138,8 +148,36 @@
         yield from ask(100)
         assert placer.service.counters["over_ok"] == 80
 
-    found = settings()
+    found = alone_on_their_hosts()
     found["policy_limits"]["keepalive"] = 1000.0
-    most_alone = {"class_spread": ["machine"] * 2, "most_together": [1, 1]}
-    found["family_info"] = {**found["family_info"], **most_alone}
     play_virtual(tmp_path, body, known=known(60), settings=found)
+
+
+@pytest.mark.parametrize("newcomers", [12, 60])
+def test_clients_have_their_share_of_descriptors_at_once_while_hosts_hold_the_rest(
+    tmp_path: Path, newcomers: int
+) -> None:
+    """With more hosts than descriptors all are in use. Newcomers had to push out one another, or to wait for one another."""
+
+    def body(placer: Placer) -> Co[None]:
+        client = placer.loop.arrive(ADDRESS, "127.0.0.9:1")
+        client.inbox.append(b"".join(setup(f"5ec{n:013x}") for n in range(1, 60)))
+        counters = placer.service.counters
+        while counters["over_ok"] < 59:
+            placer.serve_hosts()
+            yield from sleep(1)
+        assert placer.service.descriptors.spare() <= 0
+        closed = counters["host_link_room"]
+        first = [placer.loop.arrive(ADDRESS, f"127.0.1.1:{n}") for n in range(newcomers)]
+        yield from sleep(2)
+        for sock in first[:12]:
+            sock.inbox.append(TEST)
+        yield from sleep(2)
+        assert all(sock.sent and not sock.closed for sock in first[:12]), "each is there when its message comes"
+        for sock in placer.loop.listeners[ADDRESS].backlog:
+            assert sock in first[20:], "21 are their share"
+        yield from sleep(4 * ARRIVAL_MS)
+        assert not placer.loop.listeners[ADDRESS].backlog
+        assert counters["host_link_room"] - closed <= 21 and not counters["owners_turned_away"]
+
+    play_virtual(tmp_path, body, known=known(60), settings=alone_on_their_hosts())
