--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -458,7 +458,7 @@
     """A host to which there are two connections, and may be no more: all attempts of a batch are sent at once."""
     host = day.host("s-1")
     day.start(settings=patient())
-    day.service.hosts._most = 2
+    day.service.hosts._descriptors.share = 2
     owner = yield from day.owner()
     host.on_open = lambda link, line: None
     for sid in SIDS[350:352]:
