--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -23,7 +23,8 @@
 
 from benchmarks.whole_path import line
 from sprucepost.cli.tables import table
-from sprucepost.load.report import NoCharts, page
+from sprucepost.load.report import page
+from sprucepost.plotting import NoCharts
 from tests.placer.support import cluster
 
 HOGS, GENERATORS, LENGTH_S = 3, 3, 5.0
--- a/sprucepost/cli/load.py
+++ b/sprucepost/cli/load.py
@@ -13,10 +13,11 @@
 from sprucepost.load.arrivals import Ask, asks
 from sprucepost.load.plan import Plan, Replay
 from sprucepost.load.recorded import recorded
-from sprucepost.load.report import NoCharts, compared, page, rows
+from sprucepost.load.report import compared, page, rows
 from sprucepost.load.run import Result, Run
 from sprucepost.loop import Address, Co, Scope, in_scope, sleep
 from sprucepost.loop.epoll import EpollLoop
+from sprucepost.plotting import NoCharts
 from sprucepost.rules.record import RecordError
 from sprucepost.settings import SettingsError
 from sprucepost.standin.daemons import address_of
--- a/sprucepost/load/report.py
+++ b/sprucepost/load/report.py
@@ -3,15 +3,10 @@
 from __future__ import annotations
 
 import html
-import io
 import json
 from typing import Any
 
-COLOURS = ("#1f77b4", "#d62728")
-
-
-class NoCharts(Exception):
-    """The charts' library is not installed."""
+from sprucepost.plotting import COLOURS, html_page, html_table, pyplot, svg
 
 
 def rows(figures: dict[str, Any]) -> dict[str, float]:
@@ -41,15 +36,7 @@
 
 def _svg(sides: dict[str, dict[str, Any]]) -> str:
     """Asks due, placed within the aim and refused, and the slowest placement, over time."""
-    try:
-        import matplotlib
-    except ImportError:
-        raise NoCharts("charts need matplotlib, which is not installed") from None
-    matplotlib.use("svg")
-    from matplotlib import pyplot
-
-    matplotlib.rcParams["svg.hashsalt"] = "sprucepost"  # the same figures make the same file
-    figure, (rate, worst) = pyplot.subplots(2, 1, figsize=(10, 7), sharex=True)
+    figure, (rate, worst) = pyplot().subplots(2, 1, figsize=(10, 7), sharex=True)
     for colour, (name, figures) in zip(COLOURS, sides.items(), strict=False):
         per_s = 1000.0 / figures["bucket_ms"]
         seconds = [n / per_s for n in range(len(figures["buckets"]))]
@@ -65,36 +52,20 @@
         axes.set_ylim(bottom=0)
         if axes.get_legend_handles_labels()[0]:
             axes.legend(loc="upper left", fontsize="small")
-    text = io.StringIO()
-    figure.savefig(text, format="svg", metadata={"Date": None})
-    pyplot.close(figure)
-    svg = text.getvalue()
-    return svg[svg.index("<svg") :]
-
-
-def _table(head: list[str], lines: list[list[str]]) -> str:
-    def row(cells: list[str], tag: str) -> str:
-        return "<tr>" + "".join(f"<{tag}>{html.escape(cell)}</{tag}>" for cell in cells) + "</tr>"
-
-    return "<table>" + row(head, "th") + "".join(row(line, "td") for line in lines) + "</table>"
+    return svg(figure)
 
 
 def page(title: str, sides: dict[str, dict[str, Any]], plans: dict[str, Any]) -> str:
     """The HTML of one or two runs, by name. NoCharts where matplotlib is missing."""
     names = list(sides)
     if len(names) == 1:
-        table = _table(["figure", names[0]], [[name, f"{value:g}"] for name, value in rows(sides[names[0]]).items()])
+        table = html_table(
+            ["figure", names[0]], [[name, f"{value:g}"] for name, value in rows(sides[names[0]]).items()]
+        )
     else:
-        table = _table(["figure", *names, "ratio"], compared(sides[names[0]], sides[names[1]]))
+        table = html_table(["figure", *names, "ratio"], compared(sides[names[0]], sides[names[1]]))
     plan = "".join(
         f"<h3>{html.escape(name)}</h3><pre>{html.escape(json.dumps(value, indent=1))}</pre>"
         for name, value in plans.items()
     )
-    style = (
-        "body{font-family:sans-serif;max-width:70em;margin:auto}td,th{padding:.1em .8em;text-align:right}"
-        "td:first-child,th:first-child{text-align:left}tr:nth-child(even){background:#eee}"
-    )
-    return (
-        f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{html.escape(title)}</title>'
-        f"<style>{style}</style><h1>{html.escape(title)}</h1>{_svg(sides)}{table}<h2>Plan</h2>{plan}</html>\n"
-    )
+    return html_page(title, f"{_svg(sides)}{table}<h2>Plan</h2>{plan}")
--- a/sprucepost/scale/results.py
+++ b/sprucepost/scale/results.py
@@ -68,6 +68,10 @@
     points: tuple[Point, ...]
     hollow: bool = True
     """Whether the companions were hollow processes; False in the runs that calibrate them."""
+    base: dict[str, float] = {}
+    """Size of each variable in the points that move another one; without it no variables can be combined."""
+    reference_ms: float = 0.0
+    """Processor time of :mod:`sprucepost.scale.reference` on that machine; 0: not measured."""
 
 
 class ResultsError(ValueError):
--- /dev/null
+++ b/sprucepost/scale/roles.py
@@ -0,0 +1,51 @@
+"""The roles of processes in a fleet: what each holds, which modules carry that, and which samples measure it."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class Role(Struct, frozen=True):
+    """A row of the capacity page."""
+
+    key: str
+    name: str
+    samples: str
+    """Role of the samples in results that measure it; empty: none does."""
+    figures: tuple[str, str, str, str]
+    """What counts as its processor time, memory, bytes and messages a second; empty: not told apart."""
+    mechanism: tuple[str, ...]
+    """Modules that carry it."""
+    note: str = ""
+    """Why something is missing."""
+
+
+_WHOLE = ("cpu_percent", "memory_mib", "bytes_per_s", "")
+
+ROLES = (
+    Role(
+        "placer", "placer, gRPC front", "placer", _WHOLE,
+        ("placer.engine", "placing", "admission", "brain", "placer.links", "placer.fleet"),
+    ),
+    Role("node", "placer, platform's front", "node", _WHOLE, ("node", "placing.desk", "placing.ledger", "brain")),
+    Role(
+        "view", "member of the view", "placer", ("cpu_percent.peers", "", "bytes_per_s.peers", "messages_per_s"),
+        ("view", "peers", "placer.company"), "part of the gRPC placer",
+    ),
+    Role(
+        "log", "server of the replicated log", "", ("", "", "", ""),
+        ("agreement.keeper", "agreement.registry"), "in no process yet",
+    ),
+    Role(
+        "list", "server of the list", "list", _WHOLE, ("placer.fleet", "node.feed"),
+        "a stand-in, as placers load it",
+    ),
+    Role("worker", "worker's agent", "worker", _WHOLE, ("placer.links", "node.hosts"), "users' own program"),
+    Role("client", "client", "client", _WHOLE, ("placer.owners", "node.owners"), "users' own program"),
+    Role("operator", "operator's command", "operator", _WHOLE, ("cli.fleet", "cli.members", "placer.pages")),
+    Role(
+        "sender", "sender of configuration", "sender", _WHOLE, ("settings.reload", "placer.daemon"),
+        "a file and a SIGHUP for each process",
+    ),
+)  # fmt: skip
+"""Every role of the page, in its order."""
--- /dev/null
+++ b/tests/scale/test_state.py
@@ -0,0 +1,18 @@
+"""Sizes of entries: plausible, and of as many different entries as they say."""
+
+from __future__ import annotations
+
+from sprucepost.scale.roles import ROLES
+from sprucepost.scale.state import measure_state
+
+
+def test_every_entry_has_a_role_and_a_size() -> None:
+    entries = measure_state()
+    assert {entry.role for entry in entries} <= {role.key for role in ROLES}
+    for entry in entries:
+        assert entry.encoded_bytes is None or 10 < entry.encoded_bytes < 10_000, entry
+        assert entry.memory_bytes is None or 100 < entry.memory_bytes < 100_000, entry
+
+
+def test_what_is_on_the_wire_is_the_same_each_time() -> None:
+    assert [each.encoded_bytes for each in measure_state()] == [each.encoded_bytes for each in measure_state()]
