--- a/sprucepost/scale/tables.py
+++ b/sprucepost/scale/tables.py
@@ -28,6 +28,8 @@
 SHARE_SHOWN = 0.05
 """Of a figure at the plan: what adds less is not in the table of growth."""
 CALIBRATED_WITHIN = 0.1
+FLEET_TIMES = ("start_p99_ms", "start_worst_ms", "change_in_force")
+"""Beginnings of the names of a fleet's figures that are times."""
 BUDGETED = (CPU_CONTROL, "memory_mib", BYTES_CONTROL)
 UNITS = {"cpu_percent": "% of a core", "memory_mib": "MiB", "bytes": "B/s", "messages": "messages/s"}
 
@@ -48,6 +50,7 @@
         state_table(kept, target),
         growth_table(kept, target),
         errors_table(kept),
+        starts_table(kept),
     ]
     if kept.calibration is not None:
         tables.append(calibration_table(kept.calibration))
@@ -231,6 +234,24 @@
     return Table("errors", head, tuple(rows))
 
 
+def starts_table(kept: Kept) -> Table:
+    """What the whole fleet showed: times from start to running and of changes, over all runs of a file. No prediction."""
+    head = ("figure", "median of the runs", "worst", "with", "load average then", COMMAND_COLUMN)
+    rows = []
+    for run in kept.runs:
+        names = sorted({name for point in run.results.points for name in point.fleet if name.startswith(FLEET_TIMES)})
+        for name in names:
+            points = [point for point in run.results.points if name in point.fleet]
+            worst = max(points, key=lambda point: point.fleet[name])
+            rows.append(
+                (
+                    name.replace("_", " "), number(median(point.fleet[name] for point in points)), number(worst.fleet[name]),
+                    f"{number(worst.size)} {worst.variable}", number(worst.load_average), f"`{run.results.command}`",
+                )
+            )  # fmt: skip
+    return Table("starts", head, tuple(rows))
+
+
 def slopes_table(run: KeptRun) -> Table:
     """Every slope of a run, for a terminal."""
     head = ("role", "figure", "variable", "shape", "sizes", "hold-out", "stated error")
--- a/tests/scale/test_tables.py
+++ b/tests/scale/test_tables.py
@@ -200,6 +200,20 @@
     assert number(value) == text
 
 
+def test_times_of_the_fleet_name_the_run_that_was_worst(folder: Path) -> None:
+    run = kept_run(folder / "scale.json")
+    times = (30.0, 20.0, 90.0)
+    points = [
+        structs.replace(point, load_average=at, fleet={"start_p99_ms.urgent": at, "started.urgent": 5.0})
+        for point, at in zip(run.results.points, times, strict=False)
+    ]
+    kept = Kept((structs.replace(run, results=structs.replace(run.results, points=tuple(points))),), None, None)
+    table = next(each for each in all_tables(kept, TARGET) if each.name == "starts")
+    worst = points[2]
+    place = f"{number(worst.size)} {worst.variable}"
+    assert table.rows == (("start p99 ms.urgent", "30", "90", place, "90", "`generated`"),)
+
+
 def test_control_machines_are_handed_out_to_zones_in_turn() -> None:
     assert list(control_zones(size("two-years")).values()) == [2, 1, 1, 1, 1]
 
