Scale: real placers among hollow members, workers and clients, measured from outside

A fleet of hundreds does not fit one machine as processes. Hollow members keep a listener, a view with its streams and heartbeats; hollow workers answer offers and report their room; hollow clients keep a session of each team at each real placer. A few real placers stand among them and are measured from outside: processor time by the scheduler's accounting, bytes of each connection by sock_diag. The kinds of work are told apart by reference placers in the same interval, each of which lacks one source of load.

The stand-in owner's link looked every 5 ms whether its call was over: hundreds of sessions in one process would have spent their time on that. It waits for the end now, by the same method as a placer's links to machines. Counters of messages and of bytes in are added beside the view's bytes out. The digest of the cluster's settings is a method of the settings.

--- a/sprucepost/peers/peers.py
+++ b/sprucepost/peers/peers.py
@@ -128,6 +128,8 @@
         self._carry(self.view.opened(self._loop.now(), number, dialled))
 
     def _heard(self, number: int, data: bytes) -> None:
+        self.counters["messages_in"] += 1
+        self.counters["bytes_in"] += len(data)
         try:
             word = decode(data)
         except Malformed as error:
@@ -164,6 +166,7 @@
                     self._loop.call_soon(lambda number=action.stream: self._over(number))  # type: ignore[misc]
                     continue
                 data = encode(action.word)
+                self.counters["messages_out"] += 1
                 self.counters["bytes_out"] += len(data)
                 link.call.send(data)
             elif isinstance(action, Dial):
--- a/sprucepost/placer/daemon.py
+++ b/sprucepost/placer/daemon.py
@@ -7,11 +7,10 @@
 import signal
 import sys
 from collections.abc import Callable
-from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
-from msgspec import structs, to_builtins
+from msgspec import structs
 
 from sprucepost.admission import SessionBook
 from sprucepost.loop import Address, Co, Listener, Loop, Queue, Scope, Timer, sleep
@@ -154,13 +153,12 @@
             address=options.advertise,  # else told once it listens
             generation=self.file.generation(),
         )
-        agreed = blake2b(json.dumps(to_builtins(self.file.cluster), sort_keys=True).encode(), digest_size=8).hexdigest()
         return Peers(
             self.loop,
             self.scope,
             record,
             options.cluster,
-            agreed,
+            self.file.cluster.digest(),
             tuple(options.seeds),
             self.file.placer.source,
             self._seen,
--- a/sprucepost/placer/links.py
+++ b/sprucepost/placer/links.py
@@ -185,7 +185,7 @@
                 finally:
                     self._links.gate.leave()
                 wait = AGAIN_FIRST_MS
-                yield from self._until_over(call)
+                yield from call.wait_over()
             except Cancelled:
                 if connection is not None:
                     connection.close()
@@ -256,21 +256,6 @@
         offer = self._links.receiver.write((frame.offer.request, frame.offer.attempt), self.life)
         return pb.ToMachine(nothing=pb.Nothing()) if offer is None else pb.ToMachine(offer=offer)
 
-    def _until_over(self, call: ClientCall) -> Co[None]:
-        def trap(task: Task[None]) -> Callable[[], None]:
-            def over(status: RpcError) -> None:
-                task.wake(status)
-
-            call.on_over = over
-
-            def undo() -> None:
-                call.on_over = None
-
-            return undo
-
-        if call.over is None:
-            yield trap
-
 
 def _parse(data: bytes) -> pb.FromMachine:
     try:
--- /dev/null
+++ b/sprucepost/scale/fleet.py
@@ -0,0 +1,403 @@
+"""The processes of one run: a few real placers among hollow members, workers and clients, on loopback.
+
+The kinds of work are told apart by reference placers, which stand in the same fleet over the same interval and lack one
+source of load each; see :data:`REFERENCES` and :func:`attribution`.
+"""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Generator, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from statistics import fmean
+from typing import Any, TypeVar
+
+import msgspec
+
+from sprucepost.loop import in_scope
+from sprucepost.loop.epoll import EpollLoop
+from sprucepost.placer.daemon import address_of
+from sprucepost.scale import deployment
+from sprucepost.scale.hollow.settings import (
+    Announcement,
+    ClientsFile,
+    MembersFile,
+    MemberSpec,
+    MembersStatus,
+    PlacerAnnouncement,
+    WorkersFile,
+)
+from sprucepost.scale.measure import read_metrics
+from sprucepost.scale.processes import Needs, Process, ProcessGroup, ScaleError
+from sprucepost.scale.size import RunSize
+from sprucepost.settings import PeerOptions, PlacerFile, PlacerOptions
+from sprucepost.settings.placer import Limits as PlacerLimits
+from sprucepost.standin.orders import order
+from sprucepost.view.rings import rings_for
+from sprucepost.wire.client import open_client
+
+T = TypeVar("T")
+Steps = Generator[str, None, T]
+"""Yields what is waited for, until it is there."""
+
+HOLLOW = ["-m", "sprucepost.scale.hollow"]
+LIST_LINES_PER_S = 1e9  # the stand-in's own capacity is no part of what is measured
+LIST_LATE_MS = 200.0
+QUIET_MS = 11_000.0
+"""Without a change for so long a view beats at its quiet rate (``view.RESTLESS_MS``, and a tick)."""
+REAL_MIB, HOLLOW_MIB = 70.0, 45.0
+MEMBER_MIB, WORKER_MIB, SESSION_MIB = 0.8, 0.05, 0.1
+HOSTS_SHARED_BY = 2
+"""Placers to a host."""
+
+
+class Source(Enum):
+    """A source of load on a placer."""
+
+    PEERS = "peers"
+    LIST = "list"
+    CLIENTS = "clients"
+    ASKS = "asks"
+
+
+EVERYTHING = frozenset(Source)
+REFERENCES: Mapping[str, frozenset[Source]] = {
+    "bare": frozenset(),
+    "peers": frozenset({Source.PEERS}),
+    "list": frozenset({Source.LIST}),
+    "clients": frozenset({Source.LIST, Source.CLIENTS}),
+}
+"""Reference placers by name, and what loads them. ``list``: streams to the workers too, which are known by it."""
+
+
+@dataclass(frozen=True)
+class FleetOptions:
+    """How a run is made; the same for all of its sizes."""
+
+    real_placers: int = 3
+    hollow: bool = True
+    """Else all placers are real ones: for calibration."""
+    references: bool = True
+    lists_watched: bool = False
+    """Whether hollow placers watch the list: a load on the list's server, not on their neighbours."""
+    members_per_process: int = 60
+    workers_per_process: int = 250
+
+
+@dataclass
+class RealPlacer:
+    """A real placer; it is measured, as a reference where it lacks a source of load."""
+
+    name: str
+    number: int
+    sources: frozenset[Source]
+    file: PlacerFile
+    process: Process
+    address: str = ""
+    http: str = ""
+
+    @property
+    def is_reference(self) -> bool:
+        return self.sources != EVERYTHING
+
+
+@dataclass
+class HollowProcess:
+    """A hollow process and where it takes orders."""
+
+    process: Process
+    announcement: Announcement = field(default_factory=lambda: Announcement(""))
+
+
+class Fleet:
+    """All processes of one run. :meth:`bring_up` is stepped until it ends; then the fleet is settled."""
+
+    def __init__(self, group: ProcessGroup, loop: EpollLoop, name: str, size: RunSize, options: FleetOptions) -> None:
+        self.size, self.options, self.name = size, options, name
+        self.cluster = deployment.cluster(size)
+        self._group, self._loop = group, loop
+        self._zones = deployment.zone_names(size)
+        self.list: Process
+        self.list_address = ""
+        self.workers: list[HollowProcess] = []
+        self.members: list[HollowProcess] = []
+        self.clients: list[HollowProcess] = []
+        self.placers: list[RealPlacer] = []
+
+    # Numbers
+
+    @property
+    def real_count(self) -> int:
+        """Real placers with every source of load."""
+        if not self.options.hollow:
+            return self.size.placers - self._member_references
+        return min(self.options.real_placers, self.size.placers - self._member_references)
+
+    @property
+    def _member_references(self) -> int:
+        if not self.options.references:
+            return 0
+        return sum(Source.PEERS in sources for sources in REFERENCES.values())
+
+    @property
+    def _real_share(self) -> float:
+        """Of the fleet's tasks, those of real placers with every source of load."""
+        return self.real_count / self.size.placers
+
+    def needs(self) -> Needs:
+        """What this fleet takes of the machine; more rather than less."""
+        size, options = self.size, self.options
+        references = len(REFERENCES) if options.references else 0
+        real = self.real_count + references
+        hollow = size.placers - self.real_count - self._member_references
+        streams = 2 * rings_for(size.placers) + 2
+        sessions = size.teams * (self.real_count + 1)
+        member_processes = _processes_for(hollow, options.members_per_process)
+        worker_processes = _processes_for(size.workers, options.workers_per_process)
+        per_members, per_workers = (
+            min(hollow, options.members_per_process),
+            min(size.workers, options.workers_per_process),
+        )
+        return Needs(
+            processes=1 + real + member_processes + worker_processes + 2,
+            descriptors=max(
+                streams + size.workers + size.teams,
+                per_members * (streams + 2),
+                per_workers * (real + 1),
+                sessions,
+                size.placers + references if options.lists_watched else real,
+            )
+            + 64,
+            ports=2 * real + hollow + size.workers + 16 + max(sessions, hollow * streams, size.workers * real),
+            memory_mib=REAL_MIB * real
+            + HOLLOW_MIB * (member_processes + worker_processes + 3)
+            + MEMBER_MIB * hollow
+            + WORKER_MIB * size.workers * real
+            + SESSION_MIB * sessions,
+        )
+
+    # Start
+
+    def bring_up(self) -> Steps[None]:
+        """Start everything; yields what is waited for, until the fleet is settled. ScaleError where a process ends."""
+        yield from self._start_list()
+        yield from self._start_workers()
+        seeds = yield from self._start_members()
+        yield from self._start_placers(seeds)
+        yield from self._start_clients()
+        yield from self._until_attached()
+        self._start_tasks()
+        yield from self._until_settled()
+
+    def _announced(self, process: Process, kind: type[T]) -> Steps[T]:
+        while (said := process.announcement(kind)) is None:
+            yield f"start of {process.name}"
+        return said
+
+    def _start_hollow(self, name: str, file: MembersFile | WorkersFile | ClientsFile) -> HollowProcess:
+        return HollowProcess(self._group.start_with_file(f"{self.name}-{name}", HOLLOW, file))
+
+    def _all_announced(self, hollow: Sequence[HollowProcess]) -> Steps[None]:
+        for each in hollow:
+            each.announcement = yield from self._announced(each.process, Announcement)
+
+    def _start_list(self) -> Steps[None]:
+        file = {"late_ms": LIST_LATE_MS, "lines_per_s": LIST_LINES_PER_S}
+        self.list = self._group.start_with_file(f"{self.name}-list", ["-m", "sprucepost", "list"], file)
+        said = yield from self._announced(self.list, dict[str, int])
+        self.list_address = f"127.0.0.1:{said['listen']}"
+
+    def _start_workers(self) -> Steps[None]:
+        models = deployment.worker_models(self.size)
+        for number, part in enumerate(_parts(models, self.options.workers_per_process)):
+            file = WorkersFile(self.cluster, self.list_address, part)
+            self.workers.append(self._start_hollow(f"workers{number}", file))
+        yield from self._all_announced(self.workers)
+
+    def _place(self, number: int) -> tuple[str, str]:
+        """Host and room of a placer."""
+        return f"host{number // HOSTS_SHARED_BY}", self._zones[number % len(self._zones)]
+
+    def _start_members(self) -> Steps[list[str]]:
+        """Hollow members; the addresses of some of them, by which all others join."""
+        first = self.real_count + self._member_references
+        specs = [MemberSpec(number, *self._place(number)) for number in range(first, self.size.placers)]
+        seeds: list[str] = []
+        for number, part in enumerate(_parts(specs, self.options.members_per_process)):
+            file = MembersFile(
+                cluster=self.cluster,
+                fleet=self.name,
+                instances=self.size.placers,
+                members=part,
+                seeds=seeds,
+                list_address=self.list_address if self.options.lists_watched else "",
+            )
+            self.members.append(self._start_hollow(f"members{number}", file))
+            if not seeds:
+                yield from self._all_announced(self.members)
+                seeds = self.members[0].announcement.addresses[:3]
+        yield from self._all_announced(self.members)
+        return seeds
+
+    def _start_placers(self, seeds: list[str]) -> Steps[None]:
+        wanted = [(f"placer{number}", EVERYTHING) for number in range(self.real_count)]
+        if self.options.references:
+            # Members of the view have the numbers within its size, the others those after it.
+            found = sorted(REFERENCES.items(), key=lambda item: Source.PEERS not in item[1])
+            wanted += [(f"reference-{name}", sources) for name, sources in found]
+        for position, (name, sources) in enumerate(wanted):
+            outside = self.size.placers - self.real_count - self._member_references
+            number = position if Source.PEERS in sources else position + outside
+            self._start_placer(name, number, sources, seeds)
+            if not seeds:
+                yield from self._placer_announced(self.placers[-1])
+                seeds = [self.placers[-1].address]
+        for placer in self.placers:
+            yield from self._placer_announced(placer)
+
+    def _start_placer(self, name: str, number: int, sources: frozenset[Source], seeds: list[str]) -> None:
+        host, room = self._place(number)
+        peers = PeerOptions(cluster=self.name, seeds=seeds, name=f"p{number}", host=host, room=room)
+        options = PlacerOptions(
+            instances=self.size.placers if Source.PEERS in sources else self.size.placers + len(REFERENCES),
+            zone=room,
+            list=self.list_address if Source.LIST in sources else "127.0.0.1:1",
+            number=number,
+            peers=peers if Source.PEERS in sources else None,
+        )
+        file = PlacerFile(self.cluster, options)
+        process = self._group.start_with_file(f"{self.name}-{name}", ["-m", "sprucepost", "placer"], file)
+        self.placers.append(RealPlacer(name, number, sources, file, process))
+
+    def _placer_announced(self, placer: RealPlacer) -> Steps[None]:
+        said = yield from self._announced(placer.process, PlacerAnnouncement)
+        placer.address, placer.http = said.listen, said.http
+
+    def _start_clients(self) -> Steps[None]:
+        asked = [placer.address for placer in self.placers if Source.ASKS in placer.sources]
+        silent = [p.address for p in self.placers if Source.CLIENTS in p.sources and Source.ASKS not in p.sources]
+        shares = deployment.team_shares(self.size.teams)
+        for name, addresses in (("clients", asked), ("silent-clients", silent)):
+            if addresses:
+                asks = self.size.starts_per_s * self._real_share if addresses is asked else 0.0
+                file = ClientsFile(self.cluster, addresses, shares, asks, 1000.0 * self.size.life_s)
+                self.clients.append(self._start_hollow(name, file))
+        yield from self._all_announced(self.clients)
+
+    # Settled
+
+    def _until_attached(self) -> Steps[None]:
+        """Until each real placer has a stream to each worker, and each client its sessions."""
+        for placer in self.placers:
+            while Source.LIST in placer.sources and self._gauge(placer, "machines_attached") < self.size.workers:
+                yield f"{placer.name}: streams to {self.size.workers} workers"
+        for hollow in self.clients:
+            while True:
+                status = self.ask(hollow, "status")
+                if status["up"] == status["sessions"]:
+                    break
+                yield f"{hollow.process.name}: {status['up']} of {status['sessions']} sessions"
+
+    def _until_settled(self) -> Steps[None]:
+        """Until all views show the whole fleet and have been quiet for a while."""
+        for hollow in self.members:
+            while True:
+                status = msgspec.convert(self.ask(hollow, "status"), MembersStatus)
+                if status.here_least == self.size.placers:
+                    break
+                yield f"{hollow.process.name}: sees {status.here_least} of {self.size.placers} placers"
+        for placer in self.placers:
+            if Source.PEERS not in placer.sources:
+                continue
+            while True:
+                metrics = read_metrics(placer.http)
+                here, quiet = metrics["sprucepost_view_here"], metrics["sprucepost_view_settled_ms"]
+                if here == self.size.placers and quiet >= QUIET_MS:
+                    break
+                yield f"{placer.name}: sees {here:.0f} of {self.size.placers} placers, quiet for {quiet / 1000:.0f} s"
+        ended = self._group.ended()
+        if ended:
+            raise ScaleError(ended)
+
+    def _gauge(self, placer: RealPlacer, name: str) -> float:
+        return read_metrics(placer.http)[f"sprucepost_{name}"]
+
+    # Load
+
+    def _start_tasks(self) -> None:
+        """Tasks of real placers by their clients, those of hollow ones within the workers."""
+        size = self.size
+        if not size.starts_per_s:
+            return
+        hollow_share = 1.0 - self._real_share
+        workers_total = sum(len(hollow.announcement.addresses) for hollow in self.workers)
+        for hollow in self.workers:
+            share = hollow_share * len(hollow.announcement.addresses) / workers_total
+            self.ask(
+                hollow,
+                "tasks",
+                starts_per_s=size.starts_per_s * share,
+                running=round(size.running_tasks * share),
+                life_ms=1000.0 * size.life_s,
+            )
+        self.ask(self.clients[0], "ask", running=round(size.running_tasks * self._real_share))
+
+    def restart_workers(self, per_s: float) -> None:
+        """From now on workers of the whole fleet are restarted at that rate."""
+        for hollow in self.workers:
+            share = len(hollow.announcement.addresses) / self.size.workers
+            self.ask(hollow, "restarts", per_s=per_s * share)
+
+    def change_configuration(self, version: int) -> None:
+        """Another value of a changeable setting for every loaded placer: a file and a SIGHUP each."""
+        for placer in self.placers:
+            if placer.is_reference:
+                continue
+            limits = PlacerLimits(open_tasks=PlacerLimits().open_tasks + version)
+            options = msgspec.structs.replace(placer.file.placer, limits=limits)
+            path = self._group.folder / f"{placer.process.name}.json"
+            fresh = path.with_suffix(".new")
+            fresh.write_bytes(msgspec.json.encode(PlacerFile(placer.file.cluster, options)))
+            fresh.replace(path)
+            placer.process.signal(signal.SIGHUP)
+
+    def ask(self, hollow: HollowProcess, what: str, **arguments: Any) -> Any:
+        """Give an order to a hollow process; its result."""
+
+        def give() -> Any:
+            connection = yield from open_client(self._loop, address_of(hollow.announcement.control))
+            try:
+                return (yield from order(connection, what, **arguments))
+            finally:
+                connection.close()
+
+        return self._loop.run(lambda: in_scope(lambda scope: give()))
+
+
+def attribution(cpu_percent: Mapping[str, float], loaded: Sequence[float]) -> dict[str, float]:
+    """Processor time by kind of work, from that of the reference placers (by name) and of the loaded ones.
+
+    Each kind is the difference between two placers of which one lacks its source: ``peers`` to a bare one, ``list`` (with
+    the streams to workers) to a bare one, ``clients`` without asks to the list alone; ``placements`` is what is left of a
+    loaded placer, with all that asks cause. So what only shows when two sources meet counts as placements.
+    """
+    if set(cpu_percent) != set(REFERENCES) or not loaded:
+        return {}
+    bare = cpu_percent["bare"]
+    kinds = {
+        "other": bare,
+        "peers": cpu_percent["peers"] - bare,
+        "list": cpu_percent["list"] - bare,
+        "clients": cpu_percent["clients"] - cpu_percent["list"],
+    }
+    kinds["placements"] = fmean(loaded) - sum(kinds.values())
+    return kinds
+
+
+def _parts(items: Sequence[Any], most: int) -> list[list[Any]]:
+    return [list(items[at : at + most]) for at in range(0, len(items), most)]
+
+
+def _processes_for(items: int, most: int) -> int:
+    return -(-items // most)
--- /dev/null
+++ b/sprucepost/scale/hollow/__main__.py
@@ -0,0 +1,61 @@
+"""One hollow process: ``python -m sprucepost.scale.hollow FILE``."""
+
+from __future__ import annotations
+
+import gc
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+
+from sprucepost.loop import Co, Loop, Scope, in_scope
+from sprucepost.loop.epoll import EpollLoop
+from sprucepost.scale.hollow.clients import Clients
+from sprucepost.scale.hollow.members import Members
+from sprucepost.scale.hollow.settings import Announcement, ClientsFile, HollowFile, MembersFile
+from sprucepost.scale.hollow.workers import Workers
+from sprucepost.standin.daemons import serve_orders, until_stopped
+from sprucepost.standin.orders import Orders
+
+
+class Company(Protocol):
+    """What each kind of hollow process offers."""
+
+    @property
+    def addresses(self) -> list[str]: ...
+    def orders(self) -> Orders: ...
+
+
+def build(loop: Loop, scope: Scope, file: HollowFile) -> Company:
+    """The members, workers or clients that a file asks for."""
+    if isinstance(file, MembersFile):
+        return Members(loop, scope, file)
+    if isinstance(file, ClientsFile):
+        return Clients(loop, scope, file)
+    return Workers(loop, scope, file)
+
+
+def serve(loop: Loop, scope: Scope, file: HollowFile, announce: Callable[[str], None]) -> Co[int]:
+    """Build, announce, and take orders until SIGTERM."""
+    company = build(loop, scope, file)
+    port = serve_orders(loop, scope, company.orders(), "127.0.0.1:0")
+    announce(msgspec.json.encode(Announcement(f"127.0.0.1:{port}", company.addresses)).decode())
+    return (yield from until_stopped(loop, scope))
+
+
+def main(path: Path) -> int:
+    """Run one process from its file; the exit status."""
+    file = msgspec.json.decode(path.read_bytes(), type=HollowFile)
+    loop = EpollLoop(None)
+    gc.freeze()
+    gc.set_threshold(100_000, 20, 20)  # as the daemons have it
+    try:
+        return loop.run(lambda: in_scope(lambda scope: serve(loop, scope, file, lambda line: print(line, flush=True))))
+    finally:
+        loop.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main(Path(sys.argv[1])))
--- /dev/null
+++ b/sprucepost/scale/hollow/clients.py
@@ -0,0 +1,101 @@
+"""Hollow clients: owners of tasks by team, each with a session at every real placer, that ask at the plan's rate."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from sprucepost.loop import Loop, Scope
+from sprucepost.placer.daemon import address_of
+from sprucepost.scale import deployment
+from sprucepost.scale.hollow.settings import ClientsFile
+from sprucepost.standin.orders import Orders
+from sprucepost.standin.owners import Owners, Service, Tally
+
+SERVICES_PER_CLASS = 4
+PARTS = 10
+"""The mix of classes is kept by drawing from so many services, each class having its share of them."""
+
+
+class Clients:
+    """All teams' clients of this process."""
+
+    def __init__(self, loop: Loop, scope: Scope, file: ClientsFile) -> None:
+        self._loop, self._file = loop, file
+        self._rng = loop.rng()
+        placers = [address_of(text) for text in file.placers]
+        self._owners: dict[str, Owners] = {}
+        for team, share in file.shares.items():
+            owners = Owners(
+                loop,
+                scope,
+                file.cluster,
+                self._services(team),
+                placers,
+                file.asks_per_s * share,
+                prefix=f"{team}-{loop.token(4).hex()}",
+            )
+            owners.factor = 0.0
+            scope.spawn(owners.run(), f"asks of {team}")
+            self._owners[team] = owners
+
+    @property
+    def addresses(self) -> list[str]:
+        return []
+
+    def _services(self, team: str) -> list[Service]:
+        services = []
+        for task_class, share in deployment.CLASS_SHARES.items():
+            for number in range(round(PARTS * share)):
+                name = f"{team}-{task_class}-{number % SERVICES_PER_CLASS}"
+                services.append(
+                    Service(name, task_class, deployment.TASK_CORES, deployment.TASK_MEMORY, self._file.life_ms, team)
+                )
+        return services
+
+    # Orders
+
+    def orders(self) -> Orders:
+        """``ask``: begin, with so many tasks at once; ``reset``: count from now on; ``result``; ``status``: sessions up."""
+        return Orders({"ask": self._ask, "reset": self._reset, "result": self._result, "status": self._status})
+
+    def _ask(self, running: int) -> dict[str, Any]:
+        """The tasks asked for at once have part of their life behind them."""
+        teams, shares = list(self._owners.values()), list(self._file.shares.values())
+        for owners in teams:
+            owners.factor = 1.0
+        for _ in range(running):
+            owners = self._rng.choices(teams, shares)[0]
+            service = self._rng.choice(owners.services)
+            life_ms = max(1.0, service.life_ms * self._rng.random())
+            part = Service(service.name, service.task_class, service.cores, service.memory, life_ms, service.tenant)
+            owners.want(part)
+        return {}
+
+    def _reset(self) -> dict[str, Any]:
+        for owners in self._owners.values():
+            owners.tally = {name: Tally() for name in owners.tally}
+        return {}
+
+    def _status(self) -> dict[str, Any]:
+        links = [link for owners in self._owners.values() for link in owners.links]
+        return {"sessions": len(links), "up": sum(link.up for link in links)}
+
+    def _result(self) -> dict[str, Any]:
+        """By class of task: outcomes, and ms from the first ask to running."""
+        return {name: self._class_result(name) for name in deployment.CLASS_SHARES}
+
+    def _class_result(self, name: str) -> dict[str, Any]:
+        tallies = [owners.tally[name] for owners in self._owners.values()]
+        starts, outcomes = HdrHistogram(1, 600_000, 2), dict[str, int]()
+        for tally in tallies:
+            starts.add(tally.start_ms)
+            for outcome, number in tally.outcomes.items():
+                outcomes[outcome] = outcomes.get(outcome, 0) + number
+        return {
+            "outcomes": dict(sorted(outcomes.items())),
+            "started": starts.get_total_count(),
+            "start_p99_ms": starts.get_value_at_percentile(99),
+            "start_worst_ms": starts.get_max_value(),
+        }
--- /dev/null
+++ b/sprucepost/scale/hollow/workers.py
@@ -0,0 +1,131 @@
+"""Hollow workers: machines that answer offers and report their room to the list, with no work behind them.
+
+A hollow placer has no streams to workers, since its load on a real neighbour would be the same without: what its tasks
+change is the workers' room, and with it the list. These tasks are offered to the machines within the process, at the rate
+that the hollow placers would have. Streams, sessions and notes are kept with every placer that attaches.
+"""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import Any
+
+from sprucepost.loop import Co, Loop, Scope, sleep
+from sprucepost.placer.daemon import address_of, address_text
+from sprucepost.scale import deployment
+from sprucepost.scale.hollow.settings import WorkersFile
+from sprucepost.standin.machines import Field, MachineHost, class_models
+from sprucepost.standin.model import MachineModel, Offer, State
+from sprucepost.standin.orders import Orders
+
+HOLLOW_PLACER = 1_000_000
+"""Number under which the tasks of hollow placers stand at a worker; no real placer has it."""
+OFFER_WAIT_MS = 5000.0
+DOWN_MS = 2000.0
+"""A worker that is restarted is gone for so long."""
+IDLE_MS = 1000.0
+
+
+class ReportingField(Field):
+    """Reports a worker when its room has changed, not each time that one of its tasks tells its use."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._room: dict[str, tuple[float, float]] = {}
+
+    def touched(self, host: MachineHost) -> None:
+        """Called with everything that happens at a machine."""
+        name, room = host.model.model.name, host.model.asked()
+        if self._room.get(name) != room:
+            self._room[name] = room
+            self.changed(host)
+
+
+class Workers:
+    """All workers of this process."""
+
+    def __init__(self, loop: Loop, scope: Scope, file: WorkersFile) -> None:
+        self._loop, self._scope = loop, scope
+        self._rng = loop.rng()
+        self._classes = class_models(file.cluster, {})
+        self.field = ReportingField(loop, scope, file.cluster, self._classes, address_of(file.list_address))
+        scope.spawn(self.field.report(), "reports")
+        for fields in file.workers:
+            host = self.field.add(MachineModel(**fields))
+            host.public = address_text(host.address)
+            self.field.changed(host)
+        self._hosts = list(self.field.hosts.values())
+        self._requests = count(1)
+        self._starts_per_s = self._restarts_per_s = 0.0
+        self._life_ms = 1.0
+        scope.spawn(self._start_tasks(), "tasks of hollow placers")
+        scope.spawn(self._restart_workers(), "restarts")
+
+    @property
+    def addresses(self) -> list[str]:
+        return [host.public for host in self._hosts]
+
+    # Tasks of hollow placers
+
+    def _start_tasks(self) -> Co[None]:
+        while True:
+            yield from self._wait(self._starts_per_s)
+            if self._starts_per_s:
+                self._offer(self._rng.choice(self._hosts))
+
+    def _wait(self, rate_per_s: float) -> Co[None]:
+        """Until the next of independent events at that rate; where there are none, for a while."""
+        yield from sleep(self._rng.expovariate(rate_per_s / 1000.0) if rate_per_s else IDLE_MS)
+
+    def _offer(self, host: MachineHost) -> None:
+        number = next(self._requests)
+        shares = deployment.CLASS_SHARES
+        name = self._rng.choices(list(shares), list(shares.values()))[0]
+        offer = Offer(
+            ident=(HOLLOW_PLACER, 1, number, 0),
+            name=f"hollow-{id(self)}-{number}",
+            cls=self._classes[name],
+            service=f"{name}-{number % 20}",
+            cores=deployment.TASK_CORES,
+            memory=deployment.TASK_MEMORY,
+            tenant="",
+            life_ms=self._rng.expovariate(1.0 / self._life_ms),
+            wait_ms=OFFER_WAIT_MS,
+        )
+        host.model.offer(offer, self.field.now())
+        host.schedule()
+
+    # Restarts
+
+    def _restart_workers(self) -> Co[None]:
+        while True:
+            yield from self._wait(self._restarts_per_s)
+            running = [host for host in self._hosts if host.model.state is State.READY]
+            if self._restarts_per_s and running:
+                self._scope.spawn(self._restart(self._rng.choice(running)), "restart")
+
+    def _restart(self, host: MachineHost) -> Co[None]:
+        host.crash()
+        yield from sleep(DOWN_MS)
+        host.up(cold=True)
+
+    # Orders
+
+    def orders(self) -> Orders:
+        """``tasks``: those of hollow placers; ``restarts``: of workers; ``status``: how many tasks there are."""
+        return Orders({"tasks": self._tasks, "restarts": self._restarts, "status": self._status})
+
+    def _tasks(self, starts_per_s: float, running: int, life_ms: float) -> dict[str, Any]:
+        """As many running from the start, and new ones at that rate. Lives are exponential, so that the time which is left
+        to a running task is drawn like a whole life."""
+        self._starts_per_s, self._life_ms = starts_per_s, life_ms
+        for number in range(running):
+            self._offer(self._hosts[number % len(self._hosts)])
+        return {}
+
+    def _restarts(self, per_s: float) -> dict[str, Any]:
+        self._restarts_per_s = per_s
+        return {}
+
+    def _status(self) -> dict[str, Any]:
+        return {"tasks": sum(len(host.model.tasks) for host in self._hosts)}
--- /dev/null
+++ b/sprucepost/scale/measure.py
@@ -0,0 +1,123 @@
+"""What a real process costs: two readings from outside, and the figures of the interval between them.
+
+Processor time is user plus system time as the scheduler accounts it (``/proc/PID/schedstat``, in ns; ``utime`` and
+``stime`` in ``/proc/PID/stat`` are the same time, rounded to 10 ms). Bytes are payload of TCP, of connections that exist at
+the end of the interval. Messages are those to and from other placers, from the placer's own metrics.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+import urllib.request
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from sprucepost.scale.sockets import Ports, Traffic, inodes
+
+METRICS_LIMIT_S = 10.0
+VIEW_COUNTERS = {
+    "messages_out": "sprucepost_view_messages_sent",
+    "messages_in": "sprucepost_view_messages_received",
+    "view_bytes_out": "sprucepost_view_bytes_sent",
+    "view_bytes_in": "sprucepost_view_bytes_received",
+}
+"""By figure, the metric that counts it."""
+
+
+@dataclass(frozen=True)
+class Reading:
+    """One process at one moment."""
+
+    at_s: float
+    cpu_s: float
+    memory_mib: float
+    descriptors: int
+    traffic: dict[Ports, Traffic] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Counters:
+    """A placer's own counters at one moment."""
+
+    at_s: float
+    values: dict[str, float]
+
+
+def cpu_s(pid: int) -> float:
+    """Processor time that a process with one thread has used so far."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    except FileNotFoundError:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mib(pid: int) -> float:
+    """Resident memory."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def read_process(pid: int, connections: Mapping[Ports, Traffic] | None = None) -> Reading:
+    """Processor time is read last. ``connections``: all of the machine, where bytes are wanted."""
+    own: dict[Ports, Traffic] = {}
+    if connections is not None:
+        sockets = inodes(pid)
+        own = {ports: traffic for ports, traffic in connections.items() if traffic.inode in sockets}
+    memory, descriptors = memory_mib(pid), len(os.listdir(f"/proc/{pid}/fd"))
+    return Reading(time.monotonic(), cpu_s(pid), memory, descriptors, own)
+
+
+def read_metrics(http: str) -> dict[str, float]:
+    """Gauges and counters without labels, by name. OSError where the placer does not answer."""
+    with urllib.request.urlopen(f"http://{http}/metrics", timeout=METRICS_LIMIT_S) as answer:
+        text = answer.read().decode()
+    found = {}
+    for line in text.splitlines():
+        name, _, value = line.rpartition(" ")
+        if name and not line.startswith("#") and "{" not in name:
+            found[name] = float(value)
+    return found
+
+
+def read_counters(http: str) -> Counters:
+    """What the figures of messages are made of."""
+    metrics = read_metrics(http)
+    values = {figure: metrics[name] for figure, name in VIEW_COUNTERS.items() if name in metrics}
+    return Counters(time.monotonic(), values)
+
+
+def process_figures(before: Reading, after: Reading, kind: Callable[[Ports], str]) -> dict[str, float]:
+    """Figures of the interval. ``kind``: of work, that a connection is for."""
+    seconds = after.at_s - before.at_s
+    figures = {
+        "cpu_percent": 100.0 * (after.cpu_s - before.cpu_s) / seconds,
+        "memory_mib": after.memory_mib,
+        "descriptors": float(after.descriptors),
+    }
+    if not after.traffic:
+        return figures
+    for ports, traffic in after.traffic.items():
+        old = before.traffic.get(ports)
+        known = old is not None and old.inode == traffic.inode
+        sent = traffic.sent - (old.sent if old and known else 0)
+        received = traffic.received - (old.received if old and known else 0)
+        for name, number in (("bytes_out_per_s", sent), ("bytes_in_per_s", received)):
+            for key in (name, f"{name}.{kind(ports)}"):
+                figures[key] = figures.get(key, 0.0) + number / seconds
+    return figures
+
+
+def counter_figures(before: Counters, after: Counters) -> dict[str, float]:
+    """Rates of the interval, ``NAME_per_s``."""
+    seconds = after.at_s - before.at_s
+    return {f"{name}_per_s": (value - before.values.get(name, 0.0)) / seconds for name, value in after.values.items()}
+
+
+def rounded(figures: Mapping[str, float]) -> dict[str, float]:
+    """As they are kept: to a ten-thousandth."""
+    return {name: round(value, 4) for name, value in sorted(figures.items())}
--- /dev/null
+++ b/sprucepost/scale/runner.py
@@ -0,0 +1,341 @@
+"""Runs of the scale test: fleets started, settled, measured over one interval and ended; sweeps over sizes.
+
+    from sprucepost.scale.runner import RunOptions, sweep
+    results = sweep({"placers": [12, 24, 48]}, base=RunSize(), repeats=3, options=RunOptions())
+
+Rates that are too low for an interval of seconds (changes of configuration, restarts of workers) are pressed, an hour into a
+minute, in an interval of their own after the first; a :data:`PRESSED`\\ th of the additional processor time is then added to
+that of the first.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+from sprucepost.loop.epoll import EpollLoop
+from sprucepost.scale import results
+from sprucepost.scale.fleet import Fleet, FleetOptions, RealPlacer, Source, attribution
+from sprucepost.scale.measure import (
+    Counters,
+    Reading,
+    counter_figures,
+    memory_mib,
+    process_figures,
+    read_counters,
+    read_process,
+    rounded,
+)
+from sprucepost.scale.processes import MEMORY_LIMIT_MIB, DoesNotFit, Limits, Needs, ProcessGroup, ScaleError
+from sprucepost.scale.results import Point, Results, Sample
+from sprucepost.scale.size import VARIABLES, RunSize
+from sprucepost.scale.sockets import Ports, Traffic, connections, inodes
+
+PRESSED = 60.0
+"""An hour into a minute: how much faster than planned changes and restarts come while their cost is measured."""
+STEP_S = 0.1
+Say = Callable[[str], None]
+
+
+class NotSettled(ScaleError):
+    """A fleet was not settled in time; the text says what was waited for."""
+
+
+@dataclass(frozen=True)
+class RunOptions:
+    """How points are measured."""
+
+    fleet: FleetOptions = field(default_factory=FleetOptions)
+    measure_s: float = 6.0
+    settle_limit_s: float = 120.0
+    points_at_a_time: int = 1
+    """Fleets that run beside each other over one interval."""
+    seed: int = 1
+    plan: str = "default"
+    command: str = ""
+
+
+@dataclass(frozen=True)
+class Run:
+    """One point to be measured."""
+
+    variable: str
+    value: float
+    repeat: int
+    size: RunSize
+
+
+def terminal_say(text: str) -> None:
+    """Progress on a terminal, else nothing."""
+    if sys.stderr.isatty():
+        print(f"scale: {text}", file=sys.stderr, flush=True)
+
+
+def sweep(
+    sizes: Mapping[str, Sequence[float]],
+    base: RunSize,
+    repeats: int,
+    options: RunOptions,
+    say: Say = terminal_say,
+) -> Results:
+    """Move each variable alone over its sizes, the others as in ``base``; repeats and variables interleaved.
+
+    DoesNotFit before anything is started where one of the runs would not fit the machine. ScaleError where a run fails.
+    """
+    runs = interleaved(sizes, base, repeats)
+    batches = [runs[at : at + options.points_at_a_time] for at in range(0, len(runs), options.points_at_a_time)]
+    check(batches, options)
+    points: list[Point] = []
+    for number, batch in enumerate(batches):
+        say(f"{number + 1} of {len(batches)}: " + ", ".join(f"{run.variable}={run.value:g}" for run in batch))
+        points += measure(batch, options, say)
+    return Results(
+        format=results.FORMAT,
+        version=version(),
+        command=options.command or " ".join(sys.argv),
+        plan=options.plan,
+        seed=options.seed,
+        processors=os.cpu_count() or 1,
+        points=tuple(points),
+        hollow=options.fleet.hollow,
+    )
+
+
+def interleaved(sizes: Mapping[str, Sequence[float]], base: RunSize, repeats: int) -> list[Run]:
+    """All runs: a repeat after the other, within it the first size of each variable, then the second. ValueError where a
+    variable or a size cannot be."""
+    runs = []
+    for repeat in range(repeats):
+        for position in range(max(map(len, sizes.values()), default=0)):
+            for variable, values in sizes.items():
+                if position < len(values):
+                    runs.append(Run(variable, values[position], repeat, moved(base, variable, values[position])))
+    return runs
+
+
+def moved(base: RunSize, variable: str, value: float) -> RunSize:
+    """The base size with one variable at that value. The time that tasks run for stays, whichever of the two rates moves."""
+    if variable not in VARIABLES:
+        raise ValueError(f"{variable}: none of {', '.join(VARIABLES)}")
+    whole = isinstance(getattr(base, variable), int)
+    change: dict[str, Any] = {variable: int(value) if whole else float(value)}
+    return replace(base, **change)
+
+
+def check(batches: Sequence[Sequence[Run]], options: RunOptions) -> None:
+    """DoesNotFit where one of the batches takes more than the machine's limits."""
+    limits, loop = Limits.of_this_machine(), EpollLoop(options.seed)
+    try:
+        for batch in batches:
+            needs = Needs(1, 0, 0, 0.0)
+            for run in batch:
+                needs += Fleet(ProcessGroup(Path()), loop, "", run.size, options.fleet).needs()
+            limits.check(needs)
+    finally:
+        loop.close()
+
+
+def measure(batch: Sequence[Run], options: RunOptions, say: Say = terminal_say) -> list[Point]:
+    """The points of some runs, whose fleets stand beside each other. All processes have ended when it returns or raises."""
+    loop = EpollLoop(options.seed)
+    try:
+        with tempfile.TemporaryDirectory(prefix="sprucepost-scale-") as folder, ProcessGroup(Path(folder)) as group:
+            fleets = [Fleet(group, loop, f"run{number}", run.size, options.fleet) for number, run in enumerate(batch)]
+            settle(fleets, options.settle_limit_s, say)
+            check_memory(group)
+            intervals = [Interval(fleet) for fleet in fleets]
+            say(f"measure for {options.measure_s:g} s")
+            pass_interval(intervals, options.measure_s)
+            extra = pressed_figures(fleets, options)
+            return [
+                point(run, options, interval, more) for run, interval, more in zip(batch, intervals, extra, strict=True)
+            ]
+    finally:
+        loop.close()
+
+
+def settle(fleets: Sequence[Fleet], limit_s: float, say: Say) -> None:
+    """Start all fleets and wait until each is settled. NotSettled where that takes longer than the limit."""
+    began, said = time.monotonic(), ""
+    waiting = {fleet.name: fleet.bring_up() for fleet in fleets}
+    while waiting:
+        for name, steps in list(waiting.items()):
+            text = next(steps, None)
+            if text is None:
+                del waiting[name]
+            elif time.monotonic() - began > limit_s:
+                raise NotSettled(f"not settled after {limit_s:g} s: {text}")
+            elif text.partition(",")[0] != said:
+                said = text.partition(",")[0]
+                say(f"wait for {text}")
+        time.sleep(STEP_S)
+    say(f"settled after {time.monotonic() - began:.1f} s")
+
+
+def check_memory(group: ProcessGroup) -> None:
+    """DoesNotFit where the run has grown beyond what was reckoned."""
+    used = sum(memory_mib(process.pid) for process in group.processes)
+    if used > MEMORY_LIMIT_MIB:
+        raise DoesNotFit(f"the run uses {used:.0f} MiB of memory, the limit is {MEMORY_LIMIT_MIB:.0f}")
+
+
+class Interval:
+    """Readings of one fleet at the beginning and the end of an interval."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.before: dict[str, Reading] = {}
+        self.after: dict[str, Reading] = {}
+        self.counters: dict[str, tuple[Counters, Counters]] = {}
+        self._first: dict[str, Counters] = {}
+        self.connections: dict[Ports, Traffic] = {}
+        self.starts: dict[str, dict[str, object]] = {}
+
+    def begin(self) -> None:
+        """Counters first: what reading them costs a placer is not in its processor time."""
+        self.fleet.ask(self.fleet.clients[0], "reset")
+        self._first = self._read_counters()
+        self.before = self._read(connections())
+
+    def end(self) -> None:
+        self.connections = connections()
+        self.after = self._read(self.connections)
+        last = self._read_counters()
+        self.counters = {name: (self._first[name], last[name]) for name in last}
+        self.starts = self.fleet.ask(self.fleet.clients[0], "result")
+
+    def _read(self, traffic: dict[Ports, Traffic]) -> dict[str, Reading]:
+        processes = {placer.name: placer.process for placer in self.fleet.placers} | {"list": self.fleet.list}
+        return {name: read_process(process.pid, traffic) for name, process in processes.items()}
+
+    def _read_counters(self) -> dict[str, Counters]:
+        members = [placer for placer in self.fleet.placers if Source.PEERS in placer.sources]
+        return {placer.name: read_counters(placer.http) for placer in members}
+
+    def cpu_percent(self, placer: RealPlacer) -> float:
+        before, after = self.before[placer.name], self.after[placer.name]
+        return 100.0 * (after.cpu_s - before.cpu_s) / (after.at_s - before.at_s)
+
+    def kinds(self) -> dict[str, float]:
+        """Processor time of a loaded placer by kind of work."""
+        references = {
+            placer.name.removeprefix("reference-"): self.cpu_percent(placer)
+            for placer in self.fleet.placers
+            if placer.is_reference
+        }
+        return attribution(references, [self.cpu_percent(placer) for placer in loaded(self.fleet)])
+
+
+def loaded(fleet: Fleet) -> list[RealPlacer]:
+    """The real placers that are no references."""
+    return [placer for placer in fleet.placers if not placer.is_reference]
+
+
+def pass_interval(
+    intervals: Sequence[Interval], seconds: float, each_step: Callable[[float], None] | None = None
+) -> None:
+    """Let an interval pass over all fleets. ``each_step`` is called with the seconds that have passed."""
+    for interval in intervals:
+        interval.begin()
+    began = time.monotonic()
+    while (passed := time.monotonic() - began) < seconds:
+        if each_step is not None:
+            each_step(passed)
+        time.sleep(min(STEP_S, seconds - passed))
+    for interval in intervals:
+        interval.end()
+
+
+def pressed_figures(fleets: Sequence[Fleet], options: RunOptions) -> list[dict[str, float]]:
+    """What changes of configuration and restarts of workers cost at their planned rates, from intervals of their own."""
+    found: list[dict[str, float]] = [{} for _ in fleets]
+    return found
+
+
+def point(run: Run, options: RunOptions, interval: Interval, more: Mapping[str, float]) -> Point:
+    """The figures of a run."""
+    fleet = interval.fleet
+    kinds = {f"cpu_percent.{kind}": value for kind, value in interval.kinds().items()}
+    samples = [
+        Sample("placer", placer.name, rounded({**placer_figures(interval, placer), **kinds}))
+        for placer in loaded(fleet)
+    ]
+    ports = process_figures(interval.before["list"], interval.after["list"], lambda _: "list")
+    samples.append(Sample("list", "list", rounded(ports)))
+    return Point(
+        variable=run.variable,
+        size=run.value,
+        repeat=run.repeat,
+        seed=options.seed,
+        seconds=options.measure_s,
+        load_average=os.getloadavg()[0],
+        samples=tuple(samples),
+        fleet=rounded({**start_figures(interval.starts), **more}),
+    )
+
+
+def placer_figures(interval: Interval, placer: RealPlacer) -> dict[str, float]:
+    """Of one real placer."""
+    kind = connection_kinds(interval, placer)
+    figures = process_figures(interval.before[placer.name], interval.after[placer.name], kind)
+    return {**figures, **counter_figures(*interval.counters[placer.name])}
+
+
+def connection_kinds(interval: Interval, placer: RealPlacer) -> Callable[[Ports], str]:
+    """Which work a connection of that placer is for."""
+    fleet = interval.fleet
+    remote = {port_of(fleet.list_address): "list"}
+    for hollow, name in ((fleet.workers, "placements"), (fleet.members, "peers")):
+        for each in hollow:
+            remote |= {port_of(address): name for address in each.announcement.addresses}
+    remote |= {port_of(other.address): "peers" for other in fleet.placers}
+    own, clients = port_of(placer.address), client_inodes(fleet)
+
+    def kind(ports: Ports) -> str:
+        local, far = ports
+        if far in remote:
+            return remote[far]
+        other_end = interval.connections.get((far, local))
+        if local != own or other_end is None:
+            return "other"
+        return "clients" if other_end.inode in clients else "peers"
+
+    return kind
+
+
+def client_inodes(fleet: Fleet) -> set[int]:
+    """Sockets of all hollow clients."""
+    return {inode for hollow in fleet.clients for inode in inodes(hollow.process.pid)}
+
+
+def port_of(address: str) -> int:
+    return int(address.rpartition(":")[2])
+
+
+def start_figures(starts: Mapping[str, Mapping[str, object]]) -> dict[str, float]:
+    """Start to running by class of work, and what was refused, late or lost."""
+    figures: dict[str, float] = {}
+    for name, result in starts.items():
+        for key in ("start_p99_ms", "start_worst_ms", "started"):
+            figures[f"{key}.{name}"] = float(result[key])  # type: ignore[arg-type]
+        outcomes = result["outcomes"]
+        assert isinstance(outcomes, dict)
+        figures |= {f"outcome.{name}.{outcome.replace(' ', '_')}": float(n) for outcome, n in outcomes.items()}
+    return figures
+
+
+def version() -> str:
+    """Of the checkout that runs: ``git describe``."""
+    command = ["git", "describe", "--always", "--dirty"]
+    try:
+        found = subprocess.run(command, capture_output=True, text=True, cwd=Path(__file__).parent, check=False)
+    except OSError:
+        return "unknown"
+    return found.stdout.strip() or "unknown"
--- a/sprucepost/settings/cluster.py
+++ b/sprucepost/settings/cluster.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
+from hashlib import blake2b
 from typing import Annotated, Literal
 
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, to_builtins
 
 from sprucepost import interface as i
 
@@ -96,6 +98,11 @@
                 found.append(f"{at}.kind: no machine kind is named {cls.kind!r}")
         return found
 
+    def digest(self) -> str:
+        """Equal for equal settings: placers that keep a view compare it when they open a stream to each other."""
+        text = json.dumps(to_builtins(self), sort_keys=True)
+        return blake2b(text.encode(), digest_size=8).hexdigest()
+
     @property
     def clock_apart_ms(self) -> float:
         """How far a placer's clock may be from the list's before it takes no seat. A machine counts as cold for so much
--- a/sprucepost/standin/daemons.py
+++ b/sprucepost/standin/daemons.py
@@ -97,7 +97,8 @@
         return []
 
 
-def _until_stopped(loop: Loop, scope: Scope) -> Co[int]:
+def until_stopped(loop: Loop, scope: Scope) -> Co[int]:
+    """Wait for SIGTERM or SIGINT, then cancel the scope; the exit status."""
     stopped: list[bool] = []
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.on_signal(number, lambda: stopped.append(True))
@@ -107,7 +108,8 @@
     return 0
 
 
-def _control(loop: Loop, scope: Scope, orders: Orders, at: str, more: dict[str, Method] | None = None) -> int:
+def serve_orders(loop: Loop, scope: Scope, orders: Orders, at: str, more: dict[str, Method] | None = None) -> int:
+    """Serve orders, and ``more`` beside them, on that address; the port that was bound."""
     address = Server(loop, scope, {**orders.methods(), **(more or {})}).listen(address_of(at))
     assert isinstance(address, tuple)
     return address[1]
@@ -123,15 +125,15 @@
         ports[raw["name"]] = host.address[1]
         host.public = f"{host.address[0]}:{host.address[1]}"
         field.changed(host)
-    announce(json.dumps({"control": _control(loop, scope, field.orders(), file.control), "machines": ports}))
-    return (yield from _until_stopped(loop, scope))
+    announce(json.dumps({"control": serve_orders(loop, scope, field.orders(), file.control), "machines": ports}))
+    return (yield from until_stopped(loop, scope))
 
 
 def listing(loop: Loop, scope: Scope, file: ListFile, announce: Announce) -> Co[int]:
     service = Listing(loop, file.late_ms, file.lines_per_s, file.call_wait_ms)
-    port = _control(loop, scope, service.orders(), file.listen, service.methods())
+    port = serve_orders(loop, scope, service.orders(), file.listen, service.methods())
     announce(json.dumps({"listen": port, "control": port}))
-    return (yield from _until_stopped(loop, scope))
+    return (yield from until_stopped(loop, scope))
 
 
 def owners(loop: Loop, scope: Scope, file: OwnerFile, announce: Announce) -> Co[int]:
@@ -147,19 +149,19 @@
         file.source,
     )
     scope.spawn(service.run(), "asking")
-    announce(json.dumps({"control": _control(loop, scope, service.orders(), file.control)}))
-    return (yield from _until_stopped(loop, scope))
+    announce(json.dumps({"control": serve_orders(loop, scope, service.orders(), file.control)}))
+    return (yield from until_stopped(loop, scope))
 
 
 def tap(loop: Loop, scope: Scope, file: TapFile, announce: Announce) -> Co[int]:
     if file.capture is None:
         relay = Tap(loop)
-        announce(json.dumps({"control": _control(loop, scope, relay.orders(), file.control)}))
-        return (yield from _until_stopped(loop, scope))
+        announce(json.dumps({"control": serve_orders(loop, scope, relay.orders(), file.control)}))
+        return (yield from until_stopped(loop, scope))
     with open(file.capture, "wb", buffering=1 << 20) as out:
         relay = Tap(loop, CaptureWriter(out.write))
-        announce(json.dumps({"control": _control(loop, scope, relay.orders(), file.control)}))
+        announce(json.dumps({"control": serve_orders(loop, scope, relay.orders(), file.control)}))
         try:
-            return (yield from _until_stopped(loop, scope))
+            return (yield from until_stopped(loop, scope))
         finally:
             relay.stop()
--- a/sprucepost/standin/owner_link.py
+++ b/sprucepost/standin/owner_link.py
@@ -230,8 +230,7 @@
                 )
                 call = yield from self._attach(connection)
                 wait = 30.0
-                while call.over is None:
-                    yield from sleep(5.0)
+                yield from call.wait_over()
             except Cancelled:
                 if connection is not None:
                     connection.close()
--- a/sprucepost/standin/owners.py
+++ b/sprucepost/standin/owners.py
@@ -83,8 +83,11 @@
         wanted_ms: float = 60_000.0,
         again_ms: float = 1200.0,
         source: str | None = None,
+        prefix: str = "task",
     ) -> None:
+        """``prefix``: of the tasks' names, which no one else's tasks may have."""
         self.loop, self.scope, self.cluster, self.services = loop, scope, cluster, services
+        self._prefix = prefix
         self._classes = {cls.name: cls for cls in cluster.classes}
         self._rng = loop.rng()
         self._rate, self.factor = rate_per_s, 1.0
@@ -138,7 +141,7 @@
             life_ms=life,
         )
         now = self.loop.now()
-        wanted = Wanted(f"task-{self._count}", service, task, now + self._wanted_ms, first_asked=now)
+        wanted = Wanted(f"{self._prefix}-{self._count}", service, task, now + self._wanted_ms, first_asked=now)
         self.tasks[wanted.name] = wanted
         self._ask(wanted)
         return wanted
--- a/sprucepost/wire/call.py
+++ b/sprucepost/wire/call.py
@@ -221,6 +221,20 @@
             closing()
         return False
 
+    def wait_over(self) -> Co[None]:
+        """Wait until the call has ended. Takes the place of ``on_over``."""
+
+        def trap(task: Task[Any]) -> Undo:
+            self.on_over = lambda status: task.wake()
+
+            def undo() -> None:
+                self.on_over = None
+
+            return undo
+
+        if self.over is None:
+            yield from park(trap)
+
     def finish_over(self, status: RpcError) -> None:
         """The call has ended; called once by the connection or by this end itself."""
         if self.over is not None:
