--- a/sprucepost/cli/scale.py
+++ b/sprucepost/cli/scale.py
@@ -44,12 +44,13 @@
     def run(*arguments: P.args, **options: P.kwargs) -> None:
         from sprucepost.plotting import NoCharts
         from sprucepost.scale.fits import FitsError
+        from sprucepost.scale.processes import ScaleError
         from sprucepost.scale.results import ResultsError
         from sprucepost.settings import SettingsError
 
         try:
             status = command(*arguments, **options)
-        except (ResultsError, FitsError, NoCharts, SettingsError, OSError) as error:
+        except (ResultsError, FitsError, NoCharts, ScaleError, SettingsError, OSError) as error:
             for line in str(error).splitlines():
                 click.echo(f"sprucepost: {line}", err=True)
             status = UNUSABLE
@@ -87,10 +88,11 @@
     from sprucepost.cli.tables import table
     from sprucepost.scale.kept import compared, read_kept
     from sprucepost.scale.predictions import with_sums
+    from sprucepost.scale.sweeps import quick
 
-    kept = read_kept(folder)
-    wrong = _page_problems(kept, _size(plan_file), page)
-    measured = with_sums(_sweep(quick=True, command="sprucepost scale --quick"))
+    kept, size = read_kept(folder), _size(plan_file)
+    wrong = _page_problems(kept, size, page)
+    measured = with_sums(quick(size.name, "sprucepost scale --quick"))
     found = compared(kept, measured)
     head = ["role", "figure", "variable", "size", "predicted", "within", "measured", "holds"]
     click.echo(table(head, [_comparison_row(each) for each in found]))
@@ -113,17 +115,22 @@
 
 @scale.command()
 @click.option("--out", type=click.Path(path_type=Path), default=RESULTS, show_default=True)
+@click.option("--variable", "variables", multiple=True, help="Move only this one; may be repeated.")
+@click.option("--repeats", type=click.IntRange(1), default=3, show_default=True)
+@click.option("--add", "add", is_flag=True, help="Add the points to those that the file has, of the same version.")
 @_PLAN_OPTION
 @_one_line
-def run(out: Path, plan_file: Path) -> int:
+def run(out: Path, variables: tuple[str, ...], repeats: int, add: bool, plan_file: Path) -> int:
     """The full sweep: every variable alone over its sizes, three runs of each. Keeps the results."""
     from sprucepost.scale.kept import kept_run
-    from sprucepost.scale.results import save
+    from sprucepost.scale.results import load, save
+    from sprucepost.scale.sweeps import added, full
     from sprucepost.scale.target import target_of
 
-    target = target_of(_size(plan_file))
-    save(_sweep(quick=False, command="sprucepost scale run"), out)
-    _show(kept_run(out), target)
+    size = _size(plan_file)
+    found = full(variables, repeats, size.name, "sprucepost scale run")
+    save(added(load(out), found) if add else found, out)
+    _show(kept_run(out), target_of(size))
     return HOLDS
 
 
@@ -201,14 +208,6 @@
     return HOLDS
 
 
-def _sweep(quick: bool, command: str) -> Any:
-    """Run the processes. ResultsError where that is not part of this version."""
-    from sprucepost.scale.reference import reference_ms
-    from sprucepost.scale.sweeps import measured
-
-    return msgspec.structs.replace(measured(quick, command), reference_ms=reference_ms())
-
-
 def _page_problems(kept: Any, size: Any, page: Path) -> list[str]:
     from sprucepost.scale.page import problems
     from sprucepost.scale.planned import page_tables
--- a/sprucepost/scale/sweeps.py
+++ b/sprucepost/scale/sweeps.py
@@ -2,23 +2,64 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict
+
+from msgspec import structs
+
+from sprucepost.scale.reference import reference_ms
 from sprucepost.scale.results import Results, ResultsError
+from sprucepost.scale.runner import RunOptions, sweep
+from sprucepost.scale.size import RunSize
 
-REPEATS = 3
+BASE = RunSize()
 FULL: dict[str, tuple[float, ...]] = {
     "placers": (12, 24, 48, 96),
     "workers": (24, 50, 100, 250),
     "teams": (4, 16, 32, 64),
     "running_tasks": (96, 300, 600, 1200),
     "starts_per_s": (2, 4, 8, 17),
-    "changes_per_day": (0, 160, 320, 640),
-    "restarts_per_day": (0, 93, 185, 370),
     "regions": (1, 2, 3, 4),
 }
-"""The largest of each is at least a quarter of the plan's, so that no prediction for the plan needs a mark."""
+"""The largest of each is at least a quarter of the plan's, so that no prediction for the plan needs a mark.
+
+Changes of configuration and restarts of workers are not moved: the runs don't press them into their interval yet.
+"""
+FULL_REPEATS = 3
 QUICK: dict[str, tuple[float, ...]] = {"placers": (12, 24, 48), "workers": (50,)}
+"""Those that cost a placer most, up to what two minutes allow."""
+QUICK_REPEATS = 1
+FLEETS_AT_A_TIME = 4
+"""Beside each other on eight cores; the same in both sweeps, so that processor times can be compared."""
+
+
+def full(variables: Sequence[str], repeats: int, plan: str, command: str) -> Results:
+    """Move these variables, all where none is named. ResultsError for an unknown one, ScaleError where a run fails."""
+    unknown = [name for name in variables if name not in FULL]
+    if unknown:
+        raise ResultsError(f"{unknown[0]}: none of {', '.join(FULL)}")
+    return _measured({name: FULL[name] for name in variables or FULL}, repeats, plan, command)
+
+
+def quick(plan: str, command: str) -> Results:
+    """The sweep of two minutes. ScaleError where a run fails."""
+    return _measured(QUICK, QUICK_REPEATS, plan, command)
+
+
+def _measured(sizes: Mapping[str, Sequence[float]], repeats: int, plan: str, command: str) -> Results:
+    options = RunOptions(points_at_a_time=FLEETS_AT_A_TIME, plan=plan, command=command)
+    speed = reference_ms()
+    found = sweep(sizes, BASE, repeats, options)
+    base = {name: float(value) for name, value in asdict(BASE).items()}
+    return structs.replace(found, base=base, reference_ms=speed)
 
 
-def measured(quick: bool, command: str) -> Results:
-    """Run a sweep. ResultsError: this version has no processes to run yet."""
-    raise ResultsError(f"{command}: this version can't start processes yet")
+def added(kept: Results, more: Results) -> Results:
+    """Both sets of points in one. ResultsError where they are not of one version, base and plan."""
+    for name in ("version", "base", "plan", "processors"):
+        one, other = getattr(kept, name), getattr(more, name)
+        if one != other:
+            raise ResultsError(
+                f"{name}: {one} in the kept results, {other} in the new ones: they can't be put together"
+            )
+    return structs.replace(kept, points=kept.points + more.points)
--- a/sprucepost/scale/tables.py
+++ b/sprucepost/scale/tables.py
@@ -134,7 +134,17 @@
 
 def budgets_table(kept: Kept, target: Target) -> Table:
     """Each budget of each role that has one: as measured at the base, and at the planned size."""
-    head = ("role", "figure", "at the base", "at the plan", "budget", "headroom", "first breaks at", COMMAND_COLUMN)
+    head = (
+        "role",
+        "figure",
+        "at the base",
+        "at the plan",
+        "budget",
+        "headroom",
+        "first breaks at",
+        "not moved",
+        COMMAND_COLUMN,
+    )
     rows = []
     for run in kept.runs:
         for each in run.predictions(target):
@@ -143,7 +153,8 @@
             rows.append(
                 (
                     each.role, figure_name(each.figure), number(each.base), _at_plan(each), number(each.budget),
-                    number(each.headroom), break_text(each.breaks), f"`{run.results.command}`",
+                    number(each.headroom), break_text(each.breaks), ", ".join(each.unmeasured) or "-",
+                    f"`{run.results.command}`",
                 )
             )  # fmt: skip
     return Table("budgets", head, tuple(rows))
--- /dev/null
+++ b/tests/scale/test_sweeps.py
@@ -0,0 +1,44 @@
+"""What the sweeps move, against the planned size; results that are put together."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec import structs
+
+from sprucepost.scale.fits import FARTHEST, SIZES_LEAST
+from sprucepost.scale.results import ResultsError
+from sprucepost.scale.size import VARIABLES
+from sprucepost.scale.sweeps import BASE, FULL, FULL_REPEATS, QUICK, added, full
+from sprucepost.scale.target import target_of
+from tests.scale.generated import generated
+from tests.scale.support import size
+
+NOT_MOVED = {"changes_per_day", "restarts_per_day"}
+"""The runs do not press these into their interval yet; the page's column *not moved* says so."""
+
+
+def test_every_variable_is_moved_but_those_that_are_named() -> None:
+    assert set(VARIABLES) == set(FULL) | NOT_MOVED == set(target_of(size("two-years")).sizes)
+
+
+@pytest.mark.parametrize("variable", sorted(FULL))
+def test_the_plan_is_within_reach_of_the_measured_sizes(variable: str) -> None:
+    assert len(FULL[variable]) >= SIZES_LEAST and FULL_REPEATS >= 3
+    assert target_of(size("two-years")).sizes[variable] <= FARTHEST * max(FULL[variable])
+    assert getattr(BASE, variable) in FULL[variable]
+
+
+def test_the_quick_sweep_measures_what_the_full_one_has() -> None:
+    assert all(set(sizes) <= set(FULL[variable]) for variable, sizes in QUICK.items())
+
+
+def test_an_unknown_variable_is_told_before_anything_runs() -> None:
+    with pytest.raises(ResultsError, match="weather: none of placers, workers"):
+        full(["placers", "weather"], 1, "small", "test")
+
+
+def test_results_of_one_version_are_put_together_and_others_are_not() -> None:
+    one, other = generated({"cpu_percent": (1.0, {})}, 1), generated({"cpu_percent": (1.0, {})}, 2)
+    assert added(one, other).points == one.points + other.points
+    with pytest.raises(ResultsError, match="version: v0 in the kept results, v1 in the new ones"):
+        added(one, structs.replace(other, version="v1"))
