--- a/sprucepost/scale/roles.py
+++ b/sprucepost/scale/roles.py
@@ -36,7 +36,7 @@
     ),
     Role(
         "log", "server of the replicated log", "", ("", "", "", ""),
-        ("agreement.keeper", "agreement.registry"), note="in no process yet",
+        ("agreement.server", "agreement.registry"), note="in no process yet",
     ),
     Role(
         "list", "server of the list", "list", _WHOLE, ("placer.fleet", "node.feed"),
--- a/sprucepost/scale/state.py
+++ b/sprucepost/scale/state.py
@@ -10,7 +10,7 @@
 import itertools
 import json
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +18,8 @@
 from msgspec import Struct
 
 from sprucepost import interface as i
-from sprucepost.agreement import registry
+from sprucepost.agreement import commands
+from sprucepost.agreement.registry import Registry
 from sprucepost.brain import Scheduler
 from sprucepost.membership import Generation
 from sprucepost.node.bulletin import Bulletin
@@ -235,28 +236,31 @@
 # The replicated log
 
 
-def _registry(commands: Callable[[], list[registry.Command]]) -> tuple[float, float]:
+def _registry(sequence: Callable[[], list[commands.Command]]) -> tuple[float, float]:
     """Of what the commands leave: bytes of a snapshot, and memory."""
 
-    def hold() -> registry.Registry:
-        held = registry.Registry()
-        for at, command in enumerate(commands(), 1):
-            answer = held.apply(at, registry.encode(command))
-            assert answer.ok, answer.why
+    def hold() -> Registry:
+        held = Registry()
+        for index, command in enumerate(sequence(), 1):
+            result = held.apply(index, commands.encode(command))
+            assert result.ok, result
         return held
 
     return _each(hold().snapshot(), ENTRIES), _memory(hold)
 
 
-def _sessions() -> list[registry.Command]:
-    return [registry.Enter(f"placer-{n}") for n in range(ENTRIES)]
+def _sessions() -> list[commands.Command]:
+    return [commands.OpenSession(f"placer-{n}") for n in range(ENTRIES)]
 
 
-def _values() -> list[registry.Command]:
-    put = [registry.Put(f"setting-{n}", bytes(100)) for n in range(ENTRIES)]
-    return [registry.Enter("operator"), *(registry.Do(1, n, what) for n, what in enumerate(put, 1))]
+def _values() -> list[commands.Command]:
+    return _in_session([commands.Put(f"setting-{n}", bytes(100)) for n in range(ENTRIES)])
 
 
-def _leases() -> list[registry.Command]:
-    take = [registry.Acquire(f"number-{n}", 10_000.0) for n in range(ENTRIES)]
-    return [registry.Enter("placer"), *(registry.Do(1, n, what) for n, what in enumerate(take, 1))]
+def _leases() -> list[commands.Command]:
+    return _in_session([commands.AcquireLease(f"number-{n}", 10_000.0) for n in range(ENTRIES)])
+
+
+def _in_session(operations: Sequence[commands.Operation]) -> list[commands.Command]:
+    session = commands.OpenSession("placer")
+    return [session, *(commands.SessionCommand(1, number, each) for number, each in enumerate(operations, 1))]
