Scale: hollow members begin as a settled fleet, not as a start at once

Hollow members that all joined at once told each other of every stream: 27 s at 96, and at 350 a process of 60 was so busy that it took no order within 10 s. They are given the records with the streams that the rings ask for, open these streams, and only then run their views; real placers have started before and learn of the fleet by the usual summaries. Dead end: setting the view's members beforehand, too, made each member end all streams at its first tick, since it had drawn no rings yet. The page /members shows each member's life, which real members are known by.

--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -80,6 +80,7 @@
                 "room": record.room,
                 "address": record.address,
                 "incarnation": record.incarnation,
+                "life": record.life,
                 "generation": record.generation.number,
                 "size": record.generation.size,
                 "over_ms": record.generation.over_ms,
--- a/sprucepost/scale/fleet.py
+++ b/sprucepost/scale/fleet.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Generator, Mapping, Sequence
+from collections.abc import Callable, Generator, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from statistics import fmean
@@ -15,20 +15,22 @@
 
 import msgspec
 
-from sprucepost.loop import in_scope
+from sprucepost.loop import TimedOut, in_scope
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.placer.daemon import address_of
 from sprucepost.scale import deployment
+from sprucepost.scale.hollow.members import member_name
 from sprucepost.scale.hollow.settings import (
     Announcement,
     ClientsFile,
+    Known,
     MembersFile,
     MemberSpec,
     MembersStatus,
     PlacerAnnouncement,
     WorkersFile,
 )
-from sprucepost.scale.measure import read_metrics
+from sprucepost.scale.measure import read_members, read_metrics
 from sprucepost.scale.processes import Needs, Process, ProcessGroup, ScaleError
 from sprucepost.scale.size import RunSize
 from sprucepost.settings import PeerOptions, PlacerFile, PlacerOptions
@@ -36,6 +38,7 @@
 from sprucepost.standin.orders import order
 from sprucepost.view.rings import rings_for
 from sprucepost.wire.client import open_client
+from sprucepost.wire.status import RpcError
 
 T = TypeVar("T")
 Steps = Generator[str, None, T]
@@ -52,6 +55,10 @@
 """Placers to a host."""
 
 
+class NoAnswer(ScaleError):
+    """A hollow process did not take an order."""
+
+
 class Source(Enum):
     """A source of load on a placer."""
 
@@ -183,8 +190,8 @@
         """Start everything; yields what is waited for, until the fleet is settled. ScaleError where a process ends."""
         yield from self._start_list()
         yield from self._start_workers()
-        seeds = yield from self._start_members()
-        yield from self._start_placers(seeds)
+        yield from self._start_placers()
+        yield from self._start_members()
         yield from self._start_clients()
         yield from self._until_attached()
         self._start_tasks()
@@ -219,33 +226,44 @@
         """Host and room of a placer."""
         return f"host{number // HOSTS_SHARED_BY}", self._zones[number % len(self._zones)]
 
-    def _start_members(self) -> Steps[list[str]]:
-        """Hollow members; the addresses of some of them, by which all others join."""
+    def _start_members(self) -> Steps[None]:
+        """Hollow members, settled among themselves and connected to the real ones."""
         first = self.real_count + self._member_references
         specs = [MemberSpec(number, *self._place(number)) for number in range(first, self.size.placers)]
-        seeds: list[str] = []
+        if not specs:
+            return
+        lists = self.list_address if self.options.lists_watched else ""
         for number, part in enumerate(_parts(specs, self.options.members_per_process)):
-            file = MembersFile(
-                cluster=self.cluster,
-                fleet=self.name,
-                instances=self.size.placers,
-                members=part,
-                seeds=seeds,
-                list_address=self.list_address if self.options.lists_watched else "",
-            )
+            file = MembersFile(self.cluster, self.name, self.size.placers, part, lists)
             self.members.append(self._start_hollow(f"members{number}", file))
-            if not seeds:
-                yield from self._all_announced(self.members)
-                seeds = self.members[0].announcement.addresses[:3]
         yield from self._all_announced(self.members)
-        return seeds
+        fleet = [known_member(placer) for placer in self.placers if Source.PEERS in placer.sources]
+        fleet += [member for hollow in self.members for member in hollow.announcement.members]
+        for hollow in self.members:
+            self.ask(hollow, "join", fleet=msgspec.to_builtins(fleet))
+        yield from self._until_members(lambda status: status.unconnected == 0, "streams are missing")
+        for hollow in self.members:
+            self.ask(hollow, "begin")
+
+    def _until_members(self, done: Callable[[MembersStatus], bool], text: str) -> Steps[None]:
+        for hollow in self.members:
+            while True:
+                try:
+                    status = msgspec.convert(self.ask(hollow, "status"), MembersStatus)
+                except NoAnswer as error:
+                    yield str(error)
+                    continue
+                if done(status):
+                    break
+                yield f"{hollow.process.name}: {text}, {status.unconnected} to come, {status.here_least} members seen"
 
-    def _start_placers(self, seeds: list[str]) -> Steps[None]:
+    def _start_placers(self) -> Steps[None]:
         wanted = [(f"placer{number}", EVERYTHING) for number in range(self.real_count)]
         if self.options.references:
             # Members of the view have the numbers within its size, the others those after it.
             found = sorted(REFERENCES.items(), key=lambda item: Source.PEERS not in item[1])
             wanted += [(f"reference-{name}", sources) for name, sources in found]
+        seeds: list[str] = []
         for position, (name, sources) in enumerate(wanted):
             outside = self.size.placers - self.real_count - self._member_references
             number = position if Source.PEERS in sources else position + outside
@@ -258,7 +276,7 @@
 
     def _start_placer(self, name: str, number: int, sources: frozenset[Source], seeds: list[str]) -> None:
         host, room = self._place(number)
-        peers = PeerOptions(cluster=self.name, seeds=seeds, name=f"p{number}", host=host, room=room)
+        peers = PeerOptions(cluster=self.name, seeds=seeds, name=member_name(number), host=host, room=room)
         options = PlacerOptions(
             instances=self.size.placers if Source.PEERS in sources else self.size.placers + len(REFERENCES),
             zone=room,
@@ -301,12 +319,7 @@
 
     def _until_settled(self) -> Steps[None]:
         """Until all views show the whole fleet and have been quiet for a while."""
-        for hollow in self.members:
-            while True:
-                status = msgspec.convert(self.ask(hollow, "status"), MembersStatus)
-                if status.here_least == self.size.placers:
-                    break
-                yield f"{hollow.process.name}: sees {status.here_least} of {self.size.placers} placers"
+        yield from self._until_members(lambda status: status.here_least == self.size.placers, "do not see all")
         for placer in self.placers:
             if Source.PEERS not in placer.sources:
                 continue
@@ -372,7 +385,16 @@
             finally:
                 connection.close()
 
-        return self._loop.run(lambda: in_scope(lambda scope: give()))
+        try:
+            return self._loop.run(lambda: in_scope(lambda scope: give()))
+        except (OSError, RpcError, TimedOut) as error:
+            raise NoAnswer(f"{hollow.process.name}: no answer to {what!r}: {error or type(error).__name__}") from None
+
+
+def known_member(placer: RealPlacer) -> Known:
+    """What the view of a real placer says of itself."""
+    own = next(member for member in read_members(placer.http) if member["number"] == placer.number)
+    return Known(own["number"], own["host"], own["room"], own["incarnation"], own["life"], own["address"], real=True)
 
 
 def attribution(cpu_percent: Mapping[str, float], loaded: Sequence[float]) -> dict[str, float]:
--- a/sprucepost/scale/hollow/__main__.py
+++ b/sprucepost/scale/hollow/__main__.py
@@ -40,8 +40,9 @@
 def serve(loop: Loop, scope: Scope, file: HollowFile, announce: Callable[[str], None]) -> Co[int]:
     """Build, announce, and take orders until SIGTERM."""
     company = build(loop, scope, file)
-    port = serve_orders(loop, scope, company.orders(), "127.0.0.1:0")
-    announce(msgspec.json.encode(Announcement(f"127.0.0.1:{port}", company.addresses)).decode())
+    control = f"127.0.0.1:{serve_orders(loop, scope, company.orders(), '127.0.0.1:0')}"
+    known = company.known if isinstance(company, Members) else []
+    announce(msgspec.json.encode(Announcement(control, company.addresses, known)).decode())
     return (yield from until_stopped(loop, scope))
 
 
--- a/sprucepost/scale/hollow/settings.py
+++ b/sprucepost/scale/hollow/settings.py
@@ -25,11 +25,8 @@
     """Name of the fleet, as in ``placer.peers.cluster``."""
     instances: int
     members: list[MemberSpec]
-    seeds: list[str] = []
-    """Members of other processes; none: the first of this one."""
     list_address: str = ""
     """Where the list of machines is watched; empty: not at all."""
-    starts_per_s: float = 100.0
 
 
 class WorkersFile(Struct, frozen=True, forbid_unknown_fields=True, tag="workers"):
@@ -63,13 +60,28 @@
     control: str
     """Where it takes orders."""
     addresses: list[str] = []
-    """Of its members or workers, in their order."""
+    """Of its workers, in their order."""
+    members: list[Known] = []
+
+
+class Known(Struct, frozen=True):
+    """What hollow members are told of a member, hollow or real, by the order ``join``."""
+
+    number: int
+    host: str
+    room: str
+    incarnation: int
+    life: str
+    address: str
+    real: bool = False
 
 
 class MembersStatus(Struct, frozen=True):
     """What the order ``status`` tells of hollow members."""
 
     members: int
+    unconnected: int
+    """Streams that are wanted and not there yet."""
     here_least: int
     """Members that are reachable, in the view that shows the fewest."""
     settled_ms: float
--- a/sprucepost/scale/measure.py
+++ b/sprucepost/scale/measure.py
@@ -13,10 +13,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
+
+import msgspec
 
 from sprucepost.scale.sockets import Ports, Traffic, inodes
 
-METRICS_LIMIT_S = 10.0
+PAGE_LIMIT_S = 10.0
 VIEW_COUNTERS = {
     "messages_out": "sprucepost_view_messages_sent",
     "messages_in": "sprucepost_view_messages_received",
@@ -72,12 +75,22 @@
     return Reading(time.monotonic(), cpu_s(pid), memory, descriptors, own)
 
 
+def read_page(http: str, path: str) -> bytes:
+    """A page of a placer. OSError where it does not answer."""
+    with urllib.request.urlopen(f"http://{http}{path}", timeout=PAGE_LIMIT_S) as answer:
+        return bytes(answer.read())
+
+
+def read_members(http: str) -> list[dict[str, Any]]:
+    """The members of a placer's view."""
+    found: list[dict[str, Any]] = msgspec.json.decode(read_page(http, "/members"))["members"]
+    return found
+
+
 def read_metrics(http: str) -> dict[str, float]:
-    """Gauges and counters without labels, by name. OSError where the placer does not answer."""
-    with urllib.request.urlopen(f"http://{http}/metrics", timeout=METRICS_LIMIT_S) as answer:
-        text = answer.read().decode()
+    """Gauges and counters without labels, by name."""
     found = {}
-    for line in text.splitlines():
+    for line in read_page(http, "/metrics").decode().splitlines():
         name, _, value = line.rpartition(" ")
         if name and not line.startswith("#") and "{" not in name:
             found[name] = float(value)
--- a/sprucepost/scale/runner.py
+++ b/sprucepost/scale/runner.py
@@ -292,9 +292,10 @@
     """Which work a connection of that placer is for."""
     fleet = interval.fleet
     remote = {port_of(fleet.list_address): "list"}
-    for hollow, name in ((fleet.workers, "placements"), (fleet.members, "peers")):
-        for each in hollow:
-            remote |= {port_of(address): name for address in each.announcement.addresses}
+    for workers in fleet.workers:
+        remote |= {port_of(address): "placements" for address in workers.announcement.addresses}
+    for members in fleet.members:
+        remote |= {port_of(member.address): "peers" for member in members.announcement.members}
     remote |= {port_of(other.address): "peers" for other in fleet.placers}
     own, clients = port_of(placer.address), client_inodes(fleet)
 
