--- a/sprucepost/scale/fits.py
+++ b/sprucepost/scale/fits.py
@@ -186,14 +186,21 @@
     square over the few sizes that can be measured.
     """
     largest = max(each.size for each in observations)
-    squares = [_least_squares(terms, observations) for terms in ((_constant, _square), (_constant, float, _square))]
+    squares = _possible([(_square,), (float, _square), (_constant, _square), (_constant, float, _square)], observations)
+    if not squares:
+        return False
     best = min(squares, key=lambda regression: regression.criterion)
     share = best.coefficients[-1] * _square(largest)
     if share < SQUARE_SHARE_LEAST * abs(_mean_at(observations, largest)):
         return False
-    slower = [_least_squares(terms, observations) for terms in _slower_sums()]
-    possible = [regression.criterion for regression in slower if min(regression.coefficients) >= 0.0]
-    return min(possible) - best.criterion > DECISIVE
+    slower = _possible(_slower_sums(), observations)
+    return min(regression.criterion for regression in slower) - best.criterion > DECISIVE
+
+
+def _possible(sums: Sequence[tuple[Term, ...]], observations: Sequence[Observation]) -> list[Regression]:
+    """The regressions without a negative coefficient."""
+    found = [_least_squares(terms, observations) for terms in sums]
+    return [regression for regression in found if min(regression.coefficients) >= 0.0]
 
 
 def _slower_sums() -> list[tuple[Term, ...]]:
--- a/tests/scale/test_fits.py
+++ b/tests/scale/test_fits.py
@@ -74,6 +74,12 @@
     assert sum(found) <= 2
 
 
+def test_a_figure_that_falls_and_levels_off_is_no_finding() -> None:
+    """A share of a fixed load: fewer tasks for each placer, the more placers there are."""
+    found = [grows_too_fast(observed(lambda n: 600.0 / n - 8.0, seed, noise=0.05)) for seed in range(200)]
+    assert sum(found) == 0
+
+
 def test_growth_with_the_square_is_found() -> None:
     found = [grows_too_fast(observed(lambda n: 0.1 * n + 0.01 * n * n, seed)) for seed in range(100)]
     assert sum(found) >= 95
