Scale: what changes of configuration and restarts of workers cost, pressed into an interval

At the planned rates none of them falls into seconds. They come 60 times as often in an interval of their own; what a placer uses more, for each event, times the planned rate, is what they cost it. A class of which nothing started in the interval has no time of start instead of 0.

--- a/sprucepost/scale/fleet.py
+++ b/sprucepost/scale/fleet.py
@@ -123,7 +123,7 @@
     def __init__(self, group: ProcessGroup, loop: EpollLoop, name: str, size: RunSize, options: FleetOptions) -> None:
         self.size, self.options, self.name = size, options, name
         self.cluster = deployment.cluster(size)
-        self._group, self._loop = group, loop
+        self._group, self._loop, self._rng = group, loop, loop.rng()
         self._zones = deployment.zone_names(size)
         self.list: Process
         self.list_address = ""
@@ -356,11 +356,10 @@
             )
         self.ask(self.clients[0], "ask", running=round(size.running_tasks * self._real_share))
 
-    def restart_workers(self, per_s: float) -> None:
-        """From now on workers of the whole fleet are restarted at that rate."""
-        for hollow in self.workers:
-            share = len(hollow.announcement.addresses) / self.size.workers
-            self.ask(hollow, "restarts", per_s=per_s * share)
+    def restart_worker(self) -> None:
+        """One worker, drawn from the whole fleet, is gone for a while and comes back with nothing running."""
+        sizes = [len(hollow.announcement.addresses) for hollow in self.workers]
+        self.ask(self._rng.choices(self.workers, sizes)[0], "restart")
 
     def change_configuration(self, version: int) -> None:
         """Another value of a changeable setting for every loaded placer: a file and a SIGHUP each."""
--- a/sprucepost/scale/hollow/workers.py
+++ b/sprucepost/scale/hollow/workers.py
@@ -56,10 +56,9 @@
             self.field.changed(host)
         self._hosts = list(self.field.hosts.values())
         self._requests = count(1)
-        self._starts_per_s = self._restarts_per_s = 0.0
+        self._starts_per_s = 0.0
         self._life_ms = 1.0
         scope.spawn(self._start_tasks(), "tasks of hollow placers")
-        scope.spawn(self._restart_workers(), "restarts")
 
     @property
     def addresses(self) -> list[str]:
@@ -68,15 +67,13 @@
     # Tasks of hollow placers
 
     def _start_tasks(self) -> Co[None]:
+        """Independent starts at the rate of the moment."""
         while True:
-            yield from self._wait(self._starts_per_s)
-            if self._starts_per_s:
+            rate = self._starts_per_s
+            yield from sleep(self._rng.expovariate(rate / 1000.0) if rate else IDLE_MS)
+            if rate:
                 self._offer(self._rng.choice(self._hosts))
 
-    def _wait(self, rate_per_s: float) -> Co[None]:
-        """Until the next of independent events at that rate; where there are none, for a while."""
-        yield from sleep(self._rng.expovariate(rate_per_s / 1000.0) if rate_per_s else IDLE_MS)
-
     def _offer(self, host: MachineHost) -> None:
         number = next(self._requests)
         shares = deployment.CLASS_SHARES
@@ -97,13 +94,6 @@
 
     # Restarts
 
-    def _restart_workers(self) -> Co[None]:
-        while True:
-            yield from self._wait(self._restarts_per_s)
-            running = [host for host in self._hosts if host.model.state is State.READY]
-            if self._restarts_per_s and running:
-                self._scope.spawn(self._restart(self._rng.choice(running)), "restart")
-
     def _restart(self, host: MachineHost) -> Co[None]:
         host.crash()
         yield from sleep(DOWN_MS)
@@ -112,8 +102,8 @@
     # Orders
 
     def orders(self) -> Orders:
-        """``tasks``: those of hollow placers; ``restarts``: of workers; ``status``: how many tasks there are."""
-        return Orders({"tasks": self._tasks, "restarts": self._restarts, "status": self._status})
+        """``tasks``: those of hollow placers; ``restart``: a worker; ``status``: how many tasks there are."""
+        return Orders({"tasks": self._tasks, "restart": self._restart_one, "status": self._status})
 
     def _tasks(self, starts_per_s: float, running: int, life_ms: float) -> dict[str, Any]:
         """As many running from the start, and new ones at that rate. Lives are exponential, so that the time which is left
@@ -123,8 +113,10 @@
             self._offer(self._hosts[number % len(self._hosts)])
         return {}
 
-    def _restarts(self, per_s: float) -> dict[str, Any]:
-        self._restarts_per_s = per_s
+    def _restart_one(self) -> dict[str, Any]:
+        running = [host for host in self._hosts if host.model.state is State.READY]
+        if running:
+            self._scope.spawn(self._restart(self._rng.choice(running)), "restart")
         return {}
 
     def _status(self) -> dict[str, Any]:
--- a/sprucepost/scale/results.py
+++ b/sprucepost/scale/results.py
@@ -12,20 +12,27 @@
 
 FORMAT = 1  # of the file; another one is refused
 
-CPU_KINDS = ("placements", "list", "peers", "configuration", "clients", "log", "other")
+CPU_KINDS = ("placements", "list", "peers", "configuration", "restarts", "clients", "log", "other")
 """Kinds of work that processor time is attributed to; figure ``cpu_percent.KIND`` is per cent of one core."""
 
+BYTES_KINDS = ("placements", "list", "peers", "clients", "other")
+"""What a connection is for; ``placements``: one to a worker."""
+
 FIGURES = (
     "cpu_percent",
     *(f"cpu_percent.{kind}" for kind in CPU_KINDS),
     "memory_mib",
     "bytes_out_per_s",
     "bytes_in_per_s",
+    *(f"{name}.{kind}" for name in ("bytes_out_per_s", "bytes_in_per_s") for kind in BYTES_KINDS),
+    "view_bytes_out_per_s",
+    "view_bytes_in_per_s",
     "messages_out_per_s",
     "messages_in_per_s",
     "descriptors",
 )
-"""Figures of a real process. Processor time is user plus system time over the measured interval."""
+"""Figures of a real process. Processor time is user plus system time over the measured interval. Bytes are payload of TCP,
+those of the view without its framing; messages are those to and from other placers."""
 
 
 class Sample(Struct, frozen=True, forbid_unknown_fields=True):
--- a/sprucepost/scale/runner.py
+++ b/sprucepost/scale/runner.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 from sprucepost.loop.epoll import EpollLoop
-from sprucepost.scale import results
+from sprucepost.scale import pressed, results
 from sprucepost.scale.fleet import Fleet, FleetOptions, RealPlacer, Source, attribution
 from sprucepost.scale.measure import (
     Counters,
@@ -38,8 +38,6 @@
 from sprucepost.scale.size import VARIABLES, RunSize
 from sprucepost.scale.sockets import Ports, Traffic, connections, inodes
 
-PRESSED = 60.0
-"""An hour into a minute: how much faster than planned changes and restarts come while their cost is measured."""
 STEP_S = 0.1
 Say = Callable[[str], None]
 
@@ -147,16 +145,16 @@
     loop = EpollLoop(options.seed)
     try:
         with tempfile.TemporaryDirectory(prefix="sprucepost-scale-") as folder, ProcessGroup(Path(folder)) as group:
-            fleets = [Fleet(group, loop, f"run{number}", run.size, options.fleet) for number, run in enumerate(batch)]
+            fleets = [Fleet(group, loop, f"run{n}", run.size, options.fleet) for n, run in enumerate(batch)]
             settle(fleets, options.settle_limit_s, say)
             check_memory(group)
             intervals = [Interval(fleet) for fleet in fleets]
             say(f"measure for {options.measure_s:g} s")
             pass_interval(intervals, options.measure_s)
-            extra = pressed_figures(fleets, options)
-            return [
-                point(run, options, interval, more) for run, interval, more in zip(batch, intervals, extra, strict=True)
-            ]
+            rare = [RareEvents() for _ in fleets]
+            for kind in pressed.KINDS:
+                measure_rare(kind, intervals, rare, options.measure_s, say)
+            return [point(*each, options) for each in zip(batch, intervals, rare, strict=True)]
     finally:
         loop.close()
 
@@ -166,15 +164,14 @@
     began, said = time.monotonic(), ""
     waiting = {fleet.name: fleet.bring_up() for fleet in fleets}
     while waiting:
-        for name, steps in list(waiting.items()):
-            text = next(steps, None)
-            if text is None:
-                del waiting[name]
-            elif time.monotonic() - began > limit_s:
-                raise NotSettled(f"not settled after {limit_s:g} s: {text}")
-            elif text.partition(",")[0] != said:
-                said = text.partition(",")[0]
-                say(f"wait for {text}")
+        texts = {name: next(steps, None) for name, steps in waiting.items()}
+        waiting = {name: waiting[name] for name, text in texts.items() if text is not None}
+        first = next((text for text in texts.values() if text is not None), "")
+        if waiting and time.monotonic() - began > limit_s:
+            raise NotSettled(f"not settled after {limit_s:g} s: {first}")
+        if waiting and first.partition(",")[0] != said:
+            said = first.partition(",")[0]
+            say(f"wait for {first}")
         time.sleep(STEP_S)
     say(f"settled after {time.monotonic() - began:.1f} s")
 
@@ -196,7 +193,7 @@
         self.counters: dict[str, tuple[Counters, Counters]] = {}
         self._first: dict[str, Counters] = {}
         self.connections: dict[Ports, Traffic] = {}
-        self.starts: dict[str, dict[str, object]] = {}
+        self.starts: dict[str, dict[str, Any]] = {}
 
     def begin(self) -> None:
         """Counters first: what reading them costs a placer is not in its processor time."""
@@ -230,7 +227,11 @@
             for placer in self.fleet.placers
             if placer.is_reference
         }
-        return attribution(references, [self.cpu_percent(placer) for placer in loaded(self.fleet)])
+        return attribution(references, list(self.loaded_percent().values()))
+
+    def loaded_percent(self) -> dict[str, float]:
+        """Processor time of each loaded placer."""
+        return {placer.name: self.cpu_percent(placer) for placer in loaded(self.fleet)}
 
 
 def loaded(fleet: Fleet) -> list[RealPlacer]:
@@ -253,22 +254,47 @@
         interval.end()
 
 
-def pressed_figures(fleets: Sequence[Fleet], options: RunOptions) -> list[dict[str, float]]:
-    """What changes of configuration and restarts of workers cost at their planned rates, from intervals of their own."""
-    found: list[dict[str, float]] = [{} for _ in fleets]
-    return found
+@dataclass
+class RareEvents:
+    """What rare events cost each loaded placer of a fleet, and what became of them."""
+
+    cpu_percent: dict[str, float] = field(default_factory=dict)
+    fleet: dict[str, float] = field(default_factory=dict)
 
 
-def point(run: Run, options: RunOptions, interval: Interval, more: Mapping[str, float]) -> Point:
+def measure_rare(
+    kind: pressed.Kind, quiet: Sequence[Interval], rare: Sequence[RareEvents], seconds: float, say: Say
+) -> None:
+    """Let one more interval pass, with events of that kind, over the fleets that have any."""
+    pairs = [(interval, found) for interval, found in zip(quiet, rare, strict=True) if kind.per_day(interval.fleet)]
+    if not pairs:
+        return
+    say(f"measure {kind.name} for {seconds:g} s")
+    schedules = [pressed.Schedule(interval.fleet, kind, seconds) for interval, _ in pairs]
+    during = [Interval(interval.fleet) for interval, _ in pairs]
+
+    def step(passed_s: float) -> None:
+        for schedule in schedules:
+            schedule.step(passed_s)
+
+    pass_interval(during, seconds, step)
+    for (before, found), after, schedule in zip(pairs, during, schedules, strict=True):
+        additional_s = pressed.mean_additional_s(before.loaded_percent(), after.loaded_percent(), seconds)
+        found.cpu_percent[kind.name] = schedule.percent(additional_s)
+        if kind.name == "configuration":
+            found.fleet |= pressed.change_figures(schedule, loaded(before.fleet))
+
+
+def point(run: Run, interval: Interval, rare: RareEvents, options: RunOptions) -> Point:
     """The figures of a run."""
-    fleet = interval.fleet
-    kinds = {f"cpu_percent.{kind}": value for kind, value in interval.kinds().items()}
-    samples = [
-        Sample("placer", placer.name, rounded({**placer_figures(interval, placer), **kinds}))
-        for placer in loaded(fleet)
-    ]
-    ports = process_figures(interval.before["list"], interval.after["list"], lambda _: "list")
-    samples.append(Sample("list", "list", rounded(ports)))
+    kinds = {f"cpu_percent.{kind}": value for kind, value in {**interval.kinds(), **rare.cpu_percent}.items()}
+    samples = []
+    for placer in loaded(interval.fleet)[: options.fleet.real_placers]:
+        figures = {**placer_figures(interval, placer), **kinds}
+        figures["cpu_percent"] += sum(rare.cpu_percent.values())
+        samples.append(Sample("placer", placer.name, rounded(figures)))
+    lists = process_figures(interval.before["list"], interval.after["list"], lambda _: "list")
+    samples.append(Sample("list", "list", rounded(lists)))
     return Point(
         variable=run.variable,
         size=run.value,
@@ -277,7 +303,7 @@
         seconds=options.measure_s,
         load_average=os.getloadavg()[0],
         samples=tuple(samples),
-        fleet=rounded({**start_figures(interval.starts), **more}),
+        fleet=rounded({**start_figures(interval.starts), **rare.fleet}),
     )
 
 
@@ -320,14 +346,13 @@
     return int(address.rpartition(":")[2])
 
 
-def start_figures(starts: Mapping[str, Mapping[str, object]]) -> dict[str, float]:
+def start_figures(starts: Mapping[str, Mapping[str, Any]]) -> dict[str, float]:
     """Start to running by class of work, and what was refused, late or lost."""
     figures: dict[str, float] = {}
     for name, result in starts.items():
-        for key in ("start_p99_ms", "start_worst_ms", "started"):
-            figures[f"{key}.{name}"] = float(result[key])  # type: ignore[arg-type]
+        keys = ("started", "start_p99_ms", "start_worst_ms") if result["started"] else ("started",)
+        figures |= {f"{key}.{name}": float(result[key]) for key in keys}
         outcomes = result["outcomes"]
-        assert isinstance(outcomes, dict)
         figures |= {f"outcome.{name}.{outcome.replace(' ', '_')}": float(n) for outcome, n in outcomes.items()}
     return figures
 
