Scale: real nodes among hosts, a bulletin and owners of the platform; tests of the runner

The platform's placer is measured as it is: hosts that let every task stand, the bulletin with each change of a host's room, owners by team. What tells the kinds of work apart has a module of its own.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 check: $(READY)
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/ruff format --check -q sprucepost/loop sprucepost/wire sprucepost/settings sprucepost/placer sprucepost/placing sprucepost/admission sprucepost/node sprucepost/view sprucepost/agreement sprucepost/peers sprucepost/play sprucepost/standin sprucepost/rules sprucepost/cli sprucepost/load sprucepost/scale tests/load tests/loop tests/wire tests/placer tests/placing tests/admission tests/node tests/view tests/agreement tests/peers tests/standin tests/rules
+	$(VENV)/bin/ruff format --check -q sprucepost/loop sprucepost/wire sprucepost/settings sprucepost/placer sprucepost/placing sprucepost/admission sprucepost/node sprucepost/view sprucepost/agreement sprucepost/peers sprucepost/play sprucepost/standin sprucepost/rules sprucepost/cli sprucepost/load sprucepost/scale tests/scale tests/load tests/loop tests/wire tests/placer tests/placing tests/admission tests/node tests/view tests/agreement tests/peers tests/standin tests/rules
 	$(PY) -m mypy
 	$(VENV)/bin/lint-imports
 
--- a/sprucepost/scale/deployment.py
+++ b/sprucepost/scale/deployment.py
@@ -8,8 +8,9 @@
 from sprucepost.settings import Cluster
 from sprucepost.settings.cluster import Kind, TaskClass, Tenant
 
+KIND = "standard"
 CORES, MEMORY = 32.0, 64.0
-WORKERS_PER_RACK = 40
+RACK_WORKERS = 40
 TASK_CORES, TASK_MEMORY = 1.0, 2.0
 CLASS_SHARES = {"urgent": 0.1, "keyed": 0.2, "ordinary": 0.7}
 """Of all tasks that are asked for."""
@@ -30,7 +31,7 @@
     """Settings of every placer, machine and client of a run."""
     return Cluster(
         zones=zone_names(size),
-        kinds=[Kind("standard", CORES, MEMORY)],
+        kinds=[Kind(KIND, CORES, MEMORY)],
         classes=[
             TaskClass("urgent", aim_ms=2300.0, deadline_ms=5000.0, effect="safe", worth=9.0, priority=3),
             TaskClass("keyed", aim_ms=5000.0, deadline_ms=10_000.0, effect="keyed", worth=3.0, window_ms=5000.0),
@@ -55,11 +56,11 @@
     zones, models = zone_names(size), []
     for number in range(size.workers):
         zone = zones[number % len(zones)]
-        rack = number // len(zones) // WORKERS_PER_RACK
+        rack = number // len(zones) // RACK_WORKERS
         models.append(
             {
                 "name": f"worker{number}",
-                "kind": "standard",
+                "kind": KIND,
                 "zone": zone,
                 "cell": f"{zone}-rack{rack}",
                 "cores": CORES,
--- a/sprucepost/scale/fleet.py
+++ b/sprucepost/scale/fleet.py
@@ -1,38 +1,40 @@
 """The processes of one run: a few real placers among hollow members, workers and clients, on loopback.
 
-The kinds of work are told apart by reference placers, which stand in the same fleet over the same interval and lack one
-source of load each; see :data:`REFERENCES` and :func:`attribution`.
+Beside the loaded placers stand reference placers, by which kinds of work are told apart (:mod:`sprucepost.scale.sources`).
 """
 
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable, Generator, Mapping, Sequence
+from collections.abc import Callable, Generator, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
-from statistics import fmean
 from typing import Any, TypeVar
 
 import msgspec
 
 from sprucepost.loop import TimedOut, in_scope
 from sprucepost.loop.epoll import EpollLoop
-from sprucepost.placer.daemon import address_of
+from sprucepost.placer.daemon import address_of, address_text
 from sprucepost.scale import deployment
 from sprucepost.scale.hollow.members import member_name
+from sprucepost.scale.hollow.platform import node_settings
 from sprucepost.scale.hollow.settings import (
     Announcement,
     ClientsFile,
+    HollowFile,
+    HostSpec,
     Known,
     MembersFile,
     MemberSpec,
     MembersStatus,
     PlacerAnnouncement,
+    PlatformFile,
     WorkersFile,
 )
 from sprucepost.scale.measure import read_members, read_metrics
 from sprucepost.scale.processes import Needs, Process, ProcessGroup, ScaleError
 from sprucepost.scale.size import RunSize
+from sprucepost.scale.sources import EVERYTHING, REFERENCES, Source
 from sprucepost.settings import PeerOptions, PlacerFile, PlacerOptions
 from sprucepost.settings.placer import Limits as PlacerLimits
 from sprucepost.standin.orders import order
@@ -59,25 +61,6 @@
     """A hollow process did not take an order."""
 
 
-class Source(Enum):
-    """A source of load on a placer."""
-
-    PEERS = "peers"
-    LIST = "list"
-    CLIENTS = "clients"
-    ASKS = "asks"
-
-
-EVERYTHING = frozenset(Source)
-REFERENCES: Mapping[str, frozenset[Source]] = {
-    "bare": frozenset(),
-    "peers": frozenset({Source.PEERS}),
-    "list": frozenset({Source.LIST}),
-    "clients": frozenset({Source.LIST, Source.CLIENTS}),
-}
-"""Reference placers by name, and what loads them. ``list``: streams to the workers too, which are known by it."""
-
-
 @dataclass(frozen=True)
 class FleetOptions:
     """How a run is made; the same for all of its sizes."""
@@ -86,6 +69,8 @@
     hollow: bool = True
     """Else all placers are real ones: for calibration."""
     references: bool = True
+    nodes: int = 2
+    """Real placers on the platform's front, with hosts, bulletin and owners of their own; 0: none."""
     lists_watched: bool = False
     """Whether hollow placers watch the list: a load on the list's server, not on their neighbours."""
     members_per_process: int = 60
@@ -109,6 +94,15 @@
         return self.sources != EVERYTHING
 
 
+@dataclass
+class RealNode:
+    """A real placer on the platform's front."""
+
+    name: str
+    process: Process
+    address: str
+
+
 @dataclass
 class HollowProcess:
     """A hollow process and where it takes orders."""
@@ -131,6 +125,8 @@
         self.members: list[HollowProcess] = []
         self.clients: list[HollowProcess] = []
         self.placers: list[RealPlacer] = []
+        self.platform: HollowProcess | None = None
+        self.nodes: list[RealNode] = []
 
     # Numbers
 
@@ -167,17 +163,19 @@
             min(size.workers, options.workers_per_process),
         )
         return Needs(
-            processes=1 + real + member_processes + worker_processes + 2,
+            processes=1 + real + member_processes + worker_processes + 2 + options.nodes + bool(options.nodes),
             descriptors=max(
                 streams + size.workers + size.teams,
                 per_members * (streams + 2),
                 per_workers * (real + 1),
                 sessions,
                 size.placers + references if options.lists_watched else real,
+                2 * size.workers + 4 * size.teams if options.nodes else 0,
+                options.nodes * (size.workers + size.teams) + size.workers if options.nodes else 0,
             )
             + 64,
             ports=2 * real + hollow + size.workers + 16 + max(sessions, hollow * streams, size.workers * real),
-            memory_mib=REAL_MIB * real
+            memory_mib=REAL_MIB * (real + options.nodes)
             + HOLLOW_MIB * (member_processes + worker_processes + 3)
             + MEMBER_MIB * hollow
             + WORKER_MIB * size.workers * real
@@ -193,6 +191,7 @@
         yield from self._start_placers()
         yield from self._start_members()
         yield from self._start_clients()
+        yield from self._start_nodes()
         yield from self._until_attached()
         self._start_tasks()
         yield from self._until_settled()
@@ -202,7 +201,7 @@
             yield f"start of {process.name}"
         return said
 
-    def _start_hollow(self, name: str, file: MembersFile | WorkersFile | ClientsFile) -> HollowProcess:
+    def _start_hollow(self, name: str, file: HollowFile) -> HollowProcess:
         return HollowProcess(self._group.start_with_file(f"{self.name}-{name}", HOLLOW, file))
 
     def _all_announced(self, hollow: Sequence[HollowProcess]) -> Steps[None]:
@@ -303,6 +302,39 @@
                 self.clients.append(self._start_hollow(name, file))
         yield from self._all_announced(self.clients)
 
+    def _start_nodes(self) -> Steps[None]:
+        if not self.options.nodes:
+            return
+        models = deployment.worker_models(self.size)
+        hosts = [HostSpec(model["name"], model["zone"], n // deployment.RACK_WORKERS) for n, model in enumerate(models)]
+        file = PlatformFile(self.cluster, hosts, deployment.team_shares(self.size.teams))
+        self.platform = self._start_hollow("platform", file)
+        yield from self._all_announced([self.platform])
+        bulletin = self.platform.announcement.addresses[0]
+        for number in range(self.options.nodes):
+            self._start_node(number, file, bulletin)
+        for node in self.nodes:
+            yield from self._announced(node.process, dict[str, Any])
+
+    def _start_node(self, number: int, file: PlatformFile, bulletin: str) -> None:
+        listener = self._loop.listen(("127.0.0.1", 0))
+        address = address_text(listener.address)
+        listener.close()  # its configuration must name the port
+        name, path = f"node{number}", self._group.folder / f"{self.name}-node{number}.json"
+        configuration = {
+            "name": name,
+            "listen": address,
+            "seed": f"{number:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64 + 2 * self.size.workers + 4 * self.size.teams},
+            "bulletin": bulletin,
+            "known": {"no": 0, "items": []},
+            "settings": node_settings(file, number, max(self.size.placers, self.options.nodes)),
+        }
+        path.write_bytes(msgspec.json.encode(configuration))
+        environment = {"BALANCER_CONFIG": str(path)}
+        process = self._group.start(f"{self.name}-{name}", ["-m", "sprucepost", "node"], environment)
+        self.nodes.append(RealNode(name, process, address))
+
     # Settled
 
     def _until_attached(self) -> Steps[None]:
@@ -355,6 +387,18 @@
                 life_ms=1000.0 * size.life_s,
             )
         self.ask(self.clients[0], "ask", running=round(size.running_tasks * self._real_share))
+        if self.platform is not None:
+            share = len(self.nodes) / max(size.placers, len(self.nodes))
+            self.ask(
+                self.platform,
+                "begin",
+                nodes=[node.address for node in self.nodes],
+                asks_per_s=size.starts_per_s * share,
+                running=round(size.running_tasks * share),
+                hollow_per_s=size.starts_per_s * (1.0 - share),
+                hollow_running=round(size.running_tasks * (1.0 - share)),
+                life_ms=1000.0 * size.life_s,
+            )
 
     def restart_worker(self) -> None:
         """One worker, drawn from the whole fleet, is gone for a while and comes back with nothing running."""
@@ -396,26 +440,6 @@
     return Known(own["number"], own["host"], own["room"], own["incarnation"], own["life"], own["address"], real=True)
 
 
-def attribution(cpu_percent: Mapping[str, float], loaded: Sequence[float]) -> dict[str, float]:
-    """Processor time by kind of work, from that of the reference placers (by name) and of the loaded ones.
-
-    Each kind is the difference between two placers of which one lacks its source: ``peers`` to a bare one, ``list`` (with
-    the streams to workers) to a bare one, ``clients`` without asks to the list alone; ``placements`` is what is left of a
-    loaded placer, with all that asks cause. So what only shows when two sources meet counts as placements.
-    """
-    if set(cpu_percent) != set(REFERENCES) or not loaded:
-        return {}
-    bare = cpu_percent["bare"]
-    kinds = {
-        "other": bare,
-        "peers": cpu_percent["peers"] - bare,
-        "list": cpu_percent["list"] - bare,
-        "clients": cpu_percent["clients"] - cpu_percent["list"],
-    }
-    kinds["placements"] = fmean(loaded) - sum(kinds.values())
-    return kinds
-
-
 def _parts(items: Sequence[Any], most: int) -> list[list[Any]]:
     return [list(items[at : at + most]) for at in range(0, len(items), most)]
 
--- a/sprucepost/scale/hollow/__main__.py
+++ b/sprucepost/scale/hollow/__main__.py
@@ -14,7 +14,8 @@
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.scale.hollow.clients import Clients
 from sprucepost.scale.hollow.members import Members
-from sprucepost.scale.hollow.settings import Announcement, ClientsFile, HollowFile, MembersFile
+from sprucepost.scale.hollow.platform import Platform
+from sprucepost.scale.hollow.settings import Announcement, ClientsFile, HollowFile, MembersFile, PlatformFile
 from sprucepost.scale.hollow.workers import Workers
 from sprucepost.standin.daemons import serve_orders, until_stopped
 from sprucepost.standin.orders import Orders
@@ -29,11 +30,13 @@
 
 
 def build(loop: Loop, scope: Scope, file: HollowFile) -> Company:
-    """The members, workers or clients that a file asks for."""
+    """The members, workers, clients or platform that a file asks for."""
     if isinstance(file, MembersFile):
         return Members(loop, scope, file)
     if isinstance(file, ClientsFile):
         return Clients(loop, scope, file)
+    if isinstance(file, PlatformFile):
+        return Platform(loop, scope, file)
     return Workers(loop, scope, file)
 
 
--- a/sprucepost/scale/hollow/settings.py
+++ b/sprucepost/scale/hollow/settings.py
@@ -51,7 +51,24 @@
     life_ms: float
 
 
-HollowFile = MembersFile | WorkersFile | ClientsFile
+class HostSpec(Struct, frozen=True, forbid_unknown_fields=True):
+    """One host of the platform."""
+
+    name: str
+    zone: str
+    rack: int
+
+
+class PlatformFile(Struct, frozen=True, forbid_unknown_fields=True, tag="platform"):
+    """Hosts, bulletin and owners around real nodes."""
+
+    cluster: Cluster
+    hosts: list[HostSpec]
+    shares: dict[str, float]
+    """By team, of all that is asked for; they add up to 1."""
+
+
+HollowFile = MembersFile | WorkersFile | ClientsFile | PlatformFile
 
 
 class Announcement(Struct, frozen=True):
@@ -60,7 +77,7 @@
     control: str
     """Where it takes orders."""
     addresses: list[str] = []
-    """Of its workers, in their order."""
+    """Of its workers, in their order; of a platform, its bulletin and its hosts."""
     members: list[Known] = []
 
 
--- a/sprucepost/scale/runner.py
+++ b/sprucepost/scale/runner.py
@@ -20,9 +20,11 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.scale import pressed, results
-from sprucepost.scale.fleet import Fleet, FleetOptions, RealPlacer, Source, attribution
+from sprucepost.scale.fleet import Fleet, FleetOptions, RealPlacer
 from sprucepost.scale.measure import (
     Counters,
     Reading,
@@ -37,6 +39,7 @@
 from sprucepost.scale.results import Point, Results, Sample
 from sprucepost.scale.size import VARIABLES, RunSize
 from sprucepost.scale.sockets import Ports, Traffic, connections, inodes
+from sprucepost.scale.sources import Source, attribution
 
 STEP_S = 0.1
 Say = Callable[[str], None]
@@ -194,10 +197,13 @@
         self._first: dict[str, Counters] = {}
         self.connections: dict[Ports, Traffic] = {}
         self.starts: dict[str, dict[str, Any]] = {}
+        self._platform_before: dict[str, int] = {}
+        self.platform: dict[str, int] = {}
 
     def begin(self) -> None:
         """Counters first: what reading them costs a placer is not in its processor time."""
         self.fleet.ask(self.fleet.clients[0], "reset")
+        self._platform_before = self._platform_counts()
         self._first = self._read_counters()
         self.before = self._read(connections())
 
@@ -207,9 +213,16 @@
         last = self._read_counters()
         self.counters = {name: (self._first[name], last[name]) for name in last}
         self.starts = self.fleet.ask(self.fleet.clients[0], "result")
+        counts = self._platform_counts()
+        self.platform = {name: number - self._platform_before.get(name, 0) for name, number in counts.items()}
+
+    def _platform_counts(self) -> dict[str, int]:
+        platform = self.fleet.platform
+        return {} if platform is None else msgspec.convert(self.fleet.ask(platform, "status"), dict[str, int])
 
     def _read(self, traffic: dict[Ports, Traffic]) -> dict[str, Reading]:
         processes = {placer.name: placer.process for placer in self.fleet.placers} | {"list": self.fleet.list}
+        processes |= {node.name: node.process for node in self.fleet.nodes}
         return {name: read_process(process.pid, traffic) for name, process in processes.items()}
 
     def _read_counters(self) -> dict[str, Counters]:
@@ -295,6 +308,9 @@
         samples.append(Sample("placer", placer.name, rounded(figures)))
     lists = process_figures(interval.before["list"], interval.after["list"], lambda _: "list")
     samples.append(Sample("list", "list", rounded(lists)))
+    for node in interval.fleet.nodes:
+        before, after = interval.before[node.name], interval.after[node.name]
+        samples.append(Sample("node", node.name, rounded(process_figures(before, after, node_kinds(interval.fleet)))))
     return Point(
         variable=run.variable,
         size=run.value,
@@ -303,7 +319,7 @@
         seconds=options.measure_s,
         load_average=os.getloadavg()[0],
         samples=tuple(samples),
-        fleet=rounded({**start_figures(interval.starts), **rare.fleet}),
+        fleet=rounded({**start_figures(interval.starts), **node_outcomes(interval.platform), **rare.fleet}),
     )
 
 
@@ -337,6 +353,15 @@
     return kind
 
 
+def node_kinds(fleet: Fleet) -> Callable[[Ports], str]:
+    """Which work a connection of a node is for."""
+    addresses = fleet.platform.announcement.addresses if fleet.platform is not None else []
+    remote = {port_of(address): "placements" for address in addresses[1:]}
+    remote |= {port_of(address): "list" for address in addresses[:1]}
+    own = {port_of(node.address) for node in fleet.nodes}
+    return lambda ports: remote.get(ports[1], "clients" if ports[0] in own else "other")
+
+
 def client_inodes(fleet: Fleet) -> set[int]:
     """Sockets of all hollow clients."""
     return {inode for hollow in fleet.clients for inode in inodes(hollow.process.pid)}
@@ -357,6 +382,11 @@
     return figures
 
 
+def node_outcomes(counts: Mapping[str, int]) -> dict[str, float]:
+    """What was asked of the nodes, and their answers by kind of message."""
+    return {f"node.{name}": float(number) for name, number in counts.items()}
+
+
 def version() -> str:
     """Of the checkout that runs: ``git describe``."""
     command = ["git", "describe", "--always", "--dirty"]
