--- a/benchmarks/view_fleet.py
+++ b/benchmarks/view_fleet.py
@@ -8,16 +8,17 @@
 from __future__ import annotations
 
 import json
-import os
 import random
 import signal
 import sys
 import tempfile
 import time
+from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
+from sprucepost.scale.measure import cpu_s, read_metrics
 from sprucepost.settings import GenerationOptions
 from tests.peers.fleet import Fleet
 
@@ -25,17 +26,9 @@
 ROUND = 12  # placers asked at a time
 
 
-def cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def sent(fleet: Fleet, number: int) -> float:
     """Bytes said to other placers so far."""
-    for line in fleet.page(number, "/metrics").decode().splitlines():
-        if line.startswith("sprucepost_view_bytes_sent "):
-            return float(line.split()[1])
-    raise ValueError("no such gauge")
+    return read_metrics(f"127.0.0.1:{fleet.ports[fleet.size + number]}")["sprucepost_view_bytes_sent"]
 
 
 def all_see(fleet: Fleet, done: Any, limit_s: float) -> None:
@@ -55,6 +48,32 @@
         raise RuntimeError(f"{len(left)} have not seen it after {limit_s} s")
 
 
+def settled_ms(fleet: Fleet, numbers: Iterable[int]) -> float | None:
+    """When the last of them wrote that all of them are here; None while one has not.
+
+    A placer shows a change on its pages at once, but writes of it only when nothing else has changed for a while
+    (``view.STEP_MS``). So one that shows the whole fleet may have written nothing yet, or of a part of it.
+    """
+    names = {f"p{number}" for number in numbers}
+    times = []
+    for number in numbers:
+        whole = [line["at_ms"] for line in fleet.logged(number, "view") if names <= set(line["here"])]
+        if not whole:
+            return None
+        times.append(float(whole[0]))
+    return max(times)
+
+
+def wait_settled_ms(fleet: Fleet, numbers: Iterable[int], limit_s: float) -> float:
+    """:func:`settled_ms`, once it is known; RuntimeError where that takes too long."""
+    until = time.monotonic() + limit_s
+    while (found := settled_ms(fleet, numbers)) is None:
+        if time.monotonic() > until:
+            raise RuntimeError(f"not every placer has written of the whole fleet after {limit_s} s")
+        time.sleep(0.1)
+    return found
+
+
 def told(fleet: Fleet, numbers: list[int], since_ms: float, gone: set[str]) -> list[float]:
     """Seconds from then until each of them wrote that those are away."""
     found = []
@@ -72,7 +91,7 @@
         began = time.time() * 1000.0
         fleet.start(*range(size))
         all_see(fleet, lambda shown: sum(m["condition"] == "here" for m in shown["members"]) == size, 120.0)
-        settled = max(fleet.logged(n, "view")[-1]["at_ms"] for n in range(size)) - began
+        settled = wait_settled_ms(fleet, range(size), 120.0) - began
         time.sleep(5.0)
         row: dict[str, Any] = {"size": size, "settled_after_start_s": round(settled / 1000.0, 2)}
         some = rng.sample(range(size), min(20, size))
