Scale: hollow placers watch the list, and a run tells what it took of the machine

Without their watches the list's server had the load of five placers at every size. They are no load on the real neighbours. A point tells the processes, memory and processor time of its whole fleet, so that a machine which was full can be seen.

--- a/benchmarks/scale_sweep.py
+++ b/benchmarks/scale_sweep.py
@@ -10,7 +10,7 @@
 from sprucepost.scale.fleet import FleetOptions
 from sprucepost.scale.processes import ScaleError
 from sprucepost.scale.results import save
-from sprucepost.scale.runner import RunOptions, sweep
+from sprucepost.scale.runner import RunOptions, moved, sweep
 from sprucepost.scale.size import RunSize
 
 
@@ -23,9 +23,13 @@
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("variables", nargs="+", type=sizes_of, metavar="NAME=SIZE,SIZE")
+    parser.add_argument(
+        "--at", nargs="*", default=[], type=sizes_of, metavar="NAME=SIZE", help="the other variables, else RunSize's"
+    )
     parser.add_argument("--repeats", type=int, default=3)
     parser.add_argument("--at-a-time", type=int, default=4, help="points that are measured beside each other")
     parser.add_argument("--seconds", type=float, default=6.0, help="of each measured interval")
+    parser.add_argument("--settle", type=float, default=120.0, help="seconds at most until a fleet is settled")
     parser.add_argument("--real", action="store_true", help="real companions in place of hollow ones")
     parser.add_argument("--out", type=Path, required=True)
     arguments = parser.parse_args()
@@ -33,6 +37,7 @@
     options = RunOptions(
         fleet=FleetOptions(hollow=not arguments.real),
         measure_s=arguments.seconds,
+        settle_limit_s=arguments.settle,
         points_at_a_time=arguments.at_a_time,
         command=command,
     )
@@ -42,7 +47,10 @@
         print(f"{time.monotonic() - began:6.1f} s  {text}", file=sys.stderr, flush=True)
 
     try:
-        save(sweep(dict(arguments.variables), RunSize(), arguments.repeats, options, say), arguments.out)
+        base = RunSize()
+        for name, (size, *_) in arguments.at:
+            base = moved(base, name, size)
+        save(sweep(dict(arguments.variables), base, arguments.repeats, options, say), arguments.out)
     except ScaleError as error:
         print(f"scale: {error}", file=sys.stderr)
         return 2
--- a/sprucepost/scale/fleet.py
+++ b/sprucepost/scale/fleet.py
@@ -71,7 +71,7 @@
     references: bool = True
     nodes: int = 2
     """Real placers on the platform's front, with hosts, bulletin and owners of their own; 0: none."""
-    lists_watched: bool = False
+    lists_watched: bool = True
     """Whether hollow placers watch the list: a load on the list's server, not on their neighbours."""
     members_per_process: int = 60
     workers_per_process: int = 250
@@ -182,6 +182,11 @@
             + SESSION_MIB * sessions,
         )
 
+    @property
+    def processes(self) -> list[Process]:
+        """All of this fleet."""
+        return [process for process in self._group.processes if process.name.startswith(f"{self.name}-")]
+
     # Start
 
     def bring_up(self) -> Steps[None]:
--- a/sprucepost/scale/measure.py
+++ b/sprucepost/scale/measure.py
@@ -10,7 +10,7 @@
 import os
 import time
 import urllib.request
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -75,6 +75,11 @@
     return Reading(time.monotonic(), cpu_s(pid), memory, descriptors, own)
 
 
+def total_cpu_s(pids: Iterable[int]) -> float:
+    """Of several processes."""
+    return sum(map(cpu_s, pids))
+
+
 def read_page(http: str, path: str) -> bytes:
     """A page of a placer. OSError where it does not answer."""
     with urllib.request.urlopen(f"http://{http}{path}", timeout=PAGE_LIMIT_S) as answer:
--- a/sprucepost/scale/runner.py
+++ b/sprucepost/scale/runner.py
@@ -34,6 +34,7 @@
     read_counters,
     read_process,
     rounded,
+    total_cpu_s,
 )
 from sprucepost.scale.processes import MEMORY_LIMIT_MIB, DoesNotFit, Limits, Needs, ProcessGroup, ScaleError
 from sprucepost.scale.results import Point, Results, Sample
@@ -122,7 +123,7 @@
 
 
 def moved(base: RunSize, variable: str, value: float) -> RunSize:
-    """The base size with one variable at that value. The time that tasks run for stays, whichever of the two rates moves."""
+    """The base size with one variable at that value. Tasks run the shorter the more of them start and the fewer run."""
     if variable not in VARIABLES:
         raise ValueError(f"{variable}: none of {', '.join(VARIABLES)}")
     whole = isinstance(getattr(base, variable), int)
@@ -197,6 +198,9 @@
         self._first: dict[str, Counters] = {}
         self.connections: dict[Ports, Traffic] = {}
         self.starts: dict[str, dict[str, Any]] = {}
+        self._pids = [process.pid for process in fleet.processes]
+        self._run_before = (0.0, 0.0)
+        self.run: dict[str, float] = {}
         self._platform_before: dict[str, int] = {}
         self.platform: dict[str, int] = {}
 
@@ -205,17 +209,28 @@
         self.fleet.ask(self.fleet.clients[0], "reset")
         self._platform_before = self._platform_counts()
         self._first = self._read_counters()
+        self._run_before = time.monotonic(), total_cpu_s(self._pids)
         self.before = self._read(connections())
 
     def end(self) -> None:
         self.connections = connections()
         self.after = self._read(self.connections)
+        self.run = self._run_figures()
         last = self._read_counters()
         self.counters = {name: (self._first[name], last[name]) for name in last}
         self.starts = self.fleet.ask(self.fleet.clients[0], "result")
         counts = self._platform_counts()
         self.platform = {name: number - self._platform_before.get(name, 0) for name, number in counts.items()}
 
+    def _run_figures(self) -> dict[str, float]:
+        """What the whole fleet has taken of the machine."""
+        began_s, cpu_before_s = self._run_before
+        return {
+            "run.processes": float(len(self._pids)),
+            "run.memory_mib": sum(map(memory_mib, self._pids)),
+            "run.cpu_percent": 100.0 * (total_cpu_s(self._pids) - cpu_before_s) / (time.monotonic() - began_s),
+        }
+
     def _platform_counts(self) -> dict[str, int]:
         platform = self.fleet.platform
         return {} if platform is None else msgspec.convert(self.fleet.ask(platform, "status"), dict[str, int])
@@ -319,7 +334,7 @@
         seconds=options.measure_s,
         load_average=os.getloadavg()[0],
         samples=tuple(samples),
-        fleet=rounded({**start_figures(interval.starts), **node_outcomes(interval.platform), **rare.fleet}),
+        fleet=rounded(fleet_figures(interval) | rare.fleet),
     )
 
 
@@ -382,6 +397,11 @@
     return figures
 
 
+def fleet_figures(interval: Interval) -> dict[str, float]:
+    """Of the whole fleet."""
+    return {**start_figures(interval.starts), **node_outcomes(interval.platform), **interval.run}
+
+
 def node_outcomes(counts: Mapping[str, int]) -> dict[str, float]:
     """What was asked of the nodes, and their answers by kind of message."""
     return {f"node.{name}": float(number) for name, number in counts.items()}
