--- a/sprucepost/scale/deployment.py
+++ b/sprucepost/scale/deployment.py
@@ -52,7 +52,7 @@
 
 
 def worker_models(size: RunSize) -> list[dict[str, Any]]:
-    """Fields of :class:`~sprucepost.standin.model.MachineModel` for each worker: in zones in turn, racks filled in order."""
+    """Fields of ``standin.machine_types.MachineModel`` for each worker: in zones in turn, racks filled in order."""
     zones, models = zone_names(size), []
     for number in range(size.workers):
         zone = zones[number % len(zones)]
--- a/sprucepost/scale/hollow/members.py
+++ b/sprucepost/scale/hollow/members.py
@@ -18,7 +18,7 @@
 from sprucepost.membership import Generation
 from sprucepost.peers import Peers
 from sprucepost.placer.daemon import address_of, address_text
-from sprucepost.placer.fleet import ALIVE, CONNECT_MS, WATCH
+from sprucepost.placer.discovery import CONNECT_MS, KEEPALIVE, WATCH
 from sprucepost.scale.hollow.settings import Known, MembersFile, MemberSpec, MembersStatus
 from sprucepost.standin.orders import Orders
 from sprucepost.v1 import fleet_pb2
@@ -126,7 +126,7 @@
             connection: ClientConnection | None = None
             try:
                 address = address_of(self._file.list_address)
-                connection = yield from open_client(self._loop, address, CONNECT_MS, ALIVE, None)
+                connection = yield from open_client(self._loop, address, CONNECT_MS, KEEPALIVE, None)
                 call = connection.call(WATCH)
                 call.send(fleet_pb2.WatchRequest(number=number).SerializeToString())
                 call.end()
--- a/sprucepost/scale/hollow/settings.py
+++ b/sprucepost/scale/hollow/settings.py
@@ -35,7 +35,7 @@
     cluster: Cluster
     list_address: str
     workers: list[dict[str, Any]]
-    """Fields of :class:`~sprucepost.standin.model.MachineModel`."""
+    """Fields of :class:`~sprucepost.standin.machine_types.MachineModel`."""
 
 
 class ClientsFile(Struct, frozen=True, forbid_unknown_fields=True, tag="clients"):
--- a/sprucepost/scale/hollow/workers.py
+++ b/sprucepost/scale/hollow/workers.py
@@ -14,8 +14,8 @@
 from sprucepost.placer.daemon import address_of, address_text
 from sprucepost.scale import deployment
 from sprucepost.scale.hollow.settings import WorkersFile
+from sprucepost.standin.machine_types import AttemptId, MachineModel, MachineState, Offer
 from sprucepost.standin.machines import Field, MachineHost, class_models
-from sprucepost.standin.model import MachineModel, Offer, State
 from sprucepost.standin.orders import Orders
 
 HOLLOW_PLACER = 1_000_000
@@ -35,7 +35,7 @@
 
     def touched(self, host: MachineHost) -> None:
         """Called with everything that happens at a machine."""
-        name, room = host.model.model.name, host.model.asked()
+        name, room = host.model.model.name, host.model.requested()
         if self._room.get(name) != room:
             self._room[name] = room
             self.changed(host)
@@ -79,7 +79,7 @@
         shares = deployment.CLASS_SHARES
         name = self._rng.choices(list(shares), list(shares.values()))[0]
         offer = Offer(
-            ident=(HOLLOW_PLACER, 1, number, 0),
+            attempt_id=AttemptId(HOLLOW_PLACER, 1, number, 0),
             name=f"hollow-{id(self)}-{number}",
             cls=self._classes[name],
             service=f"{name}-{number % 20}",
@@ -114,7 +114,7 @@
         return {}
 
     def _restart_one(self) -> dict[str, Any]:
-        running = [host for host in self._hosts if host.model.state is State.READY]
+        running = [host for host in self._hosts if host.model.state is MachineState.READY]
         if running:
             self._scope.spawn(self._restart(self._rng.choice(running)), "restart")
         return {}
