--- a/sprucepost/scale/fleet.py
+++ b/sprucepost/scale/fleet.py
@@ -187,6 +187,12 @@
         """All of this fleet."""
         return [process for process in self._group.processes if process.name.startswith(f"{self.name}-")]
 
+    def check_running(self) -> None:
+        """ScaleError where one of the processes has ended by itself."""
+        for process in self.processes:
+            if not process.running:
+                raise ScaleError(f"{process.name} has ended: {process.last_words()}")
+
     # Start
 
     def bring_up(self) -> Steps[None]:
@@ -366,9 +372,6 @@
                 if here == self.size.placers and quiet >= QUIET_MS:
                     break
                 yield f"{placer.name}: sees {here:.0f} of {self.size.placers} placers, quiet for {quiet / 1000:.0f} s"
-        ended = self._group.ended()
-        if ended:
-            raise ScaleError(ended)
 
     def _gauge(self, placer: RealPlacer, name: str) -> float:
         return read_metrics(placer.http)[f"sprucepost_{name}"]
--- a/sprucepost/scale/processes.py
+++ b/sprucepost/scale/processes.py
@@ -192,13 +192,6 @@
         path.write_bytes(msgspec.json.encode(settings))
         return self.start(name, [*arguments, str(path)])
 
-    def ended(self) -> str:
-        """The first child that has ended by itself, with the last line of its log; empty where all run."""
-        for process in self.processes:
-            if not process.running:
-                return f"{process.name} has ended: {process.last_words()}"
-        return ""
-
 
 def _terminated(number: int, frame: FrameType | None) -> None:
     raise Terminated
--- a/sprucepost/scale/runner.py
+++ b/sprucepost/scale/runner.py
@@ -164,11 +164,14 @@
 
 
 def settle(fleets: Sequence[Fleet], limit_s: float, say: Say) -> None:
-    """Start all fleets and wait until each is settled. NotSettled where that takes longer than the limit."""
+    """Start all fleets and wait until each is settled. NotSettled where that takes longer than the limit, ScaleError where a
+    process ends."""
     began, said = time.monotonic(), ""
     waiting = {fleet.name: fleet.bring_up() for fleet in fleets}
     while waiting:
         texts = {name: next(steps, None) for name, steps in waiting.items()}
+        for fleet in fleets:
+            fleet.check_running()
         waiting = {name: waiting[name] for name, text in texts.items() if text is not None}
         first = next((text for text in texts.values() if text is not None), "")
         if waiting and time.monotonic() - began > limit_s:
@@ -213,6 +216,8 @@
         self.before = self._read(connections())
 
     def end(self) -> None:
+        """The same in the other order. ScaleError where a process has ended meanwhile."""
+        self.fleet.check_running()
         self.connections = connections()
         self.after = self._read(self.connections)
         self.run = self._run_figures()
--- a/tests/scale/test_runner.py
+++ b/tests/scale/test_runner.py
@@ -15,7 +15,7 @@
 from sprucepost.loop.epoll import EpollLoop
 from sprucepost.scale import results
 from sprucepost.scale.fleet import Fleet, FleetOptions
-from sprucepost.scale.processes import DoesNotFit, Limits, Needs, NotStarted, ProcessGroup
+from sprucepost.scale.processes import DoesNotFit, Limits, Needs, NotStarted, ProcessGroup, ScaleError
 from sprucepost.scale.runner import NotSettled, Run, RunOptions, check, interleaved, measure, moved, sweep
 from sprucepost.scale.size import RunSize
 from sprucepost.scale.sources import REFERENCES, attribution
@@ -188,3 +188,20 @@
     assert sum(found.values()) == 5.5, "together they are the mean of the loaded placers"
     assert attribution({"bare": 1.0}, [5.0]) == {}, "without all references nothing is attributed"
     assert set(REFERENCES) == {"bare", "peers", "list", "clients"}
+
+
+def test_a_process_that_ends_ends_the_run_with_its_name(tmp_path: Path) -> None:
+    loop = EpollLoop(1)
+    try:
+        with ProcessGroup(tmp_path) as group:
+            fleet = Fleet(group, loop, "run0", SMALL, FleetOptions(nodes=0))
+            steps = fleet.bring_up()
+            while not fleet.workers:
+                next(steps)
+                time.sleep(0.05)
+            fleet.check_running()
+            fleet.list.kill()
+            with pytest.raises(ScaleError, match=r"^run0-list has ended: "):
+                fleet.check_running()
+    finally:
+        loop.close()
