Scale: the interval in step with a view's beats; lives whose remainder is drawn alike

A quiet view beats each 2 s, and the interval begins a fixed time after the last change, as the beats do; beside real companions the readings of 50 processes made it half a second longer, so that each stream had a sixth beat in it. Only the placers that count are read now, and the interval is a multiple of the period. Bytes differed since tasks that are asked for at once had lives of another distribution than those in the workers, and since 3 placers with 2 asks each are too few: 8 are measured over 20 s.

--- a/benchmarks/scale_calibration.py
+++ b/benchmarks/scale_calibration.py
@@ -21,13 +21,14 @@
 
 STARTS_PER_S_OF_A_PLACER = 0.2  # as in the plan: 65 starts a second over 350 placers
 TASKS_OF_A_PLACER = 4
+REAL_PLACERS = 8  # that are measured: what each of them is asked for is drawn, and differs much
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("placers", type=int, nargs="?", default=50)
     parser.add_argument("--repeats", type=int, default=3)
-    parser.add_argument("--seconds", type=float, default=10.0, help="of each measured interval")
+    parser.add_argument("--seconds", type=float, default=20.0, help="of each measured interval")
     parser.add_argument("--folder", type=Path, default=Path("docs/results"))
     arguments = parser.parse_args()
     placers = arguments.placers
@@ -39,7 +40,11 @@
     )
     command = f"python -m benchmarks.scale_calibration {' '.join(sys.argv[1:])}".strip()
     options = RunOptions(
-        FleetOptions(nodes=0), measure_s=arguments.seconds, settle_limit_s=180.0, plan="calibration", command=command
+        FleetOptions(real_placers=REAL_PLACERS, nodes=0),
+        measure_s=arguments.seconds,
+        settle_limit_s=180.0,
+        plan="calibration",
+        command=command,
     )
     began = time.monotonic()
 
--- a/sprucepost/scale/hollow/clients.py
+++ b/sprucepost/scale/hollow/clients.py
@@ -18,6 +18,14 @@
 """The mix of classes is kept by drawing from so many services, each class having its share of them."""
 
 
+class TeamOwners(Owners):
+    """The owners of one team. Lives are exponential, so that what is left of a running task's life is drawn like a whole
+    one, and as many tasks run from the start as later."""
+
+    def draw_life_ms(self, service: Service) -> float:
+        return self._rng.expovariate(1.0 / service.life_ms)
+
+
 class Clients:
     """All teams' clients of this process."""
 
@@ -25,9 +33,9 @@
         self._loop, self._file = loop, file
         self._rng = loop.rng()
         placers = [address_of(text) for text in file.placers]
-        self._owners: dict[str, Owners] = {}
+        self._owners: dict[str, TeamOwners] = {}
         for team, share in file.shares.items():
-            owners = Owners(
+            owners = TeamOwners(
                 loop,
                 scope,
                 file.cluster,
@@ -61,16 +69,13 @@
         return Orders({"ask": self._ask, "reset": self._reset, "result": self._result, "status": self._status})
 
     def _ask(self, running: int) -> dict[str, Any]:
-        """The tasks asked for at once have part of their life behind them."""
+        """From now on, and so many tasks at once."""
         teams, shares = list(self._owners.values()), list(self._file.shares.values())
         for owners in teams:
             owners.factor = 1.0
         for _ in range(running):
             owners = self._rng.choices(teams, shares)[0]
-            service = self._rng.choice(owners.services)
-            life_ms = max(1.0, service.life_ms * self._rng.random())
-            part = Service(service.name, service.task_class, service.cores, service.memory, life_ms, service.tenant)
-            owners.want(part)
+            owners.want(self._rng.choice(owners.services))
         return {}
 
     def _reset(self) -> dict[str, Any]:
--- a/sprucepost/scale/runner.py
+++ b/sprucepost/scale/runner.py
@@ -40,7 +40,7 @@
 from sprucepost.scale.results import Point, Results, Sample
 from sprucepost.scale.size import VARIABLES, RunSize
 from sprucepost.scale.sockets import Ports, Traffic, connections, inodes
-from sprucepost.scale.sources import Source, attribution
+from sprucepost.scale.sources import attribution
 
 STEP_S = 0.1
 Say = Callable[[str], None]
@@ -56,6 +56,8 @@
 
     fleet: FleetOptions = field(default_factory=FleetOptions)
     measure_s: float = 6.0
+    """A multiple of the period of a quiet view's beats, which are in step with the begin of the interval: the last change of
+    the view is a fixed time before both."""
     settle_limit_s: float = 120.0
     points_at_a_time: int = 1
     """Fleets that run beside each other over one interval."""
@@ -241,13 +243,12 @@
         return {} if platform is None else msgspec.convert(self.fleet.ask(platform, "status"), dict[str, int])
 
     def _read(self, traffic: dict[Ports, Traffic]) -> dict[str, Reading]:
-        processes = {placer.name: placer.process for placer in self.fleet.placers} | {"list": self.fleet.list}
+        processes = {placer.name: placer.process for placer in measured(self.fleet)} | {"list": self.fleet.list}
         processes |= {node.name: node.process for node in self.fleet.nodes}
         return {name: read_process(process.pid, traffic) for name, process in processes.items()}
 
     def _read_counters(self) -> dict[str, Counters]:
-        members = [placer for placer in self.fleet.placers if Source.PEERS in placer.sources]
-        return {placer.name: read_counters(placer.http) for placer in members}
+        return {placer.name: read_counters(placer.http) for placer in loaded(self.fleet)}
 
     def cpu_percent(self, placer: RealPlacer) -> float:
         before, after = self.before[placer.name], self.after[placer.name]
@@ -268,8 +269,13 @@
 
 
 def loaded(fleet: Fleet) -> list[RealPlacer]:
-    """The real placers that are no references."""
-    return [placer for placer in fleet.placers if not placer.is_reference]
+    """The real placers that are measured and no references: the same ones, also where all companions are real."""
+    return [placer for placer in fleet.placers if not placer.is_reference][: fleet.options.real_placers]
+
+
+def measured(fleet: Fleet) -> list[RealPlacer]:
+    """The loaded placers and the references."""
+    return loaded(fleet) + [placer for placer in fleet.placers if placer.is_reference]
 
 
 def pass_interval(
@@ -322,7 +328,7 @@
     """The figures of a run."""
     kinds = {f"cpu_percent.{kind}": value for kind, value in {**interval.kinds(), **rare.cpu_percent}.items()}
     samples = []
-    for placer in loaded(interval.fleet)[: options.fleet.real_placers]:
+    for placer in loaded(interval.fleet):
         figures = {**placer_figures(interval, placer), **kinds}
         figures["cpu_percent"] += sum(rare.cpu_percent.values())
         samples.append(Sample("placer", placer.name, rounded(figures)))
--- a/sprucepost/standin/owners.py
+++ b/sprucepost/standin/owners.py
@@ -128,17 +128,20 @@
             if self.asking and wait <= 1000.0:
                 self.want(self._rng.choice(self.services))
 
+    def draw_life_ms(self, service: Service) -> float:
+        """Of one task; its mean is the service's."""
+        return service.life_ms * self._rng.lognormvariate(-0.125, 0.5)
+
     def want(self, service: Service) -> Wanted:
         """A new task of that service."""
         self._count += 1
-        life = service.life_ms * self._rng.lognormvariate(-0.125, 0.5)
         task = common_pb2.Task(
             task_class=service.task_class,
             service=service.name,
             cores=service.cores,
             memory=service.memory,
             tenant=service.tenant,
-            life_ms=life,
+            life_ms=self.draw_life_ms(service),
         )
         now = self.loop.now()
         wanted = Wanted(f"{self._prefix}-{self._count}", service, task, now + self._wanted_ms, first_asked=now)
