Scale: a run at the planned size itself, held against what the slopes predict for it

Slopes move one variable at a time and predictions add them up; what several variables cost together can only be seen by moving all. `scale at-plan` measures a few real placers in a hollow fleet of the planned size, and the page's table shows both.

--- a/sprucepost/cli/scale.py
+++ b/sprucepost/cli/scale.py
@@ -19,6 +19,7 @@
 PAGE = Path("docs/CAPACITY.md")
 PLAN = Path("deploy/scale/two-years.json")
 RESULTS = FOLDER / "scale.json"
+AT_PLAN = FOLDER / "scale-at-plan.json"
 STATE = FOLDER / "scale-state.json"
 HOLDS, BROKEN, UNUSABLE = 0, 1, 2
 """Exit statuses: what was checked holds; it doesn't; it could not be looked at."""
@@ -134,6 +135,21 @@
     return HOLDS
 
 
+@scale.command("at-plan")
+@click.option("--out", type=click.Path(path_type=Path), default=AT_PLAN, show_default=True)
+@click.option("--repeats", type=click.IntRange(1), default=3, show_default=True)
+@_PLAN_OPTION
+@_one_line
+def run_at_plan(out: Path, repeats: int, plan_file: Path) -> int:
+    """Measure real placers in a fleet of the planned size: what the predictions are held against. Keeps the results."""
+    from sprucepost.scale.results import save
+    from sprucepost.scale.sweeps import at_plan
+
+    save(at_plan(_size(plan_file), repeats, "sprucepost scale at-plan"), out)
+    click.echo(f"{out}: written")
+    return HOLDS
+
+
 @scale.command()
 @click.argument("results", type=click.Path(path_type=Path), default=RESULTS)
 @_PLAN_OPTION
--- a/sprucepost/scale/kept.py
+++ b/sprucepost/scale/kept.py
@@ -22,6 +22,7 @@
 
 STATE_FILE = "scale-state.json"
 CALIBRATION_FILES = ("scale-calibration-hollow.json", "scale-calibration-real.json")
+AT_PLAN_FILE = "scale-at-plan.json"
 RUN_PATTERN = "scale*.json"
 
 
@@ -59,6 +60,8 @@
     runs: tuple[KeptRun, ...]
     state: StateFile | None
     calibration: Calibration | None
+    at_plan: Results | None = None
+    """A run at the planned size itself."""
 
     def run_of(self, role: str) -> KeptRun | None:
         """The run that measured a role; the first by its file's name."""
@@ -76,15 +79,17 @@
     paths = sorted(folder.glob(RUN_PATTERN))
     if not paths:
         raise ResultsError(f"{folder}: no {RUN_PATTERN}")
-    apart = {STATE_FILE, *CALIBRATION_FILES}
+    apart = {STATE_FILE, AT_PLAN_FILE, *CALIBRATION_FILES}
     runs = tuple(kept_run(path) for path in paths if path.name not in apart)
     state = folder / STATE_FILE
     hollow, real = (folder / name for name in CALIBRATION_FILES)
+    at_plan = folder / AT_PLAN_FILE
     both = hollow.exists() and real.exists()
     return Kept(
         runs,
         load_state(state) if state.exists() else None,
         Calibration(with_sums(load(hollow)), with_sums(load(real))) if both else None,
+        with_sums(load(at_plan)) if at_plan.exists() else None,
     )
 
 
--- a/sprucepost/scale/sweeps.py
+++ b/sprucepost/scale/sweeps.py
@@ -10,6 +10,7 @@
 from sprucepost.scale.reference import reference_ms
 from sprucepost.scale.results import Results, ResultsError
 from sprucepost.scale.runner import RunOptions, sweep
+from sprucepost.scale.settings import FleetSize
 from sprucepost.scale.size import RunSize
 
 BASE = RunSize()
@@ -40,17 +41,41 @@
     return _measured({name: FULL[name] for name in variables or FULL}, repeats, plan, command)
 
 
+def at_plan(size: FleetSize, repeats: int, command: str) -> Results:
+    """The planned size itself, all variables at once. ScaleError where the machine can't hold it or a run fails."""
+    base = planned_size(size)
+    return _measured({"placers": (size.placers,)}, repeats, size.name, command, base)
+
+
+def planned_size(size: FleetSize) -> RunSize:
+    """The plan as the size of a run."""
+    return RunSize(
+        placers=size.placers,
+        workers=size.workers,
+        teams=size.teams.count,
+        running_tasks=size.work.running_tasks,
+        starts_per_s=size.work.peak_starts_per_s,
+        changes_per_day=float(size.changes.per_day),
+        restarts_per_day=size.disruptions.restarts_per_day,
+        regions=len(size.regions),
+        zones=len(size.zones),
+    )
+
+
 def quick(plan: str, command: str) -> Results:
     """The sweep of two minutes. ScaleError where a run fails."""
     return _measured(QUICK, QUICK_REPEATS, plan, command)
 
 
-def _measured(sizes: Mapping[str, Sequence[float]], repeats: int, plan: str, command: str) -> Results:
-    options = RunOptions(points_at_a_time=FLEETS_AT_A_TIME, plan=plan, command=command)
+def _measured(
+    sizes: Mapping[str, Sequence[float]], repeats: int, plan: str, command: str, base: RunSize = BASE
+) -> Results:
+    at_a_time = FLEETS_AT_A_TIME if base == BASE else 1
+    options = RunOptions(points_at_a_time=at_a_time, plan=plan, command=command)
     speed = reference_ms()
-    found = sweep(sizes, BASE, repeats, options)
-    base = {name: float(value) for name, value in asdict(BASE).items()}
-    return structs.replace(found, base=base, reference_ms=speed)
+    found = sweep(sizes, base, repeats, options)
+    kept_base = {name: float(value) for name, value in asdict(base).items()}
+    return structs.replace(found, base=kept_base, reference_ms=speed)
 
 
 def added(kept: Results, more: Results) -> Results:
--- a/sprucepost/scale/tables.py
+++ b/sprucepost/scale/tables.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Iterable, Sequence
-from statistics import median
+from statistics import fmean, median
 
 from msgspec import Struct
 
@@ -15,11 +15,13 @@
     BYTES_CONTROL,
     CPU_CONTROL,
     Break,
+    Comparison,
     Limit,
     Model,
     Prediction,
     Target,
 )
+from sprucepost.scale.results import Results
 from sprucepost.scale.roles import ROLES, Role
 from sprucepost.scale.state import StateEntry
 
@@ -51,6 +53,8 @@
         errors_table(kept),
         starts_table(kept),
     ]
+    if kept.at_plan is not None:
+        tables.append(at_plan_table(kept, kept.at_plan))
     if kept.calibration is not None:
         tables.append(calibration_table(kept.calibration))
     return tables
@@ -159,6 +163,37 @@
     return Table("budgets", head, tuple(rows))
 
 
+def at_plan_table(kept: Kept, measured: Results) -> Table:
+    """A run at the planned size beside what the slopes predict for it, all variables at once."""
+    head = ("role", "figure", "predicted", "measured", "difference", "within the stated error", COMMAND_COLUMN)
+    rows = []
+    for each in (each for run in kept.runs for each in run_comparisons(run, measured)):
+        difference = each.measured / each.predicted - 1.0 if each.predicted else math.nan
+        rows.append(
+            (
+                each.role, figure_name(each.figure), f"{number(each.predicted)} \N{PLUS-MINUS SIGN} {number(each.allowed)}",
+                number(each.measured), percent(difference), "yes" if each.holds else "no", f"`{measured.command}`",
+            )
+        )  # fmt: skip
+    return Table("at-plan", head, tuple(rows))
+
+
+def run_comparisons(run: KeptRun, measured: Results) -> list[Comparison]:
+    """Budgeted figures, and what they are held against, at the sizes of a run that is larger than all that were fitted."""
+    found = []
+    values: dict[tuple[str, str], list[float]] = {}
+    for point in measured.points:
+        for sample in point.samples:
+            for figure, value in sample.figures.items():
+                values.setdefault((sample.role, figure), []).append(value)
+    for (role, figure), model in sorted(run.models().items()):
+        if figure in (*BUDGETED, "cpu_percent", "bytes_per_s") and (role, figure) in values:
+            mean = fmean(values[role, figure])
+            sizes = {slope.variable: measured.base[slope.variable] for slope in model.slopes}
+            found.append(Comparison(role, figure, "", math.nan, model.at(sizes), model.error(sizes), mean))
+    return found
+
+
 # State
 
 
--- a/tests/scale/test_sweeps.py
+++ b/tests/scale/test_sweeps.py
@@ -8,7 +8,7 @@
 from sprucepost.scale.fits import FARTHEST, SIZES_LEAST
 from sprucepost.scale.results import ResultsError
 from sprucepost.scale.size import VARIABLES
-from sprucepost.scale.sweeps import BASE, FULL, FULL_REPEATS, QUICK, added, full
+from sprucepost.scale.sweeps import BASE, FULL, FULL_REPEATS, QUICK, added, full, planned_size
 from sprucepost.scale.target import target_of
 from tests.scale.generated import generated
 from tests.scale.support import size
@@ -29,6 +29,11 @@
     assert all(set(sizes) <= set(FULL[variable]) for variable, sizes in QUICK.items())
 
 
+def test_the_planned_size_is_the_target_of_the_predictions() -> None:
+    planned, target = planned_size(size("two-years")), target_of(size("two-years"))
+    assert {name: float(getattr(planned, name)) for name in VARIABLES} == target.sizes
+
+
 def test_an_unknown_variable_is_told_before_anything_runs() -> None:
     with pytest.raises(ResultsError, match="weather: none of placers, workers"):
         full(["placers", "weather"], 1, "small", "test")
--- a/tests/scale/test_tables.py
+++ b/tests/scale/test_tables.py
@@ -20,7 +20,7 @@
 from sprucepost.scale.predictions import Target
 from sprucepost.scale.roles import ROLES
 from sprucepost.scale.tables import COMMAND_COLUMN, NOT_MEASURED, Table, all_tables, number
-from tests.scale.generated import Growth, generated
+from tests.scale.generated import BASE, Growth, generated
 from tests.scale.support import size
 from tests.scale.test_predictions import planted
 
@@ -139,6 +139,15 @@
     assert {(each.figure, each.size) for each in compared(kept, slow) if not each.holds} >= {("cpu_percent", 96.0)}
 
 
+def test_a_run_at_the_planned_size_is_held_against_what_the_slopes_say(folder: Path) -> None:
+    """The same figures as at the base, at a size at which they should have grown: most do not agree."""
+    measured = structs.replace(generated(FIGURES, 9), base={**BASE, "placers": 300.0, "workers": 800.0})
+    results.save(measured, folder / "scale-at-plan.json")
+    table = next(each for each in all_tables(read_kept(folder), TARGET) if each.name == "at-plan")
+    holds = {row[1]: row[5] for row in table.rows}
+    assert holds["cpu (control)"] == holds["cpu"] == "no" and all(row[-1] == "`generated`" for row in table.rows)
+
+
 def test_reference_work_brings_processor_times_together(folder: Path) -> None:
     kept = read_kept(folder)
     run = structs.replace(kept.runs[0], results=structs.replace(kept.runs[0].results, reference_ms=20.0))
