--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -12,6 +12,7 @@
 import click
 
 from sprucepost.cli.configuration import config as configuration
+from sprucepost.cli.scale import scale
 
 C = TypeVar("C")
 
@@ -548,6 +549,9 @@
     sys.exit(1 if any(status != 0 for status in exits.values()) else 0)
 
 
+main.add_command(scale)
+
+
 @main.command()
 @click.argument("addresses", nargs=-1, required=True)
 @click.option(
--- a/sprucepost/peers/peers.py
+++ b/sprucepost/peers/peers.py
@@ -139,6 +139,8 @@
         self._carry(self.view.opened(self._loop.now(), number, dialled))
 
     def _heard(self, number: int, data: bytes) -> None:
+        self.counters["messages_in"] += 1
+        self.counters["bytes_in"] += len(data)
         try:
             frame = parse(data)
             word = word_of(frame)
@@ -199,5 +201,6 @@
             self.counters["behind"] += 1
             self._loop.call_soon(lambda: self._over(number))
             return
+        self.counters["messages_out"] += 1
         self.counters["bytes_out"] += len(data)
         link.call.send(data)
--- a/sprucepost/standin/owners.py
+++ b/sprucepost/standin/owners.py
@@ -83,8 +83,11 @@
         wanted_ms: float = 60_000.0,
         again_ms: float = 1200.0,
         source: str | None = None,
+        prefix: str = "task",
     ) -> None:
+        """``prefix``: of the tasks' names, which no one else's tasks may have."""
         self.loop, self.scope, self.cluster, self.services = loop, scope, cluster, services
+        self._prefix = prefix
         self._classes = {cls.name: cls for cls in cluster.classes}
         self._rng = loop.rng()
         self._rate, self.factor = rate_per_s, 1.0
@@ -125,20 +128,23 @@
             if self.asking and wait <= 1000.0:
                 self.want(self._rng.choice(self.services))
 
+    def draw_life_ms(self, service: Service) -> float:
+        """Of one task; its mean is the service's."""
+        return service.life_ms * self._rng.lognormvariate(-0.125, 0.5)
+
     def want(self, service: Service) -> Wanted:
         """A new task of that service."""
         self._count += 1
-        life = service.life_ms * self._rng.lognormvariate(-0.125, 0.5)
         task = common_pb2.Task(
             task_class=service.task_class,
             service=service.name,
             cores=service.cores,
             memory=service.memory,
             tenant=service.tenant,
-            life_ms=life,
+            life_ms=self.draw_life_ms(service),
         )
         now = self.loop.now()
-        wanted = Wanted(f"task-{self._count}", service, task, now + self._wanted_ms, first_asked=now)
+        wanted = Wanted(f"{self._prefix}-{self._count}", service, task, now + self._wanted_ms, first_asked=now)
         self.tasks[wanted.name] = wanted
         self._ask(wanted)
         return wanted
