--- a/tests/peers/test_configuration_processes.py
+++ b/tests/peers/test_configuration_processes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import subprocess
 import sys
@@ -233,3 +234,17 @@
         assert fleet.configuration_of(2)["cut"] == last
         operators.apply(2, f"{SHARE}=0.5")
         operators.wait_in_force({RETRY: 1200, ATTEMPTS: 7, SHARE: 0.5}, (0, 1, 2))
+
+
+def test_a_file_of_keys_and_a_key_that_goes_back_to_its_default(tmp_path: Path) -> None:
+    path = tmp_path / "keys.json"
+    path.write_text(json.dumps({"cluster": {"classes": [{"name": "web", "worth": 4}], "max_attempts": 6}}))
+    with Fleet(tmp_path, 2, configuration=ConfigurationOptions()) as fleet:
+        operators = Operators(fleet)
+        fleet.start(0, 1)
+        fleet.wait(fleet.settled, BOUND_S)
+        operators.apply(0, "--file", str(path), "--remove", RETRY)
+        operators.wait_in_force({"cluster.classes[web].worth": 4, ATTEMPTS: 6, SHARE: 1.0}, (0, 1))
+        assert all(RETRY not in fleet.configuration_of(number)["in_force"] for number in (0, 1))
+        status, text = operators.run(1, "history")
+        assert status == 0 and f"{RETRY} removed" in text
