Validation of a configuration is linear in the tenants again: 18.3 to 4.3 ms a change

Seen in the fleet's figures: 18 ms of processor time for each change and placer with 230 tenants, of 2.4 ms that the state machine takes. A profile showed ClusterValidator.cluster making the list of names once for each name (0.33 of 0.94 s), and the types' description being made anew at each judgement (0.15 s). Names are a set made once, and the description is kept. A change at one replica that hears of it, 230 tenants, measured alone: 18.3 ms before, 4.3 ms after (proposer 19.8 and 5.9), 15 changes. What is left: the whole is validated twice, once to judge and once to put it in force.

--- a/sprucepost/settings/reading.py
+++ b/sprucepost/settings/reading.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from functools import lru_cache
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
@@ -74,7 +75,12 @@
 
 
 def _unknown(raw: Any, kind: Any, path: str) -> list[str]:
-    return _unknown_in(raw, msgspec.inspect.type_info(kind), path)
+    return _unknown_in(raw, _type_info(kind), path)
+
+
+@lru_cache(maxsize=16)  # a running placer judges one kind again and again
+def _type_info(kind: Any) -> Any:
+    return msgspec.inspect.type_info(kind)
 
 
 def _unknown_in(raw: Any, info: Any, path: str) -> list[str]:
--- a/sprucepost/settings/running.py
+++ b/sprucepost/settings/running.py
@@ -93,9 +93,10 @@
             found = convert(raw, Cluster)
         except SettingsError as error:
             raise SettingsError([f"{ROOT}.{_named(line, raw)}" for line in error.lines]) from None
-        for name in self._names:
-            if name not in _names(found):
-                raise SettingsError([f"{ROOT}.{name}: can't be removed while placers run"])
+        present = set(_names(found))
+        removed = next((name for name in self._names if name not in present), None)
+        if removed is not None:
+            raise SettingsError([f"{ROOT}.{removed}: can't be removed while placers run"])
         return found
 
 
