--- a/benchmarks/configuration_fleet.py
+++ b/benchmarks/configuration_fleet.py
@@ -78,10 +78,10 @@
 def delays(fleet: Fleet) -> tuple[list[float], list[float], int]:
     """For each change and placer, and for each change at all of them: ms from the first log line of that change; and how
     many of the placers' lines are missing."""
-    found: dict[int, list[float]] = {}
+    found: dict[tuple[int, str], list[float]] = {}  # two changes at one time may have one number
     for number in fleet.processes:
         for line in fleet.logged(number, "configuration"):
-            found.setdefault(line["number"], []).append(line["at_ms"])
+            found.setdefault((line["number"], " ".join(line["keys"])), []).append(line["at_ms"])
     first = min(found)  # the fleet's first change: not counted
     each, whole, missing = [], [], 0
     for times in (times for number, times in found.items() if number != first):
