--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -180,7 +180,7 @@
 
 def for_a_connection(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
     """There may be no more to its host, and on none of them can be written: half a line has come there."""
-    day.service.hosts._most = 2
+    day.service.hosts._descriptors.share = 2
     busy, halves = SIDS[310:312], list[tuple[Link, bytes]]()
 
     def half(link: Link, line: jsonl.Line) -> None:
@@ -459,7 +459,7 @@
     """A host to which there are two connections, and may be no more: all attempts of a batch are sent at once."""
     host = day.host("s-1")
     day.start(settings=patient())
-    day.service.hosts._most = 2
+    day.service.hosts._descriptors.share = 2
     owner = yield from day.owner()
     host.on_open = lambda link, line: None
     for sid in SIDS[350:352]:
