Scale: hollow clients ping no more often than a placer allows to idle sessions

The sessions were not those of the interval any more: 60 of 64 idle ones were cut and made again within 20 s, since the stand-in owner pings each 2 s and a placer ends a session that does so with nothing sent to it (docs/protocol.md: 10 s). What clients cost a placer was too much before, the more teams there are.

--- a/sprucepost/scale/hollow/clients.py
+++ b/sprucepost/scale/hollow/clients.py
@@ -14,6 +14,8 @@
 from sprucepost.standin.owners import Owners, Service, Tally
 
 SERVICES_PER_CLASS = 4
+KEEPALIVE_MS = 10_000.0
+"""The least that a placer allows to a session on which it sends nothing (docs/protocol.md)."""
 PARTS = 10
 """The mix of classes is kept by drawing from so many services, each class having its share of them."""
 
@@ -43,6 +45,7 @@
                 placers,
                 file.asks_per_s * share,
                 prefix=f"{team}-{loop.token(4).hex()}",
+                keepalive_ms=KEEPALIVE_MS,
             )
             owners.factor = 0.0
             scope.spawn(owners.run(), f"asks of {team}")
--- a/sprucepost/standin/owner_link.py
+++ b/sprucepost/standin/owner_link.py
@@ -17,6 +17,7 @@
 
 PATH = "/sprucepost.v1.Placer/Submit"
 ACK_MS = 50.0
+KEEPALIVE_MS = 2000.0
 
 
 OUTCOMES = ("bound", "refused", "failed")
@@ -52,7 +53,10 @@
         on_session: Callable[[bool], None],
         on_down: Callable[[], None] = lambda: None,
         source: str | None = None,
+        keepalive_ms: float = KEEPALIVE_MS,
     ) -> None:
+        """``keepalive_ms``: silence after which it pings; a placer ends idle sessions that ping more often than each 10 s."""
+        self._options = Options(keepalive_ms=keepalive_ms, keepalive_wait_ms=KEEPALIVE_MS)
         self.loop, self.scope, self.address, self.owner, self._source = loop, scope, address, owner, source
         self._on_frame, self._on_session, self._on_down = on_frame, on_session, on_down
         self.session: Session[pb.OwnerFrame] = Session()
@@ -225,7 +229,7 @@
                     self.loop,
                     self.address,
                     1000.0,
-                    Options(keepalive_ms=2000.0, keepalive_wait_ms=2000.0),
+                    self._options,
                     self._source,
                 )
                 call = yield from self._attach(connection)
--- a/sprucepost/standin/owners.py
+++ b/sprucepost/standin/owners.py
@@ -17,7 +17,7 @@
 from sprucepost.loop import Address, Co, Loop, Scope, Timer, sleep
 from sprucepost.settings import Cluster
 from sprucepost.standin.orders import Orders
-from sprucepost.standin.owner_link import OwnerLink
+from sprucepost.standin.owner_link import KEEPALIVE_MS, OwnerLink
 from sprucepost.v1 import common_pb2
 from sprucepost.v1 import placer_pb2 as pb
 
@@ -84,10 +84,11 @@
         again_ms: float = 1200.0,
         source: str | None = None,
         prefix: str = "task",
+        keepalive_ms: float = KEEPALIVE_MS,
     ) -> None:
-        """``prefix``: of the tasks' names, which no one else's tasks may have."""
+        """``prefix``: of the tasks' names, which no one else's tasks may have. ``keepalive_ms``: see OwnerLink."""
         self.loop, self.scope, self.cluster, self.services = loop, scope, cluster, services
-        self._prefix = prefix
+        self._prefix, self._keepalive_ms = prefix, keepalive_ms
         self._classes = {cls.name: cls for cls in cluster.classes}
         self._rng = loop.rng()
         self._rate, self.factor = rate_per_s, 1.0
@@ -115,6 +116,7 @@
                 lambda frame: self._frame(n, frame),
                 lambda resumed: self._session(n, resumed),
                 source=self._source,
+                keepalive_ms=self._keepalive_ms,
             )
         )
 
--- a/tests/scale/test_members.py
+++ b/tests/scale/test_members.py
@@ -1,13 +1,15 @@
-"""Records that hollow members begin with."""
+"""What hollow members and clients begin with."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 
+from sprucepost.scale.hollow.clients import KEEPALIVE_MS
 from sprucepost.scale.hollow.members import fleet_records, member_name, record_of
 from sprucepost.scale.hollow.settings import Known
 from sprucepost.view.record import merge
 from sprucepost.view.rings import watched
+from sprucepost.wire.connection import Options
 
 FLEET = [
     Known(n, f"host{n // 2}", f"room{n % 3}", 1000 + n, f"life{n}", f"127.0.0.1:{n}", real=n < 3) for n in range(30)
@@ -31,3 +33,7 @@
     assert not real.sees
     later = replace(real, version=1, sees=(("p5", "life5"),))
     assert merge(real, later) == later
+
+
+def test_hollow_clients_ping_no_more_often_than_a_placer_allows() -> None:
+    assert Options().ping_least_ms <= KEEPALIVE_MS
