--- a/sprucepost/standin/owner_link.py
+++ b/sprucepost/standin/owner_link.py
@@ -55,7 +55,7 @@
         source: str | None = None,
         keepalive_ms: float = KEEPALIVE_MS,
     ) -> None:
-        """``keepalive_ms``: silence after which it pings; a placer ends idle sessions that ping more often than each 10 s."""
+        """``keepalive_ms``: silence after which it pings; a placer ends idle sessions that ping sooner than each 10 s."""
         self._options = Options(keepalive_ms=keepalive_ms, keepalive_wait_ms=KEEPALIVE_MS)
         self.loop, self.scope, self.address, self.owner, self._source = loop, scope, address, owner, source
         self._on_frame, self._on_session, self._on_down = on_frame, on_session, on_down
