--- a/sprucepost/scale/hollow/members.py
+++ b/sprucepost/scale/hollow/members.py
@@ -20,6 +20,7 @@
 from sprucepost.placer.daemon import address_of, address_text
 from sprucepost.placer.discovery import CONNECT_MS, KEEPALIVE, WATCH
 from sprucepost.scale.hollow.settings import Known, MembersFile, MemberSpec, MembersStatus
+from sprucepost.settings.running import settings_fingerprint
 from sprucepost.standin.orders import Orders
 from sprucepost.v1 import fleet_pb2
 from sprucepost.view import Record
@@ -66,7 +67,7 @@
             scope,
             record_of(known, file.instances),
             file.fleet,
-            file.cluster.digest(),
+            settings_fingerprint(file.cluster),
             (),
             None,
             changed=lambda step: None,
--- a/sprucepost/settings/reading.py
+++ b/sprucepost/settings/reading.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from functools import lru_cache
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
@@ -39,17 +40,25 @@
         raw = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise SettingsError([f"{where}: not JSON: {error}"]) from None
+    try:
+        return convert(raw, kind)
+    except SettingsError as error:
+        raise SettingsError([f"{where}: {line}" for line in error.lines]) from None
+
+
+def convert(raw: Any, kind: type[C]) -> C:
+    """The settings in a parsed document; SettingsError with a line for each fault, its key's path in front."""
     lines = _unknown(raw, kind, "")
     if not lines:
         try:
             found = msgspec.convert(raw, kind)
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, OverflowError) as error:
             lines = [_plain(str(error))]
         else:
             lines = found.problems()
             if not lines:
                 return found
-    raise SettingsError([f"{where}: {line}" for line in lines])
+    raise SettingsError(lines)
 
 
 def schema(kind: type[Any]) -> str:
@@ -66,7 +75,12 @@
 
 
 def _unknown(raw: Any, kind: Any, path: str) -> list[str]:
-    return _unknown_in(raw, msgspec.inspect.type_info(kind), path)
+    return _unknown_in(raw, _type_info(kind), path)
+
+
+@lru_cache(maxsize=16)  # a running placer judges one kind again and again
+def _type_info(kind: Any) -> Any:
+    return msgspec.inspect.type_info(kind)
 
 
 def _unknown_in(raw: Any, info: Any, path: str) -> list[str]:
--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -17,6 +17,7 @@
 from sprucepost.loop import Co, Transport, connect, sleep
 from sprucepost.loop.epoll import EpollSock
 from sprucepost.node import binary, dispatch, hosts, jsonl, tasks
+from sprucepost.node.attempt import Attempt
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.host import Host as HostState
@@ -169,9 +170,9 @@
     """Call it once a host has answered that task, before what waits for its connection is looked at."""
     real = day.service.tasks.answered
 
-    def answered(out: tasks.Out, line: jsonl.Line) -> None:
-        real(out, line)
-        if out.sid == sid:
+    def answered(attempt: Attempt, line: jsonl.Line) -> None:
+        real(attempt, line)
+        if attempt.sid == sid:
             call()
 
     day.service.tasks.answered = answered  # type: ignore[method-assign]
@@ -179,7 +180,7 @@
 
 def for_a_connection(day: Day, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
     """There may be no more to its host, and on none of them can be written: half a line has come there."""
-    day.service.hosts._most = 2
+    day.service.hosts._descriptors.share = 2
     busy, halves = SIDS[310:312], list[tuple[Link, bytes]]()
 
     def half(link: Link, line: jsonl.Line) -> None:
@@ -458,7 +459,7 @@
     """A host to which there are two connections, and may be no more: all attempts of a batch are sent at once."""
     host = day.host("s-1")
     day.start(settings=patient())
-    day.service.hosts._most = 2
+    day.service.hosts._descriptors.share = 2
     owner = yield from day.owner()
     host.on_open = lambda link, line: None
     for sid in SIDS[350:352]:
@@ -506,9 +507,9 @@
         ours = day.service.hosts
         real = ours._write
 
-        def write(host: HostState, link: HostLink, out: tasks.Out) -> None:
-            real(host, link, out)
-            if client.left_at is None and out.sid in SIDS[320:323]:
+        def write(host: HostState, link: HostLink, attempt: Attempt) -> None:
+            real(host, link, attempt)
+            if client.left_at is None and attempt.sid in SIDS[320:323]:
                 assert not attempts.times(LEAVING), "it is not the first one"
                 client.leave()
 
