--- a/sprucepost/cli/scale.py
+++ b/sprucepost/cli/scale.py
@@ -21,8 +21,8 @@
 RESULTS = FOLDER / "scale.json"
 AT_PLAN = FOLDER / "scale-at-plan.json"
 STATE = FOLDER / "scale-state.json"
-HOLDS, BROKEN, UNUSABLE = 0, 1, 2
-"""Exit statuses: what was checked holds; it doesn't; it could not be looked at."""
+HOLDS, BROKEN, UNUSABLE, INTERRUPTED = 0, 1, 2, 130
+"""Exit statuses: what was checked holds; it doesn't; it could not be looked at; by a signal."""
 
 _PLAN_OPTION = click.option(
     "--plan",
@@ -45,7 +45,7 @@
     def run(*arguments: P.args, **options: P.kwargs) -> None:
         from sprucepost.plotting import NoCharts
         from sprucepost.scale.fits import FitsError
-        from sprucepost.scale.processes import ScaleError
+        from sprucepost.scale.processes import ScaleError, Terminated
         from sprucepost.scale.results import ResultsError
         from sprucepost.settings import SettingsError
 
@@ -55,6 +55,9 @@
             for line in str(error).splitlines():
                 click.echo(f"sprucepost: {line}", err=True)
             status = UNUSABLE
+        except (KeyboardInterrupt, Terminated):
+            click.echo("sprucepost: interrupted; every process of the run has been ended", err=True)
+            status = INTERRUPTED
         sys.exit(status)
 
     return run
--- a/sprucepost/scale/sweeps.py
+++ b/sprucepost/scale/sweeps.py
@@ -13,7 +13,8 @@
 from sprucepost.scale.settings import FleetSize
 from sprucepost.scale.size import RunSize
 
-BASE = RunSize()
+BASE = RunSize(workers=50)
+"""With room for the most tasks that are moved to: 1,600 cores; at 24 workers 1,200 tasks had to wait for each other."""
 FULL: dict[str, tuple[float, ...]] = {
     "placers": (12, 24, 48, 96),
     "workers": (24, 50, 100, 250),
@@ -26,7 +27,7 @@
 }
 """The largest of each is at least a quarter of the plan's, so that no prediction for the plan needs a mark."""
 FULL_REPEATS = 3
-QUICK: dict[str, tuple[float, ...]] = {"placers": (12, 24, 48), "workers": (50,)}
+QUICK: dict[str, tuple[float, ...]] = {"placers": (12, 24, 48), "workers": (100,)}
 """Those that cost a placer most, up to what two minutes allow."""
 QUICK_REPEATS = 1
 FLEETS_AT_A_TIME = 4
--- a/sprucepost/scale/tables.py
+++ b/sprucepost/scale/tables.py
@@ -32,7 +32,8 @@
 FLEET_TIMES = ("start_p99_ms", "start_worst_ms", "change_in_force")
 """Beginnings of the names of a fleet's figures that are times."""
 BUDGETED = (CPU_CONTROL, "memory_mib", BYTES_CONTROL)
-UNITS = {"cpu_percent": "% of a core", "memory_mib": "MiB", "bytes": "B/s", "messages": "messages/s"}
+WHOLE = ("cpu_percent", "bytes_per_s")
+"""What the budgeted figures are parts of."""
 
 
 class Table(Struct, frozen=True):
@@ -187,7 +188,7 @@
             for figure, value in sample.figures.items():
                 values.setdefault((sample.role, figure), []).append(value)
     for (role, figure), model in sorted(run.models().items()):
-        if figure in (*BUDGETED, "cpu_percent", "bytes_per_s") and (role, figure) in values:
+        if figure in (*BUDGETED, *WHOLE) and (role, figure) in values:
             mean = fmean(values[role, figure])
             sizes = {slope.variable: measured.base[slope.variable] for slope in model.slopes}
             found.append(Comparison(role, figure, "", math.nan, model.at(sizes), model.error(sizes), mean))
@@ -265,14 +266,14 @@
     for run in kept.runs:
         grouped: dict[tuple[str, str], list[Slope]] = {}
         for slope in run.slopes.fitted:
-            if slope.figure.partition(".")[2] in ("", "control"):
+            if slope.figure in (*BUDGETED, *WHOLE):
                 grouped.setdefault((slope.role, slope.figure), []).append(slope)
         for (role, figure), each in sorted(grouped.items()):
             worst = max(each, key=lambda slope: abs(slope.hold_out.error))
             rows.append(
                 (
                     role, figure_name(figure), str(len(each)),
-                    percent(median(abs(slope.hold_out.error) for slope in each)), percent(worst.hold_out.error),
+                    percent(median(abs(slope.hold_out.error) for slope in each)).lstrip("+"), percent(worst.hold_out.error),
                     worst.variable, f"`{run.results.command}`",
                 )
             )  # fmt: skip
--- a/tests/scale/test_sweeps.py
+++ b/tests/scale/test_sweeps.py
@@ -5,6 +5,7 @@
 import pytest
 from msgspec import structs
 
+from sprucepost.scale import deployment
 from sprucepost.scale.fits import FARTHEST, SIZES_LEAST
 from sprucepost.scale.results import ResultsError
 from sprucepost.scale.size import VARIABLES
@@ -25,6 +26,11 @@
     assert getattr(BASE, variable) in FULL[variable]
 
 
+def test_the_most_tasks_have_room_at_the_base() -> None:
+    cores = BASE.workers * deployment.CORES
+    assert max(FULL["running_tasks"]) * deployment.TASK_CORES <= 0.8 * cores
+
+
 def test_the_quick_sweep_measures_what_the_full_one_has() -> None:
     assert all(set(sizes) <= set(FULL[variable]) for variable, sizes in QUICK.items())
 
--- a/tests/scale/test_tables.py
+++ b/tests/scale/test_tables.py
@@ -18,6 +18,7 @@
 from sprucepost.scale.page import filled, markdown, problems
 from sprucepost.scale.planned import control_zones, days_table, page_tables
 from sprucepost.scale.predictions import Target
+from sprucepost.scale.processes import Terminated
 from sprucepost.scale.roles import ROLES
 from sprucepost.scale.tables import COMMAND_COLUMN, NOT_MEASURED, Table, all_tables, number
 from tests.scale.generated import BASE, Growth, generated
@@ -237,3 +238,13 @@
         [sys.executable, "-m", "sprucepost", "scale", "check"], cwd=ROOT, capture_output=True, text=True, check=False
     )
     assert done.returncode == 0, done.stderr
+
+
+@pytest.mark.parametrize("how", [KeyboardInterrupt, Terminated])
+def test_an_interrupted_run_says_so_in_one_line(how: type[BaseException], monkeypatch: pytest.MonkeyPatch) -> None:
+    def interrupted(*arguments: object) -> None:
+        raise how
+
+    monkeypatch.setattr("sprucepost.scale.sweeps.sweep", interrupted)
+    status, text = run("run")
+    assert status == 130 and text == "sprucepost: interrupted; every process of the run has been ended\n"
