--- a/benchmarks/cold_starts.py
+++ b/benchmarks/cold_starts.py
@@ -97,13 +97,14 @@
     parser.add_argument("sizes", nargs="*", type=int, default=list(SIZES))
     parser.add_argument("--starts", type=int, default=STARTS)
     parser.add_argument("--only", action="append", help="part of a condition's name; more than once: any of them")
+    parser.add_argument("--allowance", type=float, help="this one alone")
     parser.add_argument("--workers", type=int, default=len(os.sched_getaffinity(0)))
     arguments = parser.parse_args()
     parts = arguments.only or [""]
     wanted = {name: found for name, found in CONDITIONS.items() if any(part in name for part in parts)}
     with ProcessPoolExecutor(arguments.workers) as pool:
         for size in arguments.sizes:
-            for bears in allowances(size):
+            for bears in [arguments.allowance] if arguments.allowance else allowances(size):
                 for name, conditions in wanted.items():
                     found = measure(pool, replace(conditions, size=size, bears=bears), arguments.starts)
                     print(f"{size:3} {bears:4.0f} {name:52} {found}", flush=True)
