--- a/sprucepost/scale/fleet.py
+++ b/sprucepost/scale/fleet.py
@@ -31,6 +31,7 @@
     PlatformFile,
     WorkersFile,
 )
+from sprucepost.scale.listening import free_address
 from sprucepost.scale.measure import read_members, read_metrics
 from sprucepost.scale.processes import Needs, Process, ProcessGroup, ScaleError
 from sprucepost.scale.size import RunSize
@@ -328,9 +329,7 @@
             yield from self._announced(node.process, dict[str, Any])
 
     def _start_node(self, number: int, file: PlatformFile, bulletin: str) -> None:
-        listener = self._loop.listen(("127.0.0.1", 0))
-        address = address_text(listener.address)
-        listener.close()  # its configuration must name the port
+        address = address_text(free_address(self._loop))
         name, path = f"node{number}", self._group.folder / f"{self.name}-node{number}.json"
         configuration = {
             "name": name,
