--- a/tests/scale/test_runner.py
+++ b/tests/scale/test_runner.py
@@ -87,6 +87,8 @@
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_ends_every_process_that_it_started(number: signal.Signals) -> None:
     program = (
+        # Whoever started the tests in the background may have had SIGINT ignored, which is inherited.
+        "import signal; signal.signal(signal.SIGINT, signal.default_int_handler);"
         "from sprucepost.scale.runner import *; from sprucepost.scale.size import RunSize;"
         "sweep({'placers': [6]}, RunSize(workers=4), 1, RunOptions(), lambda text: print(text, flush=True))"
     )
