--- a/sprucepost/scale/kept.py
+++ b/sprucepost/scale/kept.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from pathlib import Path
+from statistics import fmean
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from sprucepost.scale.fits import Slopes, slopes
 from sprucepost.scale.predictions import (
@@ -47,6 +48,16 @@
         return {sample.role for point in self.results.points for sample in point.samples}
 
 
+def means(results: Results) -> dict[tuple[str, str], float]:
+    """By role and figure, over all processes and runs."""
+    values: dict[tuple[str, str], list[float]] = {}
+    for point in results.points:
+        for sample in point.samples:
+            for figure, value in sample.figures.items():
+                values.setdefault((sample.role, figure), []).append(value)
+    return {key: fmean(each) for key, each in values.items()}
+
+
 class Calibration(Struct, frozen=True):
     """The same fleet with hollow and with real companions."""
 
@@ -63,6 +74,14 @@
     at_plan: Results | None = None
     """A run at the planned size itself."""
 
+    def predictions(self, run: KeptRun, target: Target) -> list[Prediction]:
+        """Of a run, with what was measured at the planned size where that is the target's."""
+        found = run.predictions(target)
+        if self.at_plan is None or any(self.at_plan.base.get(name) != size for name, size in target.sizes.items()):
+            return found
+        measured = means(self.at_plan)
+        return [structs.replace(each, measured=measured.get((each.role, each.figure))) for each in found]
+
     def run_of(self, role: str) -> KeptRun | None:
         """The run that measured a role; the first by its file's name."""
         return next((run for run in self.runs if role in run.roles()), None)
--- a/sprucepost/scale/planned.py
+++ b/sprucepost/scale/planned.py
@@ -111,10 +111,10 @@
     run = kept.run_of("placer")
     if run is None:
         return observed
-    at_plan = {each.figure: each.at_plan for each in run.predictions(target) if each.role == "placer"}
+    at_plan = {each.figure: each.counts for each in kept.predictions(run, target) if each.role == "placer"}
     process = ProcessObserved(at_plan.get(CPU_CONTROL), at_plan.get("memory_mib"), at_plan.get(BYTES_CONTROL))
     costs = (Demand.PROCESSOR, Demand.MEMORY, Demand.BYTES)
     reasons = [(demand, reason) for demand, reason in observed.reasons if demand not in costs]
-    reasons += [(demand, "predicted for one placer from the scale run") for demand in costs]
+    reasons += [(demand, "what a gRPC placer costs, by the scale runs") for demand in costs]
     basis = {**observed.basis, **dict.fromkeys(costs, Basis.DERIVED)}
     return replace(observed, basis=basis, processes=(process,), reasons=tuple(reasons))
--- a/sprucepost/scale/predictions.py
+++ b/sprucepost/scale/predictions.py
@@ -75,7 +75,7 @@
 
 
 class Prediction(Struct, frozen=True):
-    """One figure of one role at the planned size."""
+    """One figure of one role at the planned size; where a run at that size has measured it, that counts."""
 
     role: str
     figure: str
@@ -91,13 +91,26 @@
     """Variables that the plan moves more than four times beyond what was measured."""
     unmeasured: tuple[str, ...]
     """Variables of the plan that no slope of this figure covers."""
+    measured: float | None = None
+    """In a run at the planned size."""
+
+    @property
+    def counts(self) -> float:
+        """What is known best of the figure at the planned size."""
+        return self.at_plan if self.measured is None else self.measured
 
     @property
     def headroom(self) -> float | None:
-        """Budget over prediction; below 1 it does not fit."""
+        """Budget over the figure; below 1 it does not fit."""
         if self.budget is None:
             return None
-        return self.budget / self.at_plan if self.at_plan > 0 else math.inf
+        return self.budget / self.counts if self.counts > 0 else math.inf
+
+    @property
+    def refuted(self) -> bool:
+        """Whether the run at the planned size broke a budget that by the slopes holds there."""
+        over = self.budget is not None and self.measured is not None and self.measured > self.budget
+        return over and self.breaks is not None and self.breaks.limit is Limit.NONE
 
 
 class Comparison(Struct, frozen=True):
--- a/sprucepost/scale/tables.py
+++ b/sprucepost/scale/tables.py
@@ -4,24 +4,23 @@
 
 import math
 from collections.abc import Iterable, Sequence
-from statistics import fmean, median
+from statistics import median
 
 from msgspec import Struct
 
 from sprucepost.scale.calibration import agreement
 from sprucepost.scale.fits import Shape, Slope
-from sprucepost.scale.kept import Calibration, Kept, KeptRun
+from sprucepost.scale.kept import Calibration, Kept, KeptRun, means
 from sprucepost.scale.predictions import (
     BYTES_CONTROL,
     CPU_CONTROL,
-    Break,
     Comparison,
     Limit,
     Model,
     Prediction,
     Target,
 )
-from sprucepost.scale.results import Results
+from sprucepost.scale.results import Point, Results
 from sprucepost.scale.roles import ROLES, Role
 from sprucepost.scale.state import StateEntry
 
@@ -75,7 +74,7 @@
 
 def _role_row(role: Role, kept: Kept, target: Target) -> tuple[str, ...]:
     run = kept.run_of(role.samples) if role.samples else None
-    found = {each.figure: each for each in run.predictions(target) if each.role == role.samples} if run else {}
+    found = {each.figure: each for each in kept.predictions(run, target) if each.role == role.samples} if run else {}
     cells = [_at_plan(found.get(figure)) if figure else _absent(role) for figure in role.figures]
     budgeted = [each for each in found.values() if each.budget is not None] if role.judged else []
     return (
@@ -84,10 +83,16 @@
         _least_headroom(budgeted),
         _first_break(budgeted),
         ", ".join(f"`{module}`" for module in role.mechanism),
-        f"`{run.results.command}`" if run else _without_command(role),
+        _command(kept, run, found.values()) if run else _without_command(role),
     )
 
 
+def _command(kept: Kept, run: KeptRun, shown: Iterable[Prediction]) -> str:
+    """What gave a row: the sweep, and the run at the planned size where that has measured some of it."""
+    both = kept.at_plan is not None and any(each.measured is not None for each in shown)
+    return f"`{run.results.command}`" + (f", `{kept.at_plan.command}`" if both and kept.at_plan else "")
+
+
 def _absent(role: Role) -> str:
     return "-" if role.samples else NOT_MEASURED
 
@@ -99,6 +104,13 @@
 def _at_plan(prediction: Prediction | None) -> str:
     if prediction is None:
         return NOT_MEASURED
+    if prediction.measured is not None:
+        return f"{number(prediction.measured)} measured"
+    return predicted_text(prediction)
+
+
+def predicted_text(prediction: Prediction) -> str:
+    """A prediction with its error, marked where it goes too far."""
     mark = " \N{DAGGER}" if prediction.marked else ""
     return f"{number(prediction.at_plan)} \N{PLUS-MINUS SIGN} {number(prediction.error)}{mark}"
 
@@ -112,20 +124,28 @@
 
 
 def _first_break(budgeted: Sequence[Prediction]) -> str:
-    breaks = [(each.breaks, each.figure) for each in budgeted if each.breaks is not None]
-    if not breaks:
+    if not budgeted:
         return "-"
-    first, figure = min(breaks, key=lambda each: _order(each[0]))
-    return f"{break_text(first)} ({figure_name(figure)})"
+    first = min(budgeted, key=_break_order)
+    return f"{break_text(first)} ({figure_name(first.figure)})"
 
 
-def _order(where: Break) -> tuple[int, float]:
-    rank = {Limit.BELOW: 0, Limit.AT: 1, Limit.NONE: 2}[where.limit]
-    return rank, 0.0 if where.limit is Limit.BELOW else where.factor
+def _break_order(prediction: Prediction) -> tuple[int, float]:
+    where = prediction.breaks
+    if where is None or where.limit is Limit.BELOW:
+        return 0, 0.0
+    if where.limit is Limit.AT:
+        return 1, where.factor
+    return (1, 1.0) if prediction.refuted else (2, where.factor)
 
 
-def break_text(where: Break) -> str:
+def break_text(prediction: Prediction) -> str:
     """Where a budget is first exceeded, in words."""
+    where = prediction.breaks
+    if where is None:
+        return "-"
+    if prediction.refuted:
+        return "below the plan, as measured there"
     if where.limit is Limit.BELOW:
         return "every size"
     if where.limit is Limit.NONE:
@@ -138,27 +158,18 @@
 
 def budgets_table(kept: Kept, target: Target) -> Table:
     """Each budget of each role that has one: as measured at the base, and at the planned size."""
-    head = (
-        "role",
-        "figure",
-        "at the base",
-        "at the plan",
-        "budget",
-        "headroom",
-        "first breaks at",
-        "not moved",
-        COMMAND_COLUMN,
-    )
+    costs = ("at the base", "predicted", "measured at the plan", "budget", "headroom", "first breaks at")
+    head = ("role", "figure", *costs, COMMAND_COLUMN)
     rows = []
     for run in kept.runs:
-        for each in run.predictions(target):
+        for each in kept.predictions(run, target):
             if each.budget is None or each.headroom is None or each.breaks is None:
                 continue
             rows.append(
                 (
-                    each.role, figure_name(each.figure), number(each.base), _at_plan(each), number(each.budget),
-                    number(each.headroom), break_text(each.breaks), ", ".join(each.unmeasured) or "-",
-                    f"`{run.results.command}`",
+                    each.role, figure_name(each.figure), number(each.base), predicted_text(each),
+                    NOT_MEASURED if each.measured is None else number(each.measured), number(each.budget),
+                    number(each.headroom), break_text(each), _command(kept, run, [each]),
                 )
             )  # fmt: skip
     return Table("budgets", head, tuple(rows))
@@ -182,14 +193,10 @@
 def run_comparisons(run: KeptRun, measured: Results) -> list[Comparison]:
     """Budgeted figures, and what they are held against, at the sizes of a run that is larger than all that were fitted."""
     found = []
-    values: dict[tuple[str, str], list[float]] = {}
-    for point in measured.points:
-        for sample in point.samples:
-            for figure, value in sample.figures.items():
-                values.setdefault((sample.role, figure), []).append(value)
+    values = means(measured)
     for (role, figure), model in sorted(run.models().items()):
         if figure in (*BUDGETED, *WHOLE) and (role, figure) in values:
-            mean = fmean(values[role, figure])
+            mean = values[role, figure]
             sizes = {slope.variable: measured.base[slope.variable] for slope in model.slopes}
             found.append(Comparison(role, figure, "", math.nan, model.at(sizes), model.error(sizes), mean))
     return found
@@ -282,22 +289,29 @@
 
 def starts_table(kept: Kept) -> Table:
     """What the whole fleet showed: times from start to running and of changes, over all runs of a file. No prediction."""
-    head = ("figure", "median of the runs", "worst", "with", "load average then", COMMAND_COLUMN)
+    head = ("figure", "events", "median of the runs", "worst", "with", "load average then", COMMAND_COLUMN)
     rows = []
-    for run in kept.runs:
-        names = sorted({name for point in run.results.points for name in point.fleet if name.startswith(FLEET_TIMES)})
+    for results in [run.results for run in kept.runs] + ([kept.at_plan] if kept.at_plan is not None else []):
+        names = sorted({name for point in results.points for name in point.fleet if name.startswith(FLEET_TIMES)})
         for name in names:
-            points = [point for point in run.results.points if name in point.fleet]
+            points = [point for point in results.points if name in point.fleet]
             worst = max(points, key=lambda point: point.fleet[name])
             rows.append(
                 (
-                    name.replace("_", " "), number(median(point.fleet[name] for point in points)), number(worst.fleet[name]),
-                    f"{number(worst.size)} {worst.variable}", number(worst.load_average), f"`{run.results.command}`",
+                    name.replace("_", " "), number(sum(_events(point, name) for point in points)),
+                    number(median(point.fleet[name] for point in points)), number(worst.fleet[name]),
+                    f"{number(worst.size)} {worst.variable}", number(worst.load_average), f"`{results.command}`",
                 )
             )  # fmt: skip
     return Table("starts", head, tuple(rows))
 
 
+def _events(point: Point, name: str) -> float:
+    """How many events a time is taken over."""
+    task_class = name.partition(".")[2]
+    return point.fleet.get(f"started.{task_class}" if task_class else "changes_in_force", 0.0)
+
+
 def slopes_table(run: KeptRun) -> Table:
     """Every slope of a run, for a terminal."""
     head = ("role", "figure", "variable", "shape", "sizes", "hold-out", "stated error")
--- a/tests/scale/test_tables.py
+++ b/tests/scale/test_tables.py
@@ -87,6 +87,14 @@
     assert placer[1].startswith("2.") and "cpu (control)" in placer[5] and placer[-1] == "`generated`"
 
 
+def test_every_row_is_as_long_as_its_head(folder: Path) -> None:
+    at_plan = structs.replace(generated(FIGURES, 9), base=dict(TARGET.sizes))
+    results.save(at_plan, folder / "scale-at-plan.json")
+    for table in page_tables(read_kept(folder), size("small")):
+        assert table.rows or table.name == "starts", table.name
+        assert {len(row) for row in table.rows} <= {len(table.head)}, table.name
+
+
 def test_modules_that_carry_a_role_exist() -> None:
     for role in ROLES:
         for module in role.mechanism:
@@ -149,6 +157,22 @@
     assert holds["cpu (control)"] == holds["cpu"] == "no" and all(row[-1] == "`generated`" for row in table.rows)
 
 
+def test_what_was_measured_at_the_planned_size_counts_before_the_prediction(folder: Path) -> None:
+    """Memory that holds at the plan by the slopes, and was measured twice above its budget there."""
+    at_plan = generated({"memory_mib": (256.0, {})}, 9)
+    results.save(structs.replace(at_plan, base=dict(TARGET.sizes)), folder / "scale-at-plan.json")
+    budgets = next(each for each in all_tables(read_kept(folder), TARGET) if each.name == "budgets")
+    memory = next(row for row in budgets.rows if row[1] == "memory")
+    assert 250 < float(memory[4]) < 262 and float(memory[6]) == pytest.approx(0.5, abs=0.02)
+    assert memory[7] == "below the plan, as measured there"
+    roles = next(each for each in all_tables(read_kept(folder), TARGET) if each.name == "roles")
+    assert roles.rows[0][2].endswith(" measured") and roles.rows[0][5].endswith("(memory)")
+    elsewhere = structs.replace(at_plan, base={**TARGET.sizes, "workers": 7.0})
+    results.save(elsewhere, folder / "scale-at-plan.json")
+    other = next(each for each in all_tables(read_kept(folder), TARGET) if each.name == "budgets")
+    assert {row[4] for row in other.rows} == {NOT_MEASURED}
+
+
 def test_reference_work_brings_processor_times_together(folder: Path) -> None:
     kept = read_kept(folder)
     run = structs.replace(kept.runs[0], results=structs.replace(kept.runs[0].results, reference_ms=20.0))
@@ -221,7 +245,7 @@
     table = next(each for each in all_tables(kept, TARGET) if each.name == "starts")
     worst = points[2]
     place = f"{number(worst.size)} {worst.variable}"
-    assert table.rows == (("start p99 ms.urgent", "30", "90", place, "90", "`generated`"),)
+    assert table.rows == (("start p99 ms.urgent", "15", "30", "90", place, "90", "`generated`"),)
 
 
 def test_control_machines_are_handed_out_to_zones_in_turn() -> None:
