--- a/sprucepost/cli/main.py
+++ b/sprucepost/cli/main.py
@@ -11,6 +11,9 @@
 
 import click
 
+from sprucepost.cli.configuration import config as configuration
+from sprucepost.cli.scale import scale
+
 C = TypeVar("C")
 
 _FILE = click.argument("file", type=click.Path(path_type=Path))
@@ -70,7 +73,7 @@
 @_FILE
 def placer(file: Path) -> None:
     """Run one placer from a settings file."""
-    from sprucepost.placer.daemon import serve
+    from sprucepost.placer.process import serve
     from sprucepost.settings import PlacerFile
 
     settings = read_or_exit(file, PlacerFile)
@@ -94,7 +97,7 @@
 def host(file: Path) -> None:
     """Run one placer on a host whose wall clock a test can step."""
     from sprucepost.cli.host import SteppedLoop
-    from sprucepost.placer.daemon import serve
+    from sprucepost.placer.process import serve
     from sprucepost.settings import PlacerFile
 
     settings = read_or_exit(file, PlacerFile)
@@ -407,6 +410,8 @@
     """Placers on this machine, for tests and small sites."""
 
 
+fleet.add_command(configuration)
+
 _DIR = click.option("--dir", "folder", type=click.Path(path_type=Path), required=True, help="The fleet's folder.")
 
 
@@ -544,6 +549,9 @@
     sys.exit(1 if any(status != 0 for status in exits.values()) else 0)
 
 
+main.add_command(scale)
+
+
 @main.command()
 @click.argument("addresses", nargs=-1, required=True)
 @click.option(
