--- a/sprucepost/cli/scale.py
+++ b/sprucepost/cli/scale.py
@@ -72,32 +72,36 @@
 
 @click.group("scale", invoke_without_command=True)
 @click.option("--quick", is_flag=True, help="A small sweep against the page's predictions, within two minutes.")
+@click.option("--keep", type=click.Path(path_type=Path), help="With --quick: write what was measured into this file.")
 @_PLAN_OPTION
 @_FOLDER_OPTION
 @_PAGE_OPTION
 @click.pass_context
-def scale(context: click.Context, quick: bool, plan_file: Path, folder: Path, page: Path) -> None:
+def scale(context: click.Context, quick: bool, keep: Path | None, plan_file: Path, folder: Path, page: Path) -> None:
     """How costs grow with the size of a fleet. Exit status 1 where the page's predictions do not hold."""
     if context.invoked_subcommand is not None:
         return
     if not quick:
         click.echo(context.get_help())
         return
-    _quick(plan_file, folder, page)
+    _quick(keep, plan_file, folder, page)
 
 
 @_one_line
-def _quick(plan_file: Path, folder: Path, page: Path) -> int:
+def _quick(keep: Path | None, plan_file: Path, folder: Path, page: Path) -> int:
     """Measure a few sizes; judge them by the kept results, and the page by the same."""
     from sprucepost.cli.tables import table
     from sprucepost.scale.kept import compared, read_kept
     from sprucepost.scale.predictions import with_sums
+    from sprucepost.scale.results import save
     from sprucepost.scale.sweeps import quick
 
     kept, size = read_kept(folder), _size(plan_file)
     wrong = _page_problems(kept, size, page)
-    measured = with_sums(quick(size.name, "sprucepost scale --quick"))
-    found = compared(kept, measured)
+    measured = quick(size.name, "sprucepost scale --quick")
+    if keep is not None:
+        save(measured, keep)
+    found = compared(kept, with_sums(measured))
     head = ["role", "figure", "variable", "size", "predicted", "within", "measured", "holds"]
     click.echo(table(head, [_comparison_row(each) for each in found]))
     wrong += [each.text for each in found if not each.holds]
--- a/sprucepost/scale/kept.py
+++ b/sprucepost/scale/kept.py
@@ -113,10 +113,8 @@
 
 
 def compared(kept: Kept, measured: Results) -> list[Comparison]:
-    """New results beside the predictions of every kept run; processor times by both machines' reference work."""
-    found = []
-    for run in kept.runs:
-        both = run.results.reference_ms and measured.reference_ms
-        speed = measured.reference_ms / run.results.reference_ms if both else 1.0
-        found += comparisons(run.models(), measured, speed)
-    return found
+    """New results beside the predictions of every kept run.
+
+    Processor times are compared as they were measured, so a machine of another speed shows as rows that do not hold.
+    """
+    return [each for run in kept.runs for each in comparisons(run.models(), measured)]
--- a/sprucepost/scale/predictions.py
+++ b/sprucepost/scale/predictions.py
@@ -39,9 +39,6 @@
 }
 """Differences too small to be told from a run's own unevenness. These are also the figures that are checked again."""
 
-PROCESSOR_FIGURES = "cpu_percent"
-"""Figures whose name begins so depend on how fast the machine is."""
-
 
 class Target(Struct, frozen=True):
     """The planned size and what a placer may spend there."""
@@ -253,10 +250,9 @@
     return Break(Limit.NONE, largest)
 
 
-def comparisons(of_key: Mapping[tuple[str, str], Model], measured: Results, speed: float = 1.0) -> list[Comparison]:
+def comparisons(of_key: Mapping[tuple[str, str], Model], measured: Results) -> list[Comparison]:
     """New results beside the kept ones' predictions.
 
-    ``speed``: how many times as long the reference work took on the new machine, by which processor times are divided.
     Figures without a slope are not judged, nor are sizes beyond those that were measured for the kept results.
     """
     found = []
@@ -265,9 +261,8 @@
         slope = next((each for each in model.slopes if each.variable == variable), None) if model else None
         if model is None or slope is None or figure not in RESOLUTION:
             continue
-        factor = speed if figure.startswith(PROCESSOR_FIGURES) else 1.0
         for size in sorted({each.size for each in observations if each.size <= slope.largest}):
-            values = [each.value / factor for each in observations if each.size == size]
+            values = [each.value for each in observations if each.size == size]
             predicted = model.at({**measured.base, variable: size})
             allowed = max(slope.error * predicted, RESOLUTION[figure])
             found.append(Comparison(role, figure, variable, size, predicted, allowed, sum(values) / len(values)))
--- a/sprucepost/scale/results.py
+++ b/sprucepost/scale/results.py
@@ -78,7 +78,7 @@
     base: dict[str, float] = {}
     """Size of each variable in the points that move another one; without it no variables can be combined."""
     reference_ms: float = 0.0
-    """Processor time of :mod:`sprucepost.scale.reference` on that machine; 0: not measured."""
+    """No longer measured: a fixed piece of work took 17 or 27 ms within a minute of one machine. Nothing rests on it."""
 
 
 class ResultsError(ValueError):
--- a/sprucepost/scale/sweeps.py
+++ b/sprucepost/scale/sweeps.py
@@ -7,7 +7,6 @@
 
 from msgspec import structs
 
-from sprucepost.scale.reference import reference_ms
 from sprucepost.scale.results import Results, ResultsError
 from sprucepost.scale.runner import RunOptions, sweep
 from sprucepost.scale.settings import FleetSize
@@ -73,10 +72,9 @@
 ) -> Results:
     at_a_time = FLEETS_AT_A_TIME if base == BASE else 1
     options = RunOptions(points_at_a_time=at_a_time, plan=plan, command=command)
-    speed = reference_ms()
     found = sweep(sizes, base, repeats, options)
     kept_base = {name: float(value) for name, value in asdict(base).items()}
-    return structs.replace(found, base=kept_base, reference_ms=speed)
+    return structs.replace(found, base=kept_base)
 
 
 def added(kept: Results, more: Results) -> Results:
--- a/tests/scale/test_predictions.py
+++ b/tests/scale/test_predictions.py
@@ -30,9 +30,9 @@
 }
 
 
-def deviations(kept: Results, measured: Results, speed: float = 1.0) -> list[Comparison]:
+def deviations(kept: Results, measured: Results) -> list[Comparison]:
     """What does not hold of the predictions."""
-    return [each for each in comparisons(models(slopes(kept), kept.base), measured, speed) if not each.holds]
+    return [each for each in comparisons(models(slopes(kept), kept.base), measured) if not each.holds]
 
 
 PLAN = {"placers": 300.0, "workers": 1000.0, "teams": 4.0}
@@ -137,15 +137,17 @@
     assert "placer cpu_percent at placers 96: measured" in found[-1].text
 
 
-def test_processor_time_of_a_slower_machine_is_brought_to_the_kept_ones() -> None:
-    kept = generated(FIGURES, 1)
-    points = []
-    for point in generated(FIGURES, 2).points:
+@pytest.mark.parametrize("seed", range(5))
+def test_twice_the_processor_time_is_told_and_nothing_else(seed: int) -> None:
+    """Also of a program that is as it was, on a machine half as fast: processor times are compared as measured."""
+    kept, points = generated(FIGURES, seed), []
+    for point in generated(FIGURES, 50 + seed).points:
         samples = tuple(
             structs.replace(each, figures={**each.figures, "cpu_percent": 2.0 * each.figures["cpu_percent"]})
             for each in point.samples
         )
         points.append(structs.replace(point, samples=samples))
-    slower = structs.replace(kept, points=tuple(points))
-    assert {each.figure for each in deviations(kept, slower)} == {"cpu_percent"}
-    assert deviations(kept, slower, speed=2.0) == []
+    slower = structs.replace(kept, points=tuple(points), reference_ms=40.0)
+    found = deviations(kept, slower)
+    assert {each.figure for each in found} == {"cpu_percent"}
+    assert len(found) == len({(point.variable, point.size) for point in points})
--- a/tests/scale/test_tables.py
+++ b/tests/scale/test_tables.py
@@ -173,14 +173,6 @@
     assert {row[4] for row in other.rows} == {NOT_MEASURED}
 
 
-def test_reference_work_brings_processor_times_together(folder: Path) -> None:
-    kept = read_kept(folder)
-    run = structs.replace(kept.runs[0], results=structs.replace(kept.runs[0].results, reference_ms=20.0))
-    measured = structs.replace(generated(FIGURES, 50), reference_ms=40.0)
-    wrong = [each for each in compared(Kept((run,), None, None), measured) if not each.holds]
-    assert {each.figure for each in wrong} == {"cpu_percent"}
-
-
 def test_json_and_html(folder: Path) -> None:
     status, text = run("tables", str(folder / "scale.json"), "--json")
     document = json.loads(text)
@@ -272,3 +264,17 @@
     monkeypatch.setattr("sprucepost.scale.sweeps.sweep", interrupted)
     status, text = run("run")
     assert status == 130 and text == "sprucepost: interrupted; every process of the run has been ended\n"
+
+
+@pytest.mark.parametrize(("per_square", "status"), [(0.0, 0), (1e-4, 1)])
+def test_quick_tells_the_rows_that_do_not_hold(
+    folder: Path, monkeypatch: pytest.MonkeyPatch, per_square: float, status: int
+) -> None:
+    """0 where every prediction holds; 1 with the rows of a planted cost that grows with the square of the fleet."""
+    measured = planted(generated(FIGURES, 50, repeats=1), per_square)
+    monkeypatch.setattr("sprucepost.scale.sweeps.sweep", lambda *arguments: measured)
+    where = ("--folder", str(folder), "--page", str(folder / "page.md"), "--keep", str(folder / "quick.json"))
+    found, text = run("--quick", *where)
+    assert found == status, text
+    assert ("placer cpu_percent at placers 96: measured" in text) == bool(per_square)
+    assert len(results.load(folder / "quick.json").points) == len(measured.points)
