--- a/sprucepost/scale/predictions.py
+++ b/sprucepost/scale/predictions.py
@@ -39,9 +39,6 @@
 }
 """Differences too small to be told from a run's own unevenness. These are also the figures that are checked again."""
 
-PROCESSOR_FIGURES = "cpu_percent"
-"""Figures whose name begins so depend on how fast the machine is."""
-
 
 class Target(Struct, frozen=True):
     """The planned size and what a placer may spend there."""
@@ -75,7 +72,7 @@
 
 
 class Prediction(Struct, frozen=True):
-    """One figure of one role at the planned size."""
+    """One figure of one role at the planned size; where a run at that size has measured it, that counts."""
 
     role: str
     figure: str
@@ -91,13 +88,26 @@
     """Variables that the plan moves more than four times beyond what was measured."""
     unmeasured: tuple[str, ...]
     """Variables of the plan that no slope of this figure covers."""
+    measured: float | None = None
+    """In a run at the planned size."""
+
+    @property
+    def counts(self) -> float:
+        """What is known best of the figure at the planned size."""
+        return self.at_plan if self.measured is None else self.measured
 
     @property
     def headroom(self) -> float | None:
-        """Budget over prediction; below 1 it does not fit."""
+        """Budget over the figure; below 1 it does not fit."""
         if self.budget is None:
             return None
-        return self.budget / self.at_plan if self.at_plan > 0 else math.inf
+        return self.budget / self.counts if self.counts > 0 else math.inf
+
+    @property
+    def refuted(self) -> bool:
+        """Whether the run at the planned size broke a budget that by the slopes holds there."""
+        over = self.budget is not None and self.measured is not None and self.measured > self.budget
+        return over and self.breaks is not None and self.breaks.limit is Limit.NONE
 
 
 class Comparison(Struct, frozen=True):
@@ -240,10 +250,9 @@
     return Break(Limit.NONE, largest)
 
 
-def comparisons(of_key: Mapping[tuple[str, str], Model], measured: Results, speed: float = 1.0) -> list[Comparison]:
+def comparisons(of_key: Mapping[tuple[str, str], Model], measured: Results) -> list[Comparison]:
     """New results beside the kept ones' predictions.
 
-    ``speed``: how many times as long the reference work took on the new machine, by which processor times are divided.
     Figures without a slope are not judged, nor are sizes beyond those that were measured for the kept results.
     """
     found = []
@@ -252,9 +261,8 @@
         slope = next((each for each in model.slopes if each.variable == variable), None) if model else None
         if model is None or slope is None or figure not in RESOLUTION:
             continue
-        factor = speed if figure.startswith(PROCESSOR_FIGURES) else 1.0
         for size in sorted({each.size for each in observations if each.size <= slope.largest}):
-            values = [each.value / factor for each in observations if each.size == size]
+            values = [each.value for each in observations if each.size == size]
             predicted = model.at({**measured.base, variable: size})
             allowed = max(slope.error * predicted, RESOLUTION[figure])
             found.append(Comparison(role, figure, variable, size, predicted, allowed, sum(values) / len(values)))
