--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -155,6 +155,8 @@
     """The host's refusal is read first, the client's end lies right behind it."""
 
     def refuse(link: Link, line: jsonl.Line) -> None:
+        if client.left_at is not None:
+            return
         link.say(Word.CLOSE, line.sid, code=102)
         link.transport.flush()
         [ours] = [mine for mine in day.service.hosts.hosts["s-1"].links if LEAVING in mine.open]
@@ -375,6 +377,18 @@
         raw.close()
 
 
+@pytest.mark.parametrize("way", ["close", "half-close", "reset"])
+def test_an_end_that_lies_behind_other_bytes(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, way: str) -> None:
+    """One read takes the bytes, and only the next one finds the end."""
+
+    def busy(day: Day, client: Client) -> None:
+        client.way = way
+        client.own.send(binary.encode(Kind.TEST, "0" * 16, [(Code.CAUSE, b"\0")]))
+        client.leave()
+
+    placed_while(tmp_path, monkeypatch, busy)
+
+
 def filler() -> bytes:
     """More than one read takes, in messages that mean nothing."""
     parameters = [(Code.CAUSE, bytes([16])), (Code.DESCRIPTION, bytes(15_000))]
