--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 READY := $(VENV)/.ready
 
-.PHONY: test check proto badday bench clean
+.PHONY: test check proto badday bench scale clean
 
 $(READY): requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -15,7 +15,7 @@
 
 check: $(READY)
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/ruff format --check -q sprucepost/loop sprucepost/wire sprucepost/settings sprucepost/placer sprucepost/placing sprucepost/admission sprucepost/node sprucepost/view sprucepost/agreement sprucepost/peers sprucepost/play sprucepost/standin sprucepost/rules sprucepost/cli sprucepost/load sprucepost/scale tests/load tests/loop tests/wire tests/placer tests/placing tests/admission tests/node tests/view tests/agreement tests/peers tests/play tests/standin tests/rules
+	$(VENV)/bin/ruff format --check -q .
 	$(PY) -m mypy
 	$(VENV)/bin/lint-imports
 
@@ -27,6 +27,9 @@
 	$(PY) -m benchmarks.whole_path
 	$(PY) -m benchmarks.idle
 
+scale: $(READY)
+	$(PY) -m sprucepost scale --quick
+
 proto: $(READY)
 	$(PY) tools/proto.py
 
--- a/sprucepost/placer/pages.py
+++ b/sprucepost/placer/pages.py
@@ -8,8 +8,9 @@
 
 from sprucepost.loop import Loop
 from sprucepost.peers import Peers
-from sprucepost.placer.company import Company
+from sprucepost.placer.configuration import PlacerConfiguration
 from sprucepost.placer.engine import Engine
+from sprucepost.placer.fleet_membership import FleetMembership
 from sprucepost.placer.links import Links
 from sprucepost.placer.owners import Owners
 from sprucepost.view import View
@@ -27,7 +28,8 @@
     server: Server
     slot_trouble: str
     peers: Peers | None
-    company: Company | None
+    fleet_membership: FleetMembership | None
+    configuration: PlacerConfiguration | None
 
     def not_ready(self) -> str: ...
     def list_age_ms(self) -> float: ...
@@ -49,18 +51,29 @@
             return 404, "text/plain", b"off: no peers in the settings\n"
         return 200, "application/json", json.dumps(shown(placer.peers.view, placer.loop.now())).encode()
 
-    return {"/healthz": healthy, "/readyz": ready, "/metrics": _metrics(placer), "/members": members}
+    def configuration() -> tuple[int, str, bytes]:
+        if placer.configuration is None:
+            return 404, "text/plain", b"off: no placer.peers.configuration in the settings\n"
+        return 200, "application/json", json.dumps(placer.configuration.shown()).encode()
+
+    return {
+        "/healthz": healthy,
+        "/readyz": ready,
+        "/metrics": _metrics(placer),
+        "/members": members,
+        "/config": configuration,
+    }
 
 
 def _view_line(placer: Shown) -> str:
     """The fleet as it is seen from here, in one line; nothing where no view is kept."""
-    if placer.peers is None or placer.company is None:
+    if placer.peers is None or placer.fleet_membership is None:
         return ""
     view = placer.peers.view
     settled = (placer.loop.now() - view.moved) / 1000.0
     words = [f"view: {len(view.here)} here, {len(view.away)} away, size {view.me.generation.size}"]
     words += [f"digest {view.digest:016x}", f"settled for {settled:.1f} s"]
-    words += ["generation disputed"] * placer.company.disputed
+    words += ["generation disputed"] * placer.fleet_membership.disputed
     return ", ".join(words) + "\n"
 
 
@@ -80,6 +93,7 @@
                 "room": record.room,
                 "address": record.address,
                 "incarnation": record.incarnation,
+                "life": record.life,
                 "generation": record.generation.number,
                 "size": record.generation.size,
                 "over_ms": record.generation.over_ms,
@@ -135,7 +149,9 @@
                 peers.add_metric([side, name], count)
         yield from (outcomes, events, refusals, peers)
         if placer.peers is not None:
-            yield from _view_gauges(placer.peers, placer.company, placer.loop.now())
+            yield from _view_gauges(placer.peers, placer.fleet_membership, placer.loop.now())
+        if placer.configuration is not None:
+            yield from _configuration_gauges(placer.configuration)
         links = placer.links.all()
         for name, text, value in (
             ("open_tasks", "Tasks taken and not answered", engine.ledger.open),
@@ -159,7 +175,7 @@
             yield gauge
 
 
-def _view_gauges(peers: Peers, company: Company | None, now: float) -> Iterator[Any]:
+def _view_gauges(peers: Peers, company: FleetMembership | None, now: float) -> Iterator[Any]:
     from prometheus_client.core import GaugeMetricFamily
 
     view = peers.view
@@ -169,6 +185,9 @@
         ("view_generation", "Its generation", view.me.generation.number),
         ("view_disputed", "1 while placers hold unlike generations of one number", bool(company and company.disputed)),
         ("view_bytes_sent", "Bytes said to other placers", peers.counters["bytes_out"]),
+        ("view_bytes_received", "Bytes heard of other placers", peers.counters["bytes_in"]),
+        ("view_messages_sent", "Messages said to other placers", peers.counters["messages_out"]),
+        ("view_messages_received", "Messages heard of other placers", peers.counters["messages_in"]),
         ("view_away", "Placers that are remembered and not reached", len(view.away)),
         ("view_conflicts", "Numbers that more than one placer has", len(view.conflicts())),
         ("view_settled_ms", "Since the view last changed, here or at a peer", now - view.moved),
@@ -180,3 +199,25 @@
     digest = GaugeMetricFamily("sprucepost_view_digest", "1; equal labels are equal views", labels=["digest"])
     digest.add_metric([f"{view.digest:016x}"], 1)
     yield digest
+
+
+def _configuration_gauges(configuration: PlacerConfiguration) -> Iterator[Any]:
+    from prometheus_client.core import GaugeMetricFamily
+
+    replica, carrier = configuration.replica, configuration.carrier
+    for name, text, value in (
+        ("number", "The highest number of a change known here", replica.version.number),
+        ("held", "1 while the agreed configuration isn't in force here", replica.held is not None),
+        ("refused_changes", "Known changes that aren't applied", len(replica.refused)),
+        ("peers", "Streams to placers that carry a configuration", carrier.connected),
+        ("messages_sent", "Messages about it to other placers", carrier.counters["messages_out"]),
+        ("bytes_sent", "Their bytes, without the digests in heartbeats", carrier.counters["bytes_out"]),
+    ):
+        gauge = GaugeMetricFamily(f"sprucepost_configuration_{name}", text)
+        gauge.add_metric([], value)
+        yield gauge
+    digest = GaugeMetricFamily(
+        "sprucepost_configuration_version", "1; equal labels are equal sets of changes", labels=["version"]
+    )
+    digest.add_metric([str(replica.version)], 1)
+    yield digest
--- a/sprucepost/standin/owners.py
+++ b/sprucepost/standin/owners.py
@@ -17,7 +17,7 @@
 from sprucepost.loop import Address, Co, Loop, Scope, Timer, sleep
 from sprucepost.settings import Cluster
 from sprucepost.standin.orders import Orders
-from sprucepost.standin.owner_link import OwnerLink
+from sprucepost.standin.owner_link import KEEPALIVE_MS, OwnerLink
 from sprucepost.v1 import common_pb2
 from sprucepost.v1 import placer_pb2 as pb
 
@@ -83,8 +83,12 @@
         wanted_ms: float = 60_000.0,
         again_ms: float = 1200.0,
         source: str | None = None,
+        prefix: str = "task",
+        keepalive_ms: float = KEEPALIVE_MS,
     ) -> None:
+        """``prefix``: of the tasks' names, which no one else's tasks may have. ``keepalive_ms``: see OwnerLink."""
         self.loop, self.scope, self.cluster, self.services = loop, scope, cluster, services
+        self._prefix, self._keepalive_ms = prefix, keepalive_ms
         self._classes = {cls.name: cls for cls in cluster.classes}
         self._rng = loop.rng()
         self._rate, self.factor = rate_per_s, 1.0
@@ -112,6 +116,7 @@
                 lambda frame: self._frame(n, frame),
                 lambda resumed: self._session(n, resumed),
                 source=self._source,
+                keepalive_ms=self._keepalive_ms,
             )
         )
 
@@ -125,20 +130,23 @@
             if self.asking and wait <= 1000.0:
                 self.want(self._rng.choice(self.services))
 
+    def draw_life_ms(self, service: Service) -> float:
+        """Of one task; its mean is the service's."""
+        return service.life_ms * self._rng.lognormvariate(-0.125, 0.5)
+
     def want(self, service: Service) -> Wanted:
         """A new task of that service."""
         self._count += 1
-        life = service.life_ms * self._rng.lognormvariate(-0.125, 0.5)
         task = common_pb2.Task(
             task_class=service.task_class,
             service=service.name,
             cores=service.cores,
             memory=service.memory,
             tenant=service.tenant,
-            life_ms=life,
+            life_ms=self.draw_life_ms(service),
         )
         now = self.loop.now()
-        wanted = Wanted(f"task-{self._count}", service, task, now + self._wanted_ms, first_asked=now)
+        wanted = Wanted(f"{self._prefix}-{self._count}", service, task, now + self._wanted_ms, first_asked=now)
         self.tasks[wanted.name] = wanted
         self._ask(wanted)
         return wanted
--- /dev/null
+++ b/tests/node/test_newcomers.py
@@ -0,0 +1,183 @@
+"""Who is taken and who makes room while idle clients come by the hundred; on virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sprucepost.adapter import settings_from
+from sprucepost.loop import Co, sleep
+from sprucepost.node import binary, words
+from sprucepost.node.binary import Code, Kind
+from sprucepost.node.descriptors import Descriptors
+from sprucepost.node.owners import ARRIVAL_MS, Owners
+from sprucepost.node.tasks import Tasks
+from sprucepost.placing.desk import Desk
+from tests.node.platform import settings, setup
+from tests.node.test_crossings import release
+from tests.node.virtual import DISCOVERY, LISTEN, Placer, SocketLoop, VirtualSock, known, play_virtual
+
+ADDRESS = LISTEN
+TEST = binary.encode(Kind.TEST, "5c" * 8, [(Code.CAUSE, b"\0")])
+
+
+class Front:
+    """Clients' side of a placer with 64 descriptors: 32 connections of clients."""
+
+    def __init__(self) -> None:
+        self.loop, self.counters = SocketLoop(), Counter[str]()
+        found = settings_from(settings())
+        desk = Desk(self.loop, found, 1, 0.05, lambda: None, lambda *a, **k: None, self.counters)
+        tasks = Tasks(self.loop, desk, found, lambda text: words.load(text, (), ()), self.counters)
+        descriptors = Descriptors(64, lambda: len(self.owners.links))
+        self.owners = Owners(
+            self.loop,
+            self.loop.listen(ADDRESS),
+            tasks,
+            words.Words(found),
+            descriptors,
+            32,
+            64,
+            30_000.0,
+            lambda *a, **k: None,
+            self.counters,
+        )
+        self.socks: list[VirtualSock] = []
+
+    def idle(self, number: int) -> None:
+        """So many connect and say nothing."""
+        self.socks += [self.loop.arrive(ADDRESS, f"127.0.1.1:{n}") for n in range(number)]
+
+    def come_back(self) -> None:
+        """Who was closed connects again at once."""
+        closed = [sock for sock in self.socks if sock.closed]
+        self.socks = [sock for sock in self.socks if not sock.closed]
+        self.idle(len(closed))
+
+
+def test_a_newcomer_whose_first_message_is_on_its_way_is_not_pushed_out_by_those_that_come_back() -> None:
+    front = Front()
+    front.idle(200)
+    front.loop.pass_ms(200.0)
+    for _ in range(20):
+        usual = front.loop.arrive(ADDRESS, "127.0.2.1:1")
+        waited = 0
+        while usual in front.loop.listeners[ADDRESS].backlog:
+            front.come_back()
+            front.loop.pass_ms(1.0)
+            waited += 1
+        for _ in range(int(ARRIVAL_MS) - 10):
+            front.come_back()
+            front.loop.pass_ms(1.0)
+        usual.inbox.append(TEST)
+        front.loop.pass_ms(1.0)
+        assert usual.sent and not usual.closed
+        assert waited <= 7 * ARRIVAL_MS, "200 before it, 32 of them at a time"
+    assert front.counters["owners_turned_away"] == 0
+
+
+def test_those_that_come_back_are_taken_no_faster_than_one_place_for_each_arrival() -> None:
+    front = Front()
+    front.idle(200)
+    for _ in range(1000):
+        front.come_back()
+        front.loop.pass_ms(1.0)
+    assert front.counters["owner_room"] <= 32 * 1000.0 / ARRIVAL_MS
+
+
+def test_a_newcomer_waits_for_nobody_where_there_is_room_or_one_that_has_been_idle() -> None:
+    front = Front()
+    front.idle(31)
+    front.loop.pass_ms(1.0)
+    usual = front.loop.arrive(ADDRESS, "127.0.2.1:1", TEST)
+    front.loop.pass_ms(1.0)
+    assert usual.sent
+    front.loop.pass_ms(ARRIVAL_MS + 1.0)
+    usual = front.loop.arrive(ADDRESS, "127.0.2.1:1", TEST)
+    front.loop.pass_ms(1.0)
+    assert usual.sent and front.counters["owner_room"] == 1
+
+
+def test_closes_that_linger_are_counted_with_the_connections() -> None:
+    """All that were served once are closed for idleness in one step, and come back while we wait for their end."""
+    front = Front()
+    for n in range(32):
+        sid = f"5ec{n:013x}"
+        front.socks.append(front.loop.arrive(ADDRESS, f"127.0.1.1:{n}", setup(sid) + release(sid)))
+    front.loop.pass_ms(30_100.0)
+    front.owners.tick()
+    assert all(sock.ended and not sock.closed for sock in front.socks)
+    newer = [front.loop.arrive(ADDRESS, f"127.0.2.1:{n}", TEST) for n in range(32)]
+    front.loop.pass_ms(1.0)
+    assert all(sock.sent for sock in newer)
+    assert sum(not sock.closed for sock in front.socks + newer) <= 56
+
+
+def alone_on_their_hosts() -> dict[str, Any]:
+    """Settings by which a service has one task on a host, so that many hosts are in use."""
+    found = settings()
+    spread = {"class_spread": ["machine"] * 2, "most_together": [1, 1]}
+    return {**found, "family_info": {**found["family_info"], **spread}}
+
+
+def test_closes_of_hosts_connections_are_counted_too(tmp_path: Path) -> None:
+    """Forty are closed for idleness in one step and forty others are dialled, with 64 descriptors."""
+
+    def body(placer: Placer) -> Co[None]:
+        client = placer.loop.arrive(ADDRESS, "127.0.0.9:1")
+
+        def held() -> int:
+            return sum(not sock.closed for address, sock in placer.loop.dialled if address != DISCOVERY)
+
+        def ask(first: int) -> Co[None]:
+            client.inbox.append(b"".join(setup(f"5ec{n:013x}") for n in range(first, first + 40)))
+            for _ in range(20):
+                placer.serve_hosts()
+                yield from sleep(1)
+                assert held() + 1 <= 56
+
+        yield from ask(1)
+        before = held()
+        assert before > 30
+        while not placer.service.counters["host_link_idle"]:
+            yield from sleep(10)
+        assert held() == before, "their ends have not come"
+        yield from ask(100)
+        assert placer.service.counters["over_ok"] == 80
+
+    found = alone_on_their_hosts()
+    found["policy_limits"]["keepalive"] = 1000.0
+    play_virtual(tmp_path, body, known=known(60), settings=found)
+
+
+@pytest.mark.parametrize("newcomers", [12, 60])
+def test_clients_have_their_share_of_descriptors_at_once_while_hosts_hold_the_rest(
+    tmp_path: Path, newcomers: int
+) -> None:
+    """With more hosts than descriptors all are in use. Newcomers had to push out one another, or to wait for one another."""
+
+    def body(placer: Placer) -> Co[None]:
+        client = placer.loop.arrive(ADDRESS, "127.0.0.9:1")
+        client.inbox.append(b"".join(setup(f"5ec{n:013x}") for n in range(1, 60)))
+        counters = placer.service.counters
+        while counters["over_ok"] < 59:
+            placer.serve_hosts()
+            yield from sleep(1)
+        assert placer.service.descriptors.spare() <= 0
+        closed = counters["host_link_room"]
+        first = [placer.loop.arrive(ADDRESS, f"127.0.1.1:{n}") for n in range(newcomers)]
+        yield from sleep(2)
+        for sock in first[:12]:
+            sock.inbox.append(TEST)
+        yield from sleep(2)
+        assert all(sock.sent and not sock.closed for sock in first[:12]), "each is there when its message comes"
+        for sock in placer.loop.listeners[ADDRESS].backlog:
+            assert sock in first[20:], "21 are their share"
+        yield from sleep(4 * ARRIVAL_MS)
+        assert not placer.loop.listeners[ADDRESS].backlog
+        assert counters["host_link_room"] - closed <= 21 and not counters["owners_turned_away"]
+
+    play_virtual(tmp_path, body, known=known(60), settings=alone_on_their_hosts())
