--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -173,6 +173,7 @@
 
     def __init__(self, host: Host, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.host, self.reader, self.writer, self.open = host, reader, writer, True
+        self.peer = host.peers.get(writer.get_extra_info("peername"), "the placer")
 
     def send(self, kind: str, sid: str, attrs: dict[str, str] | None = None, **more: Any) -> None:
         if self.open:
@@ -193,15 +194,27 @@
         self.state = "SERVING"
         self.address: tuple[str, int] = (LOOPBACK, 0)
         self.listed_address: tuple[str, int] | None = None  # where placers reach it, if through a proxy
+        self.peers: dict[
+            tuple[str, int], str
+        ] = {}  # whose the connections are, by their addresses, where that is known
         self.may_answer: Callable[[HostTask], bool] = lambda task: True
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+    async def start(self, address: tuple[str, int] = (LOOPBACK, 0)) -> None:
+        self._server = await asyncio.start_server(self._serve, *address)
         self.address = self._server.sockets[0].getsockname()[:2]
 
-    def entry(self) -> dict[str, Any]:
-        where = self.listed_address or self.address
+    async def die(self) -> None:
+        """End the process: nothing listens any more, its connections are reset and its tasks are cut."""
+        assert self._server is not None
+        self._server.close()
+        for link in self.links:
+            link.writer.transport.abort()
+        self.tasks.clear()
+        await asyncio.sleep(0)
+
+    def entry(self, way: Way | None = None) -> dict[str, Any]:
+        where = way.address if way is not None else self.listed_address or self.address
         return {
             "uid": self.uid, "endpoint": f"{where[0]}:{where[1]}", "az": self.zone, "model": "std-32",
             "pod_group": self.cell, "state": self.state, "capacity_hint": 4, "boot_ms": 0,
@@ -241,13 +254,22 @@
             task = self.tasks.pop(sid, None)
             if task is None:
                 return
-            self.record(self.uid, f"is told by the placer to end {sid}, which {'stands' if task.standing else 'waits'}")
+            self.record(
+                self.uid, f"is told by {link.peer} to end {sid}, which {'stands' if task.standing else 'waits'}"
+            )
             if task.standing:
                 self.cut[sid] = self.record.now()
-            asyncio.get_running_loop().call_later(0.01, lambda: link.send("close", sid, code=31))
+            asyncio.get_running_loop().call_later(0.01, self._say_cancelled, sid, link, task.standing)
         elif line["msg"] == "probe":
             link.send("probed", sid, code=1)
 
+    def _say_cancelled(self, sid: str, link: HostLink, stood: bool) -> None:
+        """A placer has ended the task, so it was moved or ended by its owner. Its placer may be on any connection."""
+        for each in self.links if stood else [link]:
+            each.send("close", sid, code=31)
+        if stood:
+            self.unsent[sid] = 31
+
     def _answer(self, task: HostTask) -> None:
         if self.tasks.get(task.sid) is not task or not (task.link.open or task.standing):
             return
@@ -283,9 +305,9 @@
         self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         self.address = self._server.sockets[0].getsockname()[:2]
 
-    def publish(self, *hosts: Host, everything: bool = False) -> None:
+    def publish(self, *hosts: Host, everything: bool = False, ways: list[Way] | None = None) -> None:
         number = len(self.items) + 1
-        entries = [host.entry() for host in hosts]
+        entries = [host.entry(ways[n] if ways else None) for n, host in enumerate(hosts)]
         self.items.append({"no": number, "roster": {"rev": number, "all": everything, "targets": entries}})
         self.record("bulletin", f"event {number}: " + ", ".join(f"{e['uid']} {e['state']}" for e in entries))
         self._news.set()
@@ -316,8 +338,8 @@
     """The network between a placer and a host. While it is cut, open connections stay open and silent, and new ones never
     come up; what a side has sent is delivered after the cut, unless that side has reset the connection by then."""
 
-    def __init__(self, record: Record, target: tuple[str, int]) -> None:
-        self.record, self._target = record, target
+    def __init__(self, host: Host, placer: str = "the placer") -> None:
+        self._host, self._placer, self._target = host, placer, host.address
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind((LOOPBACK, 0))
@@ -335,7 +357,10 @@
             near, _ = self._listener.accept()
         except BlockingIOError:
             return
-        far = socket.create_connection(self._target)
+        far = socket.socket()
+        far.bind((LOOPBACK, 0))
+        self._host.peers[far.getsockname()] = self._placer
+        far.connect(self._target)
         for sock in (near, far):
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
