--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -192,6 +192,7 @@
         self.unsent: dict[str, int] = {}  # releases for the next connection
         self.admit_s = 0.02
         self.state = "SERVING"
+        self.boot_ms = 0.0  # the start in Unix ms, of a host that starts late
         self.address: tuple[str, int] = (LOOPBACK, 0)
         self.listed_address: tuple[str, int] | None = None  # where placers reach it, if through a proxy
         self.peers: dict[
@@ -217,7 +218,7 @@
         where = way.address if way is not None else self.listed_address or self.address
         return {
             "uid": self.uid, "endpoint": f"{where[0]}:{where[1]}", "az": self.zone, "model": "std-32",
-            "pod_group": self.cell, "state": self.state, "capacity_hint": 4, "boot_ms": 0,
+            "pod_group": self.cell, "state": self.state, "capacity_hint": 4, "boot_ms": self.boot_ms,
             "open": [self.cores, self.memory],
         }  # fmt: skip
 
