--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -191,6 +191,7 @@
         self.cut: dict[str, float] = {}  # standing tasks that a release of the placer ended, and when
         self.unsent: dict[str, int] = {}  # releases for the next connection
         self.admit_s = 0.02
+        self.cancelled_cause = 31  # of its release for a task that a placer has ended
         self.state = "SERVING"
         self.boot_ms = 0.0  # the start in Unix ms, of a host that starts late
         self.address: tuple[str, int] = (LOOPBACK, 0)
@@ -267,9 +268,9 @@
     def _say_cancelled(self, sid: str, link: HostLink, stood: bool) -> None:
         """A placer has ended the task, so it was moved or ended by its owner. Its placer may be on any connection."""
         for each in self.links if stood else [link]:
-            each.send("close", sid, code=31)
+            each.send("close", sid, code=self.cancelled_cause)
         if stood:
-            self.unsent[sid] = 31
+            self.unsent[sid] = self.cancelled_cause
 
     def _answer(self, task: HostTask) -> None:
         if self.tasks.get(task.sid) is not task or not (task.link.open or task.standing):
