Review: a stand-in host says an end on all connections where that of the set-up is gone

Cause: on any one of them the word could go to another placer than the holder, so case 2 failed beside the fault too. Change: HostLink of the set-up if it is open, else all open ones.

--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -286,11 +286,13 @@
             self.record(self.uid, f"{task.sid} stands; its answer never comes")
 
     def end(self, sid: str, cause: int = 16) -> None:
-        """The task comes to its end: released on the connection of its set-up, else any, and on the next one opened."""
+        """The task comes to its end: released on the connection of its set-up, else on any, and on the next one opened.
+
+        Where the first is gone the host cannot know which placer holds the task, so it says so on all that are open.
+        """
         task = self.tasks.pop(sid)
         self.record(self.uid, f"{sid} comes to its end, cause {cause}")
-        link = task.link if task.link.open else next(iter(self.links), None)
-        if link is not None:
+        for link in [task.link] if task.link.open else self.links:
             link.send("close", sid, code=cause)
         self.unsent[sid] = cause
 
