--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -524,6 +524,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             return await asyncio.wait_for(case(record, Path(temporary)), limit_s)
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # the placers are ended on the way out
     try:
         broken = asyncio.run(limited())
     except (NotRun, OSError, TimeoutError) as error:
