Node: admit a set-up exactly if the message that offers it to a host fits

Cause: the parser limited the description to a line less 1,024 bytes, and name and key to 128 letters each, while the encoder wrote letters beyond ASCII as escapes of 6 or 12 bytes. The line could be longer than 16 KiB; the encoder's error came in an end-of-turn hook, which stops the loop. Trace: Dispatcher._run, Hosts._write, Tasks.encode_offer, jsonl.encode, "line of 16754 bytes".

Change: the parser encodes the offer by the function that sends it and refuses what does not fit (cause 100), so check and use cannot disagree. Names and keys go out as UTF-8 like descriptions. A set-up with `at` is offered to no host and is not measured.

--- a/sprucepost/node/binary.py
+++ b/sprucepost/node/binary.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from sprucepost.node.framing import MAX_MESSAGE_BYTES, Framing, Malformed
+from sprucepost.node.framing import MAX_MESSAGE_BYTES, Framing, Malformed, MessageTooLong
 
 _HEADER = struct.Struct(">HBQ")
 _PARAMETER_HEADER = struct.Struct(">BH")
@@ -92,9 +92,9 @@
 
 
 def encode(kind: Kind, task: str, parameters: Iterable[tuple[Code, bytes]] = ()) -> bytes:
-    """Encode one message; ValueError where it is too long."""
+    """Encode one message; raises MessageTooLong."""
     body = b"".join(_PARAMETER_HEADER.pack(code, len(value)) + value for code, value in parameters)
     size = _HEADER.size + len(body)
     if size > MAX_MESSAGE_BYTES:
-        raise ValueError(f"message of {size} bytes is too long")
+        raise MessageTooLong(size)
     return _HEADER.pack(size - _LENGTH_BYTES, kind, int(task, 16)) + body
--- a/sprucepost/node/framing.py
+++ b/sprucepost/node/framing.py
@@ -16,6 +16,13 @@
     """The bytes are not a valid message, so nothing that follows on the connection can be decoded."""
 
 
+class MessageTooLong(ValueError):
+    """A message to be sent would exceed ``MAX_MESSAGE_BYTES``."""
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__(f"message of {size_bytes} bytes is longer than {MAX_MESSAGE_BYTES}")
+
+
 class Framing(Generic[M]):
     """Incremental decoder: takes bytes in pieces of any size and returns complete messages.
 
--- a/sprucepost/node/jsonl.py
+++ b/sprucepost/node/jsonl.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import Any
 
-from sprucepost.node.framing import MAX_MESSAGE_BYTES, Framing, Malformed
+from sprucepost.node.framing import MAX_MESSAGE_BYTES, Framing, Malformed, MessageTooLong
 
 _ID = re.compile("[0-9a-fA-F]{16}")
 
@@ -95,6 +95,11 @@
     return json.dumps(text, ensure_ascii=False)
 
 
+def _encode_attrs(attrs: dict[str, str]) -> str:
+    """Encode the fields of a message; like :func:`quoted`, without escapes that are not needed."""
+    return json.dumps(attrs, ensure_ascii=False, separators=(",", ":"))
+
+
 def encode(
     message_type: MessageType,
     sid: str,
@@ -102,13 +107,13 @@
     code: int | None = None,
     text: str | None = None,
 ) -> bytes:
-    """Encode one message; ``text`` is a JSON string from :func:`quoted`. ValueError where the line is too long."""
-    parts = f'{{"msg":"{message_type.value}","sid":"{sid}","attrs":{json.dumps(attrs or {}, separators=(",", ":"))}'
+    """Encode one message; ``text`` is a JSON string from :func:`quoted`. Raises MessageTooLong."""
+    parts = f'{{"msg":"{message_type.value}","sid":"{sid}","attrs":{_encode_attrs(attrs or {})}'
     if code is not None:
         parts += f',"code":{code}'
     if text is not None:
         parts += f',"text":{text}'
     line = (parts + "}\n").encode("utf-8")
     if len(line) > MAX_MESSAGE_BYTES:
-        raise ValueError(f"line of {len(line)} bytes is too long")
+        raise MessageTooLong(len(line))
     return line
--- a/sprucepost/node/parsing.py
+++ b/sprucepost/node/parsing.py
@@ -8,10 +8,9 @@
 from sprucepost import interface as i
 from sprucepost.node import jsonl
 from sprucepost.node.binary import Code, Message
-from sprucepost.node.framing import MAX_MESSAGE_BYTES
+from sprucepost.node.framing import MessageTooLong
 
 MAX_NAME_CHARS = 128  # of a name, a key or a service
-OFFER_FIELDS_BYTES = 1024  # reserved in an offer to a host for the fields beside the description
 EMPTY_ID = "0" * 16
 CAUSE_MISSING, CAUSE_INVALID = 96, 100  # a required parameter is missing; a parameter has an invalid value
 
@@ -47,6 +46,15 @@
             number, self.task_class, self.service, self.cores, self.memory, time_left_ms, self.tenant, task=self.name
         )
 
+    def offer(self, time_left_ms: float) -> bytes:
+        """Return the message that offers the task to a host. One with no more time left than the set-up gives can be
+        encoded: the parser has tried it."""
+        attrs = {"class": self.class_name, "key": self.name}
+        if self.key:
+            attrs["idem"] = self.key
+        attrs["left"] = str(int(time_left_ms))
+        return jsonl.encode(jsonl.MessageType.OPEN, self.sid, attrs, text=self.description)
+
 
 class SetUpParser:
     """Parses set-ups for one deployment's settings."""
@@ -95,9 +103,7 @@
             raise InvalidSetUp(CAUSE_INVALID, "the description is not valid UTF-8") from None
         if Code.DESCRIPTION not in message.parameters and not current_host:
             raise InvalidSetUp(CAUSE_MISSING, "the description is missing")
-        if len(description.encode("utf-8")) > MAX_MESSAGE_BYTES - OFFER_FIELDS_BYTES:
-            raise InvalidSetUp(CAUSE_INVALID, "the description is too long for a message to a host")
-        return SetUp(
+        setup = SetUp(
             message.task,
             name,
             class_name,
@@ -111,6 +117,17 @@
             current_host,
             tenant,
         )
+        if not current_host:  # a task that runs already is offered to no host
+            _check_offer(setup)
+        return setup
+
+
+def _check_offer(setup: SetUp) -> None:
+    """Raise InvalidSetUp unless the task can be offered to a host in one message."""
+    try:
+        setup.offer(setup.time_left_ms)
+    except MessageTooLong as error:
+        raise InvalidSetUp(CAUSE_INVALID, f"the set-up cannot be offered to a host: {error}") from None
 
 
 def _text(message: Message, code: Code, max_chars: int = MAX_NAME_CHARS) -> str:
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -66,7 +66,7 @@
 from sprucepost.node.attempt import Attempt, HostsPort, OwnerPort, OwnersPort, SetUpResult, TaskState, Withdrawal
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.fair_queue import FairQueue
-from sprucepost.node.jsonl import Line, MessageType, encode
+from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.parsing import SetUp
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
@@ -307,11 +307,7 @@
             self.counters["beyond_window"] += 1  # it was in time when decided; hosts forget the key after the window
             return None
         setup: SetUp = state.setup
-        attrs = {"class": setup.class_name, "key": setup.name}
-        if setup.key:
-            attrs["idem"] = setup.key
-        attrs["left"] = str(int(left_ms))
-        return encode(MessageType.OPEN, setup.sid, attrs, text=setup.description)
+        return setup.offer(left_ms)
 
     def _expire(self, attempt: Attempt) -> None:
         if attempt.entry.ask.attempt is not attempt:
