Node: a host that was silent is not asked to end the tasks it still runs

The end was only presumed, and by then the task may have another placer, which this one cannot know. Trace (placer n0): 8.014 "silent", tasks "over"; 13.792 connected; the host then says cause 31 for each task, which n1 had reported as found at 12.237.

Change: nothing is kept for the host. What an owner itself has ended is still told to the host.

Test: test_a_host_that_was_silent_is_not_asked_to_end_its_tasks, seen to fail before. test_a_silent_host_is_probed_and_its_tasks_released_in_time asked for the release at the host, which is the fault; it now asks that none is sent.

--- a/sprucepost/node/health.py
+++ b/sprucepost/node/health.py
@@ -13,8 +13,8 @@
 suspected  its last message is older, and   a health check on its connection; a check without an answer within
            it runs a task of this placer    ``CHECK_TIMEOUT_MS`` ends the connection; without a connection the host is
                                             dialled every ``hosts.REDIAL_MS``, and a new one begins with a check
-silent     its last message is older than   the owners of its tasks are notified at that moment; if the host comes back,
-           ``SILENT_AFTER_MS``              it is asked to end the tasks
+silent     its last message is older than   the owners of its tasks are notified at that moment; the tasks may run on,
+           ``SILENT_AFTER_MS``              and their owners may hand them over
 ========== ================================ ==========================================================================
 
 A check costs the host work, and every placer of the fleet checks the same hosts, so the first check is as late as leaves
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -466,12 +466,14 @@
             self._health.check_all(host)
 
     def _release_silent_host(self, host: Host) -> None:
-        """Release the tasks of a silent host, and have it end them should it come back. Its unused connections end."""
-        now = self.loop.now()
-        sids = list(self._tasks.placed[host.uid])
-        self._log.host(host.uid, "silent", heard=round(now - host.last_heard), late=round(self.loop.late_ms, 1))
+        """Release the tasks of a silent host towards their owners. Its unused connections end.
+
+        The tasks may run on. The host is not asked to end them once it can be reached: by then their owners may have
+        handed them over, to this placer or to another one.
+        """
+        silent_ms = self.loop.now() - host.last_heard
+        self._log.host(host.uid, "silent", heard=round(silent_ms), late=round(self.loop.late_ms, 1))
         self._lose_tasks(host, "silent")
-        host.pending_releases.update((sid, now + self._idle_ms) for sid in sids)
         for link in [link for link in host.links if not link.open]:
             self._end(host, link, "silent")
 
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -27,8 +27,9 @@
 placed    release: ok, reset                 ``Outcome``; the owner is sent the release                 (ended)
 placed    release: cancelled                 ``Outcome``; nobody needs a release                        (ended)
 placed    release by the owner               the host is told; ``Outcome`` cancelled                    (ended)
-placed    its host is lost                   ``Outcome`` reset; the owner is sent the release; if the   (ended)
-                                             host comes back, it is told to end the task
+placed    its host is lost                   ``Outcome`` reset; the owner is sent the release; the     (ended)
+                                             host is told nothing, as the task may have another
+                                             placer by then
 ========= ================================== ========================================================== =========
 
 What a host's message means depends on the state of the task at that host (below), not on the connection that it arrives
