Node: a task that was only presumed lost is placed again when it is handed over

Cause: an end that is only concluded (silence, refused dial, the list) was recorded like one that the host had told, and a set-up with `at` was passed over for 8 s; owners come after 3 s. The record was of the task, so an end at one host also hid a copy at another.

Change: records are by task and host, and presumed ends are apart from told ones. The owner's hand-over, the host's own release and the owner's release each take a presumed end back; only a set-up that crosses the release (50 ms) is passed over. A release that waits for a connection is dropped when its task is handed over.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -52,6 +52,10 @@
         """Tell the owner that its task has ended: on that connection, or else on another one."""
         ...
 
+    def cancel_release(self, sid: str) -> None:
+        """Drop the release of that task if it still waits for a connection: the task has been handed over."""
+        ...
+
 
 class HostsPort(Protocol):
     """Connections to all hosts."""
--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -1,61 +1,96 @@
-"""Cache of messages about tasks that are not known here because they arrived before the task's set-up. No I/O.
+"""What is remembered of tasks that are not known here, or no longer, for the set-ups that may follow. No I/O.
 
 An owner may use any of its connections, and a host may report on a task before its owner has reported the task again:
 after a restart of the placer, or if one connection is read before another. An owner that has not yet heard of the end of
 its task may also report that task once more.
 
+What concerns a host is remembered for that host alone: a task may run at one host after it has ended at another.
+
 ====================== =================================== ========================================================
 message                recorded when                       effect on a later set-up of that id
 ====================== =================================== ========================================================
-``TASK_ENDED``         a placed task has ended             with ``at``: none, its owner has been sent the release
+``TASK_ENDED``         a task has ended, by the word of    with ``at`` of that host: none, as its owner has been
+                       its host or of its owner            sent the release
+``PRESUMED_LOST``      the end of a placed task was only   with ``at`` of that host: the task runs on, so it is
+                       concluded, from its host's silence  placed again; none if the set-up crosses the release
+                       or from the list of hosts
 ``CANCELLED_BY_OWNER`` an owner cancels or ends a task     not placed and not answered; with ``at``: the host is
                        that is not known                   told to end the task
-``RELEASED_BY_HOST``   a host releases a task that is not  with ``at`` and of that host: recorded as placed, and
-                       known                               ended at once
+``RELEASED_BY_HOST``   a host releases a task that is not  with ``at`` of that host: recorded as placed, and ended
+                       known                               at once
 ====================== =================================== ========================================================
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
-from typing import Any
 
-MAX_EARLY_MESSAGES = 2048  # bounds the memory: a peer that sends unknown ids only displaces the oldest entries
+from sprucepost.node.jsonl import Line
+
+MAX_TASKS = 2048  # bounds the memory: a peer that sends unknown ids only displaces the oldest entries
+ANY_HOST = ""  # in place of a host, for what concerns the task itself
 
 
 class EarlyMessage(Enum):
     """What is recorded about a task id."""
 
     TASK_ENDED = "over"
+    PRESUMED_LOST = "presumed_lost"
     CANCELLED_BY_OWNER = "unwanted"
     RELEASED_BY_HOST = "ended"
 
 
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One message, when it was recorded, in ms of the loop's clock, and the line of the host that released the task."""
+
+    message: EarlyMessage
+    at: float
+    line: Line | None = None
+
+
 class EarlyMessageCache:
-    """Messages by task id; each is kept for ``retention_ms``, and at most ``max_messages`` of them."""
+    """Records by task id and host; each is kept for ``retention_ms``, and those of at most ``max_tasks`` tasks."""
 
-    def __init__(self, retention_ms: float, max_messages: int = MAX_EARLY_MESSAGES) -> None:
-        self._retention_ms, self._max_messages = retention_ms, max_messages
-        self._messages: dict[str, tuple[float, EarlyMessage, Any]] = {}  # expiry, message, details; oldest first
+    def __init__(self, retention_ms: float, max_tasks: int = MAX_TASKS) -> None:
+        self._retention_ms, self._max_tasks = retention_ms, max_tasks
+        self._records: dict[str, dict[str, Record]] = {}  # by task id, then by host; the tasks recorded last come last
 
     def __len__(self) -> int:
-        return len(self._messages)
-
-    def record(self, sid: str, message: EarlyMessage, now: float, details: Any = None) -> None:
-        """Record a message; ``TASK_ENDED`` is not overwritten by a later message of another kind."""
-        known = self._messages.pop(sid, None)
-        if known is not None and known[1] is EarlyMessage.TASK_ENDED and message is not EarlyMessage.TASK_ENDED:
-            message, details = known[1], known[2]
-        elif len(self._messages) >= self._max_messages:
-            del self._messages[next(iter(self._messages))]
-        self._messages[sid] = now + self._retention_ms, message, details
-
-    def get(self, sid: str, now: float) -> tuple[EarlyMessage | None, Any]:
-        """Return the message about that id and its details, or a pair of None if there is none or it has expired."""
-        expires_at, message, details = self._messages.get(sid, (0.0, None, None))
-        return (message, details) if expires_at > now else (None, None)
+        return len(self._records)
+
+    def record(
+        self, sid: str, message: EarlyMessage, now: float, host: str = ANY_HOST, line: Line | None = None
+    ) -> None:
+        """Record a message; a host's release of a task whose end is known says nothing new."""
+        by_host = self._records.pop(sid, {})
+        known = by_host.get(host)
+        if known is not None and known.message is EarlyMessage.TASK_ENDED:
+            message, line = EarlyMessage.TASK_ENDED, None
+        by_host[host] = Record(message, now, line)
+        if len(self._records) >= self._max_tasks:
+            del self._records[next(iter(self._records))]
+        self._records[sid] = by_host
+
+    def get(self, sid: str, now: float, host: str = ANY_HOST) -> Record | None:
+        """Return what is recorded of that task and host, unless it has expired."""
+        record = self._records.get(sid, {}).get(host)
+        return record if record is not None and record.at + self._retention_ms > now else None
+
+    def presumed_lost_at(self, sid: str, now: float) -> str | None:
+        """Return the host at which the task was last presumed lost; None where it was not."""
+        hosts = [
+            host
+            for host in self._records.get(sid, {})
+            if (record := self.get(sid, now, host)) is not None and record.message is EarlyMessage.PRESUMED_LOST
+        ]
+        return hosts[-1] if hosts else None
 
     def expire(self, now: float) -> None:
-        """Drop expired messages."""
-        for sid in [sid for sid, message in self._messages.items() if message[0] <= now]:
-            del self._messages[sid]
+        """Drop expired records."""
+        for sid, by_host in list(self._records.items()):
+            for host in [host for host in by_host if self.get(sid, now, host) is None]:
+                del by_host[host]
+            if not by_host:
+                del self._records[sid]
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -327,17 +327,18 @@
         if link.transport.has_unread_backlog:
             self._unread_links[link] = None
         messages = link.decoder.feed(data)
+        is_first_read = bool(messages) and not link.has_sent_message
         if messages:
             link.partial_since = None  # reads from a busy owner may each end within another message
-            if not link.has_sent_message:
-                link.has_sent_message = True
-                self._send_pending_releases(link)
+            link.has_sent_message = True
         for message in messages:
             if link.closed:
                 return
             self._on_message(link, message)
         if link.closed:
             return
+        if is_first_read:  # after the messages: a task that is handed over is not released
+            self._send_pending_releases(link)
         if link.decoder.error is not None:
             self.log("owner_malformed", peer=link.transport.peer, why=str(link.decoder.error))
             self.disconnect(link, "malformed")
@@ -396,6 +397,10 @@
             link = max(others, key=lambda other: (other.proven, other.used))
         link.release(sid, cause)
 
+    def cancel_release(self, sid: str) -> None:
+        """Drop the release of that task if it still waits for a connection: the task has been handed over."""
+        self._pending_releases = [item for item in self._pending_releases if item[2] != sid]
+
     def _send_pending_releases(self, link: OwnerLink) -> None:
         of_owner = [item for item in self._pending_releases if item[1] == link.owner_address]
         self._pending_releases = [item for item in self._pending_releases if item[1] != link.owner_address]
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -81,6 +81,8 @@
 NOT_ACCEPTED = {34: i.Ending.FULL, 47: i.Ending.ERROR, 102: i.Ending.VOID}
 CAUSE_WITHDRAWN = 16  # sent to a host to withdraw a set-up or to end a placed task
 RELEASE_RETENTION_MS = 8000.0  # how long a release that found no connection is kept for its owner
+# A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
+RELEASE_CROSSING_MS = 50.0
 # A new set-up waits this long for reports of placed tasks: half of the 0.2 s after which the scheduler counts them.
 FOUND_TASKS_WAIT_MS = 100.0
 # Each new task may cost the scheduler 2 ms of a whole core if it is the first request of its service.
@@ -135,32 +137,21 @@
                 self._keep_connection(entry, owner)
             return SetUpResult.ADMITTED
         now = self.loop.now()
-        message, line = self.early_messages.get(setup.sid, now)
-        if message is EarlyMessage.CANCELLED_BY_OWNER:
+        if setup.current_host and self._has_ended_at_host(setup, now):
+            self.counters["repeats_of_ended"] += 1
+            self.trace(setup.sid, "repeat_of_ended", host=setup.current_host)
+            return SetUpResult.ADMITTED
+        if self.early_messages.get(setup.sid, now) is not None:
             self.counters["unwanted"] += 1
             self.trace(setup.sid, "unwanted", host=setup.current_host or None)
             if setup.current_host:
                 self.hosts.end_task(setup.current_host, setup.sid)
-                self.early_messages.record(setup.sid, EarlyMessage.TASK_ENDED, now)
+                self.early_messages.record(setup.sid, EarlyMessage.TASK_ENDED, now, setup.current_host)
             return SetUpResult.CANCELLED
-        if message is EarlyMessage.TASK_ENDED and setup.current_host:
-            return SetUpResult.ADMITTED
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
         entry.ask = TaskState(setup, owner)
         if setup.current_host:
-            self.counters["found"] += 1
-            self.trace(setup.sid, "found", host=setup.current_host)
-            entry.machine = setup.current_host
-            self.ledger.settle(entry, Outcome.PLACED, now)
-            self._record_placed(entry)
-            self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), setup.current_host))
-            self._found_services.add(setup.service)
-            if not self.hosts.adopt(setup.current_host, setup.sid):
-                return SetUpResult.HOST_UNKNOWN
-            self._keep_connection(entry, owner)
-            if message is EarlyMessage.RELEASED_BY_HOST and line[0] == setup.current_host:
-                self.handle_message(*line)
-            return SetUpResult.ADMITTED
+            return self._adopt(entry, setup, owner)
         self.counters["taken"] += 1
         entry.deadline = now + max(0.0, setup.time_left_ms - waited_ms)
         self.trace(setup.sid, "taken", left=setup.time_left_ms, waited=round(waited_ms, 1))
@@ -169,6 +160,36 @@
         self._driver.schedule_batch()
         return SetUpResult.ADMITTED
 
+    def _has_ended_at_host(self, setup: SetUp, now: float) -> bool:
+        """Whether the task has ended at the host that the set-up names, so that its owner has been sent the release.
+
+        A presumed end counts only while the set-up may have crossed the release. One that comes later tells that the task
+        runs there, and its owner knows better.
+        """
+        record = self.early_messages.get(setup.sid, now, setup.current_host)
+        if record is None or record.message is EarlyMessage.RELEASED_BY_HOST:
+            return False
+        return record.message is EarlyMessage.TASK_ENDED or now - record.at <= RELEASE_CROSSING_MS
+
+    def _adopt(self, entry: Entry, setup: SetUp, owner: OwnerPort) -> SetUpResult:
+        """Place a new entry for a task that its host runs already."""
+        host, now = setup.current_host, self.loop.now()
+        self.counters["found"] += 1
+        self.trace(setup.sid, "found", host=host)
+        entry.machine = host
+        self.ledger.settle(entry, Outcome.PLACED, now)
+        self._record_placed(entry)
+        self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
+        self._found_services.add(setup.service)
+        known = self.early_messages.get(setup.sid, now, host)
+        self.owners.cancel_release(setup.sid)
+        if not self.hosts.adopt(host, setup.sid):
+            return SetUpResult.HOST_UNKNOWN
+        self._keep_connection(entry, owner)
+        if known is not None and known.line is not None:
+            self.handle_message(host, known.line)
+        return SetUpResult.ADMITTED
+
     def _submit_new_tasks(self) -> None:
         """Submit new tasks to the scheduler ahead of a batch, once it knows of the tasks that are placed.
 
@@ -202,9 +223,8 @@
     def owner_cancelled(self, sid: str) -> None:
         """Handle an owner's release: it cancels its set-up, or ends its placed task."""
         entry = self.ledger.current(sid)
-        if entry is None:  # ended, or not read yet: messages on two connections may overtake each other
-            self.trace(sid, "unknown", why="released by its owner")
-            self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, self.loop.now())
+        if entry is None:
+            self._handle_unknown_cancelled(sid)
             return
         if entry.outcome is Outcome.OPEN:
             entry.ask.owner.discard_set_up(sid)
@@ -214,6 +234,17 @@
         self.hosts.end_task(entry.machine, sid)
         self._end_task(entry, i.Ending.CANCELLED, None, "ended by its owner")
 
+    def _handle_unknown_cancelled(self, sid: str) -> None:
+        """Handle the owner's release of a task that has ended, or whose set-up has not been read yet: messages on two
+        connections may overtake each other. A task that was only presumed lost may run on, so its host is told."""
+        now = self.loop.now()
+        self.trace(sid, "unknown", why="released by its owner")
+        host = self.early_messages.presumed_lost_at(sid, now)
+        if host is not None:
+            self.hosts.end_task(host, sid)
+            self.early_messages.record(sid, EarlyMessage.TASK_ENDED, now, host)
+        self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now)
+
     def owner_disconnected(self, sids: list[str]) -> None:
         """Cancel open set-ups whose owner's connection has ended."""
         for sid in sids:
@@ -383,7 +414,7 @@
         self.trace(entry.name, "failed", host=attempt.machine, why="released before its answer came")
         self._recently_settled.add(entry.request)
         self._settle(entry, Outcome.FAILED)
-        self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now())
+        self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now(), attempt.machine)
         self.end_attempt(attempt, i.Ending.RESET, reason, report)
         entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
 
@@ -450,7 +481,7 @@
                 return
         self._count_late(machine, line)
         if line.type is MessageType.CLOSE and entry is None:
-            self.early_messages.record(line.sid, EarlyMessage.RELEASED_BY_HOST, self.loop.now(), (machine, line))
+            self.early_messages.record(line.sid, EarlyMessage.RELEASED_BY_HOST, self.loop.now(), machine, line)
 
     def handle_withdrawn_message(self, machine: str, line: Line) -> None:
         """Handle a message on the connection of a withdrawn set-up: it concerns no later attempt."""
@@ -495,14 +526,14 @@
         self.trace(entry.name, "failed", host=machine, why="released before its withdrawal was read")
         self._recently_settled.add(entry.request)
         self._settle(entry, Outcome.FAILED)
-        self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now())
+        self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now(), machine)
         self._withdraw(entry)
         if not entry.ask.queued:
             self._driver.push(i.RequestAbandoned(entry.request))
         entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
 
     def host_lost(self, machine: str, why: str, before: float | None = None) -> int:
-        """End the tasks of a host that is lost or presumed lost, and return their number.
+        """End the tasks of a host that is presumed lost, and return their number. A task may run on all the same.
 
         ``before``: only tasks placed before that time of the loop's clock, in ms.
         """
@@ -510,7 +541,7 @@
         entries = [entry for entry in placed if before is None or entry.ask.placed_at < before]
         for entry in entries:
             self.counters[f"lost_{why}"] += 1
-            self._end_task(entry, i.Ending.RESET, CAUSE_LOST, why)
+            self._end_task(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=EarlyMessage.PRESUMED_LOST)
         return len(entries)
 
     def _end_task(
@@ -521,13 +552,14 @@
         why: str,
         reason: i.Reason = i.Reason.UNTOLD,
         report: i.LoadReport | None = None,
+        early_message: EarlyMessage = EarlyMessage.TASK_ENDED,
     ) -> None:
         at_host = self.placed[entry.machine]
         del at_host[entry.name]
         if not at_host:
             del self.placed[entry.machine]
         self.ledger.end(entry)
-        self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now())
+        self.early_messages.record(entry.name, early_message, self.loop.now(), entry.machine)
         self.counters[f"over_{ending.value}"] += 1
         self.trace(entry.name, "over", host=entry.machine, why=why)
         self._driver.push(i.Outcome(entry.request, entry.attempt, ending, True, reason, report))
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import sys
+from collections.abc import Callable
 from pathlib import Path
 
+import pytest
+
 from sprucepost.loop import Co, sleep
-from sprucepost.node import binary, jsonl
+from sprucepost.node import binary, jsonl, tasks
 from sprucepost.node.binary import Kind
+from sprucepost.node.early_messages import EarlyMessageCache
 from sprucepost.node.jsonl import Line, MessageType
-from sprucepost.node.tasks import RELEASE_RETENTION_MS
+from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
+from tests.node.handover_schedules import HandoverSchedule
 from tests.node.platform import setup
+from tests.node.test_tasks import SID, harness_with_placed_task
 from tests.node.virtual import LISTEN, Placer, VirtualSock, host_address, run_virtual
 
 TASK, OTHER = "c0255aa5c7e00001", "c0255aa5c7e00002"
@@ -88,3 +95,135 @@
         assert (OTHER, Kind.ANSWER, None) in told(client) and host.asked_to_end() == []
 
     run_virtual(tmp_path, body)
+
+
+# Guards against a hand-over that is dropped because the placer had told the task as lost: its end was never told.
+def test_a_task_that_is_handed_over_after_a_silence_is_kept(tmp_path: Path) -> None:
+    def body(placer: Placer) -> Co[None]:
+        host, client = HostSide(placer), placer.loop.arrive(LISTEN, "127.0.2.1:1")
+        yield from lose_by_silence(placer, host, client, TASK)
+        yield from host.serve(OWNER_WAIT_MS)
+        host.cut = False
+        client.inbox.append(setup(TASK, FIGURES=AT_HOST))
+        yield from host.serve(2 * RELEASE_RETENTION_MS)
+        assert len(told(client)) == 2 and host.asked_to_end() == [], (
+            "it runs on, and the host answers its health checks"
+        )
+        host.send(MessageType.CLOSE, TASK, code=16)
+        yield from host.serve(100.0)
+        assert told(client)[2:] == [(TASK, Kind.RELEASE, 16)]
+
+    run_virtual(tmp_path, body)
+
+
+# Guards against the same after each other way in which a placer concludes that a task is over.
+@pytest.mark.parametrize("why", ["silent", "refused", "replaced", "restarted", "unlisted"])
+def test_a_presumed_loss_does_not_outlive_a_hand_over(why: str) -> None:
+    harness = harness_with_placed_task()
+    host = harness.offers()[0].machine
+    harness.tasks.host_lost(host, why)
+    harness.loop.pass_ms(OWNER_WAIT_MS)
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{host}")
+    assert harness.count_placed_tasks() == 1
+    harness.tasks.handle_message(host, Line(MessageType.CLOSE, SID, {}, 16))
+    assert harness.events[-2:] == [("release", SID, 41), ("release", SID, 16)]
+
+
+def test_a_set_up_that_crosses_the_release_of_a_presumed_loss_places_nothing() -> None:
+    harness = harness_with_placed_task()
+    host = harness.offers()[0].machine
+    harness.tasks.host_lost(host, "silent")
+    harness.loop.pass_ms(20.0)
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{host}")
+    assert harness.count_placed_tasks() == 0 and harness.event_kinds().count("release") == 1
+
+
+# Guards against a copy at one host that is forgotten because the task has ended at another.
+def test_an_end_at_one_host_says_nothing_about_another() -> None:
+    harness = harness_with_placed_task()
+    host = harness.offers()[0].machine
+    harness.tasks.handle_message(host, Line(MessageType.CLOSE, SID, {}, 41))
+    harness.loop.pass_ms(OWNER_WAIT_MS)
+    other = {"m0": "m1", "m1": "m0"}[host]
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{other}")
+    assert list(harness.tasks.placed) == [other]
+
+
+# Guards against a task that stays placed because its host's release came while it counted as lost.
+def test_a_release_by_the_host_after_a_presumed_loss_ends_a_later_hand_over() -> None:
+    harness = harness_with_placed_task()
+    host = harness.offers()[0].machine
+    harness.tasks.host_lost(host, "silent")
+    harness.tasks.handle_message(host, Line(MessageType.CLOSE, SID, {}, 16))
+    harness.loop.pass_ms(OWNER_WAIT_MS)
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{host}")
+    assert harness.count_placed_tasks() == 0 and harness.events[-1] == ("release", SID, 16)
+
+
+# Guards against a task that runs on although its owner has ended it: the owner's message crossed the release.
+def test_an_owners_end_that_crosses_a_presumed_loss_is_told_to_the_host() -> None:
+    harness = harness_with_placed_task()
+    host = harness.offers()[0].machine
+    harness.tasks.host_lost(host, "silent")
+    harness.tasks.owner_cancelled(SID)
+    assert harness.events[-1] == ("end task", host, SID)
+
+
+# Guards against an owner that hears, right after its hand-over, of the loss that was presumed before.
+def test_a_hand_over_drops_the_release_that_waits_for_a_connection(tmp_path: Path) -> None:
+    def body(placer: Placer) -> Co[None]:
+        host, client = HostSide(placer), placer.loop.arrive(LISTEN, "127.0.2.1:1", setup(TASK))
+        yield from host.serve(1000.0)
+        host.cut = True
+        client.inbox.append(b"")
+        yield from host.serve(RELEASE_RETENTION_MS)
+        assert placer.service.counters["releases_waiting"] == 1
+        host.cut = False
+        client = placer.loop.arrive(LISTEN, "127.0.2.1:2", setup(TASK, FIGURES=AT_HOST))
+        yield from host.serve(1000.0)
+        assert told(client) == [] and sum(map(len, placer.service.tasks.placed.values())) == 1
+
+    run_virtual(tmp_path, body)
+
+
+SCHEDULES = 60
+
+
+# Guards against tasks whose end is never told, or that a placer ends without being asked, in any order of losses,
+# hand-overs and ends.
+def test_in_every_random_schedule_the_ends_of_handed_over_tasks_are_told() -> None:
+    assert [fault for seed in range(SCHEDULES) for fault in HandoverSchedule(seed).play()] == []
+
+
+def _end_lost_tasks(patch: pytest.MonkeyPatch) -> None:
+    real = Tasks.host_lost
+
+    def host_lost(self: Tasks, machine: str, why: str, before: float | None = None) -> int:
+        for sid in list(self.placed.get(machine, {})):
+            self.hosts.end_task(machine, sid)
+        return real(self, machine, why, before)
+
+    patch.setattr(Tasks, "host_lost", host_lost)
+
+
+DEFECTS: dict[str, Callable[[pytest.MonkeyPatch], None]] = {
+    "a presumed loss counts as an end": lambda patch: patch.setattr(tasks, "RELEASE_CROSSING_MS", RELEASE_RETENTION_MS),
+    "a lost host is asked to end its tasks": _end_lost_tasks,
+    "an end counts for all hosts": lambda patch: patch.setattr(
+        Tasks, "_has_ended_at_host", lambda self, setup, now: setup.sid in self.early_messages._records
+    ),
+    "the owner's end of a lost task is not passed on": lambda patch: patch.setattr(
+        EarlyMessageCache, "presumed_lost_at", lambda self, sid, now: None
+    ),
+}
+
+
+@pytest.mark.parametrize("defect", DEFECTS)
+def test_planted_defects_of_hand_overs_are_found(monkeypatch: pytest.MonkeyPatch, defect: str) -> None:
+    DEFECTS[defect](monkeypatch)
+    assert any(HandoverSchedule(seed).play() for seed in range(SCHEDULES))
+
+
+if __name__ == "__main__":  # more seeds: python -m tests.node.test_handed_over_tasks FROM TO
+    found = [fault for seed in range(int(sys.argv[1]), int(sys.argv[2])) for fault in HandoverSchedule(seed).play()]
+    print("\n".join(found) or "none")
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -88,6 +88,8 @@
     def release(self, link: Any, sid: str, cause: int) -> None:
         self.events.append(("release", sid, cause))
 
+    def cancel_release(self, sid: str) -> None: ...
+
     def send_offer(self, attempt: Attempt) -> None:
         data = None if self.disconnected else self.tasks.encode_offer(attempt)
         if data is not None:
