Node: refused and failed requests are remembered for a second

Cause: the periodic check dropped settled requests from the ledger at once. A decision of the same batch then found none, which stops the loop, and a late give-up was taken for one that had overtaken its set-up, which is kept for 8 s.

Change: they stay for SETTLED_RETENTION_MS, without their descriptions. A give-up that finds one says nothing about a later hand-over. The assertion on decisions stays as it is.

--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -83,6 +83,7 @@
 RELEASE_RETENTION_MS = 8000.0  # how long a release that found no connection is kept for its owner
 # A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
 RELEASE_CROSSING_MS = 50.0
+SETTLED_RETENTION_MS = 1000.0  # what its owner sent before it had read a refusal or failure has arrived by then
 # A new set-up waits this long for reports of placed tasks: half of the 0.2 s after which the scheduler counts them.
 FOUND_TASKS_WAIT_MS = 100.0
 # Each new task may cost the scheduler 2 ms of a whole core if it is the first request of its service.
@@ -177,7 +178,7 @@
         self.counters["found"] += 1
         self.trace(setup.sid, "found", host=host)
         entry.machine = host
-        self.ledger.settle(entry, Outcome.PLACED, now)
+        self._settle(entry, Outcome.PLACED)
         self._record_placed(entry)
         self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
         self._found_services.add(setup.service)
@@ -222,10 +223,13 @@
 
     def owner_cancelled(self, sid: str) -> None:
         """Handle an owner's release: it cancels its set-up, or ends its placed task."""
-        entry = self.ledger.current(sid)
+        entry = self.ledger.by_name(sid)
         if entry is None:
             self._handle_unknown_cancelled(sid)
             return
+        if entry.outcome in (Outcome.REFUSED, Outcome.FAILED):
+            self.trace(sid, "cancelled_late", why="crossed its outcome")
+            return
         if entry.outcome is Outcome.OPEN:
             entry.ask.owner.discard_set_up(sid)
             self._cancel(entry, "by its owner")
@@ -293,6 +297,7 @@
 
     def _settle(self, entry: Entry, outcome: Outcome) -> None:
         self.ledger.settle(entry, outcome, self.loop.now())
+        entry.ask.setup = replace(entry.ask.setup, description="")  # it is offered to no host again
         self.on_settled()
 
     def _withdraw(self, entry: Entry) -> None:
@@ -431,7 +436,6 @@
         self.counters["placed"] += 1
         self.trace(entry.name, "stands", host=attempt.machine, attempt=attempt.number)
         self._driver.push(i.Accepted(entry.request, attempt.number, now - attempt.offered_at))
-        entry.ask.setup = replace(entry.ask.setup, description="")  # it is offered to no host again
         entry.ask.owner.answer(entry.name, text)
 
     # Placed tasks
@@ -578,6 +582,7 @@
         (self.closed_hosts.add if closed else self.closed_hosts.discard)(machine)
 
     def expire_records(self) -> None:
-        """Drop refused and failed tasks and expired early messages: no host's message matters to them any more."""
-        self.ledger.forget(self.loop.now())
-        self.early_messages.expire(self.loop.now())
+        """Drop refused and failed tasks, and early messages, that no message can concern any more."""
+        now = self.loop.now()
+        self.ledger.forget(now - SETTLED_RETENTION_MS)
+        self.early_messages.expire(now)
