Backoff: any number of failures in a row has a delay; five overflows mended

Cause: min(RETRY_MS * 2.0 ** failures, RETRY_MAX_MS) computes the power before it is bounded; with 1,024 doublings that is an OverflowError in the loop that asks discovery.

Change: one function, sprucepost.backoff.exponential_backoff, which bounds the doublings first. Delays are as before.

--- a/sprucepost/node/feed.py
+++ b/sprucepost/node/feed.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from sprucepost.backoff import exponential_backoff
 from sprucepost.loop import Closed, Co, Loop, Queue, Scope, Task, TimedOut, Transport, connect, current, sleep, within
 from sprucepost.node.bulletin import Address, Bulletin, ListUpdate
 from sprucepost.node.framing import Malformed
@@ -73,8 +74,9 @@
                 self._failures += 1
                 self.counters["bulletin_failed"] += 1
                 self._log("bulletin_failed", why=str(error) or type(error).__name__, held=self.bulletin.last_number)
-            delay_ms = min(RETRY_MS * 2.0 ** (self._failures - 1), RETRY_MAX_MS) * self._rng.uniform(0.5, 1.0)
-            yield from sleep(delay_ms if self._failures > 1 else 0.0)
+            earlier_failures = max(0, self._failures - 1)
+            delay_ms = exponential_backoff(RETRY_MS, earlier_failures, RETRY_MAX_MS) * self._rng.uniform(0.5, 1.0)
+            yield from sleep(delay_ms if earlier_failures else 0.0)
 
     def _poll(self, task: Task[Any]) -> Co[None]:
         """Send requests on one connection until one fails or the peer ends it."""
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -14,6 +14,7 @@
 from collections import Counter
 
 from sprucepost import interface as i
+from sprucepost.backoff import exponential_backoff
 from sprucepost.loop import Co, Loop, Scope, TimedOut, connect, current, is_local_shortage
 from sprucepost.node import health
 from sprucepost.node.attempt import Attempt
@@ -319,7 +320,7 @@
         host.failed_dials += 1
         host.dial_failed_locally = False
         suspected = self._health.suspected(host)
-        pause = REDIAL_MS if suspected else min(REDIAL_MS * 2.0 ** (host.failed_dials - 1), REDIAL_MAX_MS)
+        pause = REDIAL_MS if suspected else exponential_backoff(REDIAL_MS, host.failed_dials - 1, REDIAL_MAX_MS)
         host.redial_at = self.loop.now() + pause
         refused = isinstance(error, ConnectionRefusedError)
         self.counters["connect_refused" if refused else "connect_failed"] += 1
--- a/sprucepost/scheduler.py
+++ b/sprucepost/scheduler.py
@@ -28,6 +28,7 @@
 from typing import Any
 
 from sprucepost import interface as i
+from sprucepost.backoff import exponential_backoff
 from sprucepost.interface import Effect, Ending, Reason, Scope
 
 INTERVAL_MS = 2000.0  # close to the lag of the view, so that a turn sees the binds of the turn before
@@ -262,7 +263,7 @@
         if event.kind is i.ListKind.FAILED:
             self.list_failures += 1
             self._schedule_list_call(
-                min(SUSPICION_MS * 2.0 ** (self.list_failures - 1), self.settings.ask_every / 4))
+                exponential_backoff(SUSPICION_MS, self.list_failures - 1, self.settings.ask_every / 4))
             if self.list_failures == 1:
                 self.actions.append(i.Log("list: call failed; using the previous list and own observations"))
             return
@@ -354,7 +355,8 @@
             machine.started = max(machine.started, self.now)  # it lost its tasks: cold when it returns
         silences, until = machine.suspicions.get(class_index, (0, 0.0))
         if self.now >= until:
-            pause = min(SUSPICION_MS * 2.0 ** silences, MAX_SUSPICION_MS) * (4 if certain else bool(silences))
+            pause = exponential_backoff(SUSPICION_MS, silences, MAX_SUSPICION_MS)
+            pause *= 4 if certain else bool(silences)
             machine.suspicions[class_index] = silences + 1, self.now + pause
 
     def _record_refusal(self, machine: Machine, task: Task, reason: Reason) -> None:
--- a/sprucepost/view/view.py
+++ b/sprucepost/view/view.py
@@ -41,6 +41,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from sprucepost.backoff import exponential_backoff
 from sprucepost.random_source import RandomSource
 from sprucepost.view.messages import (
     Action,
@@ -300,7 +301,7 @@
 
     def _back_off(self, now: float, dialled: str) -> None:
         failures = self._dial_backoff.get(dialled, (0, 0.0))[0]
-        delay_ms = min(DIAL_BACKOFF_MS * 2.0**failures, MAX_DIAL_BACKOFF_MS) * self._rng.uniform(0.5, 1.0)
+        delay_ms = exponential_backoff(DIAL_BACKOFF_MS, failures, MAX_DIAL_BACKOFF_MS) * self._rng.uniform(0.5, 1.0)
         self._dial_backoff[dialled] = failures + 1, now + delay_ms
 
     def _settings_match(self, hello: Hello) -> bool:
