gRPC placer: a reason that only a later version knows counts as none given

Cause: protobuf passes unknown values of an enum on, and Reason(99) raised a ValueError in the handler of a machine's frame, which stops the loop.

Change: an unknown number counts as no reason. Test: test_an_unknown_reason_counts_as_none, failed for refusals and ends before.

--- a/sprucepost/placing/attempts.py
+++ b/sprucepost/placing/attempts.py
@@ -21,6 +21,7 @@
 from sprucepost.v1 import common_pb2, machine_pb2
 from sprucepost.v1 import placer_pb2 as pb
 
+_REASON_NUMBERS = frozenset(map(int, i.Reason))
 _EFFECTS = {
     "safe": common_pb2.EFFECT_SAFE,
     "keyed": common_pb2.EFFECT_KEYED,
@@ -196,7 +197,7 @@
         if kind == "refused":
             if not attempt.accepted:
                 self._drop(attempt.machine, key)
-                reason = i.Reason(frame.refused.reason)
+                reason = _reason(frame.refused.reason)
                 self.refusals[reason.name.lower()] += 1
                 self.end(key, attempt, i.Ending.FULL, reason, frame.load)
             return
@@ -250,7 +251,7 @@
             machine_pb2.TaskEnded.DONE: i.Ending.OK,
             machine_pb2.TaskEnded.STOPPED: i.Ending.CANCELLED,
         }.get(frame.ended.how, i.Ending.RESET)
-        self.end(key, attempt, ending, i.Reason(frame.ended.reason), frame.load)
+        self.end(key, attempt, ending, _reason(frame.ended.reason), frame.load)
         reported = {
             i.Ending.OK: pb.Ended.DONE,
             i.Ending.CANCELLED: pb.Ended.STOPPED,
@@ -337,6 +338,11 @@
             link.send(machine_pb2.ToMachine(withdraw=withdraw))
 
 
+def _reason(number: int) -> i.Reason:
+    """Return the reason of that number; one that only a later version knows counts as not given."""
+    return i.Reason(number) if number in _REASON_NUMBERS else i.Reason.UNTOLD
+
+
 def _load_report(load: machine_pb2.Load) -> i.LoadReport:
     def value(field: Any) -> float | None:
         return getattr(load, field) if load.HasField(field) else None
--- a/tests/placing/test_attempts.py
+++ b/tests/placing/test_attempts.py
@@ -189,3 +189,19 @@
         max_clock_skew_ms == harness.cluster.fall_ms / 4
         and settings.warm_after == harness.cluster.warm_after_ms + max_clock_skew_ms
     )
+
+
+# Guards against a crash: a machine of a later version gives a reason that this placer does not know.
+@pytest.mark.parametrize("body", ["refused", "ended"])
+def test_an_unknown_reason_counts_as_none(body: str) -> None:
+    harness = PlacerHarness()
+    link = harness.machine()
+    harness.submit()
+    offer = link.offers[0]
+    if body == "refused":
+        harness.answer("m1", offer, refused=machine_pb2.Refused(reason=99))
+        assert harness.engine.counters["offers"] >= 1 and harness.outcomes() != ["bound"]
+        return
+    harness.answer("m1", offer, accepted=machine_pb2.Accepted())
+    harness.answer("m1", offer, ended=machine_pb2.TaskEnded(how=machine_pb2.TaskEnded.DONE, reason=99))
+    assert not harness.engine.attempts.get((offer.request, offer.attempt))
