Node: a host whose id is not valid Unicode is rejected, like other faulty entries

Cause: JSON may hold half of a surrogate pair. Such an id passed the bulletin's check (a string that is not empty) and raised a UnicodeEncodeError in the scheduler's order_key, which ended the placer.

Change: the entry is rejected with one log line.

--- a/sprucepost/node/bulletin.py
+++ b/sprucepost/node/bulletin.py
@@ -18,7 +18,7 @@
 from typing import Any, TypeGuard
 
 from sprucepost import interface as i
-from sprucepost.node.framing import Malformed
+from sprucepost.node.framing import Malformed, is_encodable
 
 Address = tuple[str, int]
 
@@ -146,6 +146,8 @@
         if not isinstance(raw, dict) or not isinstance(raw.get("uid"), str) or not raw["uid"]:
             raise ValueError("a host has no id")
         uid = raw["uid"]
+        if not is_encodable(uid):
+            raise ValueError(f"{uid!r}: the id is not valid Unicode")
         state = STATES.get(str(raw.get("state")))
         if state is None:
             raise ValueError(f"{uid}: unknown state")
--- a/sprucepost/node/framing.py
+++ b/sprucepost/node/framing.py
@@ -23,6 +23,15 @@
         super().__init__(f"message of {size_bytes} bytes is longer than {MAX_MESSAGE_BYTES}")
 
 
+def is_encodable(text: str) -> bool:
+    """Return whether the text is valid Unicode; a JSON string may hold half of a surrogate pair."""
+    try:
+        text.encode("utf-8")
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 class Framing(Generic[M]):
     """Incremental decoder: takes bytes in pieces of any size and returns complete messages.
 
--- a/sprucepost/node/jsonl.py
+++ b/sprucepost/node/jsonl.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import Any
 
-from sprucepost.node.framing import MAX_MESSAGE_BYTES, Framing, Malformed, MessageTooLong
+from sprucepost.node.framing import MAX_MESSAGE_BYTES, Framing, Malformed, MessageTooLong, is_encodable
 
 _ID = re.compile("[0-9a-fA-F]{16}")
 
@@ -68,7 +68,7 @@
         raise Malformed("attrs is not an object of strings and numbers")
     if code is not None and (not isinstance(code, int) or isinstance(code, bool)):
         raise Malformed("code is not an integer")
-    if text is not None and not (isinstance(text, str) and _is_encodable(text)):
+    if text is not None and not (isinstance(text, str) and is_encodable(text)):
         raise Malformed("text is not a string of valid Unicode")
     return Line(_TYPES[type_name], sid.lower(), {key: str(value) for key, value in attrs.items()}, code, text)
 
@@ -82,14 +82,6 @@
     return isinstance(value, (str, float))
 
 
-def _is_encodable(text: str) -> bool:
-    try:
-        text.encode("utf-8")
-    except UnicodeEncodeError:
-        return False
-    return True
-
-
 def quoted(text: str) -> str:
     """Encode a text as a JSON string, without escapes that are not needed."""
     return json.dumps(text, ensure_ascii=False)
