Scheduler: a note that is negative or not finite is ignored

Cause: the average use became 0 and _passes_filters divides by it. The node checks that a note is a finite number; the other two fronts check nothing.

Change: the scheduler, which all fronts share, ignores such notes.

--- a/sprucepost/scheduler.py
+++ b/sprucepost/scheduler.py
@@ -213,7 +213,7 @@
 
     def _on_status_note(self, event: i.StatusNote) -> None:
         attempt = self.attempts.get((event.request, event.attempt))
-        if attempt is None:
+        if attempt is None or not 0.0 <= event.value < math.inf:  # a machine may send anything
             return
         kind, requested = event.kind, (attempt.task.ask.cores, attempt.task.ask.memory)
         if kind is i.StatusKind.RUNNING:
