--- a/tests/placing/test_attempts.py
+++ b/tests/placing/test_attempts.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from typing import cast
+
 import pytest
 
-from sprucepost.v1 import machine_pb2
+from sprucepost.v1 import common_pb2, machine_pb2
 from tests.placing.support import Link, PlacerHarness
 
 
@@ -198,10 +200,12 @@
     link = harness.machine()
     harness.submit()
     offer = link.offers[0]
+    key = (offer.request, offer.attempt)
+    unknown = cast(common_pb2.Reason, 99)
     if body == "refused":
-        harness.answer("m1", offer, refused=machine_pb2.Refused(reason=99))
-        assert harness.engine.counters["offers"] >= 1 and harness.outcomes() != ["bound"]
-        return
-    harness.answer("m1", offer, accepted=machine_pb2.Accepted())
-    harness.answer("m1", offer, ended=machine_pb2.TaskEnded(how=machine_pb2.TaskEnded.DONE, reason=99))
-    assert not harness.engine.attempts.get((offer.request, offer.attempt))
+        harness.answer("m1", offer, refused=machine_pb2.OfferRefused(reason=unknown))
+        assert harness.engine.attempts.refusals["untold"] == 1
+    else:
+        harness.answer("m1", offer, accepted=machine_pb2.Accepted())
+        harness.answer("m1", offer, ended=machine_pb2.TaskEnded(how=machine_pb2.TaskEnded.DONE, reason=unknown))
+    assert harness.engine.attempts.get(key) is None
