Node: what a host's replacement has accepted before it is listed runs on

Cause: whoever had the address before lost all its tasks, whenever they had been accepted. A restart under the same id uses the start in the list; the start of a new id was not used, so the list's lateness counted against running tasks.

Change: only what was accepted before the listed start is lost; the rest is accounted for at the new host (Outcome cancelled, TaskFound). Without a start in the list all are lost, as before.

Test: test_what_a_replacement_has_accepted_before_it_is_listed_runs_on, failed before where the start is listed.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -86,15 +86,23 @@
                 self._end_waiting(host)
 
     def _add(self, uid: str, address: Address, started: float) -> Host:
-        """Add a host. Hosts that had its id or address before are removed, their tasks lost."""
+        """Add a host. Hosts that had its id or address before are removed; see :meth:`_replace`."""
         others = {self.hosts.get(uid), self._by_address.get(address)}
         for other in [other for other in others if other is not None]:
-            self._lose_tasks(other, "replaced")
-            self._mark_gone(other)
-            self._remove(other)
+            self._replace(other, uid, started)
         host = self.hosts[uid] = self._by_address[address] = Host(uid, address, started)
         return host
 
+    def _replace(self, other: Host, uid: str, started: float) -> None:
+        """Remove a host whose id or address a new one has taken. Its tasks are lost, but for those accepted at this address
+        since the new one has started: they run there, and the list is late."""
+        same_address = other.uid != uid
+        before = self._start_times.to_loop_time(started) if started and same_address else None
+        self._lose_tasks(other, "replaced", before)
+        self._tasks.move_to_replacement(other.uid, uid)
+        self._mark_gone(other)
+        self._remove(other)
+
     def _mark_gone(self, host: Host) -> None:
         """Send the host nothing new. It may still release the tasks that run there."""
         if host.gone:
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -27,6 +27,9 @@
 placed    release: ok, reset                 ``Outcome``; the owner is sent the release                 (ended)
 placed    release: cancelled                 ``Outcome``; nobody needs a release                        (ended)
 placed    release by the owner               the host is told; ``Outcome`` cancelled                    (ended)
+placed    its host turns out to have been    ``Outcome`` cancelled, ``TaskFound`` at the new host        placed
+          replaced before it accepted
+          the task
 placed    its host is lost                   ``Outcome`` reset; the owner is sent the release; the     (ended)
                                              host is told nothing, as the task may have another
                                              placer by then
@@ -548,6 +551,19 @@
             self._end_task(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=EarlyMessage.PRESUMED_LOST)
         return len(entries)
 
+    def move_to_replacement(self, machine: str, replacement: str) -> None:
+        """Account for the tasks of a host under the id of the host that has taken its place, and that has accepted them.
+
+        To the scheduler they end at the one and are found at the other, under new request numbers.
+        """
+        for entry in list(self.placed.pop(machine, {}).values()):
+            self.trace(entry.name, "found", host=replacement, why=f"{machine} is replaced")
+            self._driver.push(i.Outcome(entry.request, entry.attempt, i.Ending.CANCELLED, True))
+            self.ledger.renumber(entry)
+            entry.machine, entry.attempt = replacement, 0
+            self.placed.setdefault(replacement, {})[entry.name] = entry
+            self._driver.push(i.TaskFound(entry.ask.setup.request(entry.request, 0.0), replacement))
+
     def _end_task(
         self,
         entry: Entry,
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -17,7 +17,7 @@
 from tests.node.handover_schedules import HandoverSchedule
 from tests.node.platform import setup
 from tests.node.test_tasks import SID, harness_with_placed_task
-from tests.node.virtual import LISTEN, Placer, VirtualSock, host_address, run_virtual
+from tests.node.virtual import LISTEN, Placer, VirtualSock, host_address, known_hosts, run_virtual
 
 TASK, OTHER = "c0255aa5c7e00001", "c0255aa5c7e00002"
 AT_HOST = "cores:1;memory:2;service:00000000b4d65521;at:s-0"
@@ -186,6 +186,40 @@
     run_virtual(tmp_path, body)
 
 
+# Guards against running tasks that are told as lost because the list names their host late.
+@pytest.mark.parametrize("start_is_listed", [True, False])
+def test_what_a_replacement_has_accepted_before_it_is_listed_runs_on(tmp_path: Path, start_is_listed: bool) -> None:
+    def body(placer: Placer) -> Co[None]:
+        host, client = HostSide(placer), placer.loop.arrive(LISTEN, "127.0.2.1:1", setup(TASK))
+        yield from host.serve(1000.0)
+        started = placer.loop.wall()  # the host's process ends and another one takes its address
+        yield from host.serve(1000.0)
+        client.inbox.append(setup(OTHER))
+        yield from host.serve(500.0)
+        replace_host(placer, "s-0", "s-9", started if start_is_listed else 0.0)
+        yield from host.serve(1000.0)
+        released = [TASK] if start_is_listed else [TASK, OTHER]
+        assert told(client)[2:] == [(sid, Kind.RELEASE, 41) for sid in released]
+        if start_is_listed:
+            assert list(placer.service.tasks.placed) == ["s-9"]
+            host.send(MessageType.CLOSE, OTHER, code=16)
+            yield from host.serve(100.0)
+            assert told(client)[3:] == [(OTHER, Kind.RELEASE, 16)]
+        scheduler = placer.service.driver.scheduler
+        assert not scheduler.attempts and not placer.service.tasks.placed and host.asked_to_end() == []
+
+    run_virtual(tmp_path, body)
+
+
+def replace_host(placer: Placer, old: str, new: str, started: float) -> None:
+    """Have the bulletin tell that ``new`` has taken the address of ``old``, since that Unix ms."""
+    [entry] = known_hosts(1)["items"][0]["roster"]["targets"]
+    targets = [{**entry, "uid": old, "state": "DELETED"}, {**entry, "uid": new, "boot_ms": started}]
+    update = placer.service.feed.bulletin.apply({"no": 2, "items": [{"no": 2, "roster": {"targets": targets}}]})
+    assert update is not None
+    placer.service._on_bulletin(update)
+
+
 SCHEDULES = 60
 
 
