Node: what a host's release means in a module of its own; releases as types

Cause: node.tasks held both the states of a task and the table of what causes and reasons mean (620 lines), and releases waited as bare tuples.

Change: node.releases, functions without state; WaitingRelease and WrittenRelease in node.owners. Behaviour is the same.

--- a/sprucepost/node/__init__.py
+++ b/sprucepost/node/__init__.py
@@ -8,8 +8,9 @@
 ``config``         the environment and the file that configure a placer
 ``parsing``        set-ups validated and converted to the scheduler's types
 ``fair_queue``     new tasks, round robin over connections
-``early_messages`` messages about a task that arrived before its set-up
+``early_messages`` messages about a task that is not known, or no longer
 ``attempt``        state kept for a task and for its attempts
+``releases``       what a host's release of a task means
 ``tasks``          states of a task from set-up to release, without sockets
 ``dispatch``       sends offers at the end of a turn of the loop, right after all sockets were polled
 ``host``           state of one host and of one connection to it
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -29,6 +29,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.attempt import OwnerPort, SetUpResult
@@ -45,6 +46,25 @@
 CLOSE_POLL_MS = 5.0  # interval of the checks whether all connections have ended
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingRelease:
+    """A release without a connection to send it on."""
+
+    expires_at: float  # in ms of the loop's clock
+    owner_address: str
+    sid: str
+    cause: int
+
+
+@dataclass(frozen=True, slots=True)
+class WrittenRelease:
+    """A release that has been written to a connection and may not have been sent completely."""
+
+    end_offset: int  # bytes sent on the connection once it has been
+    sid: str
+    cause: int
+
+
 class OwnerLink:
     """Connection of one owner."""
 
@@ -58,8 +78,7 @@
         self.proven = False
         self.used = now  # time of the last admitted set-up or of the last write, in ms of the loop's clock
         self.partial_since: float | None = None  # since when an incomplete message has been buffered
-        # Releases that may not have been sent completely: number of bytes sent once they have been, task id, cause.
-        self._unconfirmed_releases: deque[tuple[int, str, int]] = deque()
+        self._unconfirmed_releases: deque[WrittenRelease] = deque()
 
     @property
     def closed(self) -> bool:
@@ -103,14 +122,12 @@
         if not self.transport.buffered:
             self._unconfirmed_releases.clear()
         self.refuse(sid, cause, 0.0)
-        self._unconfirmed_releases.append((self.transport.written, sid, cause))
+        self._unconfirmed_releases.append(WrittenRelease(self.transport.written, sid, cause))
         self._owners.log.task(sid, "released", owner=self.transport.peer)
 
-    def unsent_releases(self) -> list[tuple[str, int]]:
-        """Return task id and cause of releases that the owner cannot have read, since they were not sent completely."""
-        return [
-            (sid, cause) for end_offset, sid, cause in self._unconfirmed_releases if end_offset > self.transport.sent
-        ]
+    def unsent_releases(self) -> list[WrittenRelease]:
+        """Return the releases that the owner cannot have read, since they were not sent completely."""
+        return [release for release in self._unconfirmed_releases if release.end_offset > self.transport.sent]
 
     def answer_health_check(self, sid: str, passed: bool) -> None:
         """Reply to a health check of the owner."""
@@ -159,8 +176,7 @@
         self._unread_links: dict[OwnerLink, None] = {}  # a read may have left input behind on these
         self.fails_health_checks = False  # owners then stop sending set-ups
         self.refuses_set_ups = False  # set-ups that arrive now are refused
-        # Releases without a connection to send them on: expiry, owner address, task id, cause.
-        self._pending_releases: list[tuple[float, str, str, int]] = []
+        self._waiting_releases: list[WaitingRelease] = []
         self._acceptor = Acceptor(loop, listener, self._accept_connection)
 
     # Connections
@@ -274,8 +290,8 @@
             sids, link.open = sorted(link.open), set()
             self._tasks.owner_disconnected(sids)
         if link.closed:
-            for sid, cause in link.unsent_releases():
-                self.release(link, sid, cause)
+            for release in link.unsent_releases():
+                self.release(link, release.sid, release.cause)
 
     def tick(self) -> None:
         """Close connections that are idle, unproven or stuck in a message; drop expired releases."""
@@ -291,7 +307,7 @@
                 continue
             elif not link.transport.read_now():
                 self.disconnect(link, "idle" if link.proven else "silent")
-        self._pending_releases = [item for item in self._pending_releases if item[0] > now]
+        self._waiting_releases = [release for release in self._waiting_releases if release.expires_at > now]
 
     def stop_listening(self) -> None:
         """Accept the connections that wait in the backlog, then no more."""
@@ -338,7 +354,7 @@
         if link.closed:
             return
         if is_first_read:  # after the messages: a task that is handed over is not released
-            self._send_pending_releases(link)
+            self._send_waiting_releases(link)
         if link.decoder.error is not None:
             self.log("owner_malformed", peer=link.transport.peer, why=str(link.decoder.error))
             self.disconnect(link, "malformed")
@@ -392,17 +408,20 @@
             if not others:
                 self.counters["releases_waiting"] += 1
                 self.log.task(sid, "release_waits", owner=link.owner_address, why="no connection to its owner")
-                self._pending_releases.append((self.loop.now() + RELEASE_RETENTION_MS, link.owner_address, sid, cause))
+                expires_at = self.loop.now() + RELEASE_RETENTION_MS
+                self._waiting_releases.append(WaitingRelease(expires_at, link.owner_address, sid, cause))
                 return
             link = max(others, key=lambda other: (other.proven, other.used))
         link.release(sid, cause)
 
     def cancel_release(self, sid: str) -> None:
         """Drop the release of that task if it still waits for a connection: the task has been handed over."""
-        self._pending_releases = [item for item in self._pending_releases if item[2] != sid]
-
-    def _send_pending_releases(self, link: OwnerLink) -> None:
-        of_owner = [item for item in self._pending_releases if item[1] == link.owner_address]
-        self._pending_releases = [item for item in self._pending_releases if item[1] != link.owner_address]
-        for _, _, sid, cause in of_owner:
-            link.release(sid, cause)
+        self._waiting_releases = [release for release in self._waiting_releases if release.sid != sid]
+
+    def _send_waiting_releases(self, link: OwnerLink) -> None:
+        waiting, self._waiting_releases = self._waiting_releases, []
+        for release in waiting:
+            if release.owner_address == link.owner_address:
+                link.release(release.sid, release.cause)
+            else:
+                self._waiting_releases.append(release)
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -43,7 +43,7 @@
 =========== ==================== ================================ ==========================================
 placed      ``StatusNote``       counted                          the task ends, as above
 there
-offered     the host has         on the connection of its set-up  see :meth:`Tasks._handle_unanswered_release`
+offered     the host has         on the connection of its set-up  see :func:`releases.had_been_accepted`
 there       accepted it, so its  only, which is where the host
             end must be          sends it
             reported to its
@@ -66,7 +66,7 @@
 
 from sprucepost import interface as i
 from sprucepost.loop import Loop
-from sprucepost.node import parsing
+from sprucepost.node import parsing, releases
 from sprucepost.node.attempt import Attempt, HostsPort, OwnerPort, OwnersPort, SetUpResult, TaskState, Withdrawal
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.fair_queue import FairQueue
@@ -76,12 +76,7 @@
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
 # Causes sent to owners.
-CAUSE_REFUSED, CAUSE_FAILED, CAUSE_LOST, CAUSE_ENDED = 34, 41, 41, 16
-# A host may answer a withdrawal with these causes, observed up to 26 ms later; the owner is told of none of them.
-WITHDRAWAL_REPLY_CAUSES = (16, 31)
-WITHDRAWAL_REPLY_MS = 100.0  # after that such a cause on another connection belongs to a later attempt
-# Causes with which a host says that it has never accepted the set-up.
-NOT_ACCEPTED = {34: i.Ending.FULL, 47: i.Ending.ERROR, 102: i.Ending.VOID}
+CAUSE_REFUSED, CAUSE_FAILED, CAUSE_LOST = 34, 41, 41
 CAUSE_WITHDRAWN = 16  # sent to a host to withdraw a set-up or to end a placed task
 RELEASE_RETENTION_MS = 8000.0  # how long a release that found no connection is kept for its owner
 # A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
@@ -92,9 +87,6 @@
 # Each new task may cost the scheduler 2 ms of a whole core if it is the first request of its service.
 MAX_NEW_TASKS_PER_BATCH = 8
 
-# A host resets a task for these reasons only after it has answered it; before that it refuses the task as full.
-ACCEPTED_TASK_REASONS = frozenset((i.Reason.EVICTED, i.Reason.PUSHED_OUT, i.Reason.SENT_AWAY))
-
 
 class Tasks:
     """All tasks of this placer; ``owners`` and ``hosts`` must be set before use."""
@@ -386,7 +378,7 @@
         if line.type is MessageType.READY and line.text is not None:
             self._accept(attempt, line.text)
             return
-        if line.code == CAUSE_ENDED and line.text is not None:
+        if line.code == releases.CAUSE_ENDED and line.text is not None:
             # An answer says that the task runs; a short task may have ended before that could be said, so it has been done.
             self._accept(attempt, line.text)
             self.handle_message(attempt.machine, line)
@@ -394,22 +386,14 @@
         self._handle_unanswered_release(attempt, line, other_connection=False)
 
     def _handle_unanswered_release(self, attempt: Attempt, line: Line, other_connection: bool) -> None:
-        """Handle the release of a task that the host has not answered.
-
-        A refused task never ran. Any other release is of a task that the host had accepted if the host has sent a note on
-        it, gives a reason that only accepted tasks have, or uses another connection than that of the set-up; otherwise
-        the set-up was lost in transit.
-        """
-        ending = NOT_ACCEPTED.get(line.code or 0, i.Ending.RESET)
-        reason, report = self._reason(line), self._parse_load_report(line.attrs.get("load"))
-        withdrawal: Withdrawal | None = attempt.entry.ask.withdrawals.get(attempt.machine)
-        noted = attempt.noted or (withdrawal is not None and withdrawal.noted)
-        if ending is i.Ending.RESET and (noted or reason in ACCEPTED_TASK_REASONS or other_connection):
-            if other_connection:
-                self.hosts.withdraw(attempt)  # nothing more is expected on the connection of the set-up
-            self._fail_unanswered(attempt, reason, report)
-        else:
-            self.end_attempt(attempt, ending, reason, report)
+        """Handle the release of a task that the host has not answered."""
+        reason, report = releases.reason_of(line), self._parse_load_report(line.attrs.get("load"))
+        if not releases.had_been_accepted(attempt, line, other_connection):
+            self.end_attempt(attempt, releases.ending_of_unanswered(line), reason, report)
+            return
+        if other_connection:
+            self.hosts.withdraw(attempt)  # nothing more is expected on the connection of the set-up
+        self._fail_unanswered(attempt, reason, report)
 
     def _fail_unanswered(self, attempt: Attempt, reason: i.Reason, report: i.LoadReport | None) -> None:
         """Fail a task that its host had accepted and has ended, and whose answer was delayed or lost.
@@ -461,12 +445,10 @@
             if kind is not None and value is not None:
                 self._driver.push(i.StatusNote(entry.request, entry.attempt, kind, value))
         elif line.type is MessageType.CLOSE:
-            ending = {16: i.Ending.OK, 31: i.Ending.CANCELLED}.get(line.code or 0, i.Ending.RESET)
-            cause = {i.Ending.OK: CAUSE_ENDED, i.Ending.RESET: CAUSE_LOST}.get(ending)
-            why = f"host said {line.code}"
-            self._end_task(
-                entry, ending, cause, why, self._reason(line), self._parse_load_report(line.attrs.get("load"))
-            )
+            ending, reason = releases.ending_of_placed(line), releases.reason_of(line)
+            cause = {i.Ending.OK: releases.CAUSE_ENDED, i.Ending.RESET: CAUSE_LOST}.get(ending)
+            report = self._parse_load_report(line.attrs.get("load"))
+            self._end_task(entry, ending, cause, f"host said {line.code}", reason, report)
         else:
             self.counters["late_words"] += 1
 
@@ -480,10 +462,10 @@
                     attempt.noted = True
                     self.trace(line.sid, "noted", host=machine)
                     return
-                if line.type is MessageType.CLOSE and self._belongs_to_attempt(attempt, line):
+                if line.type is MessageType.CLOSE and releases.ends_open_attempt(attempt, line, self.loop.now()):
                     self._handle_unanswered_release(attempt, line, other_connection=True)
                     return
-            elif line.type is MessageType.CLOSE and self._was_accepted_before_withdrawal(entry, machine, line):
+            elif self._ended_before_withdrawal(entry, machine, line):
                 self._fail_withdrawn(entry, machine)
                 return
         self._count_late(machine, line)
@@ -494,12 +476,7 @@
         """Handle a message on the connection of a withdrawn set-up: it concerns no later attempt."""
         entry = self.ledger.current(line.sid)
         is_open = entry is not None and entry.outcome is Outcome.OPEN
-        if (
-            entry is not None
-            and is_open
-            and line.type is MessageType.CLOSE
-            and self._was_accepted_before_withdrawal(entry, machine, line)
-        ):
+        if entry is not None and is_open and self._ended_before_withdrawal(entry, machine, line):
             self._fail_withdrawn(entry, machine)
         else:
             self._count_late(machine, line)
@@ -508,24 +485,10 @@
         self.counters["late_words"] += 1
         self.trace(line.sid, "late_word", host=machine, word=line.type.value, code=line.code)
 
-    def _belongs_to_attempt(self, attempt: Attempt, line: Line) -> bool:
-        """Return whether a release on another connection belongs to that attempt.
-
-        Refusals arrive on the attempt's own connection, and the reply to an earlier withdrawal at that host may arrive
-        only now.
-        """
-        withdrawal: Withdrawal | None = attempt.entry.ask.withdrawals.get(attempt.machine)
-        recently = withdrawal is not None and self.loop.now() - withdrawal.at < WITHDRAWAL_REPLY_MS
-        return line.code not in NOT_ACCEPTED and not (
-            recently and line.code in WITHDRAWAL_REPLY_CAUSES and not attempt.noted
-        )
-
-    def _was_accepted_before_withdrawal(self, entry: Entry, machine: str, line: Line) -> bool:
-        """Return whether the host had accepted the task and released it before it read the withdrawal."""
+    def _ended_before_withdrawal(self, entry: Entry, machine: str, line: Line) -> bool:
+        """Return whether the message is the release of a task that ended before the host read our withdrawal."""
         withdrawal: Withdrawal | None = entry.ask.withdrawals.get(machine)
-        not_a_reply = line.code not in NOT_ACCEPTED and line.code not in WITHDRAWAL_REPLY_CAUSES
-        accepted = withdrawal is not None and (withdrawal.noted or self._reason(line) in ACCEPTED_TASK_REASONS)
-        return accepted and not_a_reply
+        return line.type is MessageType.CLOSE and releases.preceded_withdrawal(withdrawal, line)
 
     def _fail_withdrawn(self, entry: Entry, machine: str) -> None:
         """Fail a task that ended at a host before its withdrawal was read; an open attempt elsewhere is withdrawn."""
@@ -588,9 +551,6 @@
         if cause is not None:
             self.owners.release(entry.ask.owner, entry.name, cause)
 
-    def _reason(self, line: Line) -> i.Reason:
-        return parsing.REASONS.get(line.attrs.get("note", ""), i.Reason.UNTOLD)
-
     # The host list and expiry
 
     def set_closed(self, machine: str, closed: bool) -> None:
--- a/tests/node/message_schedules.py
+++ b/tests/node/message_schedules.py
@@ -11,7 +11,7 @@
 
 from sprucepost.node.attempt import Attempt
 from sprucepost.node.jsonl import Line, MessageType
-from sprucepost.node.tasks import WITHDRAWAL_REPLY_MS
+from sprucepost.node.releases import WITHDRAWAL_REPLY_MS
 from sprucepost.placing.ledger import Outcome
 from tests.node.test_tasks import TaskHarness
 
--- a/tests/node/test_message_schedules.py
+++ b/tests/node/test_message_schedules.py
@@ -12,7 +12,7 @@
 import pytest
 
 from sprucepost import interface as i
-from sprucepost.node import tasks
+from sprucepost.node import releases
 from sprucepost.node.tasks import Tasks
 from tests.node.message_schedules import Schedule
 
@@ -41,12 +41,14 @@
         Tasks, "_handle_message_for_unplaced", _drop
     ),
     "a release on another connection is not matched to the attempt": lambda patch: patch.setattr(
-        Tasks, "_belongs_to_attempt", lambda self, attempt, line: False
+        releases, "ends_open_attempt", lambda attempt, line, now: False
     ),
     "messages that cross a withdrawal are dropped": lambda patch: patch.setattr(
-        Tasks, "_was_accepted_before_withdrawal", lambda self, entry, machine, line: False
+        releases, "preceded_withdrawal", lambda withdrawal, line: False
+    ),
+    "reasons of accepted tasks are unknown": lambda patch: patch.setattr(
+        releases, "ACCEPTED_TASK_REASONS", frozenset()
     ),
-    "reasons of accepted tasks are unknown": lambda patch: patch.setattr(tasks, "ACCEPTED_TASK_REASONS", frozenset()),
     "a failure before the answer is not reported": lambda patch: patch.setattr(
         Tasks, "_fail_unanswered", _fail_silently
     ),
