Scheduler: one note's part in the average use is bounded

Change: a note counts for at most a hundred times what was asked for.

Tests: three cases in tests/node/test_any_input.py, failed before; 26 there and 122 of rules, adapter, properties, settings and slices passed.

--- a/sprucepost/scheduler.py
+++ b/sprucepost/scheduler.py
@@ -42,6 +42,7 @@
 STRAIN_COST = 0.3  # added to a share at full strain: enough to steer away, never more than overflow
 PENDING_START_COST = 0.05  # added to a share for each own task that has not started on the machine yet
 USAGE_SAMPLES = 200.0  # weight of the usage average in status notes, of which several hundred come a minute
+MAX_USAGE = 100.0  # share of the request that one note counts for: a request may be next to nothing
 MEMORY_TARGET = 0.9  # share of a machine's memory to plan for: above it all tasks slow down, at 1 it evicts
 CANDIDATES = 4  # machines compared for a service: few keep its program loaded, several leave a choice
 LIST_CALL_MS = 15.0  # of the list server's time for each scheduler's call, so that calls do not overload it
@@ -221,7 +222,8 @@
         elif kind in (i.StatusKind.CORES_USED, i.StatusKind.MEMORY_USED):
             index = kind - i.StatusKind.CORES_USED
             if requested[index] > 0:
-                self.usage[index] += (event.value / requested[index] - self.usage[index]) / USAGE_SAMPLES
+                share = min(event.value / requested[index], MAX_USAGE)
+                self.usage[index] += (share - self.usage[index]) / USAGE_SAMPLES
         else:
             level = 1 - event.value if kind is i.StatusKind.SERVED_SHARE else (
                 (event.value - MEMORY_PRESSURE_THRESHOLD) / (1 - MEMORY_PRESSURE_THRESHOLD))
--- a/tests/node/test_any_input.py
+++ b/tests/node/test_any_input.py
@@ -90,6 +90,17 @@
     place_another(harness)
 
 
+# Guards against an average use that is no number any more: no note that follows could mend it.
+@pytest.mark.parametrize("cores", ["1e-320", "1e-300", "1e-9"])
+def test_a_request_for_next_to_nothing_does_not_distort_the_average_use_for_good(cores: str) -> None:
+    harness = harness_with_placed_task(FIGURES=f"cores:{cores};memory:2;service:s")
+    host = harness.offers()[0].machine
+    for value in ("32", "0.5", *["0"] * 2000):
+        harness.tasks.handle_message(host, Line(MessageType.EVENT, SID, {"note": "cores", "value": value}))
+    harness.loop.pass_ms(1)
+    assert 0.0 < harness.driver.scheduler.usage[0] < 1.0
+
+
 @pytest.mark.parametrize("kind", list(i.StatusKind))
 @pytest.mark.parametrize("value", [-1.0, float("nan"), float("inf"), -0.0])
 def test_the_scheduler_uses_only_notes_with_a_meaning(kind: i.StatusKind, value: float) -> None:
