Node: an owner's release that crosses the end of its task is not kept

Seen on reading the change again: an owner's release that crossed its host's release was recorded as a wish for the task wherever it runs, and ended a copy at another host when it was handed over.

Change: it is recorded only where no end of the task is.

--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -78,19 +78,17 @@
         record = self._records.get(sid, {}).get(host)
         return record if record is not None and record.at + self._retention_ms > now else None
 
-    def presumed_lost_at(self, sid: str, now: float) -> str | None:
-        """Return the host at which the task was last presumed lost; None where it was not."""
-        hosts = [
+    def hosts_with(self, sid: str, message: EarlyMessage, now: float) -> list[str]:
+        """Return the hosts for which that message about the task is recorded."""
+        return [
             host
             for host in self._records.get(sid, {})
-            if (record := self.get(sid, now, host)) is not None and record.message is EarlyMessage.PRESUMED_LOST
+            if (record := self.get(sid, now, host)) is not None and record.message is message
         ]
-        return hosts[-1] if hosts else None
 
     def expire(self, now: float) -> None:
-        """Drop expired records."""
+        """Drop the tasks of which all records have expired."""
         for sid, by_host in list(self._records.items()):
-            for host in [host for host in by_host if self.get(sid, now, host) is None]:
-                del by_host[host]
-            if not by_host:
-                del self._records[sid]
+            if any(record.at + self._retention_ms > now for record in by_host.values()):
+                return  # the tasks after it were recorded later
+            del self._records[sid]
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -238,11 +238,11 @@
         connections may overtake each other. A task that was only presumed lost may run on, so its host is told."""
         now = self.loop.now()
         self.trace(sid, "unknown", why="released by its owner")
-        host = self.early_messages.presumed_lost_at(sid, now)
-        if host is not None:
+        for host in self.early_messages.hosts_with(sid, EarlyMessage.PRESUMED_LOST, now):
             self.hosts.end_task(host, sid)
             self.early_messages.record(sid, EarlyMessage.TASK_ENDED, now, host)
-        self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now)
+        if not self.early_messages.hosts_with(sid, EarlyMessage.TASK_ENDED, now):
+            self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now)
 
     def owner_disconnected(self, sids: list[str]) -> None:
         """Cancel open set-ups whose owner's connection has ended."""
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -11,7 +11,7 @@
 from sprucepost.loop import Co, sleep
 from sprucepost.node import binary, jsonl, tasks
 from sprucepost.node.binary import Kind
-from sprucepost.node.early_messages import EarlyMessageCache
+from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
 from tests.node.handover_schedules import HandoverSchedule
@@ -169,6 +169,35 @@
     assert harness.events[-1] == ("end task", host, SID)
 
 
+# Guards against a copy at another host that is ended because the owner's end of the task had crossed its host's.
+def test_an_owners_end_that_crosses_the_hosts_says_nothing_about_another_host() -> None:
+    harness = harness_with_placed_task()
+    host = harness.offers()[0].machine
+    harness.tasks.handle_message(host, Line(MessageType.CLOSE, SID, {}, 41))
+    harness.tasks.owner_cancelled(SID)
+    harness.loop.pass_ms(OWNER_WAIT_MS)
+    other = {"m0": "m1", "m1": "m0"}[host]
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{other}")
+    assert list(harness.tasks.placed) == [other] and "end task" not in harness.event_kinds()
+
+
+def test_the_records_of_tasks_expire_with_the_last_of_them() -> None:
+    cache = EarlyMessageCache(retention_ms=100.0, max_tasks=2)
+    cache.record(TASK, EarlyMessage.TASK_ENDED, 0.0, "m0")
+    cache.record(OTHER, EarlyMessage.CANCELLED_BY_OWNER, 10.0)
+    cache.record(TASK, EarlyMessage.RELEASED_BY_HOST, 50.0, "m1")
+    assert cache.get(TASK, 120.0, "m0") is None and cache.hosts_with(TASK, EarlyMessage.RELEASED_BY_HOST, 120.0) == [
+        "m1"
+    ]
+    cache.expire(120.0)
+    assert len(cache) == 1
+    cache.record(SID, EarlyMessage.TASK_ENDED, 130.0, "m0")
+    cache.record(OTHER, EarlyMessage.TASK_ENDED, 140.0, "m0")
+    assert len(cache) == 2 and cache.get(TASK, 140.0, "m1") is None, "the oldest is displaced"
+    cache.expire(240.0)
+    assert len(cache) == 0
+
+
 # Guards against an owner that hears, right after its hand-over, of the loss that was presumed before.
 def test_a_hand_over_drops_the_release_that_waits_for_a_connection(tmp_path: Path) -> None:
     def body(placer: Placer) -> Co[None]:
@@ -247,7 +276,7 @@
         Tasks, "_has_ended_at_host", lambda self, setup, now: setup.sid in self.early_messages._records
     ),
     "the owner's end of a lost task is not passed on": lambda patch: patch.setattr(
-        EarlyMessageCache, "presumed_lost_at", lambda self, sid, now: None
+        EarlyMessageCache, "hosts_with", lambda self, sid, message, now: []
     ),
 }
 
