Node: an expired end does not turn a later presumed loss into an end

Seen on reading the change again: a known end at a host is not overwritten by a presumed loss, and the check looked at records that had expired but were still in the cache, since they go with the last record of their task.

Change: an expired record counts for nothing.

--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -64,8 +64,8 @@
         self, sid: str, message: EarlyMessage, now: float, host: str = ANY_HOST, line: Line | None = None
     ) -> None:
         """Record a message; a host's release of a task whose end is known says nothing new."""
+        known = self.get(sid, now, host)
         by_host = self._records.pop(sid, {})
-        known = by_host.get(host)
         if known is not None and known.message is EarlyMessage.TASK_ENDED:
             message, line = EarlyMessage.TASK_ENDED, None
         by_host[host] = Record(message, now, line)
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -198,6 +198,15 @@
     assert len(cache) == 0
 
 
+# Guards against a presumed loss that counts as an end because an end of long ago is still in the cache.
+def test_an_expired_end_does_not_turn_a_later_loss_into_an_end() -> None:
+    cache = EarlyMessageCache(retention_ms=100.0)
+    cache.record(TASK, EarlyMessage.TASK_ENDED, 0.0, "m0")
+    cache.record(TASK, EarlyMessage.TASK_ENDED, 90.0, "m1")  # keeps the task in the cache
+    cache.record(TASK, EarlyMessage.PRESUMED_LOST, 150.0, "m0")
+    assert cache.hosts_with(TASK, EarlyMessage.PRESUMED_LOST, 150.0) == ["m0"]
+
+
 # Guards against an owner that hears, right after its hand-over, of the loss that was presumed before.
 def test_a_hand_over_drops_the_release_that_waits_for_a_connection(tmp_path: Path) -> None:
     def body(placer: Placer) -> Co[None]:
