Node: owners' connections take turns, and a flood delays no one else's attempts

Seen: beside one client at full speed from the same address 59 to 75 of 82 usual set-ups were refused after 2 s (unknown types, releases of unknown ids, tests, invalid classes, set-ups taken back), two not answered.

Cause: an attempt waited until no connection of its owner's address had unread input, which a flood never lets end; and each read of 64 KiB, 6,000 small messages, was handled in one go.

Change: what has been read is handled in visits of bounded cost; a connection with messages left is not read and takes its turn in a bounded part of each turn of the loop. Input of other connections from the address holds an attempt back for 50 ms at the most; on its own connection it does as before. Data that waits through a pause counts as having waited.

--- a/sprucepost/loop/core.py
+++ b/sprucepost/loop/core.py
@@ -98,6 +98,7 @@
         self.unpolled_ms = 0.0  # how long data that just became readable may have waited: time not polling the sockets
         self.polling_mid_turn = False  # within poll_now(): every readable socket is read to its end
         self.left_unread = False  # set by a socket callback that left data unread: poll_until_fresh() polls again
+        self.polls = 0  # polls of the sockets so far
         self._polled_at: float | None = None
         self._stall: tuple[float, Callable[[float], None]] | None = None  # least length in ms, callback
         self.late_ms = 0.0  # how late the first due timer of the latest turn was: the loop's own lag
@@ -164,6 +165,7 @@
             overrun_ms = now - began
         self.unpolled_ms = max(0.0, busy_ms) + overrun_ms
         self._polled_at = now
+        self.polls += 1
         if self._stall is not None and self.unpolled_ms >= self._stall[0]:
             length_ms = self.unpolled_ms
             self.guard(lambda: self._stall[1](length_ms) if self._stall is not None else None)
--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -31,6 +31,7 @@
     def __init__(self, loop: Loop, sock: Sock) -> None:
         self._loop, self._sock = loop, sock
         self.peer = sock.peer
+        self.max_read_bytes = MAX_READ_BYTES  # of one read
         self.on_data: Callable[[bytes], None] = lambda data: None
         self.on_end: Callable[[], None] = lambda: None
         self.on_lost: Callable[[OSError | None], None] = lambda error: None
@@ -54,7 +55,10 @@
         self._delivering = False  # within on_data()
         self.sent = 0  # total bytes accepted by the system
         self.waited_ms = 0.0  # how long, at most, the data delivered last had waited to be read
+        self.continued = False  # whether the data delivered last had arrived behind a read that left data unread
         self._partial_read_at = 0.0  # when a read that may have left more data unread took place; 0 if none was left
+        self._unread_at_poll = -1  # number of the latest poll after which data may have been left unread
+        self._paused_at: float | None = None  # since when the socket has not been polled
 
     def start(self) -> None:
         """Begin to read; called once the callbacks are set."""
@@ -74,12 +78,15 @@
         """Stop reading: the system's receive buffer fills up and the peer has to wait."""
         if self._reading:
             self._reading = False
+            self._paused_at = self._loop.now()
             self._rewatch()
 
     def resume(self) -> None:
         """Read again after :meth:`pause`."""
         if not self._reading and not self._ended and not self.closed:
             self._reading = True
+            if self._paused_at is not None:  # what has arrived meanwhile shows at the next poll
+                self._unread_at_poll = self._loop.polls
             self._rewatch()
 
     def write(self, data: bytes) -> None:
@@ -143,7 +150,7 @@
 
     def _linger_readable(self) -> None:
         try:
-            data = self._sock.recv(MAX_READ_BYTES)
+            data = self._sock.recv(self.max_read_bytes)
         except OSError:
             data = b""
         if data:
@@ -180,10 +187,10 @@
     def has_unread_backlog(self) -> bool:
         """Whether data may be unread that arrived before the latest poll of the sockets.
 
-        That is so after a read of ``MAX_READ_BYTES`` if the latest poll found more data or preceded that read.
-        The rest is read in the next turn.
+        That is so while reading is paused, and after a read of ``max_read_bytes`` or a pause if the latest poll found more
+        data or preceded it. The rest is read in the next turn.
         """
-        return self._partial_read_at > 0.0 and self._partial_read_at >= self._loop.polled_at
+        return not (self._reading or self._ended or self.closed) or self._unread_at_poll == self._loop.polls
 
     def _readable(self) -> None:
         if self._delivering:  # polled from within on_data(): the rest is read in the next turn
@@ -192,6 +199,7 @@
         if mid_turn and self._partial_read_at:  # it has had its share of this turn: it must not starve the others
             now = self._loop.now()
             self.waited_ms, self._partial_read_at = self.waited_ms + now - self._partial_read_at, now
+            self._unread_at_poll = self._loop.polls
             return
         if self._read(self._loop.unpolled_ms) and mid_turn and not self._partial_read_at:
             self.read_now()  # the end of the peer's stream may follow directly
@@ -199,17 +207,22 @@
     def _read(self, unpolled_ms: float) -> bool:
         """Read once; the data may have waited for ``unpolled_ms``. Returns False when there was nothing."""
         try:
-            data = self._sock.recv(MAX_READ_BYTES)
+            data = self._sock.recv(self.max_read_bytes)
         except OSError as error:
             self._connection_lost(error)
             return True
         if data is None:
-            self._partial_read_at = 0.0
+            self._partial_read_at, self._unread_at_poll = 0.0, -1
             return False
         if data:
-            now = self._loop.now()
-            self.waited_ms = self.waited_ms + now - self._partial_read_at if self._partial_read_at else unpolled_ms
-            self._partial_read_at = now if len(data) == MAX_READ_BYTES else 0.0
+            now, polls = self._loop.now(), self._loop.polls
+            self.continued = self._unread_at_poll >= polls - 1 and self._unread_at_poll >= 0
+            if self._paused_at is not None:
+                unpolled_ms, self._paused_at = max(unpolled_ms, now - self._paused_at), None
+            left_behind = self._partial_read_at > 0.0 and self.continued
+            self.waited_ms = self.waited_ms + now - self._partial_read_at if left_behind else unpolled_ms
+            is_full = len(data) >= self.max_read_bytes
+            self._partial_read_at, self._unread_at_poll = (now, polls) if is_full else (0.0, -1)
             self._delivering = True
             try:
                 self.on_data(data)
--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -34,7 +34,7 @@
         ...
 
     def input_read(self) -> bool:
-        """Return whether all input from that owner up to the latest poll has been read, on each of its connections."""
+        """Return whether an attempt may be sent: no input is left unread that may hold the owner's cancellation."""
         ...
 
     def discard_set_up(self, sid: str) -> None:
--- a/sprucepost/node/framing.py
+++ b/sprucepost/node/framing.py
@@ -40,30 +40,53 @@
 
     def __init__(self) -> None:
         self._data = bytearray()
+        self._start = 0  # of the next message in ``_data``
         self.error: Malformed | None = None
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes received of a message that is still incomplete."""
-        return len(self._data)
+        """Bytes received of messages that have not been returned yet."""
+        return len(self._data) - self._start
 
     def feed(self, data: bytes) -> list[M]:
         """Add received bytes and return the messages that are complete now, in order."""
-        if self.error is not None:
-            return []
-        self._data += data
+        self.add(data)
         messages: list[M] = []
-        start = 0
+        while (message := self.next_message()) is not None:
+            messages.append(message)
+        return messages
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes; :meth:`next_message` returns the messages."""
+        if self.error is None:
+            del self._data[: self._start]
+            self._start = 0
+            self._data += data
+
+    def next_message(self) -> M | None:
+        """Return the next complete message, or None if there is none or it cannot be decoded."""
+        if self.error is not None:
+            return None
         try:
-            while (end := self._message_end(self._data, start)) is not None:
-                messages.append(self._parse(bytes(self._data[start:end])))
-                start = end
+            end = self._message_end(self._data, self._start)
+            message = None if end is None else self._parse(bytes(self._data[self._start : end]))
         except Malformed as error:
             self.error = error
             self._data.clear()
-            return messages
-        del self._data[:start]
-        return messages
+            self._start = 0
+            return None
+        if end is not None:
+            self._start = end
+        return message
+
+    def has_next(self) -> bool:
+        """Return whether :meth:`next_message` would return a message, or find that it cannot be decoded."""
+        if self.error is not None:
+            return False
+        try:
+            return self._message_end(self._data, self._start) is not None
+        except Malformed:
+            return True
 
     def _message_end(self, data: bytearray, at: int) -> int | None:
         """Return where the message that starts at that offset ends, or None if it is incomplete.
--- /dev/null
+++ b/sprucepost/node/owner_input.py
@@ -0,0 +1,98 @@
+"""The order in which the messages of owners are handled: connections take turns, and each turn is bounded.
+
+What a connection has sent is handled in *visits* of bounded cost. A connection with messages left after its visit joins
+the backlog and is not read meanwhile, so that its peer has to wait; the backlog is served round robin, for a bounded part of
+each turn of the loop. So a connection that sends faster than its messages can be handled delays itself, and the others by
+one visit each turn.
+
+======================== ============================================= ==================================================
+a connection             after a visit                                 is read and visited
+======================== ============================================= ==================================================
+without messages left    leaves the backlog                            when a poll of the sockets finds input
+with messages left       joins the end of the backlog                  not read; visited in its turn, in the time of the
+                                                                       backlog
+======================== ============================================= ==================================================
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sprucepost.loop import Loop
+from sprucepost.node.binary import Kind, Message
+from sprucepost.node.framing import MAX_MESSAGE_BYTES
+from sprucepost.node.owner_link import OwnerLink
+
+READ_BYTES = MAX_MESSAGE_BYTES  # of one read: any message fits, and more would only wait in the process
+SET_UP_COST = 8  # a set-up costs about as much as that many other messages
+VISIT_COST = 64
+VISIT_MS = 1.0
+# A quarter of the age that a poll may have when an attempt is sent (see ``dispatch``): sockets are polled in time.
+BACKLOG_TURN_MS = 6.0
+BACKLOG_VISITS_PER_TURN = 64
+
+
+class OwnerInput:
+    """Handles the messages of all owners' connections.
+
+    ``handle`` is called for each message, and ``visited`` after each visit of a connection.
+    """
+
+    def __init__(
+        self, loop: Loop, handle: Callable[[OwnerLink, Message], None], visited: Callable[[OwnerLink], None]
+    ) -> None:
+        self._loop, self._handle, self._visited = loop, handle, visited
+        self._backlog: dict[OwnerLink, None] = {}  # the connection whose turn is next comes first
+        self._scheduled = False
+
+    def __contains__(self, link: OwnerLink) -> bool:
+        """Whether messages of that connection wait to be handled."""
+        return link in self._backlog
+
+    def receive(self, link: OwnerLink, data: bytes) -> None:
+        """Handle what has been read on a connection, as far as one visit goes."""
+        link.decoder.add(data)
+        link.read_at, link.read_waited_ms = self._loop.now(), link.transport.waited_ms
+        self.visit(link)
+
+    def visit(self, link: OwnerLink) -> None:
+        """Handle messages of that connection until none is left or the visit has cost its share."""
+        began, cost = self._loop.now(), 0
+        while cost < VISIT_COST and not link.closed and (message := link.decoder.next_message()) is not None:
+            self._handle(link, message)
+            cost += SET_UP_COST if message.kind == Kind.SETUP else 1
+            if self._loop.now() - began >= VISIT_MS:
+                break
+        if link.closed:
+            self.discard(link)
+            return
+        if not link.decoder.has_next():
+            self.discard(link)
+            link.transport.resume()
+        else:
+            link.transport.pause()
+            self._backlog[link] = None
+            self._schedule()
+        self._visited(link)
+
+    def discard(self, link: OwnerLink) -> None:
+        """Forget a connection: it has no messages left, or they are not to be handled."""
+        self._backlog.pop(link, None)
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            self._loop.call_soon(self._serve_backlog)
+
+    def _serve_backlog(self) -> None:
+        """Visit the connections of the backlog in turn for as long as this turn of the loop allows."""
+        self._scheduled = False
+        ends_at = self._loop.now() + BACKLOG_TURN_MS
+        for _ in range(BACKLOG_VISITS_PER_TURN):
+            if not self._backlog or self._loop.now() >= ends_at:
+                break
+            link = next(iter(self._backlog))
+            del self._backlog[link]
+            self.visit(link)
+        if self._backlog:
+            self._schedule()
--- /dev/null
+++ b/sprucepost/node/owner_link.py
@@ -0,0 +1,141 @@
+"""One connection of an owner: what it has brought, and what is sent on it."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass
+from typing import Protocol
+
+from sprucepost.loop import Loop, Transport
+from sprucepost.node.binary import Code, Decoder, Kind, encode
+from sprucepost.node.framing import MAX_MESSAGE_BYTES
+from sprucepost.node.log import Log
+from sprucepost.node.useless_messages import UselessMessages
+
+MAX_UNREAD_BYTES = 16 * MAX_MESSAGE_BYTES  # unsent output after which an owner that does not read is disconnected
+
+
+@dataclass(frozen=True, slots=True)
+class WrittenRelease:
+    """A release that has been written to a connection and may not have been sent completely."""
+
+    end_offset: int  # bytes sent on the connection once it has been
+    sid: str
+    cause: int
+
+
+class OwnersContext(Protocol):
+    """What a connection needs of the owner of all connections."""
+
+    loop: Loop
+    log: Log
+    placed_by_owner: Counter[str]
+
+    def input_read(self, link: OwnerLink) -> bool:
+        """Return whether no unread input may hold a cancellation by the owner of that connection."""
+        ...
+
+    def disconnect(self, link: OwnerLink, why: str) -> None:
+        """Close the connection and cancel its open set-ups."""
+        ...
+
+
+class OwnerLink:
+    """Connection of one owner."""
+
+    def __init__(self, owners: OwnersContext, transport: Transport, now: float) -> None:
+        self._owners, self.transport = owners, transport
+        self.decoder = Decoder()
+        self.owner_address = transport.peer.rpartition(":")[0]  # owners are told apart by the address they connect from
+        self.open: set[str] = set()  # ids of set-ups without an answer
+        self.placed_tasks = 0  # tasks that it brought and that are still placed
+        self.has_sent_message = False  # whether a complete message has arrived
+        self.got_waiting_releases = False  # whether releases that waited for a connection of its owner were sent here
+        self.ended = False  # whether this side has ended it, or found that it has ended
+        self.proven = False
+        self.used = now  # time of the last admitted set-up or of the last write, in ms of the loop's clock
+        self.partial_since: float | None = None  # since when an incomplete message has been buffered
+        self.unread_since: float | None = None  # since when input has been left unread without interruption
+        self.read_at = now  # time of the latest read, in ms of the loop's clock
+        self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
+        self.useless_messages = UselessMessages(now)
+        self._unconfirmed_releases: deque[WrittenRelease] = deque()
+        self._releases_to_confirm = 0  # releases sent here of which the owner has not said that it has heard them
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more is handled or sent here; what was written before may still be on its way."""
+        return self.ended or self.transport.closed
+
+    def add_placed_task(self) -> None:
+        """Count a task placed for this connection."""
+        self.placed_tasks += 1
+        self._owners.placed_by_owner[self.owner_address] += 1
+
+    def remove_placed_task(self) -> None:
+        """Stop counting such a task, which has ended."""
+        self.placed_tasks -= 1
+        self._owners.placed_by_owner[self.owner_address] -= 1
+        if not self._owners.placed_by_owner[self.owner_address]:
+            del self._owners.placed_by_owner[self.owner_address]
+
+    def input_read(self) -> bool:
+        """Return whether an attempt may be sent: no input is left unread that may hold the owner's cancellation."""
+        return self._owners.input_read(self)
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the latest poll left input of this connection unread, in the system or in the decoder."""
+        return self.transport.has_unread_backlog
+
+    @property
+    def input_waited_ms(self) -> float:
+        """How long, at most, the message that is handled now has waited."""
+        return self.read_waited_ms + self._owners.loop.now() - self.read_at
+
+    def discard_set_up(self, sid: str) -> None:
+        """Drop an open set-up that needs no answer any more."""
+        self.open.discard(sid)
+
+    def answer(self, sid: str, text: str) -> None:
+        """Send the answer: the task is placed."""
+        self.open.discard(sid)
+        self._send(encode(Kind.ANSWER, sid, [(Code.DESCRIPTION, text.encode("utf-8"))]))
+
+    def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
+        """Tell the owner that the task was refused or has failed; ``stay_away_ms`` asks it to back off."""
+        self.open.discard(sid)
+        parameters = [(Code.CAUSE, bytes([cause]))]
+        if stay_away_ms > 0:
+            parameters.append((Code.STAY_AWAY, str(round(stay_away_ms)).encode()))
+        self._send(encode(Kind.RELEASE, sid, parameters))
+
+    def release(self, sid: str, cause: int) -> None:
+        """Tell the owner that its placed task has ended."""
+        if not self.transport.buffered:
+            self._unconfirmed_releases.clear()
+        self.refuse(sid, cause, 0.0)
+        self._unconfirmed_releases.append(WrittenRelease(self.transport.written, sid, cause))
+        self._releases_to_confirm += 1
+        self._owners.log.task(sid, "released", owner=self.transport.peer)
+
+    def confirm_release(self) -> bool:
+        """Note that the owner has heard a release; return whether one was sent to it here."""
+        self._releases_to_confirm -= 1
+        return self._releases_to_confirm >= 0
+
+    def unsent_releases(self) -> list[WrittenRelease]:
+        """Return the releases that the owner cannot have read, since they were not sent completely."""
+        return [release for release in self._unconfirmed_releases if release.end_offset > self.transport.sent]
+
+    def answer_health_check(self, sid: str, passed: bool) -> None:
+        """Reply to a health check of the owner."""
+        self._send(encode(Kind.TESTED, sid, [(Code.CAUSE, bytes([passed]))]))
+
+    def _send(self, data: bytes) -> None:
+        if self.closed:
+            return
+        self.used = self._owners.loop.now()
+        self.transport.write(data)
+        if self.transport.buffered > MAX_UNREAD_BYTES:  # deferred: other answers of this batch follow
+            self._owners.loop.call_soon(lambda: self._owners.disconnect(self, "unread"))
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -27,23 +27,27 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.attempt import OwnerPort, SetUpResult
-from sprucepost.node.binary import Code, Decoder, Kind, Message, encode
+from sprucepost.node.binary import Kind, Message
 from sprucepost.node.descriptors import Descriptors
-from sprucepost.node.framing import LINGER_MS, MAX_MESSAGE_BYTES
+from sprucepost.node.framing import LINGER_MS
 from sprucepost.node.log import Log
+from sprucepost.node.owner_input import READ_BYTES, OwnerInput
+from sprucepost.node.owner_link import OwnerLink
 from sprucepost.node.parsing import InvalidSetUp, SetUpParser
 from sprucepost.node.tasks import CAUSE_REFUSED, RELEASE_RETENTION_MS, Tasks
 
 UNPROVEN_TIMEOUT_MS = 1500.0  # half of the 3 s within which such a connection must be closed
 ARRIVAL_GRACE_MS = 50.0  # data in flight when a connection is accepted, or crossing its close, arrives within that time
-MAX_UNREAD_BYTES = 16 * MAX_MESSAGE_BYTES  # unsent output after which an owner that does not read is disconnected
 CLOSE_POLL_MS = 5.0  # interval of the checks whether all connections have ended
+# A connection that has had unread input for so long brings more than can be handled, and holds up only its own attempts.
+# Half of the time that the platform allows between a client's leaving and the last attempt for it.
+FLOODING_AFTER_MS = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,92 +60,6 @@
     cause: int
 
 
-@dataclass(frozen=True, slots=True)
-class WrittenRelease:
-    """A release that has been written to a connection and may not have been sent completely."""
-
-    end_offset: int  # bytes sent on the connection once it has been
-    sid: str
-    cause: int
-
-
-class OwnerLink:
-    """Connection of one owner."""
-
-    def __init__(self, owners: Owners, transport: Transport, now: float) -> None:
-        self._owners, self.transport = owners, transport
-        self.decoder = Decoder()
-        self.owner_address = transport.peer.rpartition(":")[0]  # owners are told apart by the address they connect from
-        self.open: set[str] = set()  # ids of set-ups without an answer
-        self.placed_tasks = 0  # tasks that it brought and that are still placed
-        self.has_sent_message = False  # whether a complete message has arrived
-        self.proven = False
-        self.used = now  # time of the last admitted set-up or of the last write, in ms of the loop's clock
-        self.partial_since: float | None = None  # since when an incomplete message has been buffered
-        self._unconfirmed_releases: deque[WrittenRelease] = deque()
-
-    @property
-    def closed(self) -> bool:
-        return self.transport.closed
-
-    def add_placed_task(self) -> None:
-        """Count a task placed for this connection."""
-        self.placed_tasks += 1
-        self._owners.placed_by_owner[self.owner_address] += 1
-
-    def remove_placed_task(self) -> None:
-        """Stop counting such a task, which has ended."""
-        self.placed_tasks -= 1
-        self._owners.placed_by_owner[self.owner_address] -= 1
-        if not self._owners.placed_by_owner[self.owner_address]:
-            del self._owners.placed_by_owner[self.owner_address]
-
-    def input_read(self) -> bool:
-        """Return whether the latest poll left no input of this owner unread: it may cancel on any of its connections."""
-        return self._owners.input_read(self.owner_address)
-
-    def discard_set_up(self, sid: str) -> None:
-        """Drop an open set-up that needs no answer any more."""
-        self.open.discard(sid)
-
-    def answer(self, sid: str, text: str) -> None:
-        """Send the answer: the task is placed."""
-        self.open.discard(sid)
-        self._send(encode(Kind.ANSWER, sid, [(Code.DESCRIPTION, text.encode("utf-8"))]))
-
-    def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
-        """Tell the owner that the task was refused or has failed; ``stay_away_ms`` asks it to back off."""
-        self.open.discard(sid)
-        parameters = [(Code.CAUSE, bytes([cause]))]
-        if stay_away_ms > 0:
-            parameters.append((Code.STAY_AWAY, str(round(stay_away_ms)).encode()))
-        self._send(encode(Kind.RELEASE, sid, parameters))
-
-    def release(self, sid: str, cause: int) -> None:
-        """Tell the owner that its placed task has ended."""
-        if not self.transport.buffered:
-            self._unconfirmed_releases.clear()
-        self.refuse(sid, cause, 0.0)
-        self._unconfirmed_releases.append(WrittenRelease(self.transport.written, sid, cause))
-        self._owners.log.task(sid, "released", owner=self.transport.peer)
-
-    def unsent_releases(self) -> list[WrittenRelease]:
-        """Return the releases that the owner cannot have read, since they were not sent completely."""
-        return [release for release in self._unconfirmed_releases if release.end_offset > self.transport.sent]
-
-    def answer_health_check(self, sid: str, passed: bool) -> None:
-        """Reply to a health check of the owner."""
-        self._send(encode(Kind.TESTED, sid, [(Code.CAUSE, bytes([passed]))]))
-
-    def _send(self, data: bytes) -> None:
-        if self.closed:
-            return
-        self.used = self._owners.loop.now()
-        self.transport.write(data)
-        if self.transport.buffered > MAX_UNREAD_BYTES:  # deferred: other answers of this batch follow
-            self._owners.loop.call_soon(lambda: self._owners.disconnect(self, "unread"))
-
-
 def _closing_order(link: OwnerLink) -> tuple[bool, float]:
     """Sort key of idle connections to close: unproven ones first, then the longest idle first."""
     return link.proven, link.used
@@ -177,6 +95,7 @@
         self.fails_health_checks = False  # owners then stop sending set-ups
         self.refuses_set_ups = False  # set-ups that arrive now are refused
         self._waiting_releases: list[WaitingRelease] = []
+        self._input = OwnerInput(loop, self._on_message, self._after_visit)
         self._acceptor = Acceptor(loop, listener, self._accept_connection)
 
     # Connections
@@ -193,7 +112,7 @@
             return
         self._descriptors.reclaim()
         link = OwnerLink(self, Transport(self.loop, sock), self.loop.now())
-        link.transport.linger_ms = LINGER_MS
+        link.transport.linger_ms, link.transport.max_read_bytes = LINGER_MS, READ_BYTES
         self.links[link] = None
         link.transport.on_data = lambda data: self._on_data(link, data)
         link.transport.on_end = lambda: self.disconnect(link, "ended")
@@ -272,7 +191,11 @@
         if link not in self.links:
             return
         self.counters[f"owner_{why}"] += 1
-        if why in ("ended", "idle", "stopped"):
+        if link in self._input or why == "useless":  # what such a peer still sends is not handled
+            link.transport.on_linger_data = lambda data: None
+        if why == "useless":
+            self._tasks.fail_open(sorted(link.open), "its connection brings too many messages of no use")
+        if why in ("ended", "idle", "stopped", "useless"):
             self._descriptors.close(link.transport)
         elif why in ("room", "silent"):
             if not link.transport.buffered:  # its descriptor is needed, or it sent nothing useful: no lingering
@@ -285,11 +208,13 @@
     def _remove(self, link: OwnerLink) -> None:
         if self.links.pop(link, self) is not None:
             return
+        link.ended = True
         self._unread_links.pop(link, None)
+        self._input.discard(link)
         if link.open:
             sids, link.open = sorted(link.open), set()
             self._tasks.owner_disconnected(sids)
-        if link.closed:
+        if link.transport.closed:
             for release in link.unsent_releases():
                 self.release(link, release.sid, release.cause)
 
@@ -324,75 +249,96 @@
 
     # Messages
 
-    def input_read(self, owner_address: str) -> bool:
-        """Return whether the latest poll left nothing unread on the connections of that owner."""
-        for link in [link for link in self._unread_links if not link.transport.has_unread_backlog]:
-            del self._unread_links[link]
-        return all(link.owner_address != owner_address for link in self._unread_links)
+    def input_read(self, link: OwnerLink) -> bool:
+        """Return whether no unread input may hold a cancellation by the owner of that connection.
+
+        An owner may cancel on any of its connections, and owners are told apart by their address only. So input counts that
+        other connections from that address have left unread, unless they have done so for ``FLOODING_AFTER_MS``.
+        """
+        for other in [other for other in self._unread_links if not other.has_unread_input]:
+            del self._unread_links[other]
+        if link in self._unread_links:
+            return False
+        flooding_since = self.loop.now() - FLOODING_AFTER_MS
+        return all(
+            other.owner_address != link.owner_address or (other.unread_since or 0.0) <= flooding_since
+            for other in self._unread_links
+        )
 
     def _on_late_data(self, link: OwnerLink, data: bytes) -> None:
         """Handle input that was in flight when the connection was closed.
 
-        The owner sends a set-up again, but not a release, so releases are handled.
+        The owner sends a set-up again, but not a release, so releases are handled: those of one read, since a peer that
+        sends more does not wait for the end of its connection.
         """
+        link.transport.on_linger_data = lambda data: None
         for message in link.decoder.feed(data):
             if message.kind == Kind.RELEASE:
                 self._tasks.owner_cancelled(message.task)
 
     def _on_data(self, link: OwnerLink, data: bytes) -> None:
-        if link.transport.has_unread_backlog:
+        if not link.transport.continued:
+            link.unread_since = None
+        self._input.receive(link, data)
+        if link.has_unread_input and not link.closed:
             self._unread_links[link] = None
-        messages = link.decoder.feed(data)
-        is_first_read = bool(messages) and not link.has_sent_message
-        if messages:
-            link.partial_since = None  # reads from a busy owner may each end within another message
-            link.has_sent_message = True
-        for message in messages:
-            if link.closed:
-                return
-            self._on_message(link, message)
-        if link.closed:
-            return
-        if is_first_read:  # after the messages: a task that is handed over is not released
-            self._send_waiting_releases(link)
+            link.unread_since = link.unread_since if link.unread_since is not None else self.loop.now()
+
+    def _after_visit(self, link: OwnerLink) -> None:
+        """Take stock of a connection after some of its messages have been handled."""
         if link.decoder.error is not None:
             self.log("owner_malformed", peer=link.transport.peer, why=str(link.decoder.error))
             self.disconnect(link, "malformed")
-        elif not link.decoder.buffered_bytes:
+        elif link in self._input or not link.decoder.buffered_bytes:
             link.partial_since = None
         elif link.partial_since is None:
             link.partial_since = self.loop.now()
+        if link.closed:
+            return
+        if link.has_sent_message and not link.got_waiting_releases and link not in self._input:
+            link.got_waiting_releases = True  # now: a task that is handed over first is not released
+            self._send_waiting_releases(link)
 
     def _on_message(self, link: OwnerLink, message: Message) -> None:
+        link.has_sent_message = True
+        link.partial_since = None  # reads from a busy owner may each end within another message
+        useful = False
         if message.kind == Kind.SETUP:
-            self._on_set_up(link, message)
+            useful = self._on_set_up(link, message)
         elif message.kind == Kind.RELEASE:
-            self._tasks.owner_cancelled(message.task)
+            useful = self._tasks.owner_cancelled(message.task)
         elif message.kind == Kind.TEST:
             link.answer_health_check(message.task, not self.fails_health_checks)
-
-    def _on_set_up(self, link: OwnerLink, message: Message) -> None:
+        elif message.kind == Kind.RELEASED:
+            useful = link.confirm_release()
+        if not (useful or link.closed or link.useless_messages.record(self.loop.now())):
+            self.log("owner_useless", peer=link.transport.peer, task=message.task, kind=message.kind)
+            self.disconnect(link, "useless")
+
+    def _on_set_up(self, link: OwnerLink, message: Message) -> bool:
+        """Handle a set-up; return whether it was of use."""
         try:
             setup = self._parser.parse(message)
         except InvalidSetUp as error:
             self.counters["invalid"] += 1
             self.log("owner_invalid", peer=link.transport.peer, task=message.task, why=str(error))
             link.refuse(message.task, error.cause, 0.0)
-            return
+            return False
         if not setup.current_host and (self.refuses_set_ups or self._tasks.ledger.open >= self._max_open_tasks):
             self.counters["turned_away"] += 1
             link.refuse(message.task, CAUSE_REFUSED, 0.0)
-            return
-        result = self._tasks.admit(setup, link, link.transport.waited_ms)
+            return False
+        result = self._tasks.admit(setup, link, link.input_waited_ms)
         if result is SetUpResult.DUPLICATE_ID:
             self.log("owner_repeats_id", peer=link.transport.peer, task=message.task)
             self.disconnect(link, "malformed")
-            return
+            return False
         link.used = self.loop.now()
         if not setup.current_host and result is not SetUpResult.CANCELLED:
             link.open.add(setup.sid)
         if not link.proven and result is not SetUpResult.HOST_UNKNOWN:
             link.proven = True
+        return result is SetUpResult.ADMITTED
 
     # Releases
 
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -216,33 +216,41 @@
         if self._queue:
             self.loop.call_soon(self._driver.schedule_batch)
 
-    def owner_cancelled(self, sid: str) -> None:
-        """Handle an owner's release: it cancels its set-up, or ends its placed task."""
+    def owner_cancelled(self, sid: str) -> bool:
+        """Handle an owner's release: it cancels its set-up, or ends its placed task.
+
+        Returns whether that was of use: a task or its end was known, and a set-up had been given to the scheduler.
+        """
         entry = self.ledger.by_name(sid)
         if entry is None:
-            self._handle_unknown_cancelled(sid)
-            return
+            return self._handle_unknown_cancelled(sid)
         if entry.outcome in (Outcome.REFUSED, Outcome.FAILED):
             self.trace(sid, "cancelled_late", why="crossed its outcome")
-            return
+            return True
         if entry.outcome is Outcome.OPEN:
+            was_queued: bool = entry.ask.queued
             entry.ask.owner.discard_set_up(sid)
             self._cancel(entry, "by its owner")
-            return
+            return not was_queued
         self.counters["ended_by_owner"] += 1
         self.hosts.end_task(entry.machine, sid)
         self._end_task(entry, i.Ending.CANCELLED, None, "ended by its owner")
+        return True
 
-    def _handle_unknown_cancelled(self, sid: str) -> None:
+    def _handle_unknown_cancelled(self, sid: str) -> bool:
         """Handle the owner's release of a task that has ended, or whose set-up has not been read yet: messages on two
-        connections may overtake each other. A task that was only presumed lost may run on, so its host is told."""
+        connections may overtake each other. A task that was only presumed lost may run on, so its host is told.
+
+        Returns whether the end of the task was known."""
         now = self.loop.now()
         self.trace(sid, "unknown", why="released by its owner")
         for host in self.early_messages.hosts_with(sid, EarlyMessage.PRESUMED_LOST, now):
             self.hosts.end_task(host, sid)
             self.early_messages.record(sid, EarlyMessage.TASK_ENDED, now, host)
-        if not self.early_messages.hosts_with(sid, EarlyMessage.TASK_ENDED, now):
-            self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now)
+        if self.early_messages.hosts_with(sid, EarlyMessage.TASK_ENDED, now):
+            return True
+        self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now)
+        return False
 
     def owner_disconnected(self, sids: list[str]) -> None:
         """Cancel open set-ups whose owner's connection has ended."""
@@ -264,8 +272,18 @@
         """Fail all open tasks and tell their owners, since the process ends."""
         for entry in self.ledger.open_entries():
             self.counters["abandoned"] += 1
-            self._cancel(entry, "this placer ends")
-            entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
+            self._fail(entry, "this placer ends")
+
+    def fail_open(self, sids: list[str], why: str) -> None:
+        """Fail those of the tasks that are open, and tell their owner."""
+        for sid in sids:
+            entry = self.ledger.current(sid)
+            if entry is not None and entry.outcome is Outcome.OPEN:
+                self._fail(entry, why)
+
+    def _fail(self, entry: Entry, why: str) -> None:
+        self._cancel(entry, why)
+        entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
 
     # The scheduler
 
--- a/tests/node/planted_defects.py
+++ b/tests/node/planted_defects.py
@@ -8,7 +8,8 @@
 
 from sprucepost.interface import MachineState
 from sprucepost.node.bulletin import STATES
-from sprucepost.node.owners import OwnerLink, Owners
+from sprucepost.node.owner_link import OwnerLink
+from sprucepost.node.owners import Owners
 from sprucepost.node.service import Service
 from sprucepost.node.tasks import Tasks
 
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -21,11 +21,12 @@
 from sprucepost import interface as i
 from sprucepost import loop
 from sprucepost.loop import Co, connect, current, sleep
-from sprucepost.node import binary, health, hosts, owners, tasks
+from sprucepost.node import binary, health, hosts, tasks
 from sprucepost.node.attempt import Attempt
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.host import HostLink
 from sprucepost.node.jsonl import Line, MessageType
+from sprucepost.node.owner_link import OwnerLink
 from tests.node.platform import Host, Link, Platform, messages_for, run_on_platform, settings, setup, wait_for_message
 from tests.wire.support import wait_for
 
@@ -61,7 +62,7 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.sock.close()
 
-    def placer_link(self, platform: Platform) -> owners.OwnerLink:
+    def placer_link(self, platform: Platform) -> OwnerLink:
         """Return the placer's end of this connection."""
         port = self.sock.getsockname()[1]
         [link] = [link for link in platform.service.owners.links if link.transport.peer.endswith(f":{port}")]
@@ -653,7 +654,7 @@
     run_on_platform(tmp_path, body)
 
 
-def limit_writes(link: HostLink | owners.OwnerLink, max_bytes: int) -> None:
+def limit_writes(link: HostLink | OwnerLink, max_bytes: int) -> None:
     """Let the system accept only ``max_bytes`` more bytes on that connection."""
     sock, left = link.transport._sock, [max_bytes]
     send = sock.send
--- a/tests/node/test_rude_clients.py
+++ b/tests/node/test_rude_clients.py
@@ -10,7 +10,7 @@
 import pytest
 
 from sprucepost.loop import Co, sleep
-from sprucepost.node import binary, dispatch
+from sprucepost.node import binary, dispatch, useless_messages
 from sprucepost.node.binary import Kind
 from tests.node.platform import Platform, run_on_platform, setup
 from tests.node.stepped_loop import SteppedLoop
@@ -33,10 +33,36 @@
     return setup(sid, FIGURES=AT_HOST.format(service=service, host=host), LEFT=None)
 
 
+class Flooder:
+    """A client whose connection always has more to read; each read takes a while."""
+
+    def __init__(self, client: Client, loop: SteppedLoop, first: bytes = b"") -> None:
+        self._sock, self._loop, self._rest = client.other.sock, loop, bytearray(first)
+        self._link = client.other.placer_link(client.platform)
+        self._on_data = self._link.transport.on_data
+        self._link.transport.on_data = self._read
+        self._send()
+
+    def _read(self, data: bytes) -> None:
+        self._on_data(data)
+        self._loop.time += dispatch.POLL_AGE_MAX_MS / 5
+        self._send()
+
+    def _send(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                self._rest.extend(b"" if self._rest else USELESS * 2000)
+                del self._rest[: self._sock.send(self._rest)]
+
+    def stop(self) -> None:
+        self._link.transport.on_data = self._on_data
+
+
 # Guards against attempts that wait for input that comes after them, from another client at the same address.
 def test_a_flood_delays_no_attempt_of_another_client_at_its_address(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    monkeypatch.setattr(useless_messages, "BURST", 1e9)  # the connection is not ended for what it sends
     loop = SteppedLoop()
     attempts = AttemptRecorder(loop, monkeypatch)
 
@@ -46,31 +72,41 @@
         yield from warm(platform, SIDS[0])
         client = Client(platform, loop, "cancel")
         yield from client.connect_and_place()
-        flooder = client.other.placer_link(platform)
-        on_data, rest = flooder.transport.on_data, bytearray()
-
-        def flood(data: bytes = b"") -> None:
-            """Each read takes a while, and then there is more to read."""
-            on_data(data)
-            loop.time += dispatch.POLL_AGE_MAX_MS / 5
-            with contextlib.suppress(BlockingIOError):
-                while True:
-                    rest.extend(b"" if rest else USELESS * 2000)
-                    del rest[: client.other.sock.send(rest)]
-
-        flooder.transport.on_data = flood
-        flood()
+        flooder = Flooder(client, loop)
         yield from sleep(100)
         sent_at = loop.now()
         client.send_set_up()
         yield from wait_for(lambda: attempts.times(LEAVING_SID), 200)
         assert attempts.times(LEAVING_SID)[0] - sent_at < 100.0
-        flooder.transport.on_data = on_data
+        flooder.stop()
         client.close()
 
     run_on_platform(tmp_path, body, loop)
 
 
+# Guards against a connection that is kept although it floods, and against the loss of its open requests.
+def test_a_connection_that_floods_is_ended_after_its_open_requests_are_answered(tmp_path: Path) -> None:
+    def body(placer: Placer) -> Co[None]:
+        numbers = ids()
+        floods: list[Callable[[], bytes]] = [
+            lambda: USELESS,
+            lambda: release(next(numbers)),
+            lambda: binary.encode(Kind.TEST, next(numbers)),
+            lambda: setup(next(numbers), CLASS="nobody"),
+            lambda: setup(sid := next(numbers)) + release(sid),
+        ]
+        for n, make in enumerate(floods):
+            sock = placer.loop.arrive(LISTEN, f"127.0.0.8:{n + 1}", setup(SIDS[n]))
+            for _ in range(30):
+                sock.inbox.append(b"".join(make() for _ in range(100)))
+                yield from sleep(10)
+            assert sock.ended and placer.service.counters["owner_useless"] == n + 1
+            answers = [message for message in binary.Decoder().feed(bytes(sock.sent)) if message.task == SIDS[n]]
+            assert [message.kind for message in answers] == [Kind.RELEASE]
+
+    run_virtual(tmp_path, body)
+
+
 def _taken_back(number: int) -> Callable[[Placer, VirtualSock], Co[None]]:
     def play(placer: Placer, sock: VirtualSock) -> Co[None]:
         """All set-ups are taken back at once."""
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -14,7 +14,7 @@
 import pytest
 
 from sprucepost.loop import Co, TimedOut, connect, current, sleep
-from sprucepost.node import binary, feed, health, hosts, owners, service, tasks
+from sprucepost.node import binary, feed, health, hosts, owner_link, owners, service, tasks
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, MessageType
 from tests.node.platform import (
@@ -562,7 +562,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a disconnect within the batch, which ended the owner's other set-ups before they were decided on."""
-    monkeypatch.setattr(owners, "MAX_UNREAD_BYTES", 0)
+    monkeypatch.setattr(owner_link, "MAX_UNREAD_BYTES", 0)
 
     def body(platform: Platform) -> Co[None]:
         platform.bulletin.publish(everything=True)
