Node: no host is blamed for an attempt that waits for its owner's unread input

Change: such an attempt ends as void, which says nothing about the host; a host that could not be dialled in time is blamed as before.

Test: test_no_host_is_blamed_for_an_attempt_that_its_owners_flood_holds_back, fails without the change.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -68,8 +68,8 @@
         """Return whether the offer was sent completely; if not, the host cannot have read it."""
         ...
 
-    def connection_failed_locally(self, attempt: Attempt) -> bool:
-        """Return whether the offer was not written because this machine had no descriptor, port or route to connect."""
+    def unwritten_by_fault_of_host(self, attempt: Attempt) -> bool:
+        """Return whether the host is to blame that the offer was not written; if not, this machine or its owner is."""
         ...
 
     def withdraw(self, attempt: Attempt) -> None:
@@ -115,7 +115,18 @@
 class Attempt:
     """One attempt to place a task, from the scheduler's offer until its end. Times are ms of the loop's clock."""
 
-    __slots__ = ("deadline", "end_offset", "entry", "link", "machine", "noted", "number", "offered_at", "timer")
+    __slots__ = (
+        "deadline",
+        "end_offset",
+        "entry",
+        "held_back",
+        "link",
+        "machine",
+        "noted",
+        "number",
+        "offered_at",
+        "timer",
+    )
 
     def __init__(self, entry: Entry, number: int, machine: str, offered_at: float, deadline: float) -> None:
         self.entry, self.number, self.machine, self.offered_at, self.deadline = (
@@ -128,6 +139,7 @@
         self.timer: Timer | None = None
         self.link: Any = None  # the connection to the host on which the offer was written
         self.end_offset = 0  # bytes sent on that connection once the offer has been sent completely
+        self.held_back = False  # whether it waited for unread input of its owner, although there was a connection
         self.noted = False  # whether the host has sent a note on the task, which it does only after its answer
 
     @property
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -175,6 +175,7 @@
             host.waiting.remove(attempt)
             if not self._tasks.owner_input_read(attempt):
                 postponed += 1
+                attempt.held_back = True
                 host.waiting.append(attempt)
                 self._dispatcher.postpone(host)
                 continue
@@ -184,9 +185,8 @@
         """Write the offer to that connection, or end the attempt where the offer must not be sent any more."""
         data = self._tasks.encode_offer(attempt)
         if data is None:
-            self._tasks.end_attempt(
-                attempt, i.Ending.VOID if attempt.machine in self._tasks.closed_hosts else i.Ending.CONNECT_FAILED
-            )
+            blames_host = attempt.machine not in self._tasks.closed_hosts and self.unwritten_by_fault_of_host(attempt)
+            self._tasks.end_attempt(attempt, i.Ending.CONNECT_FAILED if blames_host else i.Ending.VOID)
             return
         attempt.link = link
         link.open[attempt.sid] = attempt
@@ -201,10 +201,11 @@
         offer that was sent in part has not run."""
         return attempt.link is not None and attempt.link.transport.sent >= attempt.end_offset
 
-    def connection_failed_locally(self, attempt: Attempt) -> bool:
-        """Whether the offer has no connection because the last dial failed on this machine."""
+    def unwritten_by_fault_of_host(self, attempt: Attempt) -> bool:
+        """Whether the offer was not written because the host could not be connected to: the last dial did not fail for want
+        of something on this machine, and the offer was not held back for unread input although there was a connection."""
         host = self.hosts.get(attempt.machine)
-        return attempt.link is None and host is not None and host.dial_failed_locally
+        return not (attempt.held_back or (attempt.link is None and host is not None and host.dial_failed_locally))
 
     def withdraw(self, attempt: Attempt) -> None:
         """Withdraw the offer. Where it was written, the host gets a close, and the connection takes no other set-up. Where
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -366,7 +366,8 @@
         if was_sent:
             attempt.entry.ask.withdrawals[attempt.machine] = Withdrawal(self.loop.now(), attempt.noted)
         self.counters["timeouts" if was_sent else "unsent"] += 1
-        unsent_ending = i.Ending.VOID if self.hosts.connection_failed_locally(attempt) else i.Ending.CONNECT_FAILED
+        blames_host = self.hosts.unwritten_by_fault_of_host(attempt)
+        unsent_ending = i.Ending.CONNECT_FAILED if blames_host else i.Ending.VOID
         self.hosts.withdraw(attempt)
         self.end_attempt(attempt, i.Ending.TIMEOUT if was_sent else unsent_ending)
 
--- a/tests/node/test_rude_clients.py
+++ b/tests/node/test_rude_clients.py
@@ -84,6 +84,29 @@
     run_on_platform(tmp_path, body, loop)
 
 
+# Guards against a host that counts as silent for all clients since one client's flood held back its own attempts.
+def test_no_host_is_blamed_for_an_attempt_that_its_owners_flood_holds_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(useless_messages, "BURST", 1e9)
+    loop = SteppedLoop()
+
+    def body(platform: Platform) -> Co[None]:
+        platform.host("s-1")
+        platform.start()
+        yield from warm(platform, SIDS[0])
+        client = Client(platform, loop, "cancel")
+        yield from client.connect_and_place()
+        flooder = Flooder(client, loop, first=setup(SIDS[1]))
+        counters = platform.service.counters
+        yield from wait_for(lambda: counters["ended_moot"] + counters["ended_connect_failed"], 2000)
+        assert not counters["ended_connect_failed"] and not platform.service.driver.scheduler.machines["s-1"].suspicions
+        flooder.stop()
+        client.close()
+
+    run_on_platform(tmp_path, body, loop)
+
+
 # Guards against a connection that is kept although it floods, and against the loss of its open requests.
 def test_a_connection_that_floods_is_ended_after_its_open_requests_are_answered(tmp_path: Path) -> None:
     def body(placer: Placer) -> Co[None]:
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -69,8 +69,8 @@
     def was_sent(self, attempt: Attempt) -> bool:
         return attempt in self.written
 
-    def connection_failed_locally(self, attempt: Attempt) -> bool:
-        return False
+    def unwritten_by_fault_of_host(self, attempt: Attempt) -> bool:
+        return True
 
     def add_placed_task(self) -> None:
         self.placed_count += 1
