Node: every owner's connection has a deadline by its state, and its end is logged

Cause: a connection stayed because something had once come on it. A set-up that got no answer made it proven for the whole idle time; any message made the last one of an address kept for a release; and a close that was due was put off by any input, also by input that means nothing.

Change: connection_states, a table without I/O, gives each connection one state and its deadline. Input that has arrived is handled once before a close. Open set-ups fail before a connection is ended for what it brought. Each end is logged with reason and state, and counts has the states.

--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -8,6 +8,7 @@
 
 from sprucepost.loop import Loop, Transport
 from sprucepost.node.binary import Code, Decoder, Kind, encode
+from sprucepost.node.connection_states import ConnectionFacts
 from sprucepost.node.framing import MAX_MESSAGE_BYTES
 from sprucepost.node.log import Log
 from sprucepost.node.useless_messages import UselessMessages
@@ -53,8 +54,10 @@
         self.got_waiting_releases = False  # whether releases that waited for a connection of its owner were sent here
         self.ended = False  # whether this side has ended it, or found that it has ended
         self.proven = False
+        self._opened_at = now
         self.used = now  # time of the last admitted set-up or of the last write, in ms of the loop's clock
         self.partial_since: float | None = None  # since when an incomplete message has been buffered
+        self.unanswered_since: float | None = None  # when the first message came to which nothing was sent since
         self.unread_since: float | None = None  # since when input has been left unread without interruption
         self.read_at = now  # time of the latest read, in ms of the loop's clock
         self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
@@ -96,6 +99,27 @@
     def discard_set_up(self, sid: str) -> None:
         """Drop an open set-up that needs no answer any more."""
         self.open.discard(sid)
+        self.await_answer()
+
+    def await_answer(self) -> None:
+        """Note that a message has come to which nothing is sent: the peer may be waiting in vain."""
+        if self.unanswered_since is None:
+            self.unanswered_since = self._owners.loop.now()
+
+    def facts(self, owners_with_one_connection: set[str]) -> ConnectionFacts:
+        """Return what decides on its state."""
+        return ConnectionFacts(
+            self._opened_at,
+            self.transport.written > 0,
+            self.used,
+            self.has_sent_message,
+            self.proven,
+            len(self.open),
+            self.placed_tasks,
+            self.owner_address in owners_with_one_connection,
+            self.partial_since,
+            self.unanswered_since,
+        )
 
     def answer(self, sid: str, text: str) -> None:
         """Send the answer: the task is placed."""
@@ -135,7 +159,7 @@
     def _send(self, data: bytes) -> None:
         if self.closed:
             return
-        self.used = self._owners.loop.now()
+        self.used, self.unanswered_since = self._owners.loop.now(), None
         self.transport.write(data)
         if self.transport.buffered > MAX_UNREAD_BYTES:  # deferred: other answers of this batch follow
             self._owners.loop.call_soon(lambda: self._owners.disconnect(self, "unread"))
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -1,24 +1,17 @@
 """Connections of owners: set-ups arrive on them, answers and releases are sent on them.
 
-A connection is *proven* once it has brought a set-up that could be admitted. An unproven connection without an open set-up
-is closed early: a peer that opens hundreds of connections and sends nothing, or half a message, holds descriptors that
-other owners need.
-
-A placed task belongs to no connection, but its release needs one, and an owner does not open a connection to receive it.
-So a connection is *needed* while a task that it brought is placed, or while it is the only connection of an owner that
-has a placed task; it is closed neither for being idle nor to free a descriptor. The cost of such connections is bounded:
-the owners' share is a third of the descriptors.
-
-============================= ================================== ==============================================
-a connection                  when idle                          when a new connection needs a descriptor
-============================= ================================== ==============================================
-with an open set-up           stays open                         stays open
-needed                        stays open                         stays open; the new connection is rejected
-proven                        closed after the idle timeout      closed after the unproven ones, longest idle
-                                                                 first
-unproven                      closed after                       closed first
-                              ``UNPROVEN_TIMEOUT_MS``
-============================= ================================== ==============================================
+A connection is *proven* once it has brought a set-up that was admitted. Its state and deadline are in ``connection_states``.
+A placed task belongs to no connection, but its release needs one, and an owner does not open a connection to receive it, so
+some connections are *kept* for it. The cost of such connections is bounded: the owners' share is a third of the descriptors.
+
+============================= ==================================================
+a connection                  when a new connection needs a descriptor
+============================= ==================================================
+with an open set-up           stays open
+kept                          stays open; the new connection is rejected
+proven                        closed after the unproven ones, longest idle first
+unproven                      closed first
+============================= ==================================================
 
 Each connection is polled once more before it is closed: the platform counts bytes that have arrived unread as received.
 What crosses the close is sent again by its owner. For that the owner must see an end of stream and not a reset, which may
@@ -34,6 +27,7 @@
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.attempt import OwnerPort, SetUpResult
 from sprucepost.node.binary import Kind, Message
+from sprucepost.node.connection_states import ConnectionState, EndReason, Review, is_kept, review
 from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.framing import LINGER_MS
 from sprucepost.node.log import Log
@@ -42,9 +36,10 @@
 from sprucepost.node.parsing import InvalidSetUp, SetUpParser
 from sprucepost.node.tasks import CAUSE_REFUSED, RELEASE_RETENTION_MS, Tasks
 
-UNPROVEN_TIMEOUT_MS = 1500.0  # half of the 3 s within which such a connection must be closed
 ARRIVAL_GRACE_MS = 50.0  # data in flight when a connection is accepted, or crossing its close, arrives within that time
 CLOSE_POLL_MS = 5.0  # interval of the checks whether all connections have ended
+# Ends for what the peer has sent, or not sent: the peer gets the outcome of its open set-ups first.
+ENDED_FOR_INPUT = ("useless", "malformed", "cut")
 # A connection that has had unread input for so long brings more than can be handled, and holds up only its own attempts.
 # Half of the time that the platform allows between a client's leaving and the last attempt for it.
 FLOODING_AFTER_MS = 50.0
@@ -163,44 +158,65 @@
     def _close_idle(self, may_close: Callable[[OwnerLink], bool] = lambda link: True) -> bool:
         """Close an idle connection for which ``may_close`` is true; return False if there is none."""
         for _ in range(2):  # input that the first round finds may have been answered by the second
-            needed = self._needed_links()
-            idle = [link for link in self.links if not (link.open or link in needed) and may_close(link)]
+            owners_with_one = self._owners_with_one_connection()
+            idle = [
+                link
+                for link in self.links
+                if not (link.open or is_kept(link.facts(owners_with_one))) and may_close(link)
+            ]
             for link in sorted(idle, key=_closing_order):
-                if not link.transport.read_now():
+                if not self._read_arrived(link):
                     self.disconnect(link, "room")
                 if link not in self.links:
                     return True
         return False
 
-    def _needed_links(self) -> set[OwnerLink]:
-        """Return the connections that are kept open for releases still to be sent."""
+    def _owners_with_one_connection(self) -> set[str]:
+        """Return the addresses of owners with placed tasks and a single connection on which a message has come."""
         per_owner = Counter(link.owner_address for link in self.links if link.has_sent_message)
-        return {
-            link
-            for link in self.links
-            if link.placed_tasks
-            or (
-                link.has_sent_message
-                and per_owner[link.owner_address] == 1
-                and link.owner_address in self.placed_by_owner
-            )
-        }
+        return {address for address in self.placed_by_owner if per_owner[address] == 1}
+
+    def _read_arrived(self, link: OwnerLink) -> bool:
+        """Handle what has arrived on a connection, at most one visit; return whether there was anything."""
+        if link in self._input:
+            self._input.visit(link)
+            return True
+        return link.transport.read_now()
+
+    def states(self) -> Counter[ConnectionState]:
+        """Return the number of connections in each state."""
+        owners_with_one = self._owners_with_one_connection()
+        return Counter(self._review(link, owners_with_one).state for link in self.links)
+
+    def _review(self, link: OwnerLink, owners_with_one: set[str]) -> Review:
+        return review(link.facts(owners_with_one), self._idle_ms)
 
     def disconnect(self, link: OwnerLink, why: str) -> None:
         """Close the connection and cancel its open set-ups."""
         if link not in self.links:
             return
         self.counters[f"owner_{why}"] += 1
-        if link in self._input or why == "useless":  # what such a peer still sends is not handled
+        state = self._review(link, self._owners_with_one_connection()).state
+        self.log(
+            "owner_ended",
+            peer=link.transport.peer,
+            why=why,
+            state=state.value,
+            open=len(link.open) or None,
+            standing=link.placed_tasks or None,
+        )
+        if link in self._input or why in ENDED_FOR_INPUT:  # what such a peer still sends is not handled
             link.transport.on_linger_data = lambda data: None
-        if why == "useless":
-            self._tasks.fail_open(sorted(link.open), "its connection brings too many messages of no use")
-        if why in ("ended", "idle", "stopped", "useless"):
+        if why in ENDED_FOR_INPUT:
+            self._tasks.fail_open(sorted(link.open), f"its connection is ended: {why}")
+        if why in ("ended", "idle", "stopped", "useless", "unanswered"):
             self._descriptors.close(link.transport)
         elif why in ("room", "silent"):
             if not link.transport.buffered:  # its descriptor is needed, or it sent nothing useful: no lingering
                 link.transport.linger_ms = 0.0
             self._descriptors.close(link.transport)
+        elif why in ENDED_FOR_INPUT and link.transport.buffered:  # answers are still to be sent
+            self._descriptors.close(link.transport)
         else:
             link.transport.abort()
         self._remove(link)
@@ -219,19 +235,14 @@
                 self.release(link, release.sid, release.cause)
 
     def tick(self) -> None:
-        """Close connections that are idle, unproven or stuck in a message; drop expired releases."""
-        now, needed = self.loop.now(), self._needed_links()
+        """End the connections whose deadline has passed; drop expired releases."""
+        now, owners_with_one = self.loop.now(), self._owners_with_one_connection()
         for link in list(self.links):
-            if link.partial_since is not None and now - link.partial_since > UNPROVEN_TIMEOUT_MS:
-                self.disconnect(link, "cut")
-            elif (
-                link.open
-                or link in needed
-                or now - link.used <= (self._idle_ms if link.proven else UNPROVEN_TIMEOUT_MS)
-            ):
-                continue
-            elif not link.transport.read_now():
-                self.disconnect(link, "idle" if link.proven else "silent")
+            found = self._review(link, owners_with_one)
+            if found.ends_at < now and found.reason is not EndReason.CUT and self._read_arrived(link):
+                found = self._review(link, owners_with_one)  # what has arrived may be of use
+            if found.ends_at < now:
+                self.disconnect(link, found.reason.value)
         self._waiting_releases = [release for release in self._waiting_releases if release.expires_at > now]
 
     def stop_listening(self) -> None:
@@ -302,7 +313,7 @@
     def _on_message(self, link: OwnerLink, message: Message) -> None:
         link.has_sent_message = True
         link.partial_since = None  # reads from a busy owner may each end within another message
-        useful = False
+        useful, written = False, link.transport.written
         if message.kind == Kind.SETUP:
             useful = self._on_set_up(link, message)
         elif message.kind == Kind.RELEASE:
@@ -311,6 +322,8 @@
             link.answer_health_check(message.task, not self.fails_health_checks)
         elif message.kind == Kind.RELEASED:
             useful = link.confirm_release()
+        if not useful and link.transport.written == written:
+            link.await_answer()
         if not (useful or link.closed or link.useless_messages.record(self.loop.now())):
             self.log("owner_useless", peer=link.transport.peer, task=message.task, kind=message.kind)
             self.disconnect(link, "useless")
@@ -333,12 +346,12 @@
             self.log("owner_repeats_id", peer=link.transport.peer, task=message.task)
             self.disconnect(link, "malformed")
             return False
-        link.used = self.loop.now()
-        if not setup.current_host and result is not SetUpResult.CANCELLED:
+        if result is not SetUpResult.ADMITTED:
+            return False
+        link.used, link.proven = self.loop.now(), True
+        if not setup.current_host:
             link.open.add(setup.sid)
-        if not link.proven and result is not SetUpResult.HOST_UNKNOWN:
-            link.proven = True
-        return result is SetUpResult.ADMITTED
+        return True
 
     # Releases
 
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -180,6 +180,7 @@
             standing=sum(map(len, self.tasks.placed.values())),
             owner_links=len(self.owners.links),
             owner_links_waiting=sum(bool(link.open) for link in self.owners.links),
+            owner_link_states={state.value: number for state, number in self.owners.states().items()},
             host_links=sum(len(host.links) for host in self.hosts.hosts.values()),
             closing=self.descriptors.closing,
             accepts_failed=self.owners.accepts_failed,
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -14,7 +14,7 @@
 import pytest
 
 from sprucepost.loop import Co, TimedOut, connect, current, sleep
-from sprucepost.node import binary, feed, health, hosts, owner_link, owners, service, tasks
+from sprucepost.node import binary, connection_states, feed, health, hosts, owner_link, service, tasks
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, MessageType
 from tests.node.platform import (
@@ -448,7 +448,7 @@
     Tasks at a host that no list names were kept indefinitely, and an owner whose reads all end within a message was cut off.
     """
     monkeypatch.setattr(health, "SILENT_AFTER_MS", 900.0)
-    monkeypatch.setattr(owners, "UNPROVEN_TIMEOUT_MS", 400.0)
+    monkeypatch.setattr(connection_states, "REACTION_MS", 400.0)
     monkeypatch.setattr(service, "TICK_MS", 50.0)
 
     def body(platform: Platform) -> Co[None]:
@@ -483,7 +483,7 @@
         newer = yield from platform.owner()
         yield from placed(platform, newer, SIDS[1])
         assert len(platform.service.owners.links) <= 32 and not regular.ended
-        yield from wait_for(lambda: len(platform.service.owners.links) == 2, owners.UNPROVEN_TIMEOUT_MS + 1000)
+        yield from wait_for(lambda: len(platform.service.owners.links) == 2, connection_states.REACTION_MS + 1000)
         for transport in idle:
             transport.abort()
 
@@ -494,7 +494,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against closing an idle connection whose task is placed, so that the release finds none (soak, seed 4711)."""
-    monkeypatch.setattr(owners, "UNPROVEN_TIMEOUT_MS", 200.0)
+    monkeypatch.setattr(connection_states, "REACTION_MS", 200.0)
     monkeypatch.setattr(service, "TICK_MS", 50.0)
     idle = settings(policy_limits={**settings()["policy_limits"], "keepalive": 400.0})
 
