Node: what one client makes the process keep counts against that client's share

Seen beside one client at full speed for 6 s (192 MiB): memory 19 -> 196 MiB under hand-overs and 19 -> 212 under those to unlisted hosts; 60 of 82 usual set-ups refused beside set-ups of new services, which used up the limit of open tasks; one client's releases of unknown ids pushed out what others had cancelled.

Cause: nothing that a client brings was counted for that client. Beside 100 such clients three things more showed: expired and held-back tasks took the turns of the queue, attempts that wait for their owner's input cost each turn a walk over all connections, and an attempt waited anew for each new connection's input.

The cache of early messages drops the oldest of the source that has most. A client without queued tasks goes first; tasks of one that floods stay queued, and do not have others wait for reports of placed tasks. An attempt waits for other connections only for what came before it was due, 50 ms at the most. A connection that brings many messages of no use without an answer is overdue also while a set-up is open.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -18,6 +18,7 @@
     HOST_UNKNOWN = "unlisted"  # admitted, but its ``at`` names a host that has not been in any list
     CANCELLED = "unwanted"  # its owner cancelled it before it was read
     DUPLICATE_ID = "repeated"  # its id belongs to another task
+    OVER_SHARE = "over_share"  # its client has handed over as many tasks as are kept for one client
 
 
 class OwnerPort(Protocol):
@@ -25,6 +26,11 @@
 
     @property
     def closed(self) -> bool: ...
+    @property
+    def is_flooding(self) -> bool:
+        """Whether it has had unread input for longer than other connections wait for it."""
+        ...
+
     def add_placed_task(self) -> None:
         """Count a task placed for this connection: it, or another one of its owner, is kept open for the release."""
         ...
@@ -33,8 +39,9 @@
         """Stop counting such a task, which has ended."""
         ...
 
-    def input_read(self) -> bool:
-        """Return whether an attempt may be sent: no input is left unread that may hold the owner's cancellation."""
+    def input_read(self, ready_at: float) -> bool:
+        """Return whether an attempt that could have been sent at that time, in ms of the loop's clock, may be sent now: no
+        input is left unread that may hold the owner's cancellation and came before."""
         ...
 
     def discard_set_up(self, sid: str) -> None:
@@ -100,11 +107,22 @@
 class TaskState:
     """State that the node keeps with a task's ledger entry."""
 
-    __slots__ = ("attempt", "keeps_connection", "may_run_since", "owner", "placed_at", "queued", "setup", "withdrawals")
+    __slots__ = (
+        "attempt",
+        "handed_over_by",
+        "keeps_connection",
+        "may_run_since",
+        "owner",
+        "placed_at",
+        "queued",
+        "setup",
+        "withdrawals",
+    )
 
     def __init__(self, setup: SetUp, owner: OwnerPort) -> None:
         self.setup, self.owner = setup, owner
         self.attempt: Attempt | None = None
+        self.handed_over_by: OwnerPort | None = None  # the client in whose share of such tasks it counts
         self.placed_at = 0.0  # in ms of the loop's clock
         self.keeps_connection = False  # whether the owner's connection is kept open for the release
         self.queued = False  # whether the scheduler has not been told of the task yet
@@ -125,6 +143,7 @@
         "noted",
         "number",
         "offered_at",
+        "ready_at",
         "timer",
     )
 
@@ -139,6 +158,7 @@
         self.timer: Timer | None = None
         self.link: Any = None  # the connection to the host on which the offer was written
         self.end_offset = 0  # bytes sent on that connection once the offer has been sent completely
+        self.ready_at: float | None = None  # when it could have been sent first, but for unread input of its owner
         self.held_back = False  # whether it waited for unread input of its owner, although there was a connection
         self.noted = False  # whether the host has sent a note on the task, which it does only after its answer
 
--- a/sprucepost/node/client_shares.py
+++ b/sprucepost/node/client_shares.py
@@ -1,6 +1,6 @@
 """Shares of clients in what this process keeps for them. No I/O.
 
-Dynamic thresholds (Choudhury and Hahne, 1998): a client may hold up to ``FREE_SPACE_FACTOR`` times what is still free. A client
+Dynamic thresholds (Choudhury and Hahne, 1998): a client may hold up to ``FREE_SPACE_FACTOR`` times what is still free. One
 that is alone may hold four fifths of the limit; the more clients hold much, the less each may hold, and some space always
 stays free for one that holds little.
 """
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Hashable
 
 FREE_SPACE_FACTOR = 4
 # A task that a client has handed over costs about 4 KiB: its ledger entry, and what the scheduler keeps of it.
@@ -21,27 +20,32 @@
     return int(memory_bytes / TASK_MEMORY_DIVISOR / BYTES_PER_TASK)
 
 
+def has_share_left(held: int, total: int, limit: int) -> bool:
+    """Return whether a client that holds ``held`` of ``total`` may hold one more."""
+    return held < FREE_SPACE_FACTOR * (limit - total)
+
+
 class ClientShares:
     """Counts what each client holds, up to ``limit`` in all."""
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._held: Counter[Hashable] = Counter()
+        self._held: Counter[object] = Counter()
         self._total = 0
 
     def __len__(self) -> int:
         return self._total
 
-    def admits(self, client: Hashable) -> bool:
+    def admits(self, client: object) -> bool:
         """Return whether the client may hold one more."""
-        return self._held[client] < FREE_SPACE_FACTOR * (self._limit - self._total)
+        return has_share_left(self._held[client], self._total, self._limit)
 
-    def add(self, client: Hashable) -> None:
+    def add(self, client: object) -> None:
         """Count one more that the client holds."""
         self._held[client] += 1
         self._total += 1
 
-    def remove(self, client: Hashable) -> None:
+    def remove(self, client: object) -> None:
         """Count one less."""
         self._total -= 1
         self._held[client] -= 1
--- a/sprucepost/node/connection_states.py
+++ b/sprucepost/node/connection_states.py
@@ -7,13 +7,14 @@
 ======================== ======================================== =========================== ============================
 message incomplete       part of a message has arrived            ``REACTION_MS`` after it    open set-ups fail, and the
                                                                   began                       connection is cut
-answer owed              a set-up is open                         none: each set-up has one
+answer owed              a set-up is open, and the connection     none: each set-up has one
+                         does not bring many messages of no use
 kept                     a task that it brought is placed; or     none: the tasks end
                          its owner has a placed task and no
                          other connection, and it does not
                          await anything
-unanswered               its messages have led to nothing that    ``REACTION_MS`` after the   closed
-                         is sent to it                            first of them
+unanswered               its messages have led to nothing that    ``REACTION_MS`` after the   open set-ups fail, and it is
+                         is sent to it                            first of them               closed
 first message awaited    nothing has arrived                      ``REACTION_MS``             closed
 idle                     otherwise                                the idle timeout after its  closed
                                                                   last use; ``REACTION_MS``
@@ -68,6 +69,7 @@
     is_last_of_owner: bool  # its owner has placed tasks and no other connection on which a message has come
     partial_since: float | None  # since when part of a message has been waiting for the rest
     unanswered_since: float | None  # when the first message came to which nothing was sent since
+    brings_many_useless: bool  # lately, also set-ups that are taken back at once: there may always be one open
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,13 +93,13 @@
     found = _without_partial_message(facts, idle_ms)
     if facts.partial_since is not None and facts.partial_since + REACTION_MS < found.ends_at:
         found = Review(ConnectionState.MESSAGE_INCOMPLETE, facts.partial_since + REACTION_MS, EndReason.CUT)
-    if facts.is_answered or facts.open_set_ups or facts.placed_tasks:
+    if facts.is_answered or found.state in (ConnectionState.ANSWER_OWED, ConnectionState.KEPT):
         return found
     return replace(found, ends_at=min(found.ends_at, facts.opened_at + FIRST_REACTION_MS))
 
 
 def _without_partial_message(facts: ConnectionFacts, idle_ms: float) -> Review:
-    if facts.open_set_ups:
+    if facts.open_set_ups and not (facts.brings_many_useless and facts.unanswered_since is not None):
         return Review(ConnectionState.ANSWER_OWED, math.inf, EndReason.IDLE)
     if is_kept(facts):
         return Review(ConnectionState.KEPT, math.inf, EndReason.IDLE)
--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -28,7 +28,7 @@
 
 from sprucepost.node.jsonl import Line
 
-MAX_TASKS = 2048  # bounds the memory: a peer that sends unknown ids only displaces the oldest entries
+MAX_TASKS = 2048  # bounds the memory: a peer that sends unknown ids displaces its own oldest entries first
 ANY_HOST = ""  # in place of a host, for what concerns the task itself
 
 
@@ -51,27 +51,52 @@
 
 
 class EarlyMessageCache:
-    """Records by task id and host; each is kept for ``retention_ms``, and those of at most ``max_tasks`` tasks."""
+    """Records by task id and host; each is kept for ``retention_ms``, and those of at most ``max_tasks`` tasks.
+
+    Beyond that the oldest task is dropped of the source, a client or host, that has brought most of them.
+    """
 
     def __init__(self, retention_ms: float, max_tasks: int = MAX_TASKS) -> None:
         self._retention_ms, self._max_tasks = retention_ms, max_tasks
         self._records: dict[str, dict[str, Record]] = {}  # by task id, then by host; the tasks recorded last come last
+        self._sources: dict[str, str] = {}  # who brought the latest record of a task, by its id
+        self._by_source: dict[str, dict[str, None]] = {}  # ids of the tasks, in the order of ``_records``
 
     def __len__(self) -> int:
         return len(self._records)
 
     def record(
-        self, sid: str, message: EarlyMessage, now: float, host: str = ANY_HOST, line: Line | None = None
+        self,
+        sid: str,
+        message: EarlyMessage,
+        now: float,
+        host: str = ANY_HOST,
+        line: Line | None = None,
+        source: str = "",
     ) -> None:
-        """Record a message; a host's release of a task whose end is known says nothing new."""
+        """Record a message; a host's release of a task whose end is known says nothing new.
+
+        ``source`` is the client that the message came from; by default it is the host.
+        """
         known = self.get(sid, now, host)
-        by_host = self._records.pop(sid, {})
+        by_host = self._remove(sid)
         if known is not None and known.message is EarlyMessage.TASK_ENDED:
             message, line = EarlyMessage.TASK_ENDED, None
         by_host[host] = Record(message, now, line)
         if len(self._records) >= self._max_tasks:
-            del self._records[next(iter(self._records))]
-        self._records[sid] = by_host
+            largest = max(self._by_source.values(), key=len)
+            self._remove(next(iter(largest)))
+        self._records[sid], self._sources[sid] = by_host, source or host
+        self._by_source.setdefault(source or host, {})[sid] = None
+
+    def _remove(self, sid: str) -> dict[str, Record]:
+        """Remove a task and return its records."""
+        source = self._sources.pop(sid, None)
+        if source is not None:
+            del self._by_source[source][sid]
+            if not self._by_source[source]:
+                del self._by_source[source]
+        return self._records.pop(sid, {})
 
     def get(self, sid: str, now: float, host: str = ANY_HOST) -> Record | None:
         """Return what is recorded of that task and host, unless it has expired."""
@@ -91,4 +116,4 @@
         for sid, by_host in list(self._records.items()):
             if any(record.at + self._retention_ms > now for record in by_host.values()):
                 return  # the tasks after it were recorded later
-            del self._records[sid]
+            self._remove(sid)
--- a/sprucepost/node/fair_queue.py
+++ b/sprucepost/node/fair_queue.py
@@ -1,13 +1,16 @@
 """Queue of new tasks that have not been submitted to the scheduler yet: round robin over connections. No I/O.
 
-Connections take turns, so a busy connection does not delay the others; items of one connection stay in order. A task's
-worth is not considered here: the scheduler places the tasks of a batch by worth, and a task waits in this queue for
-a few turns of the loop only.
+Connections take turns, so a busy connection does not delay the others; items of one connection stay in order. A connection
+without queued items goes first when it brings one, unless it has had its turn in this round (as the new flows of FQ-CoDel,
+RFC 8290): what a client sends now and then does not wait for what others have queued. A task's worth is not considered here:
+the scheduler places the tasks of a batch by worth, and a task waits in this queue for a few turns of the loop only.
 """
 
 from __future__ import annotations
 
-from collections import deque
+import math
+from collections import OrderedDict, deque
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -17,25 +20,36 @@
     """Queued items by the connection on which they arrived, each with its arrival time in ms."""
 
     def __init__(self) -> None:
-        self._queues: dict[object, deque[tuple[float, T]]] = {}  # the connection whose turn is next comes first
+        # The connection whose turn is next comes first. One without items has had its turn, and leaves at its next one.
+        self._queues: OrderedDict[object, deque[tuple[float, T]]] = OrderedDict()
+        self._length = 0
 
     def __bool__(self) -> bool:
-        return bool(self._queues)
+        return self._length > 0
 
-    @property
-    def oldest_arrival(self) -> float:
-        """Arrival time of the item that has waited longest; the queue must not be empty."""
-        return min(queue[0][0] for queue in self._queues.values())
+    def oldest_arrival(self, may_leave: Callable[[T], bool]) -> float:
+        """Return when the item arrived that has waited longest of those that may leave; infinity if there is none."""
+        first_items = [queue[0] for queue in self._queues.values() if queue]
+        return min((at for at, item in first_items if may_leave(item)), default=math.inf)
 
     def put(self, connection: object, item: T, now: float) -> None:
         """Append an item to the queue of that connection."""
-        self._queues.setdefault(connection, deque()).append((now, item))
-
-    def pop(self) -> T:
-        """Remove and return the next item in turn; the queue must not be empty."""
-        connection = next(iter(self._queues))
-        queue = self._queues.pop(connection)
-        _, item = queue.popleft()
-        if queue:
-            self._queues[connection] = queue
-        return item
+        if connection not in self._queues:
+            self._queues[connection] = deque()
+            self._queues.move_to_end(connection, last=False)
+        self._queues[connection].append((now, item))
+        self._length += 1
+
+    def pop(self, may_leave: Callable[[T], bool] = lambda item: True) -> T | None:
+        """Remove and return the next item in turn; None if there is none.
+
+        A connection whose first item may not leave yet keeps its place.
+        """
+        for connection, queue in list(self._queues.items()):
+            if not queue:
+                del self._queues[connection]
+            elif may_leave(queue[0][1]):
+                self._queues.move_to_end(connection)
+                self._length -= 1
+                return queue.popleft()[1]
+        return None
--- a/sprucepost/node/owner_input.py
+++ b/sprucepost/node/owner_input.py
@@ -30,6 +30,7 @@
 # A quarter of the age that a poll may have when an attempt is sent (see ``dispatch``): sockets are polled in time.
 BACKLOG_TURN_MS = 6.0
 BACKLOG_VISITS_PER_TURN = 64
+BUSY_FOR_MS = 1000.0  # how long a connection that has left the backlog may have to join it without a visit
 
 
 class OwnerInput:
@@ -42,18 +43,33 @@
         self, loop: Loop, handle: Callable[[OwnerLink, Message], None], visited: Callable[[OwnerLink], None]
     ) -> None:
         self._loop, self._handle, self._visited = loop, handle, visited
-        self._backlog: dict[OwnerLink, None] = {}  # the connection whose turn is next comes first
+        # The connection whose turn is next comes first. Those that join without a visit alternate with the others: what they
+        # bring is not known yet, and others may have to wait for it.
+        self._backlog: dict[OwnerLink, None] = {}
+        self._unvisited: dict[OwnerLink, None] = {}
         self._scheduled = False
+        self._turn, self._spent_ms = -1, 0.0  # turn of the loop, and what visits after reads have cost in it
 
     def __contains__(self, link: OwnerLink) -> bool:
         """Whether messages of that connection wait to be handled."""
-        return link in self._backlog
+        return link in self._backlog or link in self._unvisited
 
     def receive(self, link: OwnerLink, data: bytes) -> None:
-        """Handle what has been read on a connection, as far as one visit goes."""
+        """Handle what has been read on a connection, as far as one visit goes.
+
+        Once visits have cost their share of this turn of the loop, connections that have been in the backlog a short time
+        ago, or have not sent a message yet, join it without a visit.
+        """
         link.decoder.add(data)
         link.read_at, link.read_waited_ms = self._loop.now(), link.transport.waited_ms
+        if self._turn != self._loop.turns:
+            self._turn, self._spent_ms = self._loop.turns, 0.0
+        is_busy = not link.has_sent_message or link.read_at - link.left_backlog_at < BUSY_FOR_MS
+        if is_busy and self._spent_ms >= BACKLOG_TURN_MS and link.decoder.has_next():
+            self._queue(link, self._unvisited)
+            return
         self.visit(link)
+        self._spent_ms += self._loop.now() - link.read_at
 
     def visit(self, link: OwnerLink) -> None:
         """Handle messages of that connection until none is left or the visit has cost its share."""
@@ -66,18 +82,25 @@
         if link.closed:
             self.discard(link)
             return
-        if not link.decoder.has_next():
+        if link.decoder.has_next():
+            self._queue(link, self._backlog)
+        elif not link.transport.closed:
             self.discard(link)
             link.transport.resume()
-        else:
-            link.transport.pause()
-            self._backlog[link] = None
-            self._schedule()
         self._visited(link)
 
+    def _queue(self, link: OwnerLink, backlog: dict[OwnerLink, None]) -> None:
+        """Add a connection to the backlog; it is not read meanwhile."""
+        link.transport.pause()
+        backlog[link] = None
+        self._schedule()
+
     def discard(self, link: OwnerLink) -> None:
         """Forget a connection: it has no messages left, or they are not to be handled."""
-        self._backlog.pop(link, None)
+        if link in self:
+            self._backlog.pop(link, None)
+            self._unvisited.pop(link, None)
+            link.left_backlog_at = self._loop.now()
 
     def _schedule(self) -> None:
         if not self._scheduled:
@@ -88,11 +111,14 @@
         """Visit the connections of the backlog in turn for as long as this turn of the loop allows."""
         self._scheduled = False
         ends_at = self._loop.now() + BACKLOG_TURN_MS
-        for _ in range(BACKLOG_VISITS_PER_TURN):
-            if not self._backlog or self._loop.now() >= ends_at:
+        for number in range(BACKLOG_VISITS_PER_TURN):
+            if self._loop.now() >= ends_at:
+                break
+            first, second = (self._backlog, self._unvisited) if number % 2 else (self._unvisited, self._backlog)
+            link = next(iter(first or second), None)
+            if link is None:
                 break
-            link = next(iter(self._backlog))
-            del self._backlog[link]
+            self.discard(link)
             self.visit(link)
-        if self._backlog:
+        if self._backlog or self._unvisited:
             self._schedule()
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass
 from typing import Protocol
@@ -14,6 +15,9 @@
 from sprucepost.node.useless_messages import UselessMessages
 
 MAX_UNREAD_BYTES = 16 * MAX_MESSAGE_BYTES  # unsent output after which an owner that does not read is disconnected
+# A connection that has had unread input for so long holds up only what it has brought itself. Half of the time that the
+# platform allows between a client's leaving and the last attempt for it.
+FLOODING_AFTER_MS = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,8 +36,8 @@
     log: Log
     placed_by_owner: Counter[str]
 
-    def input_read(self, link: OwnerLink) -> bool:
-        """Return whether no unread input may hold a cancellation by the owner of that connection."""
+    def input_read(self, link: OwnerLink, ready_at: float) -> bool:
+        """Return whether no input left unread since before ``ready_at`` may hold a cancellation by that owner."""
         ...
 
     def disconnect(self, link: OwnerLink, why: str) -> None:
@@ -59,6 +63,7 @@
         self.partial_since: float | None = None  # since when an incomplete message has been buffered
         self.unanswered_since: float | None = None  # when the first message came to which nothing was sent since
         self.unread_since: float | None = None  # since when input has been left unread without interruption
+        self.left_backlog_at = -math.inf  # when it left the backlog of connections with messages to handle
         self.read_at = now  # time of the latest read, in ms of the loop's clock
         self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
         self.useless_messages = UselessMessages(now)
@@ -82,9 +87,19 @@
         if not self._owners.placed_by_owner[self.owner_address]:
             del self._owners.placed_by_owner[self.owner_address]
 
-    def input_read(self) -> bool:
-        """Return whether an attempt may be sent: no input is left unread that may hold the owner's cancellation."""
-        return self._owners.input_read(self)
+    def input_read(self, ready_at: float) -> bool:
+        """Return whether an attempt that could have been sent at that time, in ms of the loop's clock, may be sent now: no
+        input is left unread that may hold the owner's cancellation and came before."""
+        return self._owners.input_read(self, ready_at)
+
+    @property
+    def is_flooding(self) -> bool:
+        """Whether it brings more than can be handled: input is left unread for ``FLOODING_AFTER_MS``, or input of which
+        much is of no use."""
+        if not self.has_unread_input or self.unread_since is None:
+            return False
+        now = self._owners.loop.now()
+        return now - self.unread_since >= FLOODING_AFTER_MS or self.useless_messages.are_many
 
     @property
     def has_unread_input(self) -> bool:
@@ -119,6 +134,7 @@
             self.owner_address in owners_with_one_connection,
             self.partial_since,
             self.unanswered_since,
+            self.useless_messages.are_many,
         )
 
     def answer(self, sid: str, text: str) -> None:
@@ -160,6 +176,7 @@
         if self.closed:
             return
         self.used, self.unanswered_since = self._owners.loop.now(), None
+        self.useless_messages.record_answer()
         self.transport.write(data)
         if self.transport.buffered > MAX_UNREAD_BYTES:  # deferred: other answers of this batch follow
             self._owners.loop.call_soon(lambda: self._owners.disconnect(self, "unread"))
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -27,6 +27,7 @@
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.attempt import OwnerPort, SetUpResult
 from sprucepost.node.binary import Kind, Message
+from sprucepost.node.client_shares import has_share_left
 from sprucepost.node.connection_states import ConnectionState, EndReason, Review, is_kept, review
 from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.framing import LINGER_MS
@@ -37,12 +38,11 @@
 from sprucepost.node.tasks import CAUSE_REFUSED, RELEASE_RETENTION_MS, Tasks
 
 ARRIVAL_GRACE_MS = 50.0  # data in flight when a connection is accepted, or crossing its close, arrives within that time
+MIN_OPEN_TASKS = 4  # set-ups that each connection may have open, however many there are in all
+STOP_READ_MS = 50.0  # for handling what has arrived on all connections before the process ends
 CLOSE_POLL_MS = 5.0  # interval of the checks whether all connections have ended
 # Ends for what the peer has sent, or not sent: the peer gets the outcome of its open set-ups first.
 ENDED_FOR_INPUT = ("useless", "malformed", "cut")
-# A connection that has had unread input for so long brings more than can be handled, and holds up only its own attempts.
-# Half of the time that the platform allows between a client's leaving and the last attempt for it.
-FLOODING_AFTER_MS = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +87,7 @@
         self.links: dict[OwnerLink, None] = {}
         self.placed_by_owner: Counter[str] = Counter()  # number of placed tasks by owner address
         self._unread_links: dict[OwnerLink, None] = {}  # a read may have left input behind on these
+        self._pruned_at_poll = -1  # number of the poll after which connections without unread input were dropped there
         self.fails_health_checks = False  # owners then stop sending set-ups
         self.refuses_set_ups = False  # set-ups that arrive now are refused
         self._waiting_releases: list[WaitingRelease] = []
@@ -111,7 +112,7 @@
         self.links[link] = None
         link.transport.on_data = lambda data: self._on_data(link, data)
         link.transport.on_end = lambda: self.disconnect(link, "ended")
-        link.transport.on_lost = lambda error: self._remove(link)
+        link.transport.on_lost = lambda error: self._lose(link)
         link.transport.on_linger_data = lambda data: self._on_late_data(link, data)
         link.transport.start()
         if self.loop.polling_mid_turn:  # input that has arrived on the new connection belongs to this poll
@@ -177,7 +178,12 @@
         return {address for address in self.placed_by_owner if per_owner[address] == 1}
 
     def _read_arrived(self, link: OwnerLink) -> bool:
-        """Handle what has arrived on a connection, at most one visit; return whether there was anything."""
+        """Handle what has arrived on a connection, at most one visit; return whether there was anything.
+
+        A connection that floods has had its visits, and there is always more.
+        """
+        if link.is_flooding:
+            return False
         if link in self._input:
             self._input.visit(link)
             return True
@@ -195,19 +201,10 @@
         """Close the connection and cancel its open set-ups."""
         if link not in self.links:
             return
-        self.counters[f"owner_{why}"] += 1
-        state = self._review(link, self._owners_with_one_connection()).state
-        self.log(
-            "owner_ended",
-            peer=link.transport.peer,
-            why=why,
-            state=state.value,
-            open=len(link.open) or None,
-            standing=link.placed_tasks or None,
-        )
+        self._record_end(link, why)
         if link in self._input or why in ENDED_FOR_INPUT:  # what such a peer still sends is not handled
             link.transport.on_linger_data = lambda data: None
-        if why in ENDED_FOR_INPUT:
+        if why in (*ENDED_FOR_INPUT, "unanswered"):
             self._tasks.fail_open(sorted(link.open), f"its connection is ended: {why}")
         if why in ("ended", "idle", "stopped", "useless", "unanswered"):
             self._descriptors.close(link.transport)
@@ -221,6 +218,25 @@
             link.transport.abort()
         self._remove(link)
 
+    def _lose(self, link: OwnerLink) -> None:
+        """Cancel the open set-ups of a connection that broke."""
+        if link in self.links:
+            self._record_end(link, "lost")
+        self._remove(link)
+
+    def _record_end(self, link: OwnerLink, why: str) -> None:
+        """Count and log why a connection has ended, and in which state."""
+        self.counters[f"owner_{why}"] += 1
+        state = self._review(link, self._owners_with_one_connection()).state
+        self.log(
+            "owner_ended",
+            peer=link.transport.peer,
+            why=why,
+            state=state.value,
+            open=len(link.open) or None,
+            standing=link.placed_tasks or None,
+        )
+
     def _remove(self, link: OwnerLink) -> None:
         if self.links.pop(link, self) is not None:
             return
@@ -251,28 +267,33 @@
 
     def close_connections(self) -> Co[None]:
         """Close all connections: unread set-ups are refused and buffered output is sent, within ``LINGER_MS``."""
-        links = list(self.links)
+        links, reads_until = list(self.links), self.loop.now() + STOP_READ_MS
         for link in links:
-            link.transport.read_now()
+            self._read_arrived(link)
+            while link in self._input and self.loop.now() < reads_until:
+                self._input.visit(link)
             self.disconnect(link, "stopped")
         while any(not link.transport.socket_closed for link in links):
             yield from sleep(CLOSE_POLL_MS)
 
     # Messages
 
-    def input_read(self, link: OwnerLink) -> bool:
-        """Return whether no unread input may hold a cancellation by the owner of that connection.
+    def input_read(self, link: OwnerLink, ready_at: float) -> bool:
+        """Return whether no input left unread since before ``ready_at`` may hold a cancellation by the connection's owner.
 
         An owner may cancel on any of its connections, and owners are told apart by their address only. So input counts that
-        other connections from that address have left unread, unless they have done so for ``FLOODING_AFTER_MS``.
+        other connections from that address have left unread, unless they flood or have done so only since ``ready_at``: an
+        attempt waits for others for ``FLOODING_AFTER_MS`` at the most. On its own connection all input counts.
         """
-        for other in [other for other in self._unread_links if not other.has_unread_input]:
-            del self._unread_links[other]
-        if link in self._unread_links:
+        if link.has_unread_input:
             return False
-        flooding_since = self.loop.now() - FLOODING_AFTER_MS
+        if self._pruned_at_poll != self.loop.polls:
+            self._pruned_at_poll = self.loop.polls
+            self._unread_links = {other: None for other in self._unread_links if other.has_unread_input}
         return all(
-            other.owner_address != link.owner_address or (other.unread_since or 0.0) <= flooding_since
+            other.owner_address != link.owner_address
+            or other.is_flooding
+            or (other.unread_since is not None and other.unread_since > ready_at)
             for other in self._unread_links
         )
 
@@ -285,7 +306,7 @@
         link.transport.on_linger_data = lambda data: None
         for message in link.decoder.feed(data):
             if message.kind == Kind.RELEASE:
-                self._tasks.owner_cancelled(message.task)
+                self._tasks.owner_cancelled(message.task, link.transport.peer)
 
     def _on_data(self, link: OwnerLink, data: bytes) -> None:
         if not link.transport.continued:
@@ -317,7 +338,7 @@
         if message.kind == Kind.SETUP:
             useful = self._on_set_up(link, message)
         elif message.kind == Kind.RELEASE:
-            useful = self._tasks.owner_cancelled(message.task)
+            useful = self._tasks.owner_cancelled(message.task, link.transport.peer)
         elif message.kind == Kind.TEST:
             link.answer_health_check(message.task, not self.fails_health_checks)
         elif message.kind == Kind.RELEASED:
@@ -337,7 +358,7 @@
             self.log("owner_invalid", peer=link.transport.peer, task=message.task, why=str(error))
             link.refuse(message.task, error.cause, 0.0)
             return False
-        if not setup.current_host and (self.refuses_set_ups or self._tasks.ledger.open >= self._max_open_tasks):
+        if not setup.current_host and (self.refuses_set_ups or not self._may_open(link)):
             self.counters["turned_away"] += 1
             link.refuse(message.task, CAUSE_REFUSED, 0.0)
             return False
@@ -346,6 +367,8 @@
             self.log("owner_repeats_id", peer=link.transport.peer, task=message.task)
             self.disconnect(link, "malformed")
             return False
+        if result is SetUpResult.OVER_SHARE:
+            link.refuse(message.task, CAUSE_REFUSED, 0.0)
         if result is not SetUpResult.ADMITTED:
             return False
         link.used, link.proven = self.loop.now(), True
@@ -353,6 +376,11 @@
             link.open.add(setup.sid)
         return True
 
+    def _may_open(self, link: OwnerLink) -> bool:
+        """Return whether one more set-up may be open on that connection."""
+        held = len(link.open)
+        return held < MIN_OPEN_TASKS or has_share_left(held, self._tasks.ledger.open, self._max_open_tasks)
+
     # Releases
 
     def release(self, link: OwnerPort, sid: str, cause: int) -> None:
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -35,6 +35,7 @@
 from sprucepost.loop.epoll import EpollLoop, retry_on_startup
 from sprucepost.node import parsing
 from sprucepost.node.bulletin import Bulletin, ListUpdate
+from sprucepost.node.client_shares import max_handed_over_tasks
 from sprucepost.node.config import Config, ConfigError, ConfigUnavailable, read_config
 from sprucepost.node.descriptors import Descriptors, descriptor_limit
 from sprucepost.node.feed import BODY_MEMORY_DIVISOR, Feed
@@ -75,6 +76,7 @@
             settings,
             lambda text: parsing.parse_load_report(text, config.report_names, config.report_fields),
             self.counters,
+            max_handed_over_tasks(config.limits.memory_mb * 1024 * 1024),
         )
         sockets = descriptor_limit(config.limits.sockets)
         self.descriptors = Descriptors(sockets, lambda: len(self.owners.links) + self.hosts.connections)
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -6,6 +6,8 @@
 (none)    set-up                             queued; ``TaskRequest`` once the tasks that are placed     waiting
                                              have been reported
 (none)    set-up with ``at``                 ``TaskFound``; nothing is answered                         placed
+(none)    set-up with ``at`` of a client     the owner is told that it is refused: it keeps the task,   (ended)
+          that has handed over its share     and may hand it over to another placer
 (none)    set-up with an early message       see ``early_messages``                                     (ended)
 waiting   ``Offer``                          the host is sent it as soon as it can be written           offered
 waiting,  ``Refuse``, ``Fail``               the owner is told at once; an open attempt is withdrawn    (ended)
@@ -60,6 +62,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -68,6 +71,7 @@
 from sprucepost.loop import Loop
 from sprucepost.node import parsing, releases
 from sprucepost.node.attempt import Attempt, HostsPort, OwnerPort, OwnersPort, SetUpResult, TaskState, Withdrawal
+from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.fair_queue import FairQueue
 from sprucepost.node.jsonl import Line, MessageType
@@ -86,6 +90,7 @@
 FOUND_TASKS_WAIT_MS = 100.0
 # Each new task may cost the scheduler 2 ms of a whole core if it is the first request of its service.
 MAX_NEW_TASKS_PER_BATCH = 8
+MAX_QUEUED_TASKS_PER_BATCH = 64  # with those that have been cancelled meanwhile or have no time left
 
 
 class Tasks:
@@ -101,6 +106,7 @@
         settings: i.Settings,
         parse_load_report: Callable[[str | None], i.LoadReport | None],
         counters: Counter[str],
+        max_handed_over: int = sys.maxsize,
     ) -> None:
         self.loop, self._driver, self._parse_load_report = loop, driver, parse_load_report
         self._tick_ms = settings.tick
@@ -112,12 +118,14 @@
         self.placed: dict[str, dict[str, Entry]] = {}  # placed tasks by host and task id
         self.on_settled: Callable[[], None] = lambda: None
         self.trace: Callable[..., None] = lambda sid, state, **fields: None  # logs each step of a task
+        self._handed_over = ClientShares(max_handed_over)
         self.early_messages = EarlyMessageCache(RELEASE_RETENTION_MS)
         self._queue: FairQueue[Entry] = FairQueue()  # new tasks to submit to the scheduler
         # Requests settled since the last batch, and between that one and the one before: decisions on them may still come.
         self._recently_settled: set[int] = set()
         self._previously_settled: set[int] = set()
         self._found_services: set[str] = set()  # services of tasks reported as placed since the last submission
+        self._waits_for_reports = False  # whether more such reports may follow at once
         driver.on_action, driver.before_batch = self._apply_decision, self._submit_new_tasks
 
     # Owners
@@ -144,6 +152,10 @@
                 self.hosts.end_task(setup.current_host, setup.sid)
                 self.early_messages.record(setup.sid, EarlyMessage.TASK_ENDED, now, setup.current_host)
             return SetUpResult.CANCELLED
+        if setup.current_host and not self._handed_over.admits(owner):
+            self.counters["over_share"] += 1
+            self.trace(setup.sid, "over_share", host=setup.current_host)
+            return SetUpResult.OVER_SHARE
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
         entry.ask = TaskState(setup, owner)
         if setup.current_host:
@@ -173,10 +185,13 @@
         self.counters["found"] += 1
         self.trace(setup.sid, "found", host=host)
         entry.machine = host
+        entry.ask.handed_over_by = owner
+        self._handed_over.add(owner)
         self._settle(entry, Outcome.PLACED)
         self._record_placed(entry)
         self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
         self._found_services.add(setup.service)
+        self._waits_for_reports |= not owner.is_flooding
         known = self.early_messages.get(setup.sid, now, host)
         self.owners.cancel_release(setup.sid)
         if not self.hosts.adopt(host, setup.sid):
@@ -193,37 +208,54 @@
         and the rules on spread and repeats count these reports 0.2 s later. A new task that is read in the same turns of
         the loop, or submitted while other reports are still unread, is placed without them. So the sockets are polled
         again right before new tasks are submitted, a few at a time, since each may take long. While such reports arrive
-        new tasks wait, but none longer than ``FOUND_TASKS_WAIT_MS``: a steady flow of reports must not starve them.
+        new tasks wait, but none longer than ``FOUND_TASKS_WAIT_MS``, and not for a client that reports without end: a steady
+        flow of reports must not starve them.
         """
         if self._queue:
             self.loop.poll_now()
         self._previously_settled, self._recently_settled = self._recently_settled, set()
         if self._found_services:
             self.hosts.withdraw_unsent(self._found_services)
-            self._found_services = set()
-            if self._queue and self.loop.now() - self._queue.oldest_arrival < FOUND_TASKS_WAIT_MS:
+            self._found_services, waits = set(), self._waits_for_reports
+            self._waits_for_reports = False
+            oldest_arrival = self._queue.oldest_arrival(self._may_leave_queue)
+            if waits and self.loop.now() - oldest_arrival < FOUND_TASKS_WAIT_MS:
                 self.counters["held_for_found"] += 1
                 self.loop.call_soon(self._driver.schedule_batch)
                 return
-        now = self.loop.now()
-        submitted = 0
-        while self._queue and submitted < MAX_NEW_TASKS_PER_BATCH:
-            entry = self._queue.pop()
-            if entry.outcome is Outcome.OPEN:
-                submitted += 1
-                entry.ask.queued = False
-                self._driver.push(entry.ask.setup.request(entry.request, max(0.0, entry.deadline - now)))
+        self._submit_from_queue()
         if self._queue:
             self.loop.call_soon(self._driver.schedule_batch)
 
-    def owner_cancelled(self, sid: str) -> bool:
-        """Handle an owner's release: it cancels its set-up, or ends its placed task.
+    def _submit_from_queue(self) -> None:
+        now, taken, submitted = self.loop.now(), 0, 0
+        while taken < MAX_QUEUED_TASKS_PER_BATCH and submitted < MAX_NEW_TASKS_PER_BATCH:
+            entry = self._queue.pop(self._may_leave_queue)
+            if entry is None:
+                return
+            taken += 1
+            if entry.outcome is not Outcome.OPEN:
+                continue
+            entry.ask.queued = False
+            if now < entry.deadline:
+                submitted += 1
+                self._driver.push(entry.ask.setup.request(entry.request, entry.deadline - now))
+            else:
+                self._refuse(entry, 0.0, "no time left")
+
+    def _may_leave_queue(self, entry: Entry) -> bool:
+        """Return whether a task need not be queued any longer: one of a client that floods could not be offered yet."""
+        owner: OwnerPort = entry.ask.owner
+        return entry.outcome is not Outcome.OPEN or not owner.is_flooding or self.loop.now() >= entry.deadline
+
+    def owner_cancelled(self, sid: str, client: str = "") -> bool:
+        """Handle an owner's release: it cancels its set-up, or ends its placed task. ``client`` names its connection.
 
         Returns whether that was of use: a task or its end was known, and a set-up had been given to the scheduler.
         """
         entry = self.ledger.by_name(sid)
         if entry is None:
-            return self._handle_unknown_cancelled(sid)
+            return self._handle_unknown_cancelled(sid, client)
         if entry.outcome in (Outcome.REFUSED, Outcome.FAILED):
             self.trace(sid, "cancelled_late", why="crossed its outcome")
             return True
@@ -237,7 +269,7 @@
         self._end_task(entry, i.Ending.CANCELLED, None, "ended by its owner")
         return True
 
-    def _handle_unknown_cancelled(self, sid: str) -> bool:
+    def _handle_unknown_cancelled(self, sid: str, client: str) -> bool:
         """Handle the owner's release of a task that has ended, or whose set-up has not been read yet: messages on two
         connections may overtake each other. A task that was only presumed lost may run on, so its host is told.
 
@@ -249,7 +281,7 @@
             self.early_messages.record(sid, EarlyMessage.TASK_ENDED, now, host)
         if self.early_messages.hosts_with(sid, EarlyMessage.TASK_ENDED, now):
             return True
-        self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now)
+        self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now, source=client)
         return False
 
     def owner_disconnected(self, sids: list[str]) -> None:
@@ -300,13 +332,22 @@
         if isinstance(action, i.Offer):
             self._offer(entry, action)
             return
-        refused = isinstance(action, i.Refuse)
-        self._settle(entry, Outcome.REFUSED if refused else Outcome.FAILED)
+        if isinstance(action, i.Refuse):
+            self._refuse(entry, action.retry_after, "decided")
+            return
+        self._settle(entry, Outcome.FAILED)
+        self._withdraw(entry)
+        entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
+        self.counters["failed"] += 1
+        self.trace(entry.name, "failed", why="decided")
+
+    def _refuse(self, entry: Entry, stay_away_ms: float, why: str) -> None:
+        """Refuse an open task: no host has it, and none will get it."""
+        self._settle(entry, Outcome.REFUSED)
         self._withdraw(entry)
-        stay_away = action.retry_after if isinstance(action, i.Refuse) else 0.0
-        entry.ask.owner.refuse(entry.name, CAUSE_REFUSED if refused else CAUSE_FAILED, stay_away)
-        self.counters["refused" if refused else "failed"] += 1
-        self.trace(entry.name, "refused" if refused else "failed", why="decided")
+        entry.ask.owner.refuse(entry.name, CAUSE_REFUSED, stay_away_ms)
+        self.counters["refused"] += 1
+        self.trace(entry.name, "refused", why=why)
 
     def _settle(self, entry: Entry, outcome: Outcome) -> None:
         self.ledger.settle(entry, outcome, self.loop.now())
@@ -335,8 +376,10 @@
 
     def owner_input_read(self, attempt: Attempt) -> bool:
         """Return whether the latest poll would have shown that the owner has disconnected or cancelled."""
+        if attempt.ready_at is None:
+            attempt.ready_at = self.loop.now()
         owner: OwnerPort = attempt.entry.ask.owner
-        return owner.input_read()
+        return owner.input_read(attempt.ready_at)
 
     def encode_offer(self, attempt: Attempt) -> bytes | None:
         """Return the offer to send now, with its remaining time; None if it must not be sent any more."""
@@ -565,6 +608,8 @@
         self.counters[f"over_{ending.value}"] += 1
         self.trace(entry.name, "over", host=entry.machine, why=why)
         self._driver.push(i.Outcome(entry.request, entry.attempt, ending, True, reason, report))
+        if entry.ask.handed_over_by is not None:
+            self._handed_over.remove(entry.ask.handed_over_by)
         if entry.ask.keeps_connection:
             entry.ask.owner.remove_placed_task()
         if cause is not None:
--- a/sprucepost/node/useless_messages.py
+++ b/sprucepost/node/useless_messages.py
@@ -9,6 +9,7 @@
 
 BURST = 1000.0  # messages at once: the protocol page's bad clients send hundreds, and get an answer or a close
 PER_SECOND = 100.0  # messages in the long run; the busiest placer gets 90 set-ups a second from all its clients
+MANY = 32  # without an answer between them, by which a connection counts as one that floods
 
 
 class UselessMessages:
@@ -16,9 +17,20 @@
 
     def __init__(self, now: float) -> None:
         self._left, self._refilled_at = BURST, now
+        self._since_answer = 0
+
+    @property
+    def are_many(self) -> bool:
+        """Whether many have come since something was last sent on the connection."""
+        return self._since_answer >= MANY
+
+    def record_answer(self) -> None:
+        """Note that something is sent on the connection."""
+        self._since_answer = 0
 
     def record(self, now: float) -> bool:
         """Count one message; return whether the connection may stay."""
+        self._since_answer += 1
         self._left = min(BURST, self._left + (now - self._refilled_at) * PER_SECOND / 1000.0)
         self._refilled_at = now
         self._left -= 1.0
--- a/tests/node/test_rude_clients.py
+++ b/tests/node/test_rude_clients.py
@@ -10,12 +10,15 @@
 import pytest
 
 from sprucepost.loop import Co, sleep
-from sprucepost.node import binary, dispatch, useless_messages
+from sprucepost.node import binary, dispatch, owner_link, useless_messages
 from sprucepost.node.binary import Kind
+from sprucepost.node.client_shares import ClientShares, max_handed_over_tasks
+from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
+from sprucepost.node.fair_queue import FairQueue
 from tests.node.platform import Platform, run_on_platform, setup
 from tests.node.stepped_loop import SteppedLoop
 from tests.node.test_clients_that_left import LEAVING_SID, AttemptRecorder, Client
-from tests.node.test_crossings import SIDS, patient, release, warm
+from tests.node.test_crossings import SIDS, RawOwner, patient, release, warm
 from tests.node.virtual import LISTEN, Placer, VirtualSock, run_virtual
 from tests.wire.support import wait_for
 
@@ -89,6 +92,9 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(useless_messages, "BURST", 1e9)
+    monkeypatch.setattr(
+        useless_messages, "MANY", 10**9
+    )  # the attempt is decided on before the connection counts as flooding
     loop = SteppedLoop()
 
     def body(platform: Platform) -> Co[None]:
@@ -145,6 +151,20 @@
         yield from sleep(REACTION_LIMIT_MS / 30)
 
 
+def _always_one_open(placer: Placer, sock: VirtualSock) -> Co[None]:
+    """Each set-up is taken back right after the next one has come."""
+    numbers = ids()
+    last = next(numbers)
+    sock.inbox.append(setup(last))
+    for _ in range(30):
+        data = b""
+        for sid in (next(numbers) for _ in range(10)):
+            data += setup(sid) + release(last)
+            last = sid
+        sock.inbox.append(data)
+        yield from sleep(REACTION_LIMIT_MS / 30)
+
+
 def _after_a_task(placer: Placer, sock: VirtualSock) -> Co[None]:
     """A task is placed and has ended; after that come messages that mean nothing."""
     sock.inbox.append(handed_over(SIDS[0]) + release(SIDS[0]))
@@ -168,7 +188,8 @@
 
 
 UNANSWERED = [
-    _taken_back(1), _taken_back(300), _useless_messages, _after_a_task, _released_before, _alone_at_its_address,
+    _taken_back(1), _taken_back(300), _always_one_open, _useless_messages, _after_a_task, _released_before,
+    _alone_at_its_address,
 ]  # fmt: skip
 
 
@@ -200,3 +221,87 @@
         assert SIDS[0] in placer.service.tasks.placed["s-0"] and not usual.sent
 
     run_virtual(tmp_path, body)
+
+
+# Guards against one client's open requests that leave no room for another's.
+def test_a_client_with_few_open_requests_is_admitted_beside_one_that_fills_the_limit(tmp_path: Path) -> None:
+    def body(placer: Placer) -> Co[None]:
+        numbers = ids()
+        flooder = placer.loop.arrive(LISTEN, "127.0.0.8:1")
+        for _ in range(30):
+            flooder.inbox.append(b"".join(setup(next(numbers), LEFT="6000") for _ in range(20)))
+            yield from sleep(1)
+        counters = placer.service.counters
+        assert counters["turned_away"] and placer.service.tasks.ledger.open <= placer.service.owners._max_open_tasks
+        refused = counters["turned_away"]
+        placer.loop.arrive(LISTEN, "127.0.0.8:2", b"".join(setup(sid) for sid in SIDS[:8]))
+        yield from sleep(50)
+        assert counters["turned_away"] == refused
+
+    run_virtual(tmp_path, body)
+
+
+# Guards against one client's releases that push out what another client has cancelled before its request was read.
+def test_releases_of_unknown_tasks_displace_those_of_the_same_client() -> None:
+    cache, numbers = EarlyMessageCache(retention_ms=8000.0, max_tasks=64), ids()
+    cache.record(SIDS[0], EarlyMessage.CANCELLED_BY_OWNER, 0.0, source="usual")
+    for _ in range(1000):
+        cache.record(next(numbers), EarlyMessage.CANCELLED_BY_OWNER, 1.0, source="rude")
+    assert len(cache) == 64 and cache.get(SIDS[0], 2.0) is not None
+    cache.expire(10_000.0)
+    assert len(cache) == 0 and not cache._by_source and not cache._sources
+
+
+def test_shares_leave_space_for_a_client_that_holds_little() -> None:
+    for clients in range(1, 200, 7):
+        shares = ClientShares(1000)
+        while admitted := [client for client in range(clients) if shares.admits(client)]:
+            for client in admitted:
+                if shares.admits(client):
+                    shares.add(client)
+        assert len(shares) <= 1000 and shares.admits("new"), f"{clients} clients"
+        shares.add("new")
+        for client in range(clients):
+            shares.remove(client)
+    assert max_handed_over_tasks(64 * 2**20) == 4096
+
+
+# Guards against a client whose requests wait behind all that others have queued.
+def test_a_request_of_a_client_without_queued_ones_goes_first() -> None:
+    queue: FairQueue[str] = FairQueue()
+    for n in range(30):
+        queue.put(n % 3, f"flood {n % 3}", 0.0)
+    assert [queue.pop() for _ in range(4)] == ["flood 2", "flood 1", "flood 0", "flood 2"]
+    queue.put("usual", "first", 1.0)
+    assert queue.pop() == "first"
+    queue.put("usual", "second", 2.0)
+    assert [queue.pop() for _ in range(4)] == ["flood 1", "flood 0", "flood 2", "second"], "one turn in each round"
+    queue.put("held", "held", 3.0)
+    assert (
+        queue.pop(lambda item: item != "held") == "flood 1" and queue.oldest_arrival(lambda item: item == "held") == 3.0
+    )
+    while (item := queue.pop(lambda item: item != "held")) is not None:
+        assert item.startswith("flood")
+    assert queue and queue.pop() == "held" and not queue
+
+
+# Guards against an attempt that waits again and again for what other connections of its address bring after it was due.
+def test_an_attempt_waits_for_others_only_until_what_came_before_it_is_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def body(platform: Platform) -> Co[None]:
+        platform.start()
+        owner, other = RawOwner(platform), RawOwner(platform)
+        yield from wait_for(lambda: len(platform.service.owners.links) == 2)
+        mine, others = owner.placer_link(platform), other.placer_link(platform)
+        now = platform.loop.now()
+        platform.service.owners._unread_links[others] = None
+        monkeypatch.setattr(type(others.transport), "has_unread_backlog", property(lambda it: it is others.transport))
+        others.unread_since = now
+        assert not mine.input_read(now) and mine.input_read(now - 1.0) and not others.input_read(now - 1.0)
+        others.unread_since = now - owner_link.FLOODING_AFTER_MS
+        assert mine.input_read(now)
+        owner.close()
+        other.close()
+
+    run_on_platform(tmp_path, body)
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -61,7 +61,11 @@
     def answer(self, sid: str, text: str) -> None:
         self.events.append(("answer", sid, text))
 
-    def input_read(self) -> bool:
+    @property
+    def is_flooding(self) -> bool:
+        return False
+
+    def input_read(self, ready_at: float) -> bool:
         return True
 
     def discard_set_up(self, sid: str) -> None: ...
