Node: releases go to a connection on which its owner's tasks were answered

Cause: owners are told apart by their address, and of the connections from it the one used last was taken, whether or not a task had ever been answered on it. For the same reason another client's connection kept the owner's last one from being kept for releases.

Change: connections on which a task was answered come first, and where there are such only they count as an owner's. With no such connection the release goes where it went before.

--- a/sprucepost/node/connection_states.py
+++ b/sprucepost/node/connection_states.py
@@ -66,7 +66,7 @@
     proven: bool  # it has brought a task that was admitted
     open_set_ups: int
     placed_tasks: int  # that it brought
-    is_last_of_owner: bool  # its owner has placed tasks and no other connection on which a message has come
+    is_last_of_owner: bool  # its owner has placed tasks and no other connection to be told of their end on
     partial_since: float | None  # since when part of a message has been waiting for the rest
     unanswered_since: float | None  # when the first message came to which nothing was sent since
     brings_many_useless: bool  # lately, also set-ups that are taken back at once: there may always be one open
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -56,6 +56,7 @@
         self.placed_tasks = 0  # tasks that it brought and that are still placed
         self.has_sent_message = False  # whether a complete message has arrived
         self.got_waiting_releases = False  # whether releases that waited for a connection of its owner were sent here
+        self.was_answered = False  # whether a task of its owner was answered here
         self.ended = False  # whether this side has ended it, or found that it has ended
         self.proven = False
         self._opened_at = now
@@ -121,7 +122,7 @@
         if self.unanswered_since is None:
             self.unanswered_since = self._owners.loop.now()
 
-    def facts(self, owners_with_one_connection: set[str]) -> ConnectionFacts:
+    def facts(self, is_last_of_owner: bool) -> ConnectionFacts:
         """Return what decides on its state."""
         return ConnectionFacts(
             self._opened_at,
@@ -131,7 +132,7 @@
             self.proven,
             len(self.open),
             self.placed_tasks,
-            self.owner_address in owners_with_one_connection,
+            is_last_of_owner,
             self.partial_since,
             self.unanswered_since,
             self.useless_messages.are_many,
@@ -139,6 +140,7 @@
 
     def answer(self, sid: str, text: str) -> None:
         """Send the answer: the task is placed."""
+        self.was_answered = True
         self.open.discard(sid)
         self._send(encode(Kind.ANSWER, sid, [(Code.DESCRIPTION, text.encode("utf-8"))]))
 
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -159,11 +159,11 @@
     def _close_idle(self, may_close: Callable[[OwnerLink], bool] = lambda link: True) -> bool:
         """Close an idle connection for which ``may_close`` is true; return False if there is none."""
         for _ in range(2):  # input that the first round finds may have been answered by the second
-            owners_with_one = self._owners_with_one_connection()
+            last_links = self._last_links()
             idle = [
                 link
                 for link in self.links
-                if not (link.open or is_kept(link.facts(owners_with_one))) and may_close(link)
+                if not (link.open or is_kept(link.facts(is_last_of_owner=link in last_links))) and may_close(link)
             ]
             for link in sorted(idle, key=_closing_order):
                 if not self._read_arrived(link):
@@ -172,10 +172,21 @@
                     return True
         return False
 
-    def _owners_with_one_connection(self) -> set[str]:
-        """Return the addresses of owners with placed tasks and a single connection on which a message has come."""
-        per_owner = Counter(link.owner_address for link in self.links if link.has_sent_message)
-        return {address for address in self.placed_by_owner if per_owner[address] == 1}
+    def _last_links(self) -> set[OwnerLink]:
+        """Return the connections that are the only ones on which their owners, who have placed tasks, can be told of an end.
+
+        Connections from one address count as those of one owner; where a task has been answered on some, only these count.
+        """
+        by_owner: defaultdict[str, list[OwnerLink]] = defaultdict(list)
+        for link in self.links:
+            if link.has_sent_message and link.owner_address in self.placed_by_owner:
+                by_owner[link.owner_address].append(link)
+        found = set()
+        for links in by_owner.values():
+            candidates = [link for link in links if link.was_answered] or links
+            if len(candidates) == 1:
+                found.add(candidates[0])
+        return found
 
     def _read_arrived(self, link: OwnerLink) -> bool:
         """Handle what has arrived on a connection, at most one visit; return whether there was anything.
@@ -191,11 +202,11 @@
 
     def states(self) -> Counter[ConnectionState]:
         """Return the number of connections in each state."""
-        owners_with_one = self._owners_with_one_connection()
-        return Counter(self._review(link, owners_with_one).state for link in self.links)
+        last_links = self._last_links()
+        return Counter(self._review(link, last_links).state for link in self.links)
 
-    def _review(self, link: OwnerLink, owners_with_one: set[str]) -> Review:
-        return review(link.facts(owners_with_one), self._idle_ms)
+    def _review(self, link: OwnerLink, last_links: set[OwnerLink]) -> Review:
+        return review(link.facts(is_last_of_owner=link in last_links), self._idle_ms)
 
     def disconnect(self, link: OwnerLink, why: str) -> None:
         """Close the connection and cancel its open set-ups."""
@@ -227,7 +238,7 @@
     def _record_end(self, link: OwnerLink, why: str) -> None:
         """Count and log why a connection has ended, and in which state."""
         self.counters[f"owner_{why}"] += 1
-        state = self._review(link, self._owners_with_one_connection()).state
+        state = self._review(link, self._last_links()).state
         self.log(
             "owner_ended",
             peer=link.transport.peer,
@@ -252,11 +263,11 @@
 
     def tick(self) -> None:
         """End the connections whose deadline has passed; drop expired releases."""
-        now, owners_with_one = self.loop.now(), self._owners_with_one_connection()
+        now, last_links = self.loop.now(), self._last_links()
         for link in list(self.links):
-            found = self._review(link, owners_with_one)
+            found = self._review(link, last_links)
             if found.ends_at < now and found.reason is not EndReason.CUT and self._read_arrived(link):
-                found = self._review(link, owners_with_one)  # what has arrived may be of use
+                found = self._review(link, last_links)  # what has arrived may be of use
             if found.ends_at < now:
                 self.disconnect(link, found.reason.value)
         self._waiting_releases = [release for release in self._waiting_releases if release.expires_at > now]
@@ -398,7 +409,7 @@
                 expires_at = self.loop.now() + RELEASE_RETENTION_MS
                 self._waiting_releases.append(WaitingRelease(expires_at, link.owner_address, sid, cause))
                 return
-            link = max(others, key=lambda other: (other.proven, other.used))
+            link = max(others, key=lambda other: (other.was_answered, other.proven, other.used))
         link.release(sid, cause)
 
     def cancel_release(self, sid: str) -> None:
--- a/tests/node/test_rude_clients.py
+++ b/tests/node/test_rude_clients.py
@@ -15,7 +15,8 @@
 from sprucepost.node.client_shares import ClientShares, max_handed_over_tasks
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.fair_queue import FairQueue
-from tests.node.platform import Platform, run_on_platform, setup
+from sprucepost.node.jsonl import MessageType
+from tests.node.platform import Platform, run_on_platform, setup, wait_for_message
 from tests.node.stepped_loop import SteppedLoop
 from tests.node.test_clients_that_left import LEAVING_SID, AttemptRecorder, Client
 from tests.node.test_crossings import SIDS, RawOwner, patient, release, warm
@@ -305,3 +306,22 @@
         other.close()
 
     run_on_platform(tmp_path, body)
+
+
+# Guards against a release that goes to another client at its owner's address, which hears nothing of its task's end.
+def test_a_release_goes_to_a_connection_on_which_tasks_have_been_answered(tmp_path: Path) -> None:
+    def body(platform: Platform) -> Co[None]:
+        host = platform.host("s-1")
+        platform.start()
+        usual = yield from warm(platform, SIDS[0])
+        other = yield from warm(platform, SIDS[1])
+        rude = RawOwner(platform)
+        rude.send(setup(SIDS[2]) + release(SIDS[2]))
+        yield from wait_for(lambda: platform.service.counters["given_up"])
+        other.transport.close()
+        yield from wait_for(lambda: len(platform.service.owners.links) == 2)
+        host.links[-1].send(MessageType.CLOSE, SIDS[1], code=16)
+        yield from wait_for_message(usual, SIDS[1], Kind.RELEASE)
+        rude.close()
+
+    run_on_platform(tmp_path, body)
