--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -79,7 +79,7 @@
         ``source`` is the client that the message came from; by default it is the host.
         """
         known = self.get(sid, now, host)
-        by_host = self._remove(sid)
+        by_host = self._remove(sid) if sid in self._records else {}
         if known is not None and known.message is EarlyMessage.TASK_ENDED:
             message, line = EarlyMessage.TASK_ENDED, None
         by_host[host] = Record(message, now, line)
--- a/sprucepost/node/fair_queue.py
+++ b/sprucepost/node/fair_queue.py
@@ -45,11 +45,18 @@
 
         A connection whose first item may not leave yet keeps its place.
         """
-        for connection, queue in list(self._queues.items()):
+        if not self._length:
+            return None
+        finished: list[object] = []
+        found: T | None = None
+        for connection, queue in self._queues.items():
             if not queue:
-                del self._queues[connection]
+                finished.append(connection)
             elif may_leave(queue[0][1]):
+                found = queue.popleft()[1]
                 self._queues.move_to_end(connection)
                 self._length -= 1
-                return queue.popleft()[1]
-        return None
+                break
+        for connection in finished if self._length else list(self._queues):
+            del self._queues[connection]
+        return found
--- a/sprucepost/node/framing.py
+++ b/sprucepost/node/framing.py
@@ -52,16 +52,18 @@
         """Add received bytes and return the messages that are complete now, in order."""
         self.add(data)
         messages: list[M] = []
-        while (message := self.next_message()) is not None:
+        while self._start < len(self._data) and (message := self.next_message()) is not None:
             messages.append(message)
         return messages
 
     def add(self, data: bytes) -> None:
         """Add received bytes; :meth:`next_message` returns the messages."""
-        if self.error is None:
+        if self.error is not None:
+            return
+        if self._start:
             del self._data[: self._start]
             self._start = 0
-            self._data += data
+        self._data += data
 
     def next_message(self) -> M | None:
         """Return the next complete message, or None if there is none or it cannot be decoded."""
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -152,11 +152,13 @@
     def _serve(self, host: Host) -> None:
         """Send the offers that wait, as soon as the dispatcher allows it. Each goes to a free connection, else to a new one,
         else, where no more may be opened, to the one with the fewest open set-ups."""
-        postponed, links = 0, self._links_for_offers(host)
+        postponed, links = 0, list[HostLink]()
         while postponed < len(host.waiting):
+            links = links or self._links_for_offers(host)
             if not links:
-                if host.dialing < len(host.waiting) and not self._has_all_links(host):
-                    self._dial_if_possible(host)
+                wanted = host.dialing < len(host.waiting) and not self._has_all_links(host)
+                if wanted and (self._descriptors.available() > 0 or self.close_idle_connection()):
+                    self._dial(host)
                 return
             if not self._dispatcher.may_write:
                 self._dispatcher.add(host)
@@ -173,7 +175,7 @@
                 key=lambda link: (-len(link.open), attempt.sid not in link.ended_unanswered, link.last_used),
             )
             self._write(host, link, attempt)
-            links = self._links_for_offers(host)
+            links = []  # that one is no longer free
 
     def _links_for_offers(self, host: Host) -> list[HostLink]:
         """Return the connections to choose from for the next offer: the free ones, or where no more may be opened, those
@@ -181,17 +183,14 @@
         now = self.loop.now()
         usable = [link for link in host.links if link.usable and now - link.last_used < self._idle_ms / 2]
         free = [link for link in usable if not link.open]
-        may_share = self._has_all_links(host) and host.dialing < len(host.waiting)
-        return free or (usable if may_share else [])
+        if free or not usable:
+            return free
+        return usable if self._has_all_links(host) and host.dialing < len(host.waiting) else []
 
     def _has_all_links(self, host: Host) -> bool:
         """Whether no more connections to the host may be opened."""
         return len(host.links) + host.dialing >= max(2, self._descriptors.guaranteed_share // max(1, len(self.hosts)))
 
-    def _dial_if_possible(self, host: Host) -> None:
-        if self._descriptors.available() > 0 or self.close_idle_connection():
-            self._dial(host)
-
     def _write(self, host: Host, link: HostLink, attempt: Attempt) -> None:
         """Write the offer to that connection, or end the attempt where the offer must not be sent any more."""
         data = self._tasks.encode_offer(attempt)
--- a/sprucepost/node/owner_input.py
+++ b/sprucepost/node/owner_input.py
@@ -27,6 +27,7 @@
 SET_UP_COST = 8  # a set-up costs about as much as that many other messages
 VISIT_COST = 64
 VISIT_MS = 1.0
+READ_COST_PER_TURN = 10 * VISIT_COST  # of the visits that follow reads
 # A quarter of the age that a poll may have when an attempt is sent (see ``dispatch``): sockets are polled in time.
 BACKLOG_TURN_MS = 6.0
 BACKLOG_VISITS_PER_TURN = 64
@@ -36,11 +37,11 @@
 class OwnerInput:
     """Handles the messages of all owners' connections.
 
-    ``handle`` is called for each message, and ``visited`` after each visit of a connection.
+    ``handle`` is called for each message, and ``visited`` after each visit of a connection, with whether messages are left.
     """
 
     def __init__(
-        self, loop: Loop, handle: Callable[[OwnerLink, Message], None], visited: Callable[[OwnerLink], None]
+        self, loop: Loop, handle: Callable[[OwnerLink, Message], None], visited: Callable[[OwnerLink, bool], None]
     ) -> None:
         self._loop, self._handle, self._visited = loop, handle, visited
         # The connection whose turn is next comes first. Those that join without a visit alternate with the others: what they
@@ -48,11 +49,7 @@
         self._backlog: dict[OwnerLink, None] = {}
         self._unvisited: dict[OwnerLink, None] = {}
         self._scheduled = False
-        self._turn, self._spent_ms = -1, 0.0  # turn of the loop, and what visits after reads have cost in it
-
-    def __contains__(self, link: OwnerLink) -> bool:
-        """Whether messages of that connection wait to be handled."""
-        return link in self._backlog or link in self._unvisited
+        self._turn = self._turn_cost = 0  # a turn of the loop, and what visits after reads have cost in it
 
     def receive(self, link: OwnerLink, data: bytes) -> None:
         """Handle what has been read on a connection, as far as one visit goes.
@@ -63,53 +60,55 @@
         link.decoder.add(data)
         link.read_at, link.read_waited_ms = self._loop.now(), link.transport.waited_ms
         if self._turn != self._loop.turns:
-            self._turn, self._spent_ms = self._loop.turns, 0.0
-        is_busy = not link.has_sent_message or link.read_at - link.left_backlog_at < BUSY_FOR_MS
-        if is_busy and self._spent_ms >= BACKLOG_TURN_MS and link.decoder.has_next():
-            self._queue(link, self._unvisited)
-            return
-        self.visit(link)
-        self._spent_ms += self._loop.now() - link.read_at
-
-    def visit(self, link: OwnerLink) -> None:
-        """Handle messages of that connection until none is left or the visit has cost its share."""
-        began, cost = self._loop.now(), 0
-        while cost < VISIT_COST and not link.closed and (message := link.decoder.next_message()) is not None:
+            self._turn, self._turn_cost = self._loop.turns, 0
+        if self._turn_cost >= READ_COST_PER_TURN and link.decoder.has_next():
+            is_busy = not link.has_sent_message or link.read_at - link.left_backlog_at < BUSY_FOR_MS
+            if is_busy:
+                self._queue(link, self._unvisited)
+                return
+        self._turn_cost += self.visit(link)
+
+    def visit(self, link: OwnerLink) -> int:
+        """Handle messages of that connection until none is left or the visit has cost its share; return what it has cost."""
+        cost, ends_at = 0, 0.0
+        while (message := link.decoder.next_message()) is not None:
             self._handle(link, message)
             cost += SET_UP_COST if message.kind == Kind.SETUP else 1
-            if self._loop.now() - began >= VISIT_MS:
+            if link.closed:
+                return cost
+            if not link.decoder.buffered_bytes or cost >= VISIT_COST:
                 break
-        if link.closed:
-            self.discard(link)
-            return
-        if link.decoder.has_next():
+            now = self._loop.now()
+            ends_at = ends_at or now + VISIT_MS
+            if now >= ends_at:
+                break
+        has_more = link.decoder.buffered_bytes > 0 and link.decoder.has_next()
+        if has_more:
             self._queue(link, self._backlog)
-        elif not link.transport.closed:
+        elif link.is_queued:
             self.discard(link)
             link.transport.resume()
-        self._visited(link)
+        self._visited(link, has_more)
+        return cost
 
     def _queue(self, link: OwnerLink, backlog: dict[OwnerLink, None]) -> None:
         """Add a connection to the backlog; it is not read meanwhile."""
         link.transport.pause()
+        link.is_queued = True
         backlog[link] = None
-        self._schedule()
+        if not self._scheduled:
+            self._scheduled = True
+            self._loop.call_soon(self._serve_backlog)
 
     def discard(self, link: OwnerLink) -> None:
         """Forget a connection: it has no messages left, or they are not to be handled."""
-        if link in self:
+        if link.is_queued:
             self._backlog.pop(link, None)
             self._unvisited.pop(link, None)
-            link.left_backlog_at = self._loop.now()
-
-    def _schedule(self) -> None:
-        if not self._scheduled:
-            self._scheduled = True
-            self._loop.call_soon(self._serve_backlog)
+            link.is_queued, link.left_backlog_at = False, self._loop.now()
 
     def _serve_backlog(self) -> None:
         """Visit the connections of the backlog in turn for as long as this turn of the loop allows."""
-        self._scheduled = False
         ends_at = self._loop.now() + BACKLOG_TURN_MS
         for number in range(BACKLOG_VISITS_PER_TURN):
             if self._loop.now() >= ends_at:
@@ -118,7 +117,9 @@
             link = next(iter(first or second), None)
             if link is None:
                 break
-            self.discard(link)
+            self._backlog.pop(link, None)
+            self._unvisited.pop(link, None)
             self.visit(link)
-        if self._backlog or self._unvisited:
-            self._schedule()
+        self._scheduled = bool(self._backlog or self._unvisited)
+        if self._scheduled:
+            self._loop.call_soon(self._serve_backlog)
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -56,6 +56,7 @@
         self.placed_tasks = 0  # tasks that it brought and that are still placed
         self.has_sent_message = False  # whether a complete message has arrived
         self.got_waiting_releases = False  # whether releases that waited for a connection of its owner were sent here
+        self.was_written_to = False  # while the message that is handled now has been handled
         self.was_answered = False  # whether a task of its owner was answered here
         self.ended = False  # whether this side has ended it, or found that it has ended
         self.proven = False
@@ -64,6 +65,7 @@
         self.partial_since: float | None = None  # since when an incomplete message has been buffered
         self.unanswered_since: float | None = None  # when the first message came to which nothing was sent since
         self.unread_since: float | None = None  # since when input has been left unread without interruption
+        self.is_queued = False  # whether messages wait to be handled, so that it is not read
         self.left_backlog_at = -math.inf  # when it left the backlog of connections with messages to handle
         self.read_at = now  # time of the latest read, in ms of the loop's clock
         self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
@@ -97,7 +99,7 @@
     def is_flooding(self) -> bool:
         """Whether it brings more than can be handled: input is left unread for ``FLOODING_AFTER_MS``, or input of which
         much is of no use."""
-        if not self.has_unread_input or self.unread_since is None:
+        if self.unread_since is None or not self.has_unread_input:
             return False
         now = self._owners.loop.now()
         return now - self.unread_since >= FLOODING_AFTER_MS or self.useless_messages.are_many
@@ -177,8 +179,8 @@
     def _send(self, data: bytes) -> None:
         if self.closed:
             return
-        self.used, self.unanswered_since = self._owners.loop.now(), None
-        self.useless_messages.record_answer()
+        self.used, self.unanswered_since, self.was_written_to = self._owners.loop.now(), None, True
+        self.useless_messages.since_answer = 0
         self.transport.write(data)
         if self.transport.buffered > MAX_UNREAD_BYTES:  # deferred: other answers of this batch follow
             self._owners.loop.call_soon(lambda: self._owners.disconnect(self, "unread"))
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -195,7 +195,7 @@
         """
         if link.is_flooding:
             return False
-        if link in self._input:
+        if link.is_queued:
             self._input.visit(link)
             return True
         return link.transport.read_now()
@@ -213,7 +213,7 @@
         if link not in self.links:
             return
         self._record_end(link, why)
-        if link in self._input or why in ENDED_FOR_INPUT:  # what such a peer still sends is not handled
+        if link.is_queued or why in ENDED_FOR_INPUT:  # what such a peer still sends is not handled
             link.transport.on_linger_data = lambda data: None
         if why in (*ENDED_FOR_INPUT, "unanswered"):
             self._tasks.fail_open(sorted(link.open), f"its connection is ended: {why}")
@@ -281,7 +281,7 @@
         links, reads_until = list(self.links), self.loop.now() + STOP_READ_MS
         for link in links:
             self._read_arrived(link)
-            while link in self._input and self.loop.now() < reads_until:
+            while link.is_queued and self.loop.now() < reads_until:
                 self._input.visit(link)
             self.disconnect(link, "stopped")
         while any(not link.transport.socket_closed for link in links):
@@ -296,6 +296,8 @@
         other connections from that address have left unread, unless they flood or have done so only since ``ready_at``: an
         attempt waits for others for ``FLOODING_AFTER_MS`` at the most. On its own connection all input counts.
         """
+        if not self._unread_links:
+            return True
         if link.has_unread_input:
             return False
         if self._pruned_at_poll != self.loop.polls:
@@ -323,29 +325,27 @@
         if not link.transport.continued:
             link.unread_since = None
         self._input.receive(link, data)
-        if link.has_unread_input and not link.closed:
+        if link.transport.has_unread_backlog and not link.closed:
             self._unread_links[link] = None
             link.unread_since = link.unread_since if link.unread_since is not None else self.loop.now()
 
-    def _after_visit(self, link: OwnerLink) -> None:
-        """Take stock of a connection after some of its messages have been handled."""
+    def _after_visit(self, link: OwnerLink, has_more: bool) -> None:
+        """Take stock of a connection after some of its messages have been handled; ``has_more``: others wait."""
         if link.decoder.error is not None:
             self.log("owner_malformed", peer=link.transport.peer, why=str(link.decoder.error))
             self.disconnect(link, "malformed")
-        elif link in self._input or not link.decoder.buffered_bytes:
+        elif has_more or not link.decoder.buffered_bytes:
             link.partial_since = None
         elif link.partial_since is None:
             link.partial_since = self.loop.now()
-        if link.closed:
-            return
-        if link.has_sent_message and not link.got_waiting_releases and link not in self._input:
+        if link.has_sent_message and not (link.got_waiting_releases or has_more or link.closed):
             link.got_waiting_releases = True  # now: a task that is handed over first is not released
             self._send_waiting_releases(link)
 
     def _on_message(self, link: OwnerLink, message: Message) -> None:
         link.has_sent_message = True
         link.partial_since = None  # reads from a busy owner may each end within another message
-        useful, written = False, link.transport.written
+        useful, link.was_written_to = False, False
         if message.kind == Kind.SETUP:
             useful = self._on_set_up(link, message)
         elif message.kind == Kind.RELEASE:
@@ -354,9 +354,11 @@
             link.answer_health_check(message.task, not self.fails_health_checks)
         elif message.kind == Kind.RELEASED:
             useful = link.confirm_release()
-        if not useful and link.transport.written == written:
+        if useful:
+            return
+        if not link.was_written_to:
             link.await_answer()
-        if not (useful or link.closed or link.useless_messages.record(self.loop.now())):
+        if not (link.closed or link.useless_messages.record(self.loop.now())):
             self.log("owner_useless", peer=link.transport.peer, task=message.task, kind=message.kind)
             self.disconnect(link, "useless")
 
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -223,7 +223,8 @@
                 self.counters["held_for_found"] += 1
                 self.loop.call_soon(self._driver.schedule_batch)
                 return
-        self._submit_from_queue()
+        if self._queue:
+            self._submit_from_queue()
         if self._queue:
             self.loop.call_soon(self._driver.schedule_batch)
 
--- a/sprucepost/node/useless_messages.py
+++ b/sprucepost/node/useless_messages.py
@@ -17,20 +17,16 @@
 
     def __init__(self, now: float) -> None:
         self._left, self._refilled_at = BURST, now
-        self._since_answer = 0
+        self.since_answer = 0  # messages since something was last sent on the connection
 
     @property
     def are_many(self) -> bool:
         """Whether many have come since something was last sent on the connection."""
-        return self._since_answer >= MANY
-
-    def record_answer(self) -> None:
-        """Note that something is sent on the connection."""
-        self._since_answer = 0
+        return self.since_answer >= MANY
 
     def record(self, now: float) -> bool:
         """Count one message; return whether the connection may stay."""
-        self._since_answer += 1
+        self.since_answer += 1
         self._left = min(BURST, self._left + (now - self._refilled_at) * PER_SECOND / 1000.0)
         self._refilled_at = now
         self._left -= 1.0
