gRPC placer: a stream whose requests are invalid is left unread like a refused one

Cause, as on the platform's front: requests that are refused for what they contain were not counted for their session, so its stream was read without limit; only those refused for want of room held it.

Change: a refusal for what the submission contains counts in ReadPauses as well. The pause needs the cost of a request, which is known once some have been queued; a placer that has processed none yet does not pause.

Test: test_a_stream_whose_requests_are_invalid_is_not_read_for_a_while, failed before. 56 tests of credit and placing passed.

--- a/sprucepost/placer/owners.py
+++ b/sprucepost/placer/owners.py
@@ -46,13 +46,13 @@
         self.forget_timer: Timer | None = None
         self._ack_timer: Timer | None = None
 
-    def refuse(self, task: str, why: str, retry_after_ms: float) -> None:
-        """Refuse a request, in one frame for all refusals of a turn of the loop.
+    def refuse(self, task: str, why: str, retry_after_ms: float, is_invalid: bool = False) -> None:
+        """Refuse a request, in one frame for all refusals of a turn of the loop; ``is_invalid``: for what it contains.
 
         That frame is numbered, kept, encoded and acknowledged once. With a frame for each request a refusal cost a
         quarter of a placement, and an overloaded placer spent its time on refusals.
         """
-        if retry_after_ms:
+        if retry_after_ms or is_invalid:
             self._pause_reading()
         if not self.takes_batches:
             self.send(pb.PlacerFrame(task=task, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms)))
--- a/sprucepost/placing/intake.py
+++ b/sprucepost/placing/intake.py
@@ -66,7 +66,7 @@
             return
         problem = self._catalog.problem(name, task)
         if problem is not None:
-            self._refuse(session, name, problem)
+            self._refuse(session, name, problem, is_invalid=True)
             return
         if self.leaving:
             self._refuse(session, name, "this placer is leaving")
@@ -122,10 +122,12 @@
         if len(admission.queue):
             self.loop.call_later(0.0, self._driver.schedule_batch)
 
-    def _refuse(self, session: SessionPort, name: str, why: str, retry_after_ms: float = 0.0) -> None:
+    def _refuse(
+        self, session: SessionPort, name: str, why: str, retry_after_ms: float = 0.0, is_invalid: bool = False
+    ) -> None:
         """Refuse a submission without opening a task."""
         self.counters["refused_at_once"] += 1
-        session.refuse(name, why, retry_after_ms)
+        session.refuse(name, why, retry_after_ms, is_invalid)
 
     def cancel(self, session: SessionPort, name: str) -> None:
         """Cancel the session's submissions of that task, and the task itself if no other session waits for it."""
--- a/sprucepost/placing/ports.py
+++ b/sprucepost/placing/ports.py
@@ -75,8 +75,9 @@
         """Send a numbered frame, now or when the session is resumed."""
         ...
 
-    def refuse(self, task: str, why: str, retry_after_ms: float) -> None:
-        """Refuse a submission at once; several refusals may share a frame, which is sent before any other."""
+    def refuse(self, task: str, why: str, retry_after_ms: float, is_invalid: bool = False) -> None:
+        """Refuse a submission at once, ``is_invalid`` for what it contains; several refusals may share a frame, which is sent
+        before any other."""
         ...
 
     def released(self, task: str, asks: int) -> None:
--- a/tests/placer/test_credit.py
+++ b/tests/placer/test_credit.py
@@ -10,6 +10,7 @@
 from sprucepost.loop import Co, sleep
 from sprucepost.placer.owners import Owners
 from sprucepost.settings.placer import Limits
+from sprucepost.v1 import common_pb2
 from tests.placer.support import World, cluster, run_in_world, task
 from tests.wire.support import wait_for
 
@@ -171,6 +172,22 @@
     assert 0 < charged <= interval + 50 and answered_once
 
 
+# Guards against a session that is read without limit since its requests are refused for what they contain.
+def test_a_stream_whose_requests_are_invalid_is_not_read_for_a_while() -> None:
+    def body(world: World) -> Co[Any]:
+        placer = world.placer()
+        owner, received = world.owner(placer.grpc_address)
+        yield from wait_for(lambda: owner.up)
+        placer.owners.admission.service_time.cost_ms = 50.0  # a refusal is assumed to cost 5 ms
+        for n in range(100):
+            owner.submit(f"t{n}", common_pb2.Task(task_class="nobody", service="s", cores=1.0, memory=1.0), 5000)
+        yield from wait_for(lambda: placer.owners.counters["owner_unread"] > 0)
+        yield from wait_for(lambda: len(received.frames) == 100, 10_000)
+        return all(len(received.outcomes(name)) == 1 for name in received.frames)
+
+    assert run_in_world(body, limit_ms=20_000)
+
+
 def test_hold_window_keeps_the_window_and_gives_it_back() -> None:
     """A held stream's window is not given back, so that its peer stops; afterwards all that was sent is delivered."""
 
--- a/tests/placing/support.py
+++ b/tests/placing/support.py
@@ -135,7 +135,7 @@
 
     def released(self, task: str, asks: int) -> None: ...
 
-    def refuse(self, task: str, why: str, retry_after_ms: float) -> None:
+    def refuse(self, task: str, why: str, retry_after_ms: float, is_invalid: bool = False) -> None:
         self.send(pb.PlacerFrame(task=task, refused=pb.Refused(why=why, retry_after_ms=retry_after_ms)))
 
     def waited_ms(self) -> float:
