--- a/sprucepost/placing/ports.py
+++ b/sprucepost/placing/ports.py
@@ -76,8 +76,8 @@
         ...
 
     def refuse(self, task: str, why: str, retry_after_ms: float, is_invalid: bool = False) -> None:
-        """Refuse a submission at once, ``is_invalid`` for what it contains; several refusals may share a frame, which is sent
-        before any other."""
+        """Refuse a submission at once, ``is_invalid`` for what it contains; several refusals may share a frame, which is
+        sent before any other."""
         ...
 
     def released(self, task: str, asks: int) -> None:
