Node: releases that cross a close are handled in any number of reads

Seen on reading the change again: while a close lingers only the first read was handled, so a release that came some milliseconds after another was dropped. Owners send a set-up again, but not a release.

Test: test_releases_that_cross_a_close_are_handled_up_to_one_reads_worth.

--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -65,6 +65,7 @@
         self.partial_since: float | None = None  # since when an incomplete message has been buffered
         self.unanswered_since: float | None = None  # when the first message came to which nothing was sent since
         self.unread_since: float | None = None  # since when input has been left unread without interruption
+        self.late_bytes = 0  # read since this side closed it
         self.is_queued = False  # whether messages wait to be handled, so that it is not read
         self.left_backlog_at = -math.inf  # when it left the backlog of connections with messages to handle
         self.read_at = now  # time of the latest read, in ms of the loop's clock
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -313,10 +313,12 @@
     def _on_late_data(self, link: OwnerLink, data: bytes) -> None:
         """Handle input that was in flight when the connection was closed.
 
-        The owner sends a set-up again, but not a release, so releases are handled: those of one read, since a peer that
-        sends more does not wait for the end of its connection.
+        The owner sends a set-up again, but not a release, so releases are handled: those in ``READ_BYTES``, as a peer that
+        sends more does not heed the end of its connection.
         """
-        link.transport.on_linger_data = lambda data: None
+        link.late_bytes += len(data)
+        if link.late_bytes > READ_BYTES:
+            return
         for message in link.decoder.feed(data):
             if message.kind == Kind.RELEASE:
                 self._tasks.owner_cancelled(message.task, link.transport.peer)
--- a/tests/node/test_rude_clients.py
+++ b/tests/node/test_rude_clients.py
@@ -325,3 +325,22 @@
         rude.close()
 
     run_on_platform(tmp_path, body)
+
+
+# Guards against a flood that is handled while a close lingers, and against the loss of releases that cross a close.
+def test_releases_that_cross_a_close_are_handled_up_to_one_reads_worth(tmp_path: Path) -> None:
+    def body(placer: Placer) -> Co[None]:
+        sock = placer.loop.arrive(LISTEN, "127.0.0.8:1", b"".join(handed_over(sid) for sid in SIDS[:3]))
+        yield from sleep(50)
+        [link] = placer.service.owners.links
+        placer.service.owners.disconnect(link, "idle")
+        for sid in SIDS[:2]:
+            sock.inbox.append(release(sid))
+            yield from sleep(10)
+        assert list(placer.service.tasks.placed["s-0"]) == [SIDS[2]]
+        sock.inbox.append(USELESS * 1500)
+        sock.inbox.append(release(SIDS[2]))
+        yield from sleep(20)
+        assert list(placer.service.tasks.placed["s-0"]) == [SIDS[2]]
+
+    run_virtual(tmp_path, body)
