Node: a client's confirmation of a refusal is a message of use

Only releases of placed tasks were counted as such, so a client that confirms each refusal was ended after 1,000 of them at more than 100 a second, with its open set-ups failed.

Change: refusals count too.

Test: test_confirmations_of_refusals_are_of_use, ended the connection before. 21 tests of rude clients and connection schedules passed.

--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -72,7 +72,7 @@
         self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
         self.useless_messages = UselessMessages(now)
         self._unconfirmed_releases: deque[WrittenRelease] = deque()
-        self._releases_to_confirm = 0  # releases sent here of which the owner has not said that it has heard them
+        self._releases_to_confirm = 0  # releases and refusals sent here that the owner has not confirmed
 
     @property
     def closed(self) -> bool:
@@ -150,6 +150,7 @@
     def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
         """Tell the owner that the task was refused or has failed; ``stay_away_ms`` asks it to back off."""
         self.open.discard(sid)
+        self._releases_to_confirm += 1
         parameters = [(Code.CAUSE, bytes([cause]))]
         if stay_away_ms > 0:
             parameters.append((Code.STAY_AWAY, str(round(stay_away_ms)).encode()))
@@ -161,11 +162,10 @@
             self._unconfirmed_releases.clear()
         self.refuse(sid, cause, 0.0)
         self._unconfirmed_releases.append(WrittenRelease(self.transport.written, sid, cause))
-        self._releases_to_confirm += 1
         self._owners.log.task(sid, "released", owner=self.transport.peer)
 
     def confirm_release(self) -> bool:
-        """Note that the owner has heard a release; return whether one was sent to it here."""
+        """Note that the owner has heard a release or refusal; return whether one was sent to it here."""
         self._releases_to_confirm -= 1
         return self._releases_to_confirm >= 0
 
--- a/tests/node/test_rude_clients.py
+++ b/tests/node/test_rude_clients.py
@@ -13,6 +13,7 @@
 from sprucepost.node import binary, dispatch, owner_link, useless_messages
 from sprucepost.node.binary import Kind
 from sprucepost.node.client_shares import ClientShares, max_handed_over_tasks
+from sprucepost.node.connection_states import ConnectionState
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.fair_queue import FairQueue
 from sprucepost.node.jsonl import MessageType
@@ -344,3 +345,20 @@
         assert list(placer.service.tasks.placed["s-0"]) == [SIDS[2]]
 
     run_virtual(tmp_path, body)
+
+
+# Guards against the end of a connection whose client confirms each refusal, as the protocol lets it.
+def test_confirmations_of_refusals_are_of_use(tmp_path: Path) -> None:
+    def body(placer: Placer) -> Co[None]:
+        sock, numbers, confirmed = placer.loop.arrive(LISTEN, "127.0.0.8:1"), ids(), 0
+        for _ in range(150):
+            sock.inbox.append(b"".join(setup(next(numbers), LEFT="3") for _ in range(8)))
+            yield from sleep(10)
+            refused = binary.Decoder().feed(bytes(sock.sent))
+            assert all(message.kind == Kind.RELEASE for message in refused)
+            sock.inbox.append(b"".join(binary.encode(Kind.RELEASED, message.task) for message in refused[confirmed:]))
+            confirmed = len(refused)
+        assert confirmed >= 1100 and not sock.ended and not placer.service.counters["owner_useless"]
+        assert not placer.service.owners.states()[ConnectionState.UNANSWERED]
+
+    run_virtual(tmp_path, body)
