--- a/tests/node/virtual.py
+++ b/tests/node/virtual.py
@@ -26,13 +26,16 @@
 
     def __init__(self, peer: str, up: bool = True) -> None:
         self.peer, self.up = peer, up
-        self.inbox: list[bytes] = []  # what the peer has sent; ``b""`` is its end of the stream
+        self.inbox: list[bytes | OSError] = []  # what the peer has sent; ``b""`` is its end of the stream
         self.sent = bytearray()
         self.ended = self.closed = self.was_reset = False
         self.error: OSError | None = None
 
     def recv(self, most: int) -> bytes | None:
-        return self.inbox.pop(0) if self.inbox else None
+        found = self.inbox.pop(0) if self.inbox else None
+        if isinstance(found, OSError):
+            raise found
+        return found
 
     def send(self, data: bytes | memoryview) -> int:
         self.sent += data
