Node: placed tasks in a module of their own

Change: what is placed, by host, and how it moves and ends is in placed_tasks; no behaviour changes.

--- /dev/null
+++ b/sprucepost/node/placed_tasks.py
@@ -0,0 +1,101 @@
+"""Placed tasks by the host that runs them: how they are recorded, moved to another host's account, and ended. No I/O."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from sprucepost import interface as i
+from sprucepost.loop import Loop
+from sprucepost.node.attempt import OwnerPort, OwnersPort
+from sprucepost.node.client_shares import ClientShares
+from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
+from sprucepost.placing.ledger import Entry, Ledger
+from sprucepost.placing.scheduler_driver import SchedulerDriver
+
+CAUSE_LOST = 41  # sent to the owner of a task that has ended without having come to its end
+
+
+class PlacedTasks:
+    """The placed tasks of this placer; ``owners`` returns the connections on which releases are sent."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        driver: SchedulerDriver,
+        ledger: Ledger,
+        early_messages: EarlyMessageCache,
+        handed_over: ClientShares,
+        counters: Counter[str],
+        owners: Callable[[], OwnersPort],
+        trace: Callable[..., None],
+    ) -> None:
+        self._loop, self._driver, self._ledger, self._early_messages = loop, driver, ledger, early_messages
+        self._handed_over, self._counters, self._owners, self._trace = handed_over, counters, owners, trace
+        self.by_host: dict[str, dict[str, Entry]] = {}  # by host and task id
+
+    def find(self, machine: str, sid: str) -> Entry | None:
+        """Return the task if it is placed at that host."""
+        return self.by_host.get(machine, {}).get(sid)
+
+    def record(self, entry: Entry) -> None:
+        """Record a task that has been placed at ``entry.machine``."""
+        entry.ask.placed_at = self._loop.now()
+        self.by_host.setdefault(entry.machine, {})[entry.name] = entry
+
+    def keep_connection(self, entry: Entry, owner: OwnerPort) -> None:
+        """Have the owner's connection kept open for the release of the task."""
+        entry.ask.owner, entry.ask.keeps_connection = owner, True
+        owner.add_placed_task()
+
+    def lose(self, machine: str, why: str, before: float | None = None) -> int:
+        """End the tasks of a host that is presumed lost, and return their number.
+
+        ``before``: only tasks placed before that time of the loop's clock, in ms.
+        """
+        placed = self.by_host.get(machine, {}).values()
+        entries = [entry for entry in placed if before is None or entry.ask.placed_at < before]
+        for entry in entries:
+            self._counters[f"lost_{why}"] += 1
+            self.end(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=EarlyMessage.PRESUMED_LOST)
+        return len(entries)
+
+    def move_all(self, machine: str, replacement: str) -> None:
+        """Account for the tasks of a host under the id of the host that has taken its place, and that has accepted them.
+
+        To the scheduler they end at the one and are found at the other, under new request numbers.
+        """
+        for entry in list(self.by_host.pop(machine, {}).values()):
+            self._trace(entry.name, "found", host=replacement, why=f"{machine} is replaced")
+            self._driver.push(i.Outcome(entry.request, entry.attempt, i.Ending.CANCELLED, True))
+            self._ledger.renumber(entry)
+            entry.machine, entry.attempt = replacement, 0
+            self.by_host.setdefault(replacement, {})[entry.name] = entry
+            self._driver.push(i.TaskFound(entry.ask.setup.request(entry.request, 0.0), replacement))
+
+    def end(
+        self,
+        entry: Entry,
+        ending: i.Ending,
+        cause: int | None,
+        why: str,
+        reason: i.Reason = i.Reason.UNTOLD,
+        report: i.LoadReport | None = None,
+        early_message: EarlyMessage = EarlyMessage.TASK_ENDED,
+    ) -> None:
+        """End a placed task; its owner is sent a release with ``cause``, unless that is None."""
+        at_host = self.by_host[entry.machine]
+        del at_host[entry.name]
+        if not at_host:
+            del self.by_host[entry.machine]
+        self._ledger.end(entry)
+        self._early_messages.record(entry.name, early_message, self._loop.now(), entry.machine)
+        self._counters[f"over_{ending.value}"] += 1
+        self._trace(entry.name, "over", host=entry.machine, why=why)
+        self._driver.push(i.Outcome(entry.request, entry.attempt, ending, True, reason, report))
+        if entry.ask.handed_over_by is not None:
+            self._handed_over.remove(entry.ask.handed_over_by)
+        if entry.ask.keeps_connection:
+            entry.ask.owner.remove_placed_task()
+        if cause is not None:
+            self._owners().release(entry.ask.owner, entry.name, cause)
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -66,6 +66,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from sprucepost import interface as i
 from sprucepost.loop import Loop
@@ -76,11 +77,12 @@
 from sprucepost.node.fair_queue import FairQueue
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.parsing import SetUp
+from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
 # Causes sent to owners.
-CAUSE_REFUSED, CAUSE_FAILED, CAUSE_LOST = 34, 41, 41
+CAUSE_REFUSED, CAUSE_FAILED = 34, 41
 CAUSE_WITHDRAWN = 16  # sent to a host to withdraw a set-up or to end a placed task
 RELEASE_RETENTION_MS = 8000.0  # how long a release that found no connection is kept for its owner
 # A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
@@ -115,11 +117,20 @@
         self.ledger = Ledger()
         self.counters = counters
         self.closed_hosts: set[str] = set()  # hosts that get no new tasks: they drain, or have gone
-        self.placed: dict[str, dict[str, Entry]] = {}  # placed tasks by host and task id
         self.on_settled: Callable[[], None] = lambda: None
         self.trace: Callable[..., None] = lambda sid, state, **fields: None  # logs each step of a task
         self._handed_over = ClientShares(max_handed_over)
         self.early_messages = EarlyMessageCache(RELEASE_RETENTION_MS)
+        self._placed = PlacedTasks(
+            loop,
+            driver,
+            self.ledger,
+            self.early_messages,
+            self._handed_over,
+            counters,
+            lambda: self.owners,
+            self._trace,
+        )
         self._queue: FairQueue[Entry] = FairQueue()  # new tasks to submit to the scheduler
         # Requests settled since the last batch, and between that one and the one before: decisions on them may still come.
         self._recently_settled: set[int] = set()
@@ -128,6 +139,14 @@
         self._waits_for_reports = False  # whether more such reports may follow at once
         driver.on_action, driver.before_batch = self._apply_decision, self._submit_new_tasks
 
+    @property
+    def placed(self) -> dict[str, dict[str, Entry]]:
+        """Placed tasks by host and task id."""
+        return self._placed.by_host
+
+    def _trace(self, sid: str, state: str, **fields: Any) -> None:
+        self.trace(sid, state, **fields)
+
     # Owners
 
     def admit(self, setup: SetUp, owner: OwnerPort, waited_ms: float) -> SetUpResult:
@@ -138,7 +157,7 @@
                 return SetUpResult.DUPLICATE_ID
             if entry.ask.keeps_connection and entry.ask.owner.closed:  # reported again on another connection
                 entry.ask.owner.remove_placed_task()
-                self._keep_connection(entry, owner)
+                self._placed.keep_connection(entry, owner)
             return SetUpResult.ADMITTED
         now = self.loop.now()
         if setup.current_host and self._has_ended_at_host(setup, now):
@@ -188,7 +207,7 @@
         entry.ask.handed_over_by = owner
         self._handed_over.add(owner)
         self._settle(entry, Outcome.PLACED)
-        self._record_placed(entry)
+        self._placed.record(entry)
         self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
         self._found_services.add(setup.service)
         self._waits_for_reports |= not owner.is_flooding
@@ -196,7 +215,7 @@
         self.owners.cancel_release(setup.sid)
         if not self.hosts.adopt(host, setup.sid):
             return SetUpResult.HOST_UNKNOWN
-        self._keep_connection(entry, owner)
+        self._placed.keep_connection(entry, owner)
         if known is not None and known.line is not None:
             self.handle_message(host, known.line)
         return SetUpResult.ADMITTED
@@ -267,7 +286,7 @@
             return not was_queued
         self.counters["ended_by_owner"] += 1
         self.hosts.end_task(entry.machine, sid)
-        self._end_task(entry, i.Ending.CANCELLED, None, "ended by its owner")
+        self._placed.end(entry, i.Ending.CANCELLED, None, "ended by its owner")
         return True
 
     def _handle_unknown_cancelled(self, sid: str, client: str) -> bool:
@@ -481,26 +500,18 @@
         entry.machine, entry.attempt = attempt.machine, attempt.number
         self._recently_settled.add(entry.request)
         self._settle(entry, Outcome.PLACED)
-        self._record_placed(entry)
-        self._keep_connection(entry, entry.ask.owner)
+        self._placed.record(entry)
+        self._placed.keep_connection(entry, entry.ask.owner)
         self.counters["placed"] += 1
         self.trace(entry.name, "stands", host=attempt.machine, attempt=attempt.number)
         self._driver.push(i.Accepted(entry.request, attempt.number, now - attempt.offered_at))
         entry.ask.owner.answer(entry.name, text)
 
-    # Placed tasks
-
-    def _record_placed(self, entry: Entry) -> None:
-        entry.ask.placed_at = self.loop.now()
-        self.placed.setdefault(entry.machine, {})[entry.name] = entry
-
-    def _keep_connection(self, entry: Entry, owner: OwnerPort) -> None:
-        entry.ask.owner, entry.ask.keeps_connection = owner, True
-        owner.add_placed_task()
+    # Messages of hosts about tasks that are placed, or not known to be open
 
     def handle_message(self, machine: str, line: Line) -> None:
         """Handle a host's message about a task on a connection without an open set-up of that task."""
-        entry = self.placed.get(machine, {}).get(line.sid)
+        entry = self._placed.find(machine, line.sid)
         if entry is None:
             self._handle_message_for_unplaced(machine, line)
         elif line.type is MessageType.EVENT:
@@ -511,7 +522,7 @@
             ending, reason = releases.ending_of_placed(line), releases.reason_of(line)
             cause = {i.Ending.OK: releases.CAUSE_ENDED, i.Ending.RESET: CAUSE_LOST}.get(ending)
             report = self._parse_load_report(line.attrs.get("load"))
-            self._end_task(entry, ending, cause, f"host said {line.code}", reason, report)
+            self._placed.end(entry, ending, cause, f"host said {line.code}", reason, report)
         else:
             self.counters["late_words"] += 1
 
@@ -565,58 +576,18 @@
             self._driver.push(i.RequestAbandoned(entry.request))
         entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
 
+    # The host list and expiry
+
     def host_lost(self, machine: str, why: str, before: float | None = None) -> int:
         """End the tasks of a host that is presumed lost, and return their number. A task may run on all the same.
 
         ``before``: only tasks placed before that time of the loop's clock, in ms.
         """
-        placed = self.placed.get(machine, {}).values()
-        entries = [entry for entry in placed if before is None or entry.ask.placed_at < before]
-        for entry in entries:
-            self.counters[f"lost_{why}"] += 1
-            self._end_task(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=EarlyMessage.PRESUMED_LOST)
-        return len(entries)
+        return self._placed.lose(machine, why, before)
 
     def move_to_replacement(self, machine: str, replacement: str) -> None:
-        """Account for the tasks of a host under the id of the host that has taken its place, and that has accepted them.
-
-        To the scheduler they end at the one and are found at the other, under new request numbers.
-        """
-        for entry in list(self.placed.pop(machine, {}).values()):
-            self.trace(entry.name, "found", host=replacement, why=f"{machine} is replaced")
-            self._driver.push(i.Outcome(entry.request, entry.attempt, i.Ending.CANCELLED, True))
-            self.ledger.renumber(entry)
-            entry.machine, entry.attempt = replacement, 0
-            self.placed.setdefault(replacement, {})[entry.name] = entry
-            self._driver.push(i.TaskFound(entry.ask.setup.request(entry.request, 0.0), replacement))
-
-    def _end_task(
-        self,
-        entry: Entry,
-        ending: i.Ending,
-        cause: int | None,
-        why: str,
-        reason: i.Reason = i.Reason.UNTOLD,
-        report: i.LoadReport | None = None,
-        early_message: EarlyMessage = EarlyMessage.TASK_ENDED,
-    ) -> None:
-        at_host = self.placed[entry.machine]
-        del at_host[entry.name]
-        if not at_host:
-            del self.placed[entry.machine]
-        self.ledger.end(entry)
-        self.early_messages.record(entry.name, early_message, self.loop.now(), entry.machine)
-        self.counters[f"over_{ending.value}"] += 1
-        self.trace(entry.name, "over", host=entry.machine, why=why)
-        self._driver.push(i.Outcome(entry.request, entry.attempt, ending, True, reason, report))
-        if entry.ask.handed_over_by is not None:
-            self._handed_over.remove(entry.ask.handed_over_by)
-        if entry.ask.keeps_connection:
-            entry.ask.owner.remove_placed_task()
-        if cause is not None:
-            self.owners.release(entry.ask.owner, entry.name, cause)
-
-    # The host list and expiry
+        """Account for the tasks of a host under the id of the host that has taken its place, and that has accepted them."""
+        self._placed.move_all(machine, replacement)
 
     def set_closed(self, machine: str, closed: bool) -> None:
         """Exclude the host from new tasks, or include it again."""
