Node: the list's hosts in a module of their own

Change: which hosts there are, who has an address and what a change means for placed tasks is in host_list; no behaviour changes.

--- /dev/null
+++ b/sprucepost/node/host_list.py
@@ -0,0 +1,117 @@
+"""The hosts of the list: which there are, which process has an address, and what a change means for tasks placed there."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from sprucepost import interface as i
+from sprucepost.node.bulletin import Address, ListUpdate
+from sprucepost.node.host import Host, HostLink
+from sprucepost.node.log import Log
+from sprucepost.node.start_times import StartTimes
+from sprucepost.node.tasks import Tasks
+
+
+class ConnectionsPort(Protocol):
+    """The connections to hosts."""
+
+    def end_waiting(self, host: Host) -> None:
+        """End the offers that wait for a connection to the host."""
+        ...
+
+    def end(self, host: Host, link: HostLink, why: str) -> None:
+        """End a connection, and the attempts that are open on it."""
+        ...
+
+    def review_gone(self, host: Host) -> None:
+        """Check the connections of a host that has left the list, and have one where it runs tasks of this placer."""
+        ...
+
+
+class HostList:
+    """The hosts of the list, and those that have left it and still matter: they run tasks or have open set-ups."""
+
+    def __init__(self, tasks: Tasks, start_times: StartTimes, log: Log, connections: ConnectionsPort) -> None:
+        self._tasks, self._start_times, self._log, self._connections = tasks, start_times, log, connections
+        self.hosts: dict[str, Host] = {}
+        self._by_address: dict[Address, Host] = {}  # the same hosts by address
+
+    def __contains__(self, host: Host) -> bool:
+        """Whether the host has not been removed, or replaced by another one with its id."""
+        return self.hosts.get(host.uid) is host
+
+    def apply(self, update: ListUpdate) -> None:
+        """Apply a change of the list, before the decision module acts on it."""
+        if update.list.kind is not i.ListKind.DELTA:
+            listed = {entry.machine for entry in update.list.entries}
+            for uid in sorted(self.hosts.keys() - listed):
+                self._mark_gone(self.hosts[uid])
+        for entry in update.list.entries:
+            ready = entry.state is i.MachineState.READY
+            self._tasks.set_closed(entry.machine, not ready)
+            host, address = self.hosts.get(entry.machine), update.addresses.get(entry.machine)
+            if entry.state is i.MachineState.GONE:
+                if host is not None:
+                    self._mark_gone(host)
+                else:
+                    self._tasks.set_closed(entry.machine, False)
+                continue
+            if address is None:
+                continue
+            if host is None or host.address != address:
+                host = self._add(entry.machine, address, entry.started)
+            host.gone = False
+            if entry.started > host.started:
+                host.started = entry.started
+                self.lose_tasks(host, "restarted", before=self._start_times.to_loop_time(entry.started))
+            if not ready:
+                self._connections.end_waiting(host)
+
+    def _add(self, uid: str, address: Address, started: float) -> Host:
+        """Add a host. Hosts that had its id or address before are removed; see :meth:`_replace`."""
+        others = {self.hosts.get(uid), self._by_address.get(address)}
+        for other in [other for other in others if other is not None]:
+            self._replace(other, uid, started)
+        host = self.hosts[uid] = self._by_address[address] = Host(uid, address, started)
+        return host
+
+    def _replace(self, other: Host, uid: str, started: float) -> None:
+        """Remove a host whose id or address a new one has taken. Its tasks are lost, but for those accepted at this address
+        since the new one has started: they run there, and the list is late."""
+        same_address = other.uid != uid
+        before = self._start_times.to_loop_time(started) if started and same_address else None
+        self.lose_tasks(other, "replaced", before)
+        self._tasks.move_to_replacement(other.uid, uid)
+        self._mark_gone(other)
+        self._remove(other)
+
+    def _mark_gone(self, host: Host) -> None:
+        """Send the host nothing new. It may still release the tasks that run there."""
+        if host.gone:
+            return
+        host.gone = True
+        self._tasks.set_closed(host.uid, True)
+        self._connections.end_waiting(host)
+        self.remove_if_unused(host)
+        self._connections.review_gone(host)
+
+    def remove_if_unused(self, host: Host) -> None:
+        """Remove a host that has gone once it has no task and no open set-up of this placer."""
+        if host.gone and host.uid not in self._tasks.placed and not any(link.open for link in host.links):
+            self._remove(host)
+
+    def _remove(self, host: Host) -> None:
+        """Drop the host and end its connections."""
+        if host in self:
+            del self.hosts[host.uid]
+            if self._by_address.get(host.address) is host:
+                del self._by_address[host.address]
+            self._tasks.set_closed(host.uid, False)
+        for link in list(host.links):
+            self._connections.end(host, link, "gone")
+
+    def lose_tasks(self, host: Host, why: str, before: float | None = None) -> None:
+        """Release the owners of the host's tasks, or of those accepted before that time of the loop's clock, in ms."""
+        number = self._tasks.host_lost(host.uid, why, before)
+        if number:
+            self._log("host_lost", host=host.uid, why=why, tasks=number)
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -18,12 +18,13 @@
 from sprucepost.loop import Co, Loop, Scope, TimedOut, connect, current, is_local_shortage
 from sprucepost.node import health
 from sprucepost.node.attempt import Attempt
-from sprucepost.node.bulletin import Address, ListUpdate
+from sprucepost.node.bulletin import ListUpdate
 from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.dispatch import Dispatcher
 from sprucepost.node.framing import LINGER_MS
 from sprucepost.node.health import HealthChecks
 from sprucepost.node.host import Host, HostLink
+from sprucepost.node.host_list import HostList
 from sprucepost.node.jsonl import Line, MessageType, encode
 from sprucepost.node.log import Log
 from sprucepost.node.start_times import StartTimes
@@ -48,93 +49,29 @@
         log: Log,
         counters: Counter[str],
     ) -> None:
-        self._start_times = start_times
         self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
         self._descriptors, self._connect_ms, self._idle_ms = descriptors, connect_ms, idle_ms
-        self.hosts: dict[str, Host] = {}
-        self._by_address: dict[Address, Host] = {}  # the same hosts by address
-        self._health = HealthChecks(loop, tasks, counters, log, self._listed, self._end, self._release_silent_host)
+        self._list = HostList(tasks, start_times, log, self)
+        self._health = HealthChecks(loop, tasks, counters, log, self._listed, self.end, self._release_silent_host)
         self._dispatcher: Dispatcher[Host] = Dispatcher(loop, self._serve, counters)
 
     # The list of hosts
 
+    @property
+    def hosts(self) -> dict[str, Host]:
+        """The hosts of the list, and those that have gone and still matter, by id."""
+        return self._list.hosts
+
     def apply_list(self, update: ListUpdate) -> None:
         """Apply a change of the list, before the decision module acts on it."""
-        if update.list.kind is not i.ListKind.DELTA:
-            listed = {entry.machine for entry in update.list.entries}
-            for uid in sorted(self.hosts.keys() - listed):
-                self._mark_gone(self.hosts[uid])
-        for entry in update.list.entries:
-            ready = entry.state is i.MachineState.READY
-            self._tasks.set_closed(entry.machine, not ready)
-            host, address = self.hosts.get(entry.machine), update.addresses.get(entry.machine)
-            if entry.state is i.MachineState.GONE:
-                if host is not None:
-                    self._mark_gone(host)
-                else:
-                    self._tasks.set_closed(entry.machine, False)
-                continue
-            if address is None:
-                continue
-            if host is None or host.address != address:
-                host = self._add(entry.machine, address, entry.started)
-            host.gone = False
-            if entry.started > host.started:
-                host.started = entry.started
-                self._lose_tasks(host, "restarted", before=self._start_times.to_loop_time(entry.started))
-            if not ready:
-                self._end_waiting(host)
-
-    def _add(self, uid: str, address: Address, started: float) -> Host:
-        """Add a host. Hosts that had its id or address before are removed; see :meth:`_replace`."""
-        others = {self.hosts.get(uid), self._by_address.get(address)}
-        for other in [other for other in others if other is not None]:
-            self._replace(other, uid, started)
-        host = self.hosts[uid] = self._by_address[address] = Host(uid, address, started)
-        return host
-
-    def _replace(self, other: Host, uid: str, started: float) -> None:
-        """Remove a host whose id or address a new one has taken. Its tasks are lost, but for those accepted at this address
-        since the new one has started: they run there, and the list is late."""
-        same_address = other.uid != uid
-        before = self._start_times.to_loop_time(started) if started and same_address else None
-        self._lose_tasks(other, "replaced", before)
-        self._tasks.move_to_replacement(other.uid, uid)
-        self._mark_gone(other)
-        self._remove(other)
-
-    def _mark_gone(self, host: Host) -> None:
-        """Send the host nothing new. It may still release the tasks that run there."""
-        if host.gone:
-            return
-        host.gone = True
-        self._tasks.set_closed(host.uid, True)
-        self._end_waiting(host)
-        self._remove_if_unused(host)
-        self._check_connections(host)
-        self._reconnect(host)
+        self._list.apply(update)
 
-    def _end_waiting(self, host: Host) -> None:
+    def end_waiting(self, host: Host) -> None:
         """End the offers that wait for a connection to the host."""
         waiting, host.waiting = host.waiting, []
         for attempt in waiting:
             self._tasks.end_attempt(attempt, i.Ending.VOID)
 
-    def _remove_if_unused(self, host: Host) -> None:
-        """Remove a host that has gone once it has no task and no open set-up of this placer."""
-        if host.gone and host.uid not in self._tasks.placed and not any(link.open for link in host.links):
-            self._remove(host)
-
-    def _remove(self, host: Host) -> None:
-        """Drop the host and end its connections."""
-        if self.hosts.get(host.uid) is host:
-            del self.hosts[host.uid]
-            if self._by_address.get(host.address) is host:
-                del self._by_address[host.address]
-            self._tasks.set_closed(host.uid, False)
-        for link in list(host.links):
-            self._end(host, link, "gone")
-
     # Set-ups
 
     def send_offer(self, attempt: Attempt) -> None:
@@ -229,7 +166,7 @@
         del link.open[attempt.sid]
         link.withdrawn.add(attempt.sid)
         if not self.was_sent(attempt) and not link.open:
-            self._end(host, link, "unsent")
+            self.end(host, link, "unsent")
             return
         link.transport.write(encode(MessageType.CLOSE, attempt.sid, code=CAUSE_WITHDRAWN))
         link.retired = True
@@ -238,7 +175,7 @@
     def _end_if_retired(self, host: Host, link: HostLink) -> None:
         """End a connection that takes no more set-ups once none is open on it."""
         if link.retired and not link.open:
-            self._end(host, link, "retired")
+            self.end(host, link, "retired")
 
     def end_task(self, machine: str, sid: str) -> None:
         """Have the host end a running task, now or once there is a connection to it."""
@@ -289,7 +226,7 @@
         ]
         for _, _, host, link in sorted(idle, key=lambda item: item[:2]):
             if not link.transport.read_now() and link in host.links:
-                self._end(host, link, "room")
+                self.end(host, link, "room")
                 return True
         return False
 
@@ -307,15 +244,15 @@
             transport = yield from connect(self.loop, task, host.address, self._connect_ms)
         except (OSError, TimedOut) as error:
             host.dialing -= 1
-            if self.hosts.get(host.uid) is host and is_local_shortage(error):
+            if self._listed(host) and is_local_shortage(error):
                 self._retry_after_local_failure(host)
-            elif self.hosts.get(host.uid) is host:
+            elif self._listed(host):
                 self._not_connected(host, error, began)
             return
         host.dialing -= 1
         host.failed_dials = 0
         host.dial_failed_locally = host.needs_reconnect = False
-        if self.hosts.get(host.uid) is not host:
+        if not self._listed(host):
             transport.abort()
             return
         transport.linger_ms = LINGER_MS
@@ -324,8 +261,8 @@
         host.links.append(link)
         self._log.host(host.uid, "connected", link=link.number)
         transport.on_data = lambda data: self._handle_data(host, link, data)
-        transport.on_end = lambda: self._end(host, link, "ended")
-        transport.on_lost = lambda error: self._end(host, link, "reset")
+        transport.on_end = lambda: self.end(host, link, "ended")
+        transport.on_lost = lambda error: self.end(host, link, "reset")
         transport.start()
         for sid in host.pending_releases:
             transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
@@ -350,8 +287,8 @@
                 self._tasks.end_attempt(attempt, i.Ending.CONNECT_FAILED)
         if refused:
             # Tasks accepted since the dial began run in a new process of the host.
-            self._lose_tasks(host, "refused", before=began)
-            self._remove_if_unused(host)
+            self._list.lose_tasks(host, "refused", before=began)
+            self._list.remove_if_unused(host)
         if self._health.suspected(host):
             self.loop.call_later(pause, lambda: self._reconnect(host))
 
@@ -363,7 +300,7 @@
         host.redial_at = self.loop.now() + REDIAL_MS
 
         def again() -> None:
-            if self.hosts.get(host.uid) is host:
+            if self._listed(host):
                 self._serve(host)
                 self._reconnect(host)
 
@@ -382,7 +319,7 @@
         ):
             self._dial(host)
 
-    def _end(self, host: Host, link: HostLink, why: str) -> None:
+    def end(self, host: Host, link: HostLink, why: str) -> None:
         """End a connection. A set-up open on it may have run, unless the host cannot have read all of it."""
         if link not in host.links:
             return
@@ -415,12 +352,12 @@
         if link.decoder.error is not None:
             self.counters["host_malformed"] += 1
             self._log("host_malformed", host=host.uid, why=str(link.decoder.error), open=len(link.open))
-            self._end(host, link, "malformed")
+            self.end(host, link, "malformed")
 
     def _handle_late_data(self, host: Host, link: HostLink, data: bytes) -> None:
         """Handle releases and notes that were in flight when this side ended the connection. The host repeats a release only
         on its next connection, which may be opened much later."""
-        if self.hosts.get(host.uid) is host:
+        if self._listed(host):
             for line in link.decoder.feed(data):
                 if line.type in (MessageType.CLOSE, MessageType.EVENT):
                     self._handle_message(host, link, line)
@@ -466,19 +403,24 @@
                     and (len(host.links) > 1 or not has_tasks)
                 )
                 if idle and not link.transport.read_now():
-                    self._end(host, link, "idle")
+                    self.end(host, link, "idle")
             host.pending_releases = {sid: until for sid, until in host.pending_releases.items() if until > now}
             self._health.review(host)
             if not has_tasks:
                 host.needs_reconnect = False
-                self._remove_if_unused(host)
+                self._list.remove_if_unused(host)
                 if not host.pending_releases:
                     continue
             self._reconnect(host)
 
     def _listed(self, host: Host) -> bool:
         """Whether the host has not been removed, or replaced by another one with its id."""
-        return self.hosts.get(host.uid) is host
+        return host in self._list
+
+    def review_gone(self, host: Host) -> None:
+        """Check the connections of a host that has left the list, and have one where it runs tasks of this placer."""
+        self._check_connections(host)
+        self._reconnect(host)
 
     def _check_connections(self, host: Host) -> None:
         """Check the remaining connections of a host that may have died."""
@@ -493,12 +435,6 @@
         """
         silent_ms = self.loop.now() - host.last_heard
         self._log.host(host.uid, "silent", heard=round(silent_ms), late=round(self.loop.late_ms, 1))
-        self._lose_tasks(host, "silent")
+        self._list.lose_tasks(host, "silent")
         for link in [link for link in host.links if not link.open]:
-            self._end(host, link, "silent")
-
-    def _lose_tasks(self, host: Host, why: str, before: float | None = None) -> None:
-        """Release the owners of the host's tasks, or of those accepted before that time of the loop's clock, in ms."""
-        number = self._tasks.host_lost(host.uid, why, before)
-        if number:
-            self._log("host_lost", host=host.uid, why=why, tasks=number)
+            self.end(host, link, "silent")
--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -227,7 +227,7 @@
     monkeypatch.setattr(platform.service.hosts, "_descriptors", Descriptors(0, lambda: 0))
     known_host = platform.service.hosts.hosts["s-1"]
     for idle in [link for link in known_host.links if not link.open]:
-        platform.service.hosts._end(known_host, idle, "idle")
+        platform.service.hosts.end(known_host, idle, "idle")
     client.send_set_up()
     yield from wait_for(lambda: len(known_host.waiting) == 1)
     call_after_answer(platform, SIDS[310], client.leave)
@@ -254,7 +254,7 @@
     monkeypatch.setattr(hosts, "HostLink", make_link)
     monkeypatch.setattr(hosts, "connect", slow_connect)
     for link in list(known_host.links):
-        platform.service.hosts._end(known_host, link, "idle")
+        platform.service.hosts.end(known_host, link, "idle")
     client.send_set_up()
     yield from wait_for(lambda: client.left_at is not None)
 
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -204,7 +204,7 @@
 
             monkeypatch.setattr(hosts, "HostLink", link_made)
             for pooled in list(platform.service.hosts.hosts["s-1"].links):
-                platform.service.hosts._end(platform.service.hosts.hosts["s-1"], pooled, "reset")
+                platform.service.hosts.end(platform.service.hosts.hosts["s-1"], pooled, "reset")
             owner.send(setup(SIDS[1]))
         elif state == "read":
             after_each_decision(platform, lambda events, actions: call_at_first_offer(actions, leave_now, done))
@@ -846,7 +846,7 @@
         owner = yield from two_connections(platform, host)
         known_host = platform.service.hosts.hosts["s-1"]
         for our_link in list(known_host.links):
-            platform.service.hosts._end(known_host, our_link, why)
+            platform.service.hosts.end(known_host, our_link, why)
         for link in host.links:  # none has read the end yet
             assert not link.ended
             [sid] = [line.sid for line in link.received if line.type is MessageType.OPEN]
