Node: what runs in which process of a host is decided by connections, not by clocks

Callers saw: owners were never told of the end of tasks whose host had been replaced at its address or had restarted, if the answer was read, or the task was handed over, after the start that the list gives. Cause: a task was counted to a process by the time at which the placer handled its answer or hand-over (host_lost(before=...), placed_at), and all that was left went to the new process. Change: process_identity has one table of evidence and what it proves. A connection belongs to the process that had the address when it came up; a task to the connection on which it was accepted, or noted last, and a hand-over to the id that it names. A process that is gone is read to its end, then its tasks and connections end; the connections of the next one, with the attempts open on them, go on under its id. test_what_a_replacement_has_accepted_before_it_is_listed_runs_on had a host die without its connections ending, which no process does; it now resets them, with the same results expected.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -4,10 +4,11 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Protocol
+from typing import Protocol
 
 from sprucepost.loop import Timer
 from sprucepost.node.parsing import SetUp
+from sprucepost.node.process_identity import ProcessConnection, TaskProcess
 from sprucepost.placing.ledger import Entry
 
 
@@ -96,6 +97,21 @@
         ...
 
 
+class ConnectedHost(Protocol):
+    """The host to which a connection leads."""
+
+    uid: str
+
+
+class HostConnection(Protocol):
+    """One connection to a host."""
+
+    process: ProcessConnection
+
+    @property
+    def host(self) -> ConnectedHost: ...
+
+
 @dataclass(frozen=True)
 class Withdrawal:
     """An attempt that was withdrawn when it timed out."""
@@ -113,7 +129,7 @@
         "keeps_connection",
         "may_run_since",
         "owner",
-        "placed_at",
+        "process",
         "queued",
         "setup",
         "withdrawals",
@@ -123,7 +139,7 @@
         self.setup, self.owner = setup, owner
         self.attempt: Attempt | None = None
         self.handed_over_by: OwnerPort | None = None  # the client in whose share of such tasks it counts
-        self.placed_at = 0.0  # in ms of the loop's clock
+        self.process: TaskProcess | None = None  # the process that runs it, once it is placed
         self.keeps_connection = False  # whether the owner's connection is kept open for the release
         self.queued = False  # whether the scheduler has not been told of the task yet
         self.withdrawals: dict[str, Withdrawal] = {}  # the latest attempt withdrawn on timeout, by host
@@ -156,12 +172,17 @@
             deadline,
         )
         self.timer: Timer | None = None
-        self.link: Any = None  # the connection to the host on which the offer was written
+        self.link: HostConnection | None = None  # the connection to the host on which the offer was written
         self.end_offset = 0  # bytes sent on that connection once the offer has been sent completely
         self.ready_at: float | None = None  # when it could have been sent first, but for unread input of its owner
         self.held_back = False  # whether it waited for unread input of its owner, although there was a connection
         self.noted = False  # whether the host has sent a note on the task, which it does only after its answer
 
+    @property
+    def host(self) -> str:
+        """Id of the host that has the attempt: another than ``machine`` once that one has been replaced at its address."""
+        return self.link.host.uid if self.link is not None else self.machine
+
     @property
     def sid(self) -> str:
         """Id of the task."""
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -8,6 +8,7 @@
 from sprucepost.node.attempt import Attempt
 from sprucepost.node.bulletin import Address
 from sprucepost.node.jsonl import Decoder
+from sprucepost.node.process_identity import ProcessConnection
 
 ENDED_SETUPS_MAX = 64  # set-ups; copies of answers come within milliseconds
 
@@ -22,8 +23,9 @@
     seeds, and on join).
     """
 
-    def __init__(self, transport: Transport, now: float, number: int) -> None:
-        self.transport = transport
+    def __init__(self, host: Host, transport: Transport, now: float, number: int) -> None:
+        self.host, self.transport = host, transport
+        self.process = ProcessConnection(now)
         self.number = number  # counts the connections to this host, from 1
         self.decoder = Decoder()
         self.open: dict[str, Attempt] = {}  # set-ups without an answer, by task id
--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -8,6 +8,7 @@
 from sprucepost.node.bulletin import Address, ListUpdate
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.log import Log
+from sprucepost.node.process_identity import ListedStart, ProcessEnd
 from sprucepost.node.start_times import StartTimes
 from sprucepost.node.tasks import Tasks
 
@@ -47,8 +48,6 @@
             for uid in sorted(self.hosts.keys() - listed):
                 self._mark_gone(self.hosts[uid])
         for entry in update.list.entries:
-            ready = entry.state is i.MachineState.READY
-            self._tasks.set_closed(entry.machine, not ready)
             host, address = self.hosts.get(entry.machine), update.addresses.get(entry.machine)
             if entry.state is i.MachineState.GONE:
                 if host is not None:
@@ -63,27 +62,53 @@
             host.gone = False
             if entry.started > host.started:
                 host.started = entry.started
-                self.lose_tasks(host, "restarted", before=self._start_times.to_loop_time(entry.started))
+                self.process_gone(host, "restarted", ListedStart(self._start_times.to_loop_time(entry.started)))
+            ready = entry.state is i.MachineState.READY
+            self._tasks.set_closed(entry.machine, not ready)
             if not ready:
                 self._connections.end_waiting(host)
 
     def _add(self, uid: str, address: Address, started: float) -> Host:
-        """Add a host. Hosts that had its id or address before are removed; see :meth:`_replace`."""
-        others = {self.hosts.get(uid), self._by_address.get(address)}
-        for other in [other for other in others if other is not None]:
-            self._replace(other, uid, started)
-        host = self.hosts[uid] = self._by_address[address] = Host(uid, address, started)
+        """Add a host. Those that had its id or its address before are replaced."""
+        host = Host(uid, address, started)
+        replaced = [other for other in (self.hosts.get(uid), self._by_address.get(address)) if other is not None]
+        for other in replaced:
+            other.gone = True
+            self._drop(other)
+        self.hosts[uid] = self._by_address[address] = host
+        for other in replaced:
+            self._replace(other, host)
         return host
 
-    def _replace(self, other: Host, uid: str, started: float) -> None:
-        """Remove a host whose id or address a new one has taken. Its tasks are lost, but for those accepted at this address
-        since the new one has started: they run there, and the list is late."""
-        same_address = other.uid != uid
-        before = self._start_times.to_loop_time(started) if started and same_address else None
-        self.lose_tasks(other, "replaced", before)
-        self._tasks.move_to_replacement(other.uid, uid)
-        self._mark_gone(other)
-        self._remove(other)
+    def _replace(self, other: Host, host: Host) -> None:
+        """Have a host take the place of another: it gets the connections and the tasks of its own process, and what belongs
+        to the process before it ends."""
+        if other.address == host.address:
+            started_at = self._start_times.to_loop_time(host.started) if host.started else None
+            end = ListedStart(started_at, host.uid)
+        else:  # the same id at another address
+            end = ListedStart(None)
+        self._connections.end_waiting(other)
+        self.process_gone(other, "replaced", end)
+        kept, other.links = other.links, []
+        for link in kept:
+            link.host = host
+        host.links += kept
+        host.pending_releases |= other.pending_releases
+        kept_tasks = self._tasks.move_to_replacement(other.uid, host.uid) if other.uid != host.uid else 0
+        if kept_tasks:
+            host.last_heard = max([other.last_heard, *(link.process.came_up_at for link in kept)])
+
+    def process_gone(self, host: Host, why: str, end: ProcessEnd) -> int:
+        """End the connections and the tasks of a process of the host that is gone by that evidence; return the number of
+        tasks. What it has sent before is handled first."""
+        ended = [link for link in host.links if end.ends_connection(link.process)]
+        for link in ended:
+            link.transport.read_now()
+        number = self.lose_tasks(host, why, end)
+        for link in ended:
+            self._connections.end(host, link, "gone")
+        return number
 
     def _mark_gone(self, host: Host) -> None:
         """Send the host nothing new. It may still release the tasks that run there."""
@@ -102,16 +127,21 @@
 
     def _remove(self, host: Host) -> None:
         """Drop the host and end its connections."""
-        if host in self:
-            del self.hosts[host.uid]
-            if self._by_address.get(host.address) is host:
-                del self._by_address[host.address]
-            self._tasks.set_closed(host.uid, False)
+        self._drop(host)
         for link in list(host.links):
             self._connections.end(host, link, "gone")
 
-    def lose_tasks(self, host: Host, why: str, before: float | None = None) -> None:
-        """Release the owners of the host's tasks, or of those accepted before that time of the loop's clock, in ms."""
-        number = self._tasks.host_lost(host.uid, why, before)
+    def _drop(self, host: Host) -> None:
+        if host not in self:
+            return
+        del self.hosts[host.uid]
+        if self._by_address.get(host.address) is host:
+            del self._by_address[host.address]
+        self._tasks.set_closed(host.uid, False)
+
+    def lose_tasks(self, host: Host, why: str, end: ProcessEnd | None = None) -> int:
+        """Release the owners of the host's tasks, or of those that ran in a process which is gone; return their number."""
+        number = self._tasks.host_lost(host.uid, why, end)
         if number:
             self._log("host_lost", host=host.uid, why=why, tasks=number)
+        return number
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import cast
 
 from sprucepost import interface as i
 from sprucepost.backoff import exponential_backoff
@@ -27,6 +28,7 @@
 from sprucepost.node.host_list import HostList
 from sprucepost.node.jsonl import Line, MessageType, encode
 from sprucepost.node.log import Log
+from sprucepost.node.process_identity import NeverListed, RefusedDial
 from sprucepost.node.start_times import StartTimes
 from sprucepost.node.tasks import CAUSE_WITHDRAWN, Tasks
 
@@ -146,7 +148,8 @@
     def was_sent(self, attempt: Attempt) -> bool:
         """Whether the offer was written and the system has taken all of it. A host ignores a line without its end, so an
         offer that was sent in part has not run."""
-        return attempt.link is not None and attempt.link.transport.sent >= attempt.end_offset
+        link = _link_of(attempt)
+        return link is not None and link.transport.sent >= attempt.end_offset
 
     def unwritten_by_fault_of_host(self, attempt: Attempt) -> bool:
         """Whether the offer was not written because the host could not be connected to: the last dial did not fail for want
@@ -160,9 +163,10 @@
         host = self.hosts.get(attempt.machine)
         if host is not None and attempt in host.waiting:
             host.waiting.remove(attempt)
-        link: HostLink | None = attempt.link
-        if host is None or link is None or link.open.get(attempt.sid) is not attempt:
+        link = _link_of(attempt)
+        if link is None or link.open.get(attempt.sid) is not attempt:
             return
+        host = link.host
         del link.open[attempt.sid]
         link.withdrawn.add(attempt.sid)
         if not self.was_sent(attempt) and not link.open:
@@ -257,12 +261,12 @@
             return
         transport.linger_ms = LINGER_MS
         host.connections_opened += 1
-        link = HostLink(transport, self.loop.now(), host.connections_opened)
+        link = HostLink(host, transport, self.loop.now(), host.connections_opened)
         host.links.append(link)
         self._log.host(host.uid, "connected", link=link.number)
-        transport.on_data = lambda data: self._handle_data(host, link, data)
-        transport.on_end = lambda: self.end(host, link, "ended")
-        transport.on_lost = lambda error: self.end(host, link, "reset")
+        transport.on_data = lambda data: self._handle_data(link.host, link, data)
+        transport.on_end = lambda: self.end(link.host, link, "ended")
+        transport.on_lost = lambda error: self.end(link.host, link, "reset")
         transport.start()
         for sid in host.pending_releases:
             transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
@@ -286,8 +290,7 @@
             for attempt in waiting:
                 self._tasks.end_attempt(attempt, i.Ending.CONNECT_FAILED)
         if refused:
-            # Tasks accepted since the dial began run in a new process of the host.
-            self._list.lose_tasks(host, "refused", before=began)
+            self._list.process_gone(host, "refused", RefusedDial(began))
             self._list.remove_if_unused(host)
         if self._health.suspected(host):
             self.loop.call_later(pause, lambda: self._reconnect(host))
@@ -345,6 +348,7 @@
 
     def _handle_data(self, host: Host, link: HostLink, data: bytes) -> None:
         """Decode and handle what was read on a connection; end it where the bytes cannot be parsed."""
+        link.process.heard_at = self.loop.now() - link.transport.waited_ms
         for line in link.decoder.feed(data):
             link.last_used = self.loop.now()
             self._health.message_received(host, link)
@@ -384,7 +388,7 @@
         if line.sid in link.withdrawn:
             self._tasks.handle_withdrawn_message(host.uid, line)
         else:
-            self._tasks.handle_message(host.uid, line)
+            self._tasks.handle_message(host.uid, line, link.process)
 
     # Running tasks
 
@@ -393,7 +397,7 @@
         now = self.loop.now()
         # Tasks that owners have handed back, on hosts that were never listed.
         for uid in self._tasks.placed.keys() - self.hosts.keys():
-            self._tasks.host_lost(uid, "unlisted", before=self.loop.now() - health.SILENT_AFTER_MS)
+            self._tasks.host_lost(uid, "unlisted", NeverListed(self.loop.now() - health.SILENT_AFTER_MS))
         for host in list(self.hosts.values()):
             has_tasks = host.uid in self._tasks.placed
             for link in list(host.links):
@@ -438,3 +442,8 @@
         self._list.lose_tasks(host, "silent")
         for link in [link for link in host.links if not link.open]:
             self.end(host, link, "silent")
+
+
+def _link_of(attempt: Attempt) -> HostLink | None:
+    """Return the connection on which the offer was written."""
+    return cast("HostLink | None", attempt.link)
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -10,6 +10,7 @@
 from sprucepost.node.attempt import OwnerPort, OwnersPort
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
+from sprucepost.node.process_identity import NeverListed, ProcessConnection, ProcessEnd, TaskProcess
 from sprucepost.placing.ledger import Entry, Ledger
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
@@ -38,9 +39,9 @@
         """Return the task if it is placed at that host."""
         return self.by_host.get(machine, {}).get(sid)
 
-    def record(self, entry: Entry) -> None:
-        """Record a task that has been placed at ``entry.machine``."""
-        entry.ask.placed_at = self._loop.now()
+    def record(self, entry: Entry, connection: ProcessConnection | None) -> None:
+        """Record a task that has been placed at ``entry.machine``: accepted on that connection, or handed over."""
+        entry.ask.process = TaskProcess(self._loop.now(), connection)
         self.by_host.setdefault(entry.machine, {})[entry.name] = entry
 
     def keep_connection(self, entry: Entry, owner: OwnerPort) -> None:
@@ -48,30 +49,43 @@
         entry.ask.owner, entry.ask.keeps_connection = owner, True
         owner.add_placed_task()
 
-    def lose(self, machine: str, why: str, before: float | None = None) -> int:
+    def lose(self, machine: str, why: str, end: ProcessEnd | NeverListed | None = None) -> int:
         """End the tasks of a host that is presumed lost, and return their number.
 
-        ``before``: only tasks placed before that time of the loop's clock, in ms.
+        ``end``: only those that ran in a process which is gone by that evidence.
         """
         placed = self.by_host.get(machine, {}).values()
-        entries = [entry for entry in placed if before is None or entry.ask.placed_at < before]
+        entries = [entry for entry in placed if end is None or end.ends_task(entry.ask.process)]
         for entry in entries:
             self._counters[f"lost_{why}"] += 1
             self.end(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=EarlyMessage.PRESUMED_LOST)
         return len(entries)
 
-    def move_all(self, machine: str, replacement: str) -> None:
-        """Account for the tasks of a host under the id of the host that has taken its place, and that has accepted them.
+    def move_all(self, machine: str, replacement: str) -> int:
+        """Account for the tasks of a host under the id of the host that has taken its place; return their number."""
+        entries = list(self.by_host.get(machine, {}).values())
+        for entry in entries:
+            self.move(entry, replacement, f"{machine} is replaced")
+        return len(entries)
+
+    def move(self, entry: Entry, machine: str, why: str) -> None:
+        """Account for a placed task under the id of another host.
 
-        To the scheduler they end at the one and are found at the other, under new request numbers.
+        To the scheduler it ends at the one and is found at the other, under a new request number.
         """
-        for entry in list(self.by_host.pop(machine, {}).values()):
-            self._trace(entry.name, "found", host=replacement, why=f"{machine} is replaced")
-            self._driver.push(i.Outcome(entry.request, entry.attempt, i.Ending.CANCELLED, True))
-            self._ledger.renumber(entry)
-            entry.machine, entry.attempt = replacement, 0
-            self.by_host.setdefault(replacement, {})[entry.name] = entry
-            self._driver.push(i.TaskFound(entry.ask.setup.request(entry.request, 0.0), replacement))
+        self._remove(entry)
+        self._trace(entry.name, "found", host=machine, why=why)
+        self._driver.push(i.Outcome(entry.request, entry.attempt, i.Ending.CANCELLED, True))
+        self._ledger.renumber(entry)
+        entry.machine, entry.attempt = machine, 0
+        self.by_host.setdefault(machine, {})[entry.name] = entry
+        self._driver.push(i.TaskFound(entry.ask.setup.request(entry.request, 0.0), machine))
+
+    def _remove(self, entry: Entry) -> None:
+        at_host = self.by_host[entry.machine]
+        del at_host[entry.name]
+        if not at_host:
+            del self.by_host[entry.machine]
 
     def end(
         self,
@@ -84,10 +98,7 @@
         early_message: EarlyMessage = EarlyMessage.TASK_ENDED,
     ) -> None:
         """End a placed task; its owner is sent a release with ``cause``, unless that is None."""
-        at_host = self.by_host[entry.machine]
-        del at_host[entry.name]
-        if not at_host:
-            del self.by_host[entry.machine]
+        self._remove(entry)
         self._ledger.end(entry)
         self._early_messages.record(entry.name, early_message, self._loop.now(), entry.machine)
         self._counters[f"over_{ending.value}"] += 1
--- /dev/null
+++ b/sprucepost/node/process_identity.py
@@ -0,0 +1,112 @@
+"""Which process of a host a connection leads to, and which one runs a task. No I/O.
+
+An address changes hands: the process that had it is gone, and another one, of a new id or of the same, has it. The list
+tells of that a second or more later, and bytes of the process that has gone may lie unread for longer. So what belongs to
+which process is decided by connections, which never change hands, and not by when something was read.
+
+============================== ===================================== ===================================================
+evidence                       proves                                does not prove
+============================== ===================================== ===================================================
+a connection has come up       it leads to the process that has the  that this process still lives
+                               address then
+an answer, a note              the process to which its connection   when it was sent: it may have lain unread while the
+                               leads has the task, whenever it is    process died
+                               read
+a connection ends              it brings nothing more                that its process is gone: peers and networks end
+                                                                     connections for other reasons
+a dial is refused              all connections that came up before   anything about a process that has started since
+                               it began lead to processes that are
+                               gone
+the list has a later start at  connections that came up before the   the exact time: a message that arrived after it
+an address                     start lead to a process that is gone  shows that its connection leads to the later process
+the list has another id at an  the process before it is gone         since when, so all that was there counts as gone
+address, without a start
+an id leaves the list          it gets no new tasks                  that its tasks have ended, or that its process is
+                                                                     gone
+an owner hands a task over     the id that it names has the task: a  which process, where that id has had several: it is
+                               process that the list has by then     taken for the one that the list has
+no list has the id for 8 s     an owner was wrong, or the host is    that the task has ended
+                               gone
+an owner names an id that is   the connection on which the task was  that the id has this address: the list tells
+not the one which the task     accepted leads to a process of that
+was accepted under             id
+silence                        nothing; see ``health``
+============================== ===================================== ===================================================
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, eq=False)
+class ProcessConnection:
+    """What is known of the process to which one connection leads. Times are ms of the loop's clock."""
+
+    came_up_at: float  # not before it really has
+    heard_at: float = -math.inf  # when the latest message arrived, at the earliest
+    named_uid: str = ""  # the id of its process, where an owner has named it
+
+
+@dataclass(slots=True)
+class TaskProcess:
+    """What is known of the process that runs a placed task."""
+
+    placed_at: float  # when its answer or its hand-over was handled, in ms of the loop's clock
+    connection: ProcessConnection | None  # on which it was accepted or noted last; None: handed over, and silent since
+    named_uid: str = ""  # the id at which its owner has handed it over, if it is placed under another one
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedDial:
+    """A dial that was refused."""
+
+    began_at: float  # in ms of the loop's clock
+
+    def ends_connection(self, connection: ProcessConnection) -> bool:
+        """Return whether the process to which that connection leads is gone."""
+        return connection.came_up_at < self.began_at
+
+    def ends_task(self, task: TaskProcess) -> bool:
+        """Return whether the process that ran the task is gone."""
+        if task.connection is None:
+            return task.placed_at < self.began_at
+        return self.ends_connection(task.connection)
+
+
+@dataclass(frozen=True, slots=True)
+class ListedStart:
+    """The list tells that another process has the address."""
+
+    started_at: float | None  # in ms of the loop's clock; None where the list does not tell
+    uid: str = ""  # the id of that process, where the one before it had another
+
+    def ends_connection(self, connection: ProcessConnection) -> bool:
+        """Return whether that connection leads to a process before this one, which is gone."""
+        if self.uid and connection.named_uid == self.uid:
+            return False
+        if self.started_at is None:
+            return True
+        return connection.came_up_at < self.started_at and connection.heard_at <= self.started_at
+
+    def ends_task(self, task: TaskProcess) -> bool:
+        """Return whether a process before this one ran the task; one that was handed over before the list told was there."""
+        if self.uid and task.named_uid == self.uid:
+            return False
+        return task.connection is None or self.ends_connection(task.connection)
+
+
+@dataclass(frozen=True, slots=True)
+class NeverListed:
+    """No list has had the id for as long as a list may be late."""
+
+    since: float  # in ms of the loop's clock
+
+    def ends_task(self, task: TaskProcess) -> bool:
+        """Return whether the task has been placed there for that long."""
+        return task.placed_at < self.since
+
+
+ProcessEnd = RefusedDial | ListedStart
+"""Evidence that a process at an address is gone."""
--- a/sprucepost/node/releases.py
+++ b/sprucepost/node/releases.py
@@ -41,7 +41,7 @@
     """
     if ending_of_unanswered(line) is not i.Ending.RESET:
         return False
-    withdrawal: Withdrawal | None = attempt.entry.ask.withdrawals.get(attempt.machine)
+    withdrawal: Withdrawal | None = attempt.entry.ask.withdrawals.get(attempt.host)
     noted = attempt.noted or (withdrawal is not None and withdrawal.noted)
     return noted or other_connection or reason_of(line) in ACCEPTED_TASK_REASONS
 
@@ -52,7 +52,7 @@
     Refusals arrive on the attempt's own connection, and the reply to an earlier withdrawal at that host may arrive only
     now.
     """
-    withdrawal: Withdrawal | None = attempt.entry.ask.withdrawals.get(attempt.machine)
+    withdrawal: Withdrawal | None = attempt.entry.ask.withdrawals.get(attempt.host)
     recently = withdrawal is not None and now - withdrawal.at < WITHDRAWAL_REPLY_MS
     may_be_reply = recently and line.code in WITHDRAWAL_REPLY_CAUSES and not attempt.noted
     return line.code not in NOT_ACCEPTED and not may_be_reply
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -29,9 +29,9 @@
 placed    release: ok, reset                 ``Outcome``; the owner is sent the release                 (ended)
 placed    release: cancelled                 ``Outcome``; nobody needs a release                        (ended)
 placed    release by the owner               the host is told; ``Outcome`` cancelled                    (ended)
-placed    its host turns out to have been    ``Outcome`` cancelled, ``TaskFound`` at the new host        placed
-          replaced before it accepted
-          the task
+placed    the list has another host at the   ``Outcome`` cancelled, ``TaskFound`` at that host            placed
+          address, and its process has
+          accepted the task
 placed    its host is lost                   ``Outcome`` reset; the owner is sent the release; the     (ended)
                                              host is told nothing, as the task may have another
                                              placer by then
@@ -78,6 +78,7 @@
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.parsing import SetUp
 from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
+from sprucepost.node.process_identity import NeverListed, ProcessConnection, ProcessEnd
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
@@ -207,7 +208,7 @@
         entry.ask.handed_over_by = owner
         self._handed_over.add(owner)
         self._settle(entry, Outcome.PLACED)
-        self._placed.record(entry)
+        self._placed.record(entry, None)
         self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
         self._found_services.add(setup.service)
         self._waits_for_reports |= not owner.is_flooding
@@ -427,7 +428,7 @@
             return
         was_sent = self.hosts.was_sent(attempt)
         if was_sent:
-            attempt.entry.ask.withdrawals[attempt.machine] = Withdrawal(self.loop.now(), attempt.noted)
+            attempt.entry.ask.withdrawals[attempt.host] = Withdrawal(self.loop.now(), attempt.noted)
         self.counters["timeouts" if was_sent else "unsent"] += 1
         blames_host = self.hosts.unwritten_by_fault_of_host(attempt)
         unsent_ending = i.Ending.CONNECT_FAILED if blames_host else i.Ending.VOID
@@ -463,7 +464,7 @@
         if line.code == releases.CAUSE_ENDED and line.text is not None:
             # An answer says that the task runs; a short task may have ended before that could be said, so it has been done.
             self._accept(attempt, line.text)
-            self.handle_message(attempt.machine, line)
+            self.handle_message(attempt.host, line)
             return
         self._handle_unanswered_release(attempt, line, other_connection=False)
 
@@ -488,7 +489,7 @@
         self.trace(entry.name, "failed", host=attempt.machine, why="released before its answer came")
         self._recently_settled.add(entry.request)
         self._settle(entry, Outcome.FAILED)
-        self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now(), attempt.machine)
+        self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now(), attempt.host)
         self.end_attempt(attempt, i.Ending.RESET, reason, report)
         entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
 
@@ -500,21 +501,24 @@
         entry.machine, entry.attempt = attempt.machine, attempt.number
         self._recently_settled.add(entry.request)
         self._settle(entry, Outcome.PLACED)
-        self._placed.record(entry)
+        self._placed.record(entry, attempt.link.process if attempt.link is not None else None)
         self._placed.keep_connection(entry, entry.ask.owner)
         self.counters["placed"] += 1
         self.trace(entry.name, "stands", host=attempt.machine, attempt=attempt.number)
         self._driver.push(i.Accepted(entry.request, attempt.number, now - attempt.offered_at))
         entry.ask.owner.answer(entry.name, text)
+        if attempt.host != attempt.machine:
+            self._placed.move(entry, attempt.host, f"{attempt.machine} is replaced")
 
     # Messages of hosts about tasks that are placed, or not known to be open
 
-    def handle_message(self, machine: str, line: Line) -> None:
+    def handle_message(self, machine: str, line: Line, connection: ProcessConnection | None = None) -> None:
         """Handle a host's message about a task on a connection without an open set-up of that task."""
         entry = self._placed.find(machine, line.sid)
         if entry is None:
             self._handle_message_for_unplaced(machine, line)
         elif line.type is MessageType.EVENT:
+            entry.ask.process.connection = connection or entry.ask.process.connection
             kind, value = parsing.NOTES.get(line.attrs.get("note", "")), parsing.parse_number(line.attrs.get("value"))
             if kind is not None and value is not None:
                 self._driver.push(i.StatusNote(entry.request, entry.attempt, kind, value))
@@ -531,7 +535,7 @@
         entry = self.ledger.current(line.sid)
         if entry is not None and entry.outcome is Outcome.OPEN:
             attempt: Attempt | None = entry.ask.attempt
-            if attempt is not None and attempt.machine == machine and self.hosts.was_sent(attempt):
+            if attempt is not None and attempt.host == machine and self.hosts.was_sent(attempt):
                 if line.type is MessageType.EVENT:
                     attempt.noted = True
                     self.trace(line.sid, "noted", host=machine)
@@ -578,16 +582,16 @@
 
     # The host list and expiry
 
-    def host_lost(self, machine: str, why: str, before: float | None = None) -> int:
+    def host_lost(self, machine: str, why: str, end: ProcessEnd | NeverListed | None = None) -> int:
         """End the tasks of a host that is presumed lost, and return their number. A task may run on all the same.
 
-        ``before``: only tasks placed before that time of the loop's clock, in ms.
+        ``end``: only those that ran in a process which is gone by that evidence.
         """
-        return self._placed.lose(machine, why, before)
+        return self._placed.lose(machine, why, end)
 
-    def move_to_replacement(self, machine: str, replacement: str) -> None:
-        """Account for the tasks of a host under the id of the host that has taken its place, and that has accepted them."""
-        self._placed.move_all(machine, replacement)
+    def move_to_replacement(self, machine: str, replacement: str) -> int:
+        """Account for a host's tasks under the id of the one that has taken its place and runs them; return their number."""
+        return self._placed.move_all(machine, replacement)
 
     def set_closed(self, machine: str, closed: bool) -> None:
         """Exclude the host from new tasks, or include it again."""
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -13,6 +13,7 @@
 from sprucepost.node.binary import Kind
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.jsonl import Line, MessageType
+from sprucepost.node.process_identity import ProcessEnd
 from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
 from tests.node.handover_schedules import HandoverSchedule
 from tests.node.platform import setup
@@ -42,6 +43,11 @@
         quoted = jsonl.quoted(text) if text is not None else None
         self.links()[-1].inbox.append(jsonl.encode(message_type, sid, code=code, text=quoted))
 
+    def end_process(self) -> None:
+        """Reset all connections, as a process does that dies."""
+        for sock in self.links():
+            sock.inbox.append(ConnectionResetError(104, "Connection reset by peer"))
+
     def serve(self, duration_ms: float) -> Co[None]:
         """Accept tasks and answer health checks for that long."""
         ends = self._placer.loop.time + duration_ms
@@ -230,7 +236,8 @@
     def body(placer: Placer) -> Co[None]:
         host, client = HostSide(placer), placer.loop.arrive(LISTEN, "127.0.2.1:1", setup(TASK))
         yield from host.serve(1000.0)
-        started = placer.loop.wall()  # the host's process ends and another one takes its address
+        host.end_process()
+        started = placer.loop.wall()  # another one has taken its address
         yield from host.serve(1000.0)
         client.inbox.append(setup(OTHER))
         yield from host.serve(500.0)
@@ -270,10 +277,10 @@
 def _end_lost_tasks(patch: pytest.MonkeyPatch) -> None:
     real = Tasks.host_lost
 
-    def host_lost(self: Tasks, machine: str, why: str, before: float | None = None) -> int:
+    def host_lost(self: Tasks, machine: str, why: str, end: ProcessEnd | None = None) -> int:
         for sid in list(self.placed.get(machine, {})):
             self.hosts.end_task(machine, sid)
-        return real(self, machine, why, before)
+        return real(self, machine, why, end)
 
     patch.setattr(Tasks, "host_lost", host_lost)
 
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -10,9 +11,10 @@
 from sprucepost import interface as i
 from sprucepost.adapter import settings_from
 from sprucepost.node import binary, jsonl, parsing
-from sprucepost.node.attempt import Attempt, SetUpResult
+from sprucepost.node.attempt import Attempt, HostConnection, SetUpResult
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.parsing import InvalidSetUp, SetUp, SetUpParser
+from sprucepost.node.process_identity import ListedStart, ProcessConnection
 from sprucepost.node.tasks import SETTLED_RETENTION_MS, Tasks
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 from tests.node.platform import settings, setup
@@ -98,9 +100,14 @@
         data = None if self.disconnected else self.tasks.encode_offer(attempt)
         if data is not None:
             self.written.add(attempt)
+            attempt.link = self.connection(attempt.machine)
             [line] = jsonl.Decoder().feed(data)
             self.events.append(("open", attempt, line))
 
+    def connection(self, machine: str) -> HostConnection:
+        """A connection that comes up now."""
+        return SimpleNamespace(process=ProcessConnection(self.loop.now()), host=SimpleNamespace(uid=machine))
+
     def withdraw(self, attempt: Attempt) -> None:
         self.events.append(("withdraw", attempt))
 
@@ -319,7 +326,7 @@
 def test_a_lost_host_releases_its_tasks_and_keeps_those_of_its_next_incarnation() -> None:
     harness = harness_with_placed_task()
     machine = harness.offers()[0].machine
-    assert harness.tasks.host_lost(machine, "restarted", before=harness.loop.now() - 1000.0) == 0
+    assert harness.tasks.host_lost(machine, "restarted", ListedStart(harness.loop.now() - 1000.0)) == 0
     assert harness.tasks.host_lost(machine, "silent") == 1 and harness.events[-1] == ("release", SID, 41)
     assert harness.tasks.host_lost(machine, "silent") == 0
 
