Node: an address has one holder, the process that started last by the list

Callers saw: owners were told of the end of tasks that ran on, and nothing connected to their host any more, after an entry of the id that had the address before had come once more. Cause: an address belonged to whichever entry came last, not to the process that started last. Change: address_holders keeps what each listed id claims; the latest listed start holds, then the id that was named last for the first time. Ids without their address count as gone, for the scheduler too, and are back once they hold it again.

--- a/sprucepost/node/bulletin.py
+++ b/sprucepost/node/bulletin.py
@@ -5,6 +5,8 @@
 shows that an event is missing, and the whole list is requested again. Events before one that cannot be applied count,
 since they are sent only once.
 
+A host whose address another one holds (:mod:`sprucepost.node.address_holders`) counts as gone, whatever its entry says.
+
 An event with a whole list overrides the events before it. A document with fifty whole lists of a thousand hosts is 9 MB,
 so overridden lists are dropped while the document is parsed.
 """
@@ -14,14 +16,13 @@
 import ipaddress
 import json
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, TypeGuard
 
 from sprucepost import interface as i
+from sprucepost.node.address_holders import Address, AddressHolders
 from sprucepost.node.framing import Malformed, is_encodable
 
-Address = tuple[str, int]
-
 STATES = {"SERVING": i.MachineState.READY, "DRAINING": i.MachineState.DRAINING, "DELETED": i.MachineState.GONE}
 
 
@@ -70,7 +71,9 @@
         self._zones = {name: n for n, name in enumerate(zones)}
         self._kinds = {kind.name: n for n, kind in enumerate(kinds)}
         self.last_number = 0  # the number of the last event applied
-        self.entries: dict[str, i.MachineEntry] = {}  # by host; without those that have gone
+        self.entries: dict[str, i.MachineEntry] = {}  # by host; without those that have gone or lost their address
+        self._holders = AddressHolders()
+        self._displaced: dict[str, tuple[i.MachineEntry, Address]] = {}  # listed at an address that another host holds
 
     def apply_json(self, data: bytes | str) -> ListUpdate | None:
         """Apply a document; None where it holds nothing new. Raises Malformed where it cannot be read."""
@@ -86,6 +89,7 @@
             raise Malformed("no list of events")
         changed: dict[str, i.MachineEntry] = {}
         addresses: dict[str, Address] = {}
+        added: set[str] = set()
         faults: list[str] = []
         full = applied = False
         stop_reason = ""
@@ -106,31 +110,64 @@
                 self.last_number = 0  # the events between are missing; event 1 is a whole list
                 break
             if is_full:
-                full, changed, addresses = True, {}, {}
+                full, changed, addresses, added = True, {}, {}, set()
                 self.entries = {}
+                self._holders.begin_whole_list()
             for raw in listed:
                 try:
                     entry, address = self._entry(raw)
                 except ValueError as error:
                     faults.append(f"event {number}: {error}")
                     continue
+                if entry.machine not in self.entries and entry.machine not in changed:
+                    added.add(entry.machine)
                 changed[entry.machine] = entry
-                if address is not None:
-                    addresses[entry.machine] = address
-                if entry.state is i.MachineState.GONE:
+                if address is None:
                     self.entries.pop(entry.machine, None)
+                    self._holders.remove(entry.machine)
                 else:
+                    addresses[entry.machine] = address
                     self.entries[entry.machine] = entry
+                    self._holders.add(entry.machine, address, entry.started)
             self.last_number = number
             applied = True
         if stop_reason and not applied:
             raise Malformed(stop_reason)
         if stop_reason:
             faults.append(stop_reason)
+        self._drop_displaced(changed, addresses, added)
         if not changed and not full and not faults:
             return None
         kind = i.ListKind.FULL if full else i.ListKind.DELTA
-        return ListUpdate(i.MachineList(kind, tuple(changed.values())), addresses, tuple(faults))
+        # A host that takes an address comes before the one that has left it: its connections may be handed on.
+        entries = sorted(changed.values(), key=lambda entry: entry.state is i.MachineState.GONE)
+        return ListUpdate(i.MachineList(kind, tuple(entries)), addresses, tuple(faults))
+
+    def _drop_displaced(
+        self, changed: dict[str, i.MachineEntry], addresses: dict[str, Address], added: set[str]
+    ) -> None:
+        """Have the hosts whose address another one holds leave the list, and bring back those that hold theirs again.
+
+        ``added`` were not on the list before.
+        """
+        for uid, (entry, address) in list(self._displaced.items()):
+            if uid in changed or not self._holders.is_listed(uid):
+                del self._displaced[uid]
+            elif uid not in self._holders.displaced(address):
+                del self._displaced[uid]
+                self.entries[uid] = changed[uid] = entry
+                addresses[uid] = address
+        displaced = [uid for address in set(addresses.values()) for uid in self._holders.displaced(address)]
+        for uid in displaced:
+            known = self.entries.pop(uid, None)
+            if known is None:
+                continue
+            self._displaced[uid] = known, self._holders.address_of(uid)
+            addresses.pop(uid, None)
+            if uid in added:
+                del changed[uid]
+            else:
+                changed[uid] = replace(known, state=i.MachineState.GONE)
 
     def _start(self, items: list[Any]) -> int:
         """The index of the last new whole list among the events; 0 where there is none."""
--- a/sprucepost/node/config.py
+++ b/sprucepost/node/config.py
@@ -11,7 +11,8 @@
 from sprucepost import interface as i
 from sprucepost.adapter import report_fields, settings_from
 from sprucepost.loop import is_local_shortage
-from sprucepost.node.bulletin import Address, address_of, parse
+from sprucepost.node.address_holders import Address
+from sprucepost.node.bulletin import address_of, parse
 
 MAX_FILE_BYTES = 16 * 1024 * 1024
 
--- a/sprucepost/node/feed.py
+++ b/sprucepost/node/feed.py
@@ -15,7 +15,8 @@
 
 from sprucepost.backoff import exponential_backoff
 from sprucepost.loop import Closed, Co, Loop, Queue, Scope, Task, TimedOut, Transport, connect, current, sleep, within
-from sprucepost.node.bulletin import Address, Bulletin, ListUpdate
+from sprucepost.node.address_holders import Address
+from sprucepost.node.bulletin import Bulletin, ListUpdate
 from sprucepost.node.framing import Malformed
 
 LONG_POLL_MS = 1000.0  # how long the bulletin may hold a request; a silent bulletin is noticed soon after
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -5,8 +5,8 @@
 from collections import deque
 
 from sprucepost.loop import Timer, Transport
+from sprucepost.node.address_holders import Address
 from sprucepost.node.attempt import Attempt
-from sprucepost.node.bulletin import Address
 from sprucepost.node.jsonl import Decoder
 from sprucepost.node.process_identity import ProcessConnection
 
--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -5,7 +5,8 @@
 from typing import Protocol
 
 from sprucepost import interface as i
-from sprucepost.node.bulletin import Address, ListUpdate
+from sprucepost.node.address_holders import Address
+from sprucepost.node.bulletin import ListUpdate
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.log import Log
 from sprucepost.node.process_identity import ListedStart, ProcessEnd
@@ -43,10 +44,6 @@
 
     def apply(self, update: ListUpdate) -> None:
         """Apply a change of the list, before the decision module acts on it."""
-        if update.list.kind is not i.ListKind.DELTA:
-            listed = {entry.machine for entry in update.list.entries}
-            for uid in sorted(self.hosts.keys() - listed):
-                self._mark_gone(self.hosts[uid])
         for entry in update.list.entries:
             host, address = self.hosts.get(entry.machine), update.addresses.get(entry.machine)
             if entry.state is i.MachineState.GONE:
@@ -67,6 +64,10 @@
             self._tasks.set_closed(entry.machine, not ready)
             if not ready:
                 self._connections.end_waiting(host)
+        if update.list.kind is not i.ListKind.DELTA:
+            listed = {entry.machine for entry in update.list.entries}
+            for uid in sorted(self.hosts.keys() - listed):
+                self._mark_gone(self.hosts[uid])
 
     def _add(self, uid: str, address: Address, started: float) -> Host:
         """Add a host. Those that had its id or its address before are replaced."""
