Node: a hand-over that contradicts what is known ends no connection

Callers saw: an owner that handed over tasks under the id of the process that really runs them had its connection ended as malformed, with all that was open on it. One that handed over tasks at a host that the list had only later had its connection ended after 1.5 s, and then nobody could be told of their end. Cause: any repeated id counted as an error of the client; a task at a host that is not listed kept no connection, also once it was listed; a host's word was looked up under the id that the list has. Change: a hand-over of a placed task moves it to the host that it names, or is kept until the list has that host, and proves which process the connection leads to; one of an open set-up is kept until that has its outcome, and no host is told to end what its owner has handed over there. A release counts for a task whose host is not listed yet. Connections are kept once the host is listed. Each has a line, handover_kept or found, with its reason.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -18,7 +18,7 @@
     ADMITTED = "taken"
     HOST_UNKNOWN = "unlisted"  # admitted, but its ``at`` names a host that has not been in any list
     CANCELLED = "unwanted"  # its owner cancelled it before it was read
-    DUPLICATE_ID = "repeated"  # its id belongs to another task
+    DUPLICATE_ID = "repeated"  # its id belongs to another task, and it hands none over
     OVER_SHARE = "over_share"  # its client has handed over as many tasks as are kept for one client
 
 
@@ -80,8 +80,8 @@
         """Return whether the host is to blame that the offer was not written; if not, this machine or its owner is."""
         ...
 
-    def withdraw(self, attempt: Attempt) -> None:
-        """Withdraw the offer at its host if it was written, else drop it."""
+    def withdraw(self, attempt: Attempt, tell_host: bool = True) -> None:
+        """Withdraw the offer at its host if it was written, else drop it; without ``tell_host`` the host keeps the task."""
         ...
 
     def withdraw_unsent(self, services: set[str]) -> None:
@@ -96,6 +96,10 @@
         """Take over a task that runs there, and cancel a pending :meth:`end_task`; False if the host is not listed."""
         ...
 
+    def is_listed(self, machine: str) -> bool:
+        """Return whether the host is on the list, or has left it and still matters."""
+        ...
+
 
 class ConnectedHost(Protocol):
     """The host to which a connection leads."""
@@ -120,12 +124,21 @@
     noted: bool  # whether the host had sent a note on the task, so it had accepted it
 
 
+@dataclass(frozen=True)
+class HandOver:
+    """A set-up with ``at``, and the connection that brought it."""
+
+    setup: SetUp
+    owner: OwnerPort
+
+
 class TaskState:
     """State that the node keeps with a task's ledger entry."""
 
     __slots__ = (
         "attempt",
         "handed_over_by",
+        "handover",
         "keeps_connection",
         "may_run_since",
         "owner",
@@ -140,6 +153,7 @@
         self.attempt: Attempt | None = None
         self.handed_over_by: OwnerPort | None = None  # the client in whose share of such tasks it counts
         self.process: TaskProcess | None = None  # the process that runs it, once it is placed
+        self.handover: HandOver | None = None  # of the same task, read while its set-up was open
         self.keeps_connection = False  # whether the owner's connection is kept open for the release
         self.queued = False  # whether the scheduler has not been told of the task yet
         self.withdrawals: dict[str, Withdrawal] = {}  # the latest attempt withdrawn on timeout, by host
--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -111,6 +111,24 @@
             if (record := self.get(sid, now, host)) is not None and record.message is message
         ]
 
+    def release_of(self, sid: str, now: float, host: str | None) -> Line | None:
+        """Return the message in which that host, or where it is None any host, has released a task that was not known."""
+        hosts = [host] if host is not None else list(self._records.get(sid, {}))
+        records = [self.get(sid, now, each) for each in hosts]
+        return next((record.line for record in records if record is not None and record.line is not None), None)
+
+    def ended_since(self, sid: str, since: float) -> bool:
+        """Return whether the task has ended at any host since that time."""
+        records = self._records.get(sid, {}).values()
+        return any(record.message is EarlyMessage.TASK_ENDED and record.at >= since for record in records)
+
+    def copy_ends(self, host: str, replacement: str) -> None:
+        """Have what is recorded of the ends of tasks at a host count for the one that has taken its place."""
+        for by_host in self._records.values():
+            record = by_host.get(host)
+            if record is not None and record.message in (EarlyMessage.TASK_ENDED, EarlyMessage.RELEASED_BY_HOST):
+                by_host.setdefault(replacement, record)
+
     def expire(self, now: float) -> None:
         """Drop the tasks of which all records have expired."""
         for sid, by_host in list(self._records.items()):
--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -79,6 +79,7 @@
         self.hosts[uid] = self._by_address[address] = host
         for other in replaced:
             self._replace(other, host)
+        self._tasks.host_listed(uid)
         return host
 
     def _replace(self, other: Host, host: Host) -> None:
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -157,9 +157,12 @@
         host = self.hosts.get(attempt.machine)
         return not (attempt.held_back or (attempt.link is None and host is not None and host.dial_failed_locally))
 
-    def withdraw(self, attempt: Attempt) -> None:
+    def withdraw(self, attempt: Attempt, tell_host: bool = True) -> None:
         """Withdraw the offer. Where it was written, the host gets a close, and the connection takes no other set-up. Where
-        the host cannot have read all of it and nothing else is open there, the connection ends at once."""
+        the host cannot have read all of it and nothing else is open there, the connection ends at once.
+
+        Without ``tell_host`` it gets no close: it keeps the task.
+        """
         host = self.hosts.get(attempt.machine)
         if host is not None and attempt in host.waiting:
             host.waiting.remove(attempt)
@@ -168,6 +171,10 @@
             return
         host = link.host
         del link.open[attempt.sid]
+        if not tell_host:
+            link.retired = True
+            self._end_if_retired(host, link)
+            return
         link.withdrawn.add(attempt.sid)
         if not self.was_sent(attempt) and not link.open:
             self.end(host, link, "unsent")
@@ -201,6 +208,10 @@
             host.pending_releases.pop(sid, None)
         return host is not None
 
+    def is_listed(self, machine: str) -> bool:
+        """Return whether the host is on the list, or has left it and still matters."""
+        return machine in self.hosts
+
     def withdraw_unsent(self, services: set[str]) -> None:
         """End the waiting offers of these services: they were decided before running tasks of the services were known."""
         for host in self.hosts.values():
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -34,6 +34,7 @@
         self._loop, self._driver, self._ledger, self._early_messages = loop, driver, ledger, early_messages
         self._handed_over, self._counters, self._owners, self._trace = handed_over, counters, owners, trace
         self.by_host: dict[str, dict[str, Entry]] = {}  # by host and task id
+        self._named: dict[str, dict[str, Entry]] = {}  # by the host at which they were handed over, until it is listed
 
     def find(self, machine: str, sid: str) -> Entry | None:
         """Return the task if it is placed at that host."""
@@ -49,6 +50,37 @@
         entry.ask.owner, entry.ask.keeps_connection = owner, True
         owner.add_placed_task()
 
+    def change_owner(self, entry: Entry, owner: OwnerPort) -> None:
+        """Have the owner told on that connection, which has handed the task over, where the one before is closed."""
+        if not entry.ask.keeps_connection:
+            return
+        if entry.ask.owner.closed:
+            entry.ask.owner.remove_placed_task()
+            self.keep_connection(entry, owner)
+
+    def name_host(self, entry: Entry, host: str, is_listed: bool) -> None:
+        """Take in that an owner has handed the task over at another host than the one at which it is placed."""
+        if is_listed:
+            self.move(entry, host, f"handed over there, placed at {entry.machine}")
+            return
+        process: TaskProcess = entry.ask.process
+        self._forget_named(entry)
+        process.named_uid = host
+        if process.connection is not None:
+            process.connection.named_uid = host
+        self._named.setdefault(host, {})[entry.name] = entry
+        self._counters["handovers_kept"] += 1
+        self._trace(entry.name, "handover_kept", host=host, why=f"not listed, placed at {entry.machine}")
+
+    def host_listed(self, host: str) -> None:
+        """Place the tasks at a host that is listed now and at which owners have handed them over; keep their connections."""
+        for entry in self._named.pop(host, {}).values():
+            if entry.machine != host and self.find(entry.machine, entry.name) is entry:
+                self.move(entry, host, f"handed over there, placed at {entry.machine}")
+        for entry in self.by_host.get(host, {}).values():
+            if not entry.ask.keeps_connection:
+                self.keep_connection(entry, entry.ask.owner)
+
     def lose(self, machine: str, why: str, end: ProcessEnd | NeverListed | None = None) -> int:
         """End the tasks of a host that is presumed lost, and return their number.
 
@@ -87,6 +119,12 @@
         if not at_host:
             del self.by_host[entry.machine]
 
+    def _forget_named(self, entry: Entry) -> None:
+        host = entry.ask.process.named_uid
+        named = self._named.get(host, {})
+        if named.pop(entry.name, None) is not None and not named:
+            del self._named[host]
+
     def end(
         self,
         entry: Entry,
@@ -99,6 +137,7 @@
     ) -> None:
         """End a placed task; its owner is sent a release with ``cause``, unless that is None."""
         self._remove(entry)
+        self._forget_named(entry)
         self._ledger.end(entry)
         self._early_messages.record(entry.name, early_message, self._loop.now(), entry.machine)
         self._counters[f"over_{ending.value}"] += 1
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -6,6 +6,9 @@
 (none)    set-up                             queued; ``TaskRequest`` once the tasks that are placed     waiting
                                              have been reported
 (none)    set-up with ``at``                 ``TaskFound``; nothing is answered                         placed
+open      set-up with ``at``                 kept until the set-up has its outcome                       open
+placed    set-up with ``at`` of another      ``Outcome`` cancelled, ``TaskFound`` at that host; where    placed
+          host                               that is not listed, once it is
 (none)    set-up with ``at`` of a client     the owner is told that it is refused: it keeps the task,   (ended)
           that has handed over its share     and may hand it over to another placer
 (none)    set-up with an early message       see ``early_messages``                                     (ended)
@@ -71,7 +74,16 @@
 from sprucepost import interface as i
 from sprucepost.loop import Loop
 from sprucepost.node import parsing, releases
-from sprucepost.node.attempt import Attempt, HostsPort, OwnerPort, OwnersPort, SetUpResult, TaskState, Withdrawal
+from sprucepost.node.attempt import (
+    Attempt,
+    HandOver,
+    HostsPort,
+    OwnerPort,
+    OwnersPort,
+    SetUpResult,
+    TaskState,
+    Withdrawal,
+)
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.fair_queue import FairQueue
@@ -154,11 +166,9 @@
         """Admit a new task, or one that a host runs already; ``waited_ms`` is how long the set-up lay unread."""
         entry = self.ledger.current(setup.sid)
         if entry is not None:
-            if not setup.current_host or entry.outcome is not Outcome.PLACED or entry.machine != setup.current_host:
+            if not setup.current_host:
                 return SetUpResult.DUPLICATE_ID
-            if entry.ask.keeps_connection and entry.ask.owner.closed:  # reported again on another connection
-                entry.ask.owner.remove_placed_task()
-                self._placed.keep_connection(entry, owner)
+            self._hand_over_known(entry, HandOver(setup, owner))
             return SetUpResult.ADMITTED
         now = self.loop.now()
         if setup.current_host and self._has_ended_at_host(setup, now):
@@ -188,12 +198,37 @@
         self._driver.schedule_batch()
         return SetUpResult.ADMITTED
 
+    def _hand_over_known(self, entry: Entry, handover: HandOver) -> None:
+        """Handle a hand-over of a task that is open or placed here. Its owner knows best which host has it."""
+        host = handover.setup.current_host
+        if entry.outcome is Outcome.OPEN:
+            entry.ask.handover = handover  # until the set-up has its outcome
+            self.counters["handovers_kept"] += 1
+            self.trace(entry.name, "handover_kept", host=host, why="its set-up is open")
+            return
+        self._placed.change_owner(entry, handover.owner)
+        if entry.machine != host:
+            self._placed.name_host(entry, host, self.hosts.is_listed(host))
+
+    def _take_kept_handover(self, entry: Entry) -> None:
+        """Handle the hand-over that was read while the set-up was open, now that it has its outcome."""
+        handover: HandOver | None = entry.ask.handover
+        if handover is None:
+            return
+        entry.ask.handover = None
+        if entry.outcome is Outcome.PLACED:
+            self._hand_over_known(entry, handover)
+        elif not handover.owner.closed:
+            self.admit(handover.setup, handover.owner, 0.0)
+
     def _has_ended_at_host(self, setup: SetUp, now: float) -> bool:
         """Whether the task has ended at the host that the set-up names, so that its owner has been sent the release.
 
         A presumed end counts only while the set-up may have crossed the release. One that comes later tells that the task
         runs there, and its owner knows better.
         """
+        if self.early_messages.ended_since(setup.sid, now - RELEASE_CROSSING_MS):  # at that host, under another id
+            return True
         record = self.early_messages.get(setup.sid, now, setup.current_host)
         if record is None or record.message is EarlyMessage.RELEASED_BY_HOST:
             return False
@@ -212,14 +247,14 @@
         self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
         self._found_services.add(setup.service)
         self._waits_for_reports |= not owner.is_flooding
-        known = self.early_messages.get(setup.sid, now, host)
         self.owners.cancel_release(setup.sid)
-        if not self.hosts.adopt(host, setup.sid):
-            return SetUpResult.HOST_UNKNOWN
-        self._placed.keep_connection(entry, owner)
-        if known is not None and known.line is not None:
-            self.handle_message(host, known.line)
-        return SetUpResult.ADMITTED
+        is_listed = self.hosts.adopt(host, setup.sid)
+        if is_listed:
+            self._placed.keep_connection(entry, owner)
+        release = self.early_messages.release_of(setup.sid, now, host if is_listed else None)
+        if release is not None:
+            self._handle_message_for_placed(entry, release, None)
+        return SetUpResult.ADMITTED if is_listed else SetUpResult.HOST_UNKNOWN
 
     def _submit_new_tasks(self) -> None:
         """Submit new tasks to the scheduler ahead of a batch, once it knows of the tasks that are placed.
@@ -373,15 +408,23 @@
     def _settle(self, entry: Entry, outcome: Outcome) -> None:
         self.ledger.settle(entry, outcome, self.loop.now())
         entry.ask.setup = replace(entry.ask.setup, description="")  # it is offered to no host again
+        if entry.ask.handover is not None:
+            self.loop.call_soon(lambda: self._take_kept_handover(entry))
         self.on_settled()
 
     def _withdraw(self, entry: Entry) -> None:
         """Withdraw the open attempt of a task that is settled, if there is one."""
         attempt: Attempt | None = entry.ask.attempt
         if attempt is not None:
-            self.hosts.withdraw(attempt)
+            self.hosts.withdraw(attempt, tell_host=not self._is_handed_over_at(attempt))
             self.end_attempt(attempt, i.Ending.CANCELLED)
 
+    @staticmethod
+    def _is_handed_over_at(attempt: Attempt) -> bool:
+        """Return whether the owner has handed the task over at the host that has the attempt: it runs there."""
+        handover: HandOver | None = attempt.entry.ask.handover
+        return handover is not None and handover.setup.current_host == attempt.host
+
     def _offer(self, entry: Entry, action: i.Offer) -> None:
         now = self.loop.now()
         attempt = Attempt(entry, entry.attempts, action.machine, now, now + action.timeout)
@@ -426,6 +469,9 @@
     def _expire(self, attempt: Attempt) -> None:
         if attempt.entry.ask.attempt is not attempt:
             return
+        if self._is_handed_over_at(attempt):
+            self._fail(attempt.entry, "handed over at that host, whose answer has not come")
+            return
         was_sent = self.hosts.was_sent(attempt)
         if was_sent:
             attempt.entry.ask.withdrawals[attempt.host] = Withdrawal(self.loop.now(), attempt.noted)
@@ -514,10 +560,14 @@
 
     def handle_message(self, machine: str, line: Line, connection: ProcessConnection | None = None) -> None:
         """Handle a host's message about a task on a connection without an open set-up of that task."""
-        entry = self._placed.find(machine, line.sid)
+        entry = self._placed.find(machine, line.sid) or self._find_by_connection(line.sid, connection)
         if entry is None:
             self._handle_message_for_unplaced(machine, line)
-        elif line.type is MessageType.EVENT:
+        else:
+            self._handle_message_for_placed(entry, line, connection)
+
+    def _handle_message_for_placed(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
+        if line.type is MessageType.EVENT:
             entry.ask.process.connection = connection or entry.ask.process.connection
             kind, value = parsing.NOTES.get(line.attrs.get("note", "")), parsing.parse_number(line.attrs.get("value"))
             if kind is not None and value is not None:
@@ -530,6 +580,16 @@
         else:
             self.counters["late_words"] += 1
 
+    def _find_by_connection(self, sid: str, connection: ProcessConnection | None) -> Entry | None:
+        """Return a task that is placed under another id than that of the host which reports on it, but runs there: it was
+        accepted on that connection, or the host at which its owner has handed it over is not listed yet."""
+        entry = self.ledger.current(sid)
+        if entry is None or connection is None or entry.outcome is not Outcome.PLACED:
+            return None
+        if entry.ask.process.connection is connection or not self.hosts.is_listed(entry.machine):
+            return entry
+        return None
+
     def _handle_message_for_unplaced(self, machine: str, line: Line) -> None:
         """Handle a message about a task that is not known to be placed at that host."""
         entry = self.ledger.current(line.sid)
@@ -590,13 +650,22 @@
         return self._placed.lose(machine, why, end)
 
     def move_to_replacement(self, machine: str, replacement: str) -> int:
-        """Account for a host's tasks under the id of the one that has taken its place and runs them; return their number."""
-        return self._placed.move_all(machine, replacement)
+        """Account for a host's tasks under the id of the one that has taken its place and runs them; return their number.
+
+        What is recorded of other tasks there is recorded for the replacement as well.
+        """
+        number = self._placed.move_all(machine, replacement)
+        self.early_messages.copy_ends(machine, replacement)
+        return number
 
     def set_closed(self, machine: str, closed: bool) -> None:
         """Exclude the host from new tasks, or include it again."""
         (self.closed_hosts.add if closed else self.closed_hosts.discard)(machine)
 
+    def host_listed(self, machine: str) -> None:
+        """Place the tasks at a host that is listed now, and that their owners have named before."""
+        self._placed.host_listed(machine)
+
     def expire_records(self) -> None:
         """Drop refused and failed tasks, and early messages, that no message can concern any more."""
         now = self.loop.now()
--- a/tests/node/message_schedules.py
+++ b/tests/node/message_schedules.py
@@ -87,7 +87,7 @@
     def _copy(self, attempt: Attempt) -> Copy:
         return self.copies.setdefault(attempt, Copy(attempt))
 
-    def _on_withdraw(self, attempt: Attempt) -> None:
+    def _on_withdraw(self, attempt: Attempt, tell_host: bool = True) -> None:
         """Handle a withdrawal by the placer: the host reads it later, and the set-up is no longer open on its connection."""
         copy = self._copy(attempt)
         copy.withdrawn_at = self.withdrawn_at[attempt.sid, attempt.machine] = self.loop.time
--- a/tests/node/test_replaced_processes.py
+++ b/tests/node/test_replaced_processes.py
@@ -9,6 +9,7 @@
 
 from sprucepost.loop import Co
 from sprucepost.node.binary import Kind
+from tests.node.virtual import host_address
 from tests.node.virtual_platform import OwnerConnection, Process, VirtualPlatform, run_on_virtual_platform
 
 LIST_DELAY_MS = 1000.0  # from a start to its entry in the list
@@ -310,3 +311,52 @@
 def test_a_hand_over_that_contradicts_what_is_known_ends_no_connection(tmp_path: Path) -> None:
     plays = {when: hand_over_under_new_id(when) for when in ("before the list tells", "after the list has told")}
     assert failures(tmp_path, plays) == []
+
+
+def hand_over_before_host_is_listed(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """A process at another address has tasks, and their owners hand them over before the list has it."""
+    old, owners = start(platform, variant)
+    new, tasks = platform.start_process("s-7", host_address(1)), sids(0)
+    run_all(platform, new, owners, tasks)
+    yield from replace(platform, old, variant)
+    hand_over(platform, owners, tasks, at=new.uid)
+    yield from platform.run(LIST_DELAY_MS)
+    platform.be_late(variant.late_ms)
+    platform.tell(new.entry())
+    yield from platform.run(9000.0)
+    if any(owner.sock.ended for owner in owners):
+        raise PlayFailure("the connection that handed over has been ended")
+    check_standing(new, owners, tasks)
+    yield from check_ends_are_told(platform, new, owners, tasks)
+
+
+# Guards against an owner's connection that is ended although a task stands which it has handed over: nothing is left to tell
+# the end on.
+def test_the_connection_of_a_hand_over_at_a_host_that_is_listed_later_is_kept(tmp_path: Path) -> None:
+    assert failures(tmp_path, {"handed over, not listed": hand_over_before_host_is_listed}) == []
+
+
+def set_up_while_listed(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """Set-ups are open at a new process when the list tells of it."""
+    old, owners = start(platform, variant)
+    yield from platform.run(100.0)
+    processes = yield from replace(platform, old, variant)
+    new, tasks = processes[-1], sids(0)
+    new.accept_ms = 100.0
+    for owner in owners:
+        owner.submit(*tasks_of(owner, tasks))
+    while len(new.answers_due) < TASKS * len(owners):
+        yield from platform.run(5.0)
+    tell_of(platform, processes)
+    yield from platform.run(1000.0)
+    check_standing(new, owners, tasks)
+    again = {sid: number for sid, number in platform.offers.items() if number > 1}
+    if again:
+        raise PlayFailure(f"set up more than once: {again}")
+    yield from check_ends_are_told(platform, new, owners, tasks)
+
+
+# Guards against set-ups that are made twice, since their connections are reset when the list tells of the process to which
+# they lead.
+def test_set_ups_at_a_new_process_go_on_when_it_is_listed(tmp_path: Path) -> None:
+    assert failures(tmp_path, {"set up while listed": set_up_while_listed}) == []
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -47,6 +47,7 @@
         self.tasks.owners = self.tasks.hosts = self
         self.driver, self.events, self.disconnected, self.closed = driver, [], False, False
         self.placed_count, self.written = 0, set[Attempt]()
+        self.listed = {"m0", "m1"}
         handle = driver.scheduler.handle
         self.scheduler_events: list[Any] = []  # events passed to the scheduler
         driver.scheduler.handle = lambda now, events: self.scheduler_events.extend(events) or handle(now, events)  # type: ignore[method-assign, func-returns-value]
@@ -108,14 +109,17 @@
         """A connection that comes up now."""
         return SimpleNamespace(process=ProcessConnection(self.loop.now()), host=SimpleNamespace(uid=machine))
 
-    def withdraw(self, attempt: Attempt) -> None:
-        self.events.append(("withdraw", attempt))
+    def withdraw(self, attempt: Attempt, tell_host: bool = True) -> None:
+        self.events.append(("withdraw", attempt, tell_host))
 
     def end_task(self, machine: str, sid: str) -> None:
         self.events.append(("end task", machine, sid))
 
     def adopt(self, machine: str, sid: str) -> bool:
-        return True
+        return self.is_listed(machine)
+
+    def is_listed(self, machine: str) -> bool:
+        return machine in self.listed
 
     # Input
     def submit(self, sid: str = SID, **changes: Any) -> None:
@@ -298,6 +302,55 @@
     assert harness.events == [("release", SID, 16)]
 
 
+# Guards against an owner that is told nothing, or whose set-up is made twice, since it has handed over a task that is open.
+@pytest.mark.parametrize("at", ["the host of the attempt", "another host"])
+@pytest.mark.parametrize("then", ["answer", "refusal", "owner leaves", "timeout"])
+def test_a_hand_over_of_an_open_set_up_is_kept_until_it_has_its_outcome(at: str, then: str) -> None:
+    harness = TaskHarness()
+    harness.submit()
+    [attempt] = harness.offers()
+    host = attempt.machine if at == "the host of the attempt" else {"m0": "m1", "m1": "m0"}[attempt.machine]
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{host}")
+    assert harness.event_kinds() == ["open"] and harness.counters["handovers_kept"] == 1
+    if then == "answer":
+        harness.send_from_host(MessageType.READY, text="made")
+    elif then == "refusal":
+        harness.tasks.fail_open([SID], "refused")
+    elif then == "owner leaves":
+        harness.tasks.owner_disconnected([SID])
+    else:
+        harness.loop.pass_ms(attempt.deadline - attempt.offered_at + 1.0)
+        if at == "another host":  # it is offered once more
+            harness.tasks.owner_disconnected([SID])
+    harness.loop.pass_ms(5.0)
+    assert list(harness.tasks.placed) == [host] and harness.placed_count == 1
+    withdrawn = [event[1].machine for event in harness.events if event[0] == "withdraw" and event[2]]
+    assert host not in withdrawn, "the host is not told to end what it runs for its owner"
+    harness.tasks.handle_message(host, Line(MessageType.CLOSE, SID, {}, 16))
+    assert harness.events[-1] == ("release", SID, 16) and not harness.tasks.placed
+
+
+# Guards against the end of a task that its host reports under another id than that at which its owner has handed it over.
+@pytest.mark.parametrize("order", ["release first", "hand-over first"])
+def test_the_end_of_a_task_at_a_host_that_is_not_listed_yet_is_told(order: str) -> None:
+    harness = TaskHarness()
+    line, connection = Line(MessageType.CLOSE, SID, {}, 16), harness.connection("m0").process
+    if order == "release first":
+        harness.tasks.handle_message("m0", line, connection)
+    harness.tasks.admit(parse_set_up(FIGURES="cores:1;memory:2;service:s;at:m9"), harness, 0.0)
+    if order == "hand-over first":
+        harness.tasks.handle_message("m0", line, connection)
+    assert harness.events == [("release", SID, 16)] and not harness.tasks.placed
+
+
+# Guards against a hand-over that crosses the release of its task and names the new id of the host.
+def test_a_hand_over_at_a_new_id_that_crosses_the_release_places_nothing() -> None:
+    harness = harness_with_placed_task()
+    harness.tasks.handle_message(harness.offers()[0].machine, Line(MessageType.CLOSE, SID, {}, 16))
+    harness.submit(FIGURES="cores:1;memory:2;service:s;at:m9")
+    assert not harness.tasks.placed and harness.event_kinds().count("release") == 1
+
+
 def test_an_id_in_use_is_not_admitted_twice() -> None:
     harness = TaskHarness()
     harness.submit()
--- a/tests/node/virtual_platform.py
+++ b/tests/node/virtual_platform.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -86,6 +87,7 @@
         self.processes: list[Process] = []
         self.owners: list[OwnerConnection] = []
         self.events: list[dict[str, Any]] = []
+        self.offers: Counter[str] = Counter()  # set-ups that hosts have received, by task
         self.on_started: Callable[[Process, str], None] = lambda process, sid: None
         self.on_ended: Callable[[Process, str], None] = lambda process, sid: None
         self._dials_seen = 0
@@ -200,6 +202,7 @@
 
     def _take_line(self, process: Process, sock: VirtualSock, line: jsonl.Line) -> None:
         if line.type is MessageType.OPEN:
+            self.offers[line.sid] += 1
             process.answers_due[line.sid] = (self.loop.time + process.accept_ms, sock)
         elif line.type is MessageType.PROBE:
             sock.inbox.append(jsonl.encode(MessageType.PROBED, line.sid, code=1))
