Schedules of addresses that change hands, and what they have found

Change: an age (start, order) for each process in address_holders, kept by hosts; FirstListing as evidence; the deadline in connection_states. test_tasks_at_an_unlisted_host scales the second deadline as it does the first.

--- a/sprucepost/node/bulletin.py
+++ b/sprucepost/node/bulletin.py
@@ -20,7 +20,7 @@
 from typing import Any, TypeGuard
 
 from sprucepost import interface as i
-from sprucepost.node.address_holders import Address, AddressHolders
+from sprucepost.node.address_holders import Address, AddressHolders, Age
 from sprucepost.node.framing import Malformed, is_encodable
 
 STATES = {"SERVING": i.MachineState.READY, "DRAINING": i.MachineState.DRAINING, "DELETED": i.MachineState.GONE}
@@ -28,11 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ListUpdate:
-    """What a document has changed: the list for the decision module, the hosts' addresses, and one text for each event or
-    entry that could not be read."""
+    """What a document has changed: the list for the decision module, the hosts' addresses and ages, and one text for each
+    event or entry that could not be read."""
 
     list: i.MachineList
     addresses: dict[str, Address]
+    ages: dict[str, Age]  # of the hosts that have an address
     faults: tuple[str, ...] = ()
 
 
@@ -119,11 +120,14 @@
                 except ValueError as error:
                     faults.append(f"event {number}: {error}")
                     continue
+                if address is not None and self._holders.is_outdated(entry.machine, entry.started):
+                    continue
                 if entry.machine not in self.entries and entry.machine not in changed:
                     added.add(entry.machine)
                 changed[entry.machine] = entry
                 if address is None:
                     self.entries.pop(entry.machine, None)
+                    addresses.pop(entry.machine, None)
                     self._holders.remove(entry.machine)
                 else:
                     addresses[entry.machine] = address
@@ -141,7 +145,8 @@
         kind = i.ListKind.FULL if full else i.ListKind.DELTA
         # A host that takes an address comes before the one that has left it: its connections may be handed on.
         entries = sorted(changed.values(), key=lambda entry: entry.state is i.MachineState.GONE)
-        return ListUpdate(i.MachineList(kind, tuple(entries)), addresses, tuple(faults))
+        ages = {uid: self._holders.age_of(uid) for uid in addresses}
+        return ListUpdate(i.MachineList(kind, tuple(entries)), addresses, ages, tuple(faults))
 
     def _drop_displaced(
         self, changed: dict[str, i.MachineEntry], addresses: dict[str, Address], added: set[str]
--- a/sprucepost/node/connection_states.py
+++ b/sprucepost/node/connection_states.py
@@ -14,7 +14,10 @@
                          other connection, and it does not
                          await anything
 unanswered               its messages have led to nothing that    ``REACTION_MS`` after the   open set-ups fail, and it is
-                         is sent to it                            first of them               closed
+                         is sent to it                            first of them, or           closed
+                                                                  ``FIRST_REACTION_MS`` if a
+                                                                  task was handed over at a
+                                                                  host that was not listed
 first message awaited    nothing has arrived                      ``REACTION_MS``             closed
 idle                     otherwise                                the idle timeout after its  closed
                                                                   last use; ``REACTION_MS``
@@ -69,6 +72,7 @@
     is_last_of_owner: bool  # its owner has placed tasks and no other connection to be told of their end on
     partial_since: float | None  # since when part of a message has been waiting for the rest
     unanswered_since: float | None  # when the first message came to which nothing was sent since
+    awaits_list: bool  # it has handed over a task at a host that was not listed, and may be listed soon
     brings_many_useless: bool  # lately, also set-ups that are taken back at once: there may always be one open
 
 
@@ -104,7 +108,8 @@
     if is_kept(facts):
         return Review(ConnectionState.KEPT, math.inf, EndReason.IDLE)
     if facts.unanswered_since is not None:
-        return Review(ConnectionState.UNANSWERED, facts.unanswered_since + REACTION_MS, EndReason.UNANSWERED)
+        limit_ms = FIRST_REACTION_MS if facts.awaits_list else REACTION_MS
+        return Review(ConnectionState.UNANSWERED, facts.unanswered_since + limit_ms, EndReason.UNANSWERED)
     if not facts.has_sent_message:
         return Review(ConnectionState.FIRST_MESSAGE_AWAITED, facts.used_at + REACTION_MS, EndReason.SILENT)
     if not facts.proven:
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -5,7 +5,7 @@
 from collections import deque
 
 from sprucepost.loop import Timer, Transport
-from sprucepost.node.address_holders import Address
+from sprucepost.node.address_holders import Address, Age
 from sprucepost.node.attempt import Attempt
 from sprucepost.node.jsonl import Decoder
 from sprucepost.node.process_identity import ProcessConnection
@@ -44,8 +44,8 @@
 class Host:
     """One host of the list. ``started`` is in Unix ms of the platform, other times are in ms of the loop's clock."""
 
-    def __init__(self, uid: str, address: Address, started: float) -> None:
-        self.uid, self.address, self.started = uid, address, started
+    def __init__(self, uid: str, address: Address, started: float, age: Age) -> None:
+        self.uid, self.address, self.started, self.age = uid, address, started, age
         self.links: list[HostLink] = []
         self.connections_opened = 0  # how many were established so far
         self.waiting: list[Attempt] = []  # offers for which a connection is being opened
--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -5,11 +5,11 @@
 from typing import Protocol
 
 from sprucepost import interface as i
-from sprucepost.node.address_holders import Address
+from sprucepost.node.address_holders import Address, Age
 from sprucepost.node.bulletin import ListUpdate
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.log import Log
-from sprucepost.node.process_identity import ListedStart, ProcessEnd
+from sprucepost.node.process_identity import FirstListing, ListedStart, ProcessEnd, TaskEnd
 from sprucepost.node.start_times import StartTimes
 from sprucepost.node.tasks import Tasks
 
@@ -36,7 +36,7 @@
     def __init__(self, tasks: Tasks, start_times: StartTimes, log: Log, connections: ConnectionsPort) -> None:
         self._tasks, self._start_times, self._log, self._connections = tasks, start_times, log, connections
         self.hosts: dict[str, Host] = {}
-        self._by_address: dict[Address, Host] = {}  # the same hosts by address
+        self._at_address: dict[Address, dict[Host, None]] = {}  # the same hosts
 
     def __contains__(self, host: Host) -> bool:
         """Whether the host has not been removed, or replaced by another one with its id."""
@@ -55,8 +55,9 @@
             if address is None:
                 continue
             if host is None or host.address != address:
-                host = self._add(entry.machine, address, entry.started)
+                host = self._add(entry.machine, address, entry.started, update.ages[entry.machine])
             host.gone = False
+            host.age = update.ages[entry.machine]
             if entry.started > host.started:
                 host.started = entry.started
                 self.process_gone(host, "restarted", ListedStart(self._start_times.to_loop_time(entry.started)))
@@ -69,17 +70,26 @@
             for uid in sorted(self.hosts.keys() - listed):
                 self._mark_gone(self.hosts[uid])
 
-    def _add(self, uid: str, address: Address, started: float) -> Host:
+    def _add(self, uid: str, address: Address, started: float, age: Age) -> Host:
         """Add a host. Those that had its id or its address before are replaced."""
-        host = Host(uid, address, started)
-        replaced = [other for other in (self.hosts.get(uid), self._by_address.get(address)) if other is not None]
+        host = Host(uid, address, started, age)
+        before = self.hosts.get(uid)
+        # One that has started later has left the list: nothing of its is handed on to one that was there before.
+        at_address = self._at_address.get(address, {})
+        replaced = [other for other in at_address if other.age < age and other is not before]
+        replaced += [before] if before is not None else []
         for other in replaced:
             other.gone = True
             self._drop(other)
-        self.hosts[uid] = self._by_address[address] = host
+        self.hosts[uid] = host
+        self._at_address.setdefault(address, {})[host] = None
         for other in replaced:
             self._replace(other, host)
-        self._tasks.host_listed(uid)
+        since = self._tasks.host_listed(uid)
+        if since is not None:
+            host.last_heard = since if host.last_heard == 0.0 else min(host.last_heard, since)
+        if started:
+            self.lose_tasks(host, "restarted", FirstListing(self._start_times.to_loop_time(started)))
         return host
 
     def _replace(self, other: Host, host: Host) -> None:
@@ -137,11 +147,13 @@
         if host not in self:
             return
         del self.hosts[host.uid]
-        if self._by_address.get(host.address) is host:
-            del self._by_address[host.address]
+        at_address = self._at_address[host.address]
+        at_address.pop(host, None)
+        if not at_address:
+            del self._at_address[host.address]
         self._tasks.set_closed(host.uid, False)
 
-    def lose_tasks(self, host: Host, why: str, end: ProcessEnd | None = None) -> int:
+    def lose_tasks(self, host: Host, why: str, end: TaskEnd | None = None) -> int:
         """Release the owners of the host's tasks, or of those that ran in a process which is gone; return their number."""
         number = self._tasks.host_lost(host.uid, why, end)
         if number:
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -64,6 +64,7 @@
         self.used = now  # time of the last admitted set-up or of the last write, in ms of the loop's clock
         self.partial_since: float | None = None  # since when an incomplete message has been buffered
         self.unanswered_since: float | None = None  # when the first message came to which nothing was sent since
+        self.awaits_list = False  # whether it has handed over a task at a host that was not listed
         self.unread_since: float | None = None  # since when input has been left unread without interruption
         self.late_bytes = 0  # read since this side closed it
         self.is_queued = False  # whether messages wait to be handled, so that it is not read
@@ -138,6 +139,7 @@
             is_last_of_owner,
             self.partial_since,
             self.unanswered_since,
+            self.awaits_list,
             self.useless_messages.are_many,
         )
 
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -384,6 +384,7 @@
             return False
         if result is SetUpResult.OVER_SHARE:
             link.refuse(message.task, CAUSE_REFUSED, 0.0)
+        link.awaits_list |= result is SetUpResult.HOST_UNKNOWN
         if result is not SetUpResult.ADMITTED:
             return False
         link.used, link.proven = self.loop.now(), True
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -10,7 +10,7 @@
 from sprucepost.node.attempt import OwnerPort, OwnersPort
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
-from sprucepost.node.process_identity import NeverListed, ProcessConnection, ProcessEnd, TaskProcess
+from sprucepost.node.process_identity import ProcessConnection, TaskEnd, TaskProcess
 from sprucepost.placing.ledger import Entry, Ledger
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
@@ -72,16 +72,23 @@
         self._counters["handovers_kept"] += 1
         self._trace(entry.name, "handover_kept", host=host, why=f"not listed, placed at {entry.machine}")
 
-    def host_listed(self, host: str) -> None:
-        """Place the tasks at a host that is listed now and at which owners have handed them over; keep their connections."""
+    def host_listed(self, host: str) -> float | None:
+        """Place the tasks at a host that is listed now and at which owners have handed them over; keep their connections.
+
+        Returns since when one has been there that its host has not been heard of, in ms of the loop's clock.
+        """
         for entry in self._named.pop(host, {}).values():
             if entry.machine != host and self.find(entry.machine, entry.name) is entry:
                 self.move(entry, host, f"handed over there, placed at {entry.machine}")
-        for entry in self.by_host.get(host, {}).values():
+        entries = self.by_host.get(host, {}).values()
+        for entry in entries:
             if not entry.ask.keeps_connection:
                 self.keep_connection(entry, entry.ask.owner)
+        return min(
+            (entry.ask.process.placed_at for entry in entries if entry.ask.process.connection is None), default=None
+        )
 
-    def lose(self, machine: str, why: str, end: ProcessEnd | NeverListed | None = None) -> int:
+    def lose(self, machine: str, why: str, end: TaskEnd | None = None) -> int:
         """End the tasks of a host that is presumed lost, and return their number.
 
         ``end``: only those that ran in a process which is gone by that evidence.
--- a/sprucepost/node/process_identity.py
+++ b/sprucepost/node/process_identity.py
@@ -25,6 +25,9 @@
                                                                      gone
 an owner hands a task over     the id that it names has the task: a  which process, where that id has had several: it is
                                process that the list has by then     taken for the one that the list has
+the list has an id for the     what was handed over there before     anything about what was handed over later
+first time, with a start       that start was at an earlier process
+                               of the id, which is gone
 no list has the id for 8 s     an owner was wrong, or the host is    that the task has ended
                                gone
 an owner names an id that is   the connection on which the task was  that the id has this address: the list tells
@@ -97,6 +100,17 @@
         return task.connection is None or self.ends_connection(task.connection)
 
 
+@dataclass(frozen=True, slots=True)
+class FirstListing:
+    """The list has an id for the first time, with the start of its process."""
+
+    started_at: float  # in ms of the loop's clock
+
+    def ends_task(self, task: TaskProcess) -> bool:
+        """Return whether the task was handed over there before that start: an earlier process of the id had it."""
+        return task.connection is None and task.placed_at < self.started_at
+
+
 @dataclass(frozen=True, slots=True)
 class NeverListed:
     """No list has had the id for as long as a list may be late."""
@@ -110,3 +124,6 @@
 
 ProcessEnd = RefusedDial | ListedStart
 """Evidence that a process at an address is gone."""
+
+TaskEnd = ProcessEnd | FirstListing | NeverListed
+"""Evidence that tasks have ended, or count as ended."""
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -90,7 +90,7 @@
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.parsing import SetUp
 from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
-from sprucepost.node.process_identity import NeverListed, ProcessConnection, ProcessEnd
+from sprucepost.node.process_identity import ProcessConnection, TaskEnd
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
@@ -642,7 +642,7 @@
 
     # The host list and expiry
 
-    def host_lost(self, machine: str, why: str, end: ProcessEnd | NeverListed | None = None) -> int:
+    def host_lost(self, machine: str, why: str, end: TaskEnd | None = None) -> int:
         """End the tasks of a host that is presumed lost, and return their number. A task may run on all the same.
 
         ``end``: only those that ran in a process which is gone by that evidence.
@@ -662,9 +662,12 @@
         """Exclude the host from new tasks, or include it again."""
         (self.closed_hosts.add if closed else self.closed_hosts.discard)(machine)
 
-    def host_listed(self, machine: str) -> None:
-        """Place the tasks at a host that is listed now, and that their owners have named before."""
-        self._placed.host_listed(machine)
+    def host_listed(self, machine: str) -> float | None:
+        """Place the tasks at a host that is listed now and at which owners have handed them over.
+
+        Returns since when one has been there that its host has not been heard of, in ms of the loop's clock.
+        """
+        return self._placed.host_listed(machine)
 
     def expire_records(self) -> None:
         """Drop refused and failed tasks, and early messages, that no message can concern any more."""
--- a/tests/node/test_address_holders.py
+++ b/tests/node/test_address_holders.py
@@ -74,6 +74,14 @@
     assert used_after(listed, replaced, [target("y", state="DELETED")], late, together=together) == {"x": A}
 
 
+# Guards against a process that leaves the list because an entry of an earlier one of its id comes late.
+@pytest.mark.parametrize("together", [True, False])
+def test_a_late_entry_of_an_earlier_process_of_an_id_changes_nothing(together: bool) -> None:
+    moved, late = [target("x", B, started=9.0)], [target("x", A, started=5.0)]
+    assert used_after([target("x")], moved, late, together=together) == {"x": B}
+    assert used_after([target("x")], moved, [target("x", state="DELETED")], late, together=together) == {}
+
+
 def test_ids_that_have_left_are_forgotten_after_many_others() -> None:
     holders = AddressHolders()
     for number in range(2 * MAX_FORMER_IDS):
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -449,6 +449,7 @@
     """
     monkeypatch.setattr(health, "SILENT_AFTER_MS", 900.0)
     monkeypatch.setattr(connection_states, "REACTION_MS", 400.0)
+    monkeypatch.setattr(connection_states, "FIRST_REACTION_MS", 700.0)
     monkeypatch.setattr(service, "TICK_MS", 50.0)
 
     def body(platform: Platform) -> Co[None]:
--- a/tests/node/virtual_platform.py
+++ b/tests/node/virtual_platform.py
@@ -92,17 +92,20 @@
         self.on_ended: Callable[[Process, str], None] = lambda process, sid: None
         self._dials_seen = 0
         self._dials_waiting: list[tuple[Address, VirtualSock]] = []  # of hosts that are cut off
+        self._half_open: list[tuple[Address, VirtualSock]] = []  # connections of processes that have vanished
+        self._vanished: set[Address] = set()  # addresses at which no machine answers
         self._decoders: dict[VirtualSock, jsonl.Decoder] = {}
-        self._owner_ports = 0
+        self._owner_ports = self._placers_started = 0
 
     # Placers and owners
 
     def start_placer(self, **changes: Any) -> Placer:
         """Start a placer that knows the list's events so far."""
-        number = len(self.placers)
+        self._placers_started += 1
+        number = self._placers_started
         folder = self._folder / f"n{number}"
         folder.mkdir()
-        listen = f"127.0.0.{10 + number}:2905"
+        listen = f"127.0.0.{9 + number}:2905"
         limits = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
         known = {"no": len(self.events), "items": list(self.events)}
         document = {"name": f"n{number}", "listen": listen, "limits": limits, "known": known, **changes}
@@ -110,6 +113,18 @@
         self.placers.append(placer)
         return placer
 
+    def kill_placer(self, placer: Placer) -> None:
+        """End a placer: its connections are reset, and nothing that it still does has an effect."""
+        self.placers.remove(placer)
+        hosts, owners = placer.service.hosts, placer.service.owners
+        hosts._dial = lambda host: None  # type: ignore[method-assign]
+        for host in list(hosts.hosts.values()):
+            for link in list(host.links):
+                link.transport.abort()
+        for owner_link in list(owners.links):
+            owner_link.transport.abort()
+        owners._acceptor.close()
+
     def connect(self, placer: Placer) -> OwnerConnection:
         """Have an owner connect to the placer."""
         self._owner_ports += 1
@@ -123,6 +138,7 @@
     def start_process(self, uid: str, address: tuple[str, int] = FIRST_ADDRESS) -> Process:
         """Start a process of a host."""
         assert all(not each.alive or each.address != address for each in self.processes)
+        self._vanished.discard(address)
         process = Process(uid, address, self.loop.wall())
         self.processes.append(process)
         return process
@@ -130,12 +146,17 @@
     def kill(self, process: Process, how: str = "reset") -> None:
         """End a process; its connections are reset, closed, or stay open and silent."""
         process.alive = False
-        for sid in list(process.standing):
-            self.on_ended(process, sid)
+        ended = list(process.standing)
         process.standing.clear()
         process.answers_due.clear()
-        if how != "silence":
+        if how == "silence":
+            self._vanished.add(process.address)
+            self._half_open += [(process.address, sock) for sock in process.connections]
+            process.connections.clear()
+        else:
             self.end_connections(process, how)
+        for sid in ended:
+            self.on_ended(process, sid)
 
     def end_connections(self, process: Process, how: str = "reset") -> None:
         """Reset or close all connections of a process; set-ups open there are given up."""
@@ -161,13 +182,17 @@
         for address, sock in dials:
             if address != DISCOVERY and not sock.closed:
                 self._take_dial(address, sock)
+        for address, sock in list(self._half_open):
+            if sock.sent and address not in self._vanished:
+                sock.inbox.append(ConnectionResetError(104, "reset"))  # the machine knows no such connection
+                self._half_open.remove((address, sock))
         for process in self.processes:
             if process.alive and not process.is_cut_off:
                 self._step_process(process)
 
     def _take_dial(self, address: Address, sock: VirtualSock) -> None:
         process = next((each for each in self.processes if each.alive and each.address == address), None)
-        if process is not None and process.is_cut_off:
+        if address in self._vanished or (process is not None and process.is_cut_off):
             self._dials_waiting.append((address, sock))
             return
         sock.up = True
