Node: replacements, owners' connections and the age of what stands are in the log

Cause: nothing told to which process a connection or a task was counted when an address changed hands, nor that a task stood for ever, and a flood of one state used up the lines of all others. Change: a line for each replacement and restart (both ids, start, connections and tasks by number), one for each owner's connection that is accepted; in `counts` the oldest placed task's age and the tasks at hosts that no list has; 100 lines a second of each state are written also beyond the limit of all. What an owner hands over counts from its arrival where it stood unread.

--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -60,7 +60,7 @@
             host.age = update.ages[entry.machine]
             if entry.started > host.started:
                 host.started = entry.started
-                self.process_gone(host, "restarted", ListedStart(self._start_times.to_loop_time(entry.started)))
+                self._restart(host)
             ready = entry.state is i.MachineState.READY
             self._tasks.set_closed(entry.machine, not ready)
             if not ready:
@@ -101,16 +101,42 @@
         else:  # the same id at another address
             end = ListedStart(None)
         self._connections.end_waiting(other)
-        self.process_gone(other, "replaced", end)
+        connections = len(other.links)
+        ended_tasks = self.process_gone(other, "replaced", end)
         kept, other.links = other.links, []
         for link in kept:
             link.host = host
         host.links += kept
         host.pending_releases |= other.pending_releases
         kept_tasks = self._tasks.move_to_replacement(other.uid, host.uid) if other.uid != host.uid else 0
+        self._log.host(
+            host.uid,
+            "replaces",
+            id_before=other.uid,
+            address=f"{host.address[0]}:{host.address[1]}",
+            started=host.started or None,
+            connections_kept=len(kept),
+            connections_ended=connections - len(kept),
+            tasks_kept=kept_tasks,
+            tasks_ended=ended_tasks,
+        )
         if kept_tasks:
             host.last_heard = max([other.last_heard, *(link.process.came_up_at for link in kept)])
 
+    def _restart(self, host: Host) -> None:
+        """Handle that the list has another process of the same id at the same address."""
+        connections = len(host.links)
+        end = ListedStart(self._start_times.to_loop_time(host.started))
+        ended_tasks = self.process_gone(host, "restarted", end)
+        self._log.host(
+            host.uid,
+            "restarted",
+            started=host.started,
+            connections_ended=connections - len(host.links),
+            tasks_kept=len(self._tasks.placed.get(host.uid, {})),
+            tasks_ended=ended_tasks,
+        )
+
     def process_gone(self, host: Host, why: str, end: ProcessEnd) -> int:
         """End the connections and the tasks of a process of the host that is gone by that evidence; return the number of
         tasks. What it has sent before is handled first."""
--- a/sprucepost/node/log.py
+++ b/sprucepost/node/log.py
@@ -1,6 +1,7 @@
 """The log: one JSON line on standard output for each event of interest to operators, and for each state change of a task.
 
-The number of lines per second is limited by event; lines above the limit are counted, not written. Lines are written in
+The number of lines per second is limited by event; lines above the limit are counted, not written. Some lines of each state
+are written all the same, so that a flood of one kind hides no other. Lines are written in
 batches, one system call each: events at the end of their turn, state changes within ``STATE_LINES_DELAY_MS``, since most
 turns have several of them.
 """
@@ -17,6 +18,7 @@
 
 LINES_PER_SECOND = 20  # of one event: the thread that places tasks also writes the log
 STATE_LINES_PER_SECOND = 2000  # of tasks, and as many of hosts; at about 10 us each this is 2 % of a core
+RESERVED_LINES_PER_SECOND = 100  # of each state, where the lines of the others have used up the limit
 STATE_LINES_DELAY_MS = 100.0  # a kill of the process may lose the lines of that time
 UNSENT_MAX_BYTES = 256 * 1024  # lines that wait for a slow reader
 _LIMITS = {"task": STATE_LINES_PER_SECOND, "host": STATE_LINES_PER_SECOND}
@@ -75,7 +77,9 @@
     ) -> None:
         self._loop, self._quoted, self._write, self._flush = loop, json.dumps(name), write, flush
         self._second = 0
-        self._counts: dict[str, int] = {}
+        self._written: dict[str, int] = {}  # lines of this second, by event
+        self._written_by_state: dict[tuple[str, str], int] = {}
+        self._suppressed: dict[str, int] = {}
         self._flush_due = False
         self.dropped: Callable[[], int] = lambda: 0  # returns the number of lines that the output has dropped
 
@@ -85,32 +89,29 @@
 
     def task(self, sid: str, state: str, **fields: Any) -> None:
         """Write that the task has entered this state."""
-        self._write_limited("task", {"task": sid, "state": state, **fields})
+        self._write_limited("task", {"task": sid, "state": state, **fields}, state)
 
     def host(self, uid: str, state: str, **fields: Any) -> None:
         """Write that the host, or a connection to it, has entered this state."""
-        self._write_limited("host", {"host": uid, "state": state, **fields})
+        self._write_limited("host", {"host": uid, "state": state, **fields}, state)
 
-    def _write_limited(self, event: str, fields: dict[str, Any]) -> None:
-        """Write the event unless the limit of this second has been reached."""
+    def _write_limited(self, event: str, fields: dict[str, Any], state: str = "") -> None:
+        """Write the event unless the limit of this second has been reached, for all of its states and for this one."""
         now = self._loop.now()
         if int(now // 1000) != self._second:
-            previous, self._counts = self._counts, {}
+            suppressed, self._suppressed = self._suppressed, {}
             self._second = int(now // 1000)
-            self._report_suppressed(now, previous)
-        self._counts[event] = self._counts.get(event, 0) + 1
-        if self._counts[event] <= _LIMITS.get(event, LINES_PER_SECOND):
-            self._write_line(now, event, fields)
-
-    def _report_suppressed(self, now: float, counts: dict[str, int]) -> None:
-        """Write how many lines of each event were left out in the previous second."""
-        suppressed = {
-            event: count - limit
-            for event, count in counts.items()
-            if count > (limit := _LIMITS.get(event, LINES_PER_SECOND))
-        }
-        if suppressed:
-            self._write_line(now, "log_held_back", suppressed)
+            self._written, self._written_by_state = {}, {}
+            if suppressed:
+                self._write_line(now, "log_held_back", suppressed)
+        written, by_state = self._written.get(event, 0), self._written_by_state.get((event, state), 0)
+        is_reserved = bool(state) and by_state < RESERVED_LINES_PER_SECOND
+        if written >= _LIMITS.get(event, LINES_PER_SECOND) and not is_reserved:
+            self._suppressed[event] = self._suppressed.get(event, 0) + 1
+            return
+        self._written[event] = written + 1
+        self._written_by_state[event, state] = by_state + 1
+        self._write_line(now, event, fields)
 
     def _write_line(self, now: float, event: str, fields: dict[str, Any]) -> None:
         known = {key: value for key, value in fields.items() if value is not None}
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -115,6 +115,7 @@
         link.transport.on_lost = lambda error: self._lose(link)
         link.transport.on_linger_data = lambda data: self._on_late_data(link, data)
         link.transport.start()
+        self.log("owner_accepted", peer=link.transport.peer, connections=len(self.links))
         if self.loop.polling_mid_turn:  # input that has arrived on the new connection belongs to this poll
             link.transport.read_now()
         self._delay_accepting()
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -40,9 +40,17 @@
         """Return the task if it is placed at that host."""
         return self.by_host.get(machine, {}).get(sid)
 
-    def record(self, entry: Entry, connection: ProcessConnection | None) -> None:
-        """Record a task that has been placed at ``entry.machine``: accepted on that connection, or handed over."""
-        entry.ask.process = TaskProcess(self._loop.now(), connection)
+    def oldest_age_ms(self) -> float:
+        """Return for how long the oldest task has been placed, in ms; 0 where there is none."""
+        now = self._loop.now()
+        entries = (entry for placed in self.by_host.values() for entry in placed.values())
+        return max((now - entry.ask.process.placed_at for entry in entries), default=0.0)
+
+    def record(self, entry: Entry, connection: ProcessConnection | None, waited_ms: float = 0.0) -> None:
+        """Record a task that has been placed at ``entry.machine``: accepted on that connection, or handed over by a message
+        that has waited for ``waited_ms``."""
+        now = self._loop.now()
+        entry.ask.process = TaskProcess(now, now - waited_ms, connection)
         self.by_host.setdefault(entry.machine, {})[entry.name] = entry
 
     def keep_connection(self, entry: Entry, owner: OwnerPort) -> None:
@@ -85,7 +93,7 @@
             if not entry.ask.keeps_connection:
                 self.keep_connection(entry, entry.ask.owner)
         return min(
-            (entry.ask.process.placed_at for entry in entries if entry.ask.process.connection is None), default=None
+            (entry.ask.process.arrived_at for entry in entries if entry.ask.process.connection is None), default=None
         )
 
     def lose(self, machine: str, why: str, end: TaskEnd | None = None) -> int:
--- a/sprucepost/node/process_identity.py
+++ b/sprucepost/node/process_identity.py
@@ -56,7 +56,8 @@
 class TaskProcess:
     """What is known of the process that runs a placed task."""
 
-    placed_at: float  # when its answer or its hand-over was handled, in ms of the loop's clock
+    placed_at: float  # when its answer or its hand-over was handled, in ms of the loop's clock like all times here
+    arrived_at: float  # when that may have arrived, at the earliest
     connection: ProcessConnection | None  # on which it was accepted or noted last; None: handed over, and silent since
     named_uid: str = ""  # the id at which its owner has handed it over, if it is placed under another one
 
@@ -118,8 +119,8 @@
     since: float  # in ms of the loop's clock
 
     def ends_task(self, task: TaskProcess) -> bool:
-        """Return whether the task has been placed there for that long."""
-        return task.placed_at < self.since
+        """Return whether the task may have been there for that long."""
+        return task.arrived_at < self.since
 
 
 ProcessEnd = RefusedDial | ListedStart
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -180,6 +180,10 @@
             open=self.tasks.ledger.open,
             known=len(self.tasks.ledger),
             standing=sum(map(len, self.tasks.placed.values())),
+            standing_oldest_ms=self.tasks.oldest_placed_ms(),
+            standing_unlisted=sum(
+                len(placed) for uid, placed in self.tasks.placed.items() if not self.hosts.is_listed(uid)
+            ),
             owner_links=len(self.owners.links),
             owner_links_waiting=sum(bool(link.open) for link in self.owners.links),
             owner_link_states={state.value: number for state, number in self.owners.states().items()},
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -157,6 +157,10 @@
         """Placed tasks by host and task id."""
         return self._placed.by_host
 
+    def oldest_placed_ms(self) -> int:
+        """Return for how long the oldest placed task has been placed, in ms; 0 where there is none."""
+        return round(self._placed.oldest_age_ms())
+
     def _trace(self, sid: str, state: str, **fields: Any) -> None:
         self.trace(sid, state, **fields)
 
@@ -189,7 +193,7 @@
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
         entry.ask = TaskState(setup, owner)
         if setup.current_host:
-            return self._adopt(entry, setup, owner)
+            return self._adopt(entry, setup, owner, waited_ms)
         self.counters["taken"] += 1
         entry.deadline = now + max(0.0, setup.time_left_ms - waited_ms)
         self.trace(setup.sid, "taken", left=setup.time_left_ms, waited=round(waited_ms, 1))
@@ -234,7 +238,7 @@
             return False
         return record.message is EarlyMessage.TASK_ENDED or now - record.at <= RELEASE_CROSSING_MS
 
-    def _adopt(self, entry: Entry, setup: SetUp, owner: OwnerPort) -> SetUpResult:
+    def _adopt(self, entry: Entry, setup: SetUp, owner: OwnerPort, waited_ms: float) -> SetUpResult:
         """Place a new entry for a task that its host runs already."""
         host, now = setup.current_host, self.loop.now()
         self.counters["found"] += 1
@@ -243,7 +247,7 @@
         entry.ask.handed_over_by = owner
         self._handed_over.add(owner)
         self._settle(entry, Outcome.PLACED)
-        self._placed.record(entry, None)
+        self._placed.record(entry, None, waited_ms)
         self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
         self._found_services.add(setup.service)
         self._waits_for_reports |= not owner.is_flooding
