gRPC placer: a machine at the address of another one is not taken for it

Owners saw: a task bound at a machine that the list has at an address, while another machine has that address by now. Cause: the name in a machine's first frame was not compared with the one that was dialled. Change: such a stream is ended, counted (link_other_machine) and dialled again with the usual backoff.

--- a/sprucepost/placer/links.py
+++ b/sprucepost/placer/links.py
@@ -229,6 +229,9 @@
         if first.WhichOneof("body") != "attached":
             raise RpcError(Code.INTERNAL, "the first frame is not attached")
         attached = first.attached
+        if attached.machine not in ("", self.machine):  # the address has changed hands, and the list is late
+            self._links.counters["link_other_machine"] += 1
+            raise RpcError(Code.UNAVAILABLE, f"{attached.machine} is at the address of {self.machine}")
         is_new_incarnation = self.machine_incarnation not in (0, attached.life)
         self.machine_incarnation = attached.life
         if attached.resumed:
--- a/tests/placer/test_path.py
+++ b/tests/placer/test_path.py
@@ -30,6 +30,26 @@
     assert run_in_world(body) == (["offered", "bound", "running", "ended"], "m1", "")
 
 
+# Guards against work for a machine that goes to another one, which has its address by now.
+def test_a_machine_at_the_address_of_another_one_is_not_taken_for_it() -> None:
+    def body(world: World) -> Co[Any]:
+        first, gone = world.machine("m1"), world.machine("m2")
+        gone.listed_address = first.listed_address
+        world.field.mark_changed(gone)
+        placer = world.placer()
+        owner, received = world.owner(placer.grpc_address)
+        yield from world.ready(placer, 1)
+        for number in range(6):
+            owner.submit(f"t{number}", task(life_ms=50), 3000)
+        yield from wait_for(lambda: all("bound" in received.kinds(f"t{number}") for number in range(6)))
+        bound = [
+            frame.bound.machine for frames in received.frames.values() for frame in frames if frame.HasField("bound")
+        ]
+        return set(bound), placer.links.counters["link_other_machine"] > 0
+
+    assert run_in_world(body) == ({"m1"}, True)
+
+
 def test_invalid_tasks_are_refused_at_once() -> None:
     def body(world: World) -> Co[Any]:
         placer = world.placer()
