--- a/tests/node/test_replaced_processes.py
+++ b/tests/node/test_replaced_processes.py
@@ -215,12 +215,62 @@
     check_released(owners, tasks, handed_over_at + 200.0)
 
 
+def hand_over_before_first_listing(how: str) -> Play:
+    """Tasks are handed over at a host that no list has yet, whose process dies before the list has the host."""
+
+    def play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+        _, owners = start(platform, variant)
+        new, tasks = platform.start_process("s-7", host_address(1)), sids(0)
+        run_all(platform, new, owners, tasks)
+        hand_over(platform, owners, tasks, at=new.uid)
+        handed_over_at = platform.loop.time
+        yield from platform.run(20.0)
+        for _ in range(variant.replacements):
+            platform.kill(new, how)
+            yield from platform.run(300.0)
+            if how == "reset":
+                new = platform.start_process("s-7", host_address(1))
+        platform.be_late(variant.late_ms)
+        yield from platform.run(LIST_DELAY_MS - variant.late_ms)
+        platform.tell(new.entry())
+        yield from platform.run(9000.0)
+        check_released(owners, tasks, handed_over_at + 200.0)
+
+    return play
+
+
+def end_before_hand_over(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """A new process reports ends before the list has it; their owners hand over a moment after the list has told."""
+    old, owners = start(platform, variant)
+    yield from platform.run(100.0)
+    processes = yield from replace(platform, old, variant)
+    new, tasks, others = processes[-1], sids(0), sids(100)
+    for owner in owners:
+        owner.submit(*tasks_of(owner, others))  # brings a connection
+    yield from platform.run(300.0)
+    run_all(platform, new, owners, tasks)
+    yield from platform.run(300.0)
+    ended_at = platform.loop.time
+    for owner in owners:
+        for sid in tasks_of(owner, tasks):
+            platform.end_task(new, sid)
+    yield from platform.run(100.0)
+    tell_of(platform, processes)
+    platform.be_late(variant.late_ms)
+    hand_over(platform, owners, tasks, at=new.uid)
+    yield from platform.run(9000.0)
+    check_released(owners, tasks, ended_at)
+
+
 # Guards against owners that are never told of the end of their tasks, since a new process at the address of the one that
 # ran them was taken for it: by the time at which an answer was read, or at which the tasks were handed over.
 def test_what_stood_at_a_process_that_has_gone_is_released(tmp_path: Path) -> None:
     plays: dict[str, Play] = {"read late": read_late, "started between": start_between}
     for how in ("both listed", "new id alone", "old id first", "restarted"):
         plays[f"handed over, {how}"] = hand_over_before_list(how)
+    for how in ("reset", "silence"):
+        plays[f"handed over before the first listing, {how}"] = hand_over_before_first_listing(how)
+    plays["ended before the hand-over"] = end_before_hand_over
     assert failures(tmp_path, plays) == []
 
 
