Node: new tasks on their way to the scheduler in a module of their own

Change: the queue of new tasks and the wait for reports of placed ones are in new_tasks, the search for a task by connection in placed_tasks; no behaviour changes. The tests' recorder of withdrawals names those that are not told to the host apart, as three tests compare the record.

--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -11,7 +11,7 @@
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.process_identity import ProcessConnection, TaskEnd, TaskProcess
-from sprucepost.placing.ledger import Entry, Ledger
+from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
 CAUSE_LOST = 41  # sent to the owner of a task that has ended without having come to its end
@@ -40,6 +40,18 @@
         """Return the task if it is placed at that host."""
         return self.by_host.get(machine, {}).get(sid)
 
+    def find_by_connection(
+        self, sid: str, connection: ProcessConnection | None, is_listed: Callable[[str], bool]
+    ) -> Entry | None:
+        """Return a task that is placed under another id than that of the host which reports on it, but runs there: it was
+        accepted on that connection, or the host at which its owner has handed it over is not listed yet."""
+        entry = self._ledger.current(sid)
+        if entry is None or connection is None or entry.outcome is not Outcome.PLACED:
+            return None
+        if entry.ask.process.connection is connection or not is_listed(entry.machine):
+            return entry
+        return None
+
     def oldest_age_ms(self) -> float:
         """Return for how long the oldest task has been placed, in ms; 0 where there is none."""
         now = self._loop.now()
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -86,8 +86,8 @@
 )
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
-from sprucepost.node.fair_queue import FairQueue
 from sprucepost.node.jsonl import Line, MessageType
+from sprucepost.node.new_tasks import NewTasks
 from sprucepost.node.parsing import SetUp
 from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
 from sprucepost.node.process_identity import ProcessConnection, TaskEnd
@@ -101,11 +101,6 @@
 # A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
 RELEASE_CROSSING_MS = 50.0
 SETTLED_RETENTION_MS = 1000.0  # what its owner sent before it had read a refusal or failure has arrived by then
-# A new set-up waits this long for reports of placed tasks: half of the 0.2 s after which the scheduler counts them.
-FOUND_TASKS_WAIT_MS = 100.0
-# Each new task may cost the scheduler 2 ms of a whole core if it is the first request of its service.
-MAX_NEW_TASKS_PER_BATCH = 8
-MAX_QUEUED_TASKS_PER_BATCH = 64  # with those that have been cancelled meanwhile or have no time left
 
 
 class Tasks:
@@ -144,13 +139,11 @@
             lambda: self.owners,
             self._trace,
         )
-        self._queue: FairQueue[Entry] = FairQueue()  # new tasks to submit to the scheduler
+        self._new_tasks = NewTasks(loop, driver, counters, lambda: self.hosts, self._refuse)
         # Requests settled since the last batch, and between that one and the one before: decisions on them may still come.
         self._recently_settled: set[int] = set()
         self._previously_settled: set[int] = set()
-        self._found_services: set[str] = set()  # services of tasks reported as placed since the last submission
-        self._waits_for_reports = False  # whether more such reports may follow at once
-        driver.on_action, driver.before_batch = self._apply_decision, self._submit_new_tasks
+        driver.on_action, driver.before_batch = self._apply_decision, self._before_batch
 
     @property
     def placed(self) -> dict[str, dict[str, Entry]]:
@@ -198,7 +191,7 @@
         entry.deadline = now + max(0.0, setup.time_left_ms - waited_ms)
         self.trace(setup.sid, "taken", left=setup.time_left_ms, waited=round(waited_ms, 1))
         entry.ask.queued = True
-        self._queue.put(owner, entry, now)
+        self._new_tasks.put(owner, entry, now)
         self._driver.schedule_batch()
         return SetUpResult.ADMITTED
 
@@ -249,8 +242,7 @@
         self._settle(entry, Outcome.PLACED)
         self._placed.record(entry, None, waited_ms)
         self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
-        self._found_services.add(setup.service)
-        self._waits_for_reports |= not owner.is_flooding
+        self._new_tasks.found(setup.service, more_may_follow=not owner.is_flooding)
         self.owners.cancel_release(setup.sid)
         is_listed = self.hosts.adopt(host, setup.sid)
         if is_listed:
@@ -260,53 +252,10 @@
             self._handle_message_for_placed(entry, release, None)
         return SetUpResult.ADMITTED if is_listed else SetUpResult.HOST_UNKNOWN
 
-    def _submit_new_tasks(self) -> None:
-        """Submit new tasks to the scheduler ahead of a batch, once it knows of the tasks that are placed.
-
-        After a restart owners report the tasks that this placer has placed, by the hundred and on several connections,
-        and the rules on spread and repeats count these reports 0.2 s later. A new task that is read in the same turns of
-        the loop, or submitted while other reports are still unread, is placed without them. So the sockets are polled
-        again right before new tasks are submitted, a few at a time, since each may take long. While such reports arrive
-        new tasks wait, but none longer than ``FOUND_TASKS_WAIT_MS``, and not for a client that reports without end: a steady
-        flow of reports must not starve them.
-        """
-        if self._queue:
-            self.loop.poll_now()
+    def _before_batch(self) -> None:
+        self._new_tasks.before_batch()
         self._previously_settled, self._recently_settled = self._recently_settled, set()
-        if self._found_services:
-            self.hosts.withdraw_unsent(self._found_services)
-            self._found_services, waits = set(), self._waits_for_reports
-            self._waits_for_reports = False
-            oldest_arrival = self._queue.oldest_arrival(self._may_leave_queue)
-            if waits and self.loop.now() - oldest_arrival < FOUND_TASKS_WAIT_MS:
-                self.counters["held_for_found"] += 1
-                self.loop.call_soon(self._driver.schedule_batch)
-                return
-        if self._queue:
-            self._submit_from_queue()
-        if self._queue:
-            self.loop.call_soon(self._driver.schedule_batch)
-
-    def _submit_from_queue(self) -> None:
-        now, taken, submitted = self.loop.now(), 0, 0
-        while taken < MAX_QUEUED_TASKS_PER_BATCH and submitted < MAX_NEW_TASKS_PER_BATCH:
-            entry = self._queue.pop(self._may_leave_queue)
-            if entry is None:
-                return
-            taken += 1
-            if entry.outcome is not Outcome.OPEN:
-                continue
-            entry.ask.queued = False
-            if now < entry.deadline:
-                submitted += 1
-                self._driver.push(entry.ask.setup.request(entry.request, entry.deadline - now))
-            else:
-                self._refuse(entry, 0.0, "no time left")
-
-    def _may_leave_queue(self, entry: Entry) -> bool:
-        """Return whether a task need not be queued any longer: one of a client that floods could not be offered yet."""
-        owner: OwnerPort = entry.ask.owner
-        return entry.outcome is not Outcome.OPEN or not owner.is_flooding or self.loop.now() >= entry.deadline
+        self._new_tasks.submit()
 
     def owner_cancelled(self, sid: str, client: str = "") -> bool:
         """Handle an owner's release: it cancels its set-up, or ends its placed task. ``client`` names its connection.
@@ -564,7 +513,9 @@
 
     def handle_message(self, machine: str, line: Line, connection: ProcessConnection | None = None) -> None:
         """Handle a host's message about a task on a connection without an open set-up of that task."""
-        entry = self._placed.find(machine, line.sid) or self._find_by_connection(line.sid, connection)
+        entry = self._placed.find(machine, line.sid) or self._placed.find_by_connection(
+            line.sid, connection, self.hosts.is_listed
+        )
         if entry is None:
             self._handle_message_for_unplaced(machine, line)
         else:
@@ -584,16 +535,6 @@
         else:
             self.counters["late_words"] += 1
 
-    def _find_by_connection(self, sid: str, connection: ProcessConnection | None) -> Entry | None:
-        """Return a task that is placed under another id than that of the host which reports on it, but runs there: it was
-        accepted on that connection, or the host at which its owner has handed it over is not listed yet."""
-        entry = self.ledger.current(sid)
-        if entry is None or connection is None or entry.outcome is not Outcome.PLACED:
-            return None
-        if entry.ask.process.connection is connection or not self.hosts.is_listed(entry.machine):
-            return entry
-        return None
-
     def _handle_message_for_unplaced(self, machine: str, line: Line) -> None:
         """Handle a message about a task that is not known to be placed at that host."""
         entry = self.ledger.current(line.sid)
--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -16,7 +16,7 @@
 from sprucepost import interface as i
 from sprucepost.loop import Co, Transport, connect, sleep
 from sprucepost.loop.epoll import EpollSock
-from sprucepost.node import binary, dispatch, hosts, jsonl, tasks
+from sprucepost.node import binary, dispatch, hosts, jsonl, new_tasks
 from sprucepost.node.attempt import Attempt
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.descriptors import Descriptors
@@ -146,7 +146,7 @@
 
 def queued(platform: Platform, host: Host, client: Client, monkeypatch: pytest.MonkeyPatch) -> Co[None]:
     """The request is queued behind others, one of which is handled in each batch."""
-    monkeypatch.setattr(tasks, "MAX_NEW_TASKS_PER_BATCH", 1)
+    monkeypatch.setattr(new_tasks, "MAX_NEW_TASKS_PER_BATCH", 1)
     call_at_offer(platform, LEAVING_SID, 1, client.leave)
     client.other.send(b"".join(setup(sid, FIGURES=OTHER_SERVICE_FIGURES) for sid in SIDS[300:304]))
     client.send_set_up()
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -21,7 +21,7 @@
 from sprucepost import interface as i
 from sprucepost import loop
 from sprucepost.loop import Co, connect, current, sleep
-from sprucepost.node import binary, health, hosts, tasks
+from sprucepost.node import binary, health, hosts, new_tasks
 from sprucepost.node.attempt import Attempt
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.host import HostLink
@@ -210,7 +210,7 @@
             after_each_decision(platform, lambda events, actions: call_at_first_offer(actions, leave_now, done))
             owner.send(setup(SIDS[1]))
         elif state == "queued":
-            monkeypatch.setattr(tasks, "MAX_NEW_TASKS_PER_BATCH", 1)
+            monkeypatch.setattr(new_tasks, "MAX_NEW_TASKS_PER_BATCH", 1)
             mine = [n for n in range(4, 10)]
             after_each_decision(platform, lambda events, actions: call_at_first_offer(actions, leave_now, done))
             other.send(b"".join(setup(SIDS[n], FIGURES=OTHER_SERVICE_FIGURES) for n in mine))
@@ -451,7 +451,7 @@
         yield from wait_for(lambda: all(messages_for(flooder, sid) for sid in SIDS[1:61]))
         assert (yield from other_owner.next_message()).kind == Kind.ANSWER and len(offered_sids(host)) == 62
         asked = [batch for batch in batches if batch]
-        assert max(map(len, asked)) <= tasks.MAX_NEW_TASKS_PER_BATCH and sum(map(len, asked)) == 61
+        assert max(map(len, asked)) <= new_tasks.MAX_NEW_TASKS_PER_BATCH and sum(map(len, asked)) == 61
         assert "quiet" in asked[0] + asked[1]
         other_owner.sock.close()
 
--- a/tests/node/test_replacement_schedules.py
+++ b/tests/node/test_replacement_schedules.py
@@ -15,6 +15,7 @@
 
 from sprucepost.node.address_holders import Address, AddressHolders
 from sprucepost.node.attempt import SetUpResult
+from sprucepost.node.placed_tasks import PlacedTasks
 from sprucepost.node.process_identity import ListedStart, RefusedDial, TaskProcess
 from sprucepost.node.tasks import Tasks
 from tests.node.replacement_schedules import ReplacementSchedule
@@ -96,7 +97,7 @@
     ),
     "a hand-over that contradicts what is known is malformed": _reject_contradictions,
     "a host's message under another id is dropped": lambda patch: patch.setattr(
-        Tasks, "_find_by_connection", lambda self, sid, connection: None
+        PlacedTasks, "find_by_connection", lambda self, sid, connection, is_listed: None
     ),
 }
 
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -14,7 +14,7 @@
 import pytest
 
 from sprucepost.loop import Co, TimedOut, connect, current, sleep
-from sprucepost.node import binary, connection_states, feed, health, hosts, owner_link, service, tasks
+from sprucepost.node import binary, connection_states, feed, health, hosts, new_tasks, owner_link, service
 from sprucepost.node.binary import Code, Kind
 from sprucepost.node.jsonl import Line, MessageType
 from tests.node.platform import (
@@ -570,10 +570,10 @@
         platform.start()
         owner = yield from platform.owner()
         # With so little time left each is refused in the batch in which the scheduler gets it.
-        owner.transport.write(b"".join(setup(sid, LEFT="3") for sid in SIDS[: tasks.MAX_NEW_TASKS_PER_BATCH]))
+        owner.transport.write(b"".join(setup(sid, LEFT="3") for sid in SIDS[: new_tasks.MAX_NEW_TASKS_PER_BATCH]))
         yield from wait_for(lambda: owner.ended)
         assert platform.service.counters["owner_unread"] == 1 and platform.service.tasks.ledger.open == 0
-        assert platform.service.counters["refused"] == tasks.MAX_NEW_TASKS_PER_BATCH
+        assert platform.service.counters["refused"] == new_tasks.MAX_NEW_TASKS_PER_BATCH
 
     run_on_platform(tmp_path, body)
 
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -110,7 +110,7 @@
         return SimpleNamespace(process=ProcessConnection(self.loop.now()), host=SimpleNamespace(uid=machine))
 
     def withdraw(self, attempt: Attempt, tell_host: bool = True) -> None:
-        self.events.append(("withdraw", attempt, tell_host))
+        self.events.append(("withdraw" if tell_host else "forget", attempt))
 
     def end_task(self, machine: str, sid: str) -> None:
         self.events.append(("end task", machine, sid))
@@ -324,7 +324,7 @@
             harness.tasks.owner_disconnected([SID])
     harness.loop.pass_ms(5.0)
     assert list(harness.tasks.placed) == [host] and harness.placed_count == 1
-    withdrawn = [event[1].machine for event in harness.events if event[0] == "withdraw" and event[2]]
+    withdrawn = [event[1].machine for event in harness.events if event[0] == "withdraw"]
     assert host not in withdrawn, "the host is not told to end what it runs for its owner"
     harness.tasks.handle_message(host, Line(MessageType.CLOSE, SID, {}, 16))
     assert harness.events[-1] == ("release", SID, 16) and not harness.tasks.placed
