Node: a whole list of a large fleet keeps the ages of its processes

Cause: a whole list first moved all ids to those that have left, of which 1,024 are kept; with more hosts the ages of the rest were new, and each looked through the 1,024. Change: the bound holds when an id leaves, not while a whole list is read. Result: test_a_whole_list_keeps_the_ages_of_more_hosts_than_are_remembered failed before and holds; 103 tests of holders, bulletin and replacements hold.

--- a/sprucepost/node/address_holders.py
+++ b/sprucepost/node/address_holders.py
@@ -84,8 +84,8 @@
 
     def begin_whole_list(self) -> None:
         """Take in that a whole list follows: what it does not name has left."""
-        for uid in list(self._claims):
-            self.remove(uid)
+        self._former |= self._claims  # bounded again with the next id that leaves
+        self._claims, self._ids = {}, {}
 
     def is_listed(self, uid: str) -> bool:
         """Return whether the id is on the list."""
--- a/tests/node/test_address_holders.py
+++ b/tests/node/test_address_holders.py
@@ -90,6 +90,17 @@
     assert len(holders._former) == MAX_FORMER_IDS and not holders._ids
 
 
+# Guards against a large fleet whose second whole list makes the program forget which processes started last.
+def test_a_whole_list_keeps_the_ages_of_more_hosts_than_are_remembered() -> None:
+    holders = AddressHolders()
+    fleet = [(f"s-{number}", (f"10.1.{number // 250}.{number % 250}", 2905)) for number in range(3 * MAX_FORMER_IDS)]
+    for _ in range(2):
+        holders.begin_whole_list()
+        for uid, address in fleet:
+            holders.add(uid, address, 0.0)
+    assert [holders.age_of(uid).order for uid, _ in fleet] == list(range(1, len(fleet) + 1)) and not holders._former
+
+
 # Guards against two hosts of one address, and against a result that depends on how events are put into responses.
 def test_in_every_drawn_list_an_address_has_one_holder_however_events_are_grouped() -> None:
     for seed in range(SEQUENCES):
