--- a/tests/node/replacement_schedules.py
+++ b/tests/node/replacement_schedules.py
@@ -321,9 +321,8 @@
         if uid != old.uid:
             gone_after = 3500.0 if old in self.listed_without_start else 0.0  # after its own entry
             gone = old.entry(state="DELETED")
-            if (
-                old.uid in self.listed and rng.random() < 0.4
-            ):  # an entry of the old id comes once more after the new one
+            is_repeated = old.uid in self.listed and rng.random() < 0.4
+            if is_repeated and old in self.told:  # an entry of the old id comes once more after the new one
                 late = old.entry(state=rng.choice(("SERVING", "DRAINING")), boot_ms=self.listed[old.uid]["boot_ms"])
                 self._later(told_after + rng.uniform(0.0, 500.0), lambda: self._tell(late))
                 self._later(told_after + rng.uniform(500.0, 1500.0), lambda: self._tell(gone))
