Tests' platform: the placer's address is one that no other run uses

Cause: the platform chose a free port of 127.0.0.1 for the placer and gave it back; a host of another run took it before the placer did. Change: the placer listens on a loopback address that follows from the process's id; no check is changed.

--- a/tests/node/platform.py
+++ b/tests/node/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import re
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -221,7 +222,7 @@
         """Write the configuration file with these changes, and return the environment that names it."""
         path = self.folder / "config.json"
         path.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{_free_port(self.loop)}", "seed": "8c1f30d27a5be964",
+            "name": "n0", "listen": _free_address(self.loop), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64}, "bulletin": self.bulletin.address,
             "known": self.bulletin.document(), "settings": settings(), **changes,
         }))  # fmt: skip
@@ -264,11 +265,15 @@
     return found[0]
 
 
-def _free_port(loop: EpollLoop) -> int:
-    listener = loop.listen(("127.0.0.1", 0))
+def _free_address(loop: EpollLoop) -> str:
+    """An address for the placer, which it takes only later: on a loopback address of this process, so that no listener of
+    another run, nor a host of this one, gets the port meanwhile."""
+    pid = os.getpid()
+    listener = loop.listen((f"127.{64 + pid % 128}.{pid // 128 % 256}.1", 0))
     listener.close()
     assert not isinstance(listener.address, str)
-    return listener.address[1]
+    host, port = listener.address
+    return f"{host}:{port}"
 
 
 def run_on_platform(folder: Path, body: Callable[[Platform], Co[None]], loop: EpollLoop | None = None) -> None:
