Node: a kept hand-over does not outlive its task, nor its owner's end of it

Callers would have seen: the process ended with an error, or a wrong count of an owner's tasks, where a task whose hand-over was kept ended in the turn that placed it; a task that stood for ever, or ran on at its host, after its owner had ended it; a hand-over beyond its client's share that nobody kept and nobody refused. Cause: takes a kept hand-over at the turn's end without looking whether the task is still there, keeps it when the owner ends the task, and ignores the result of taking it. Change: each is looked at where it happens.

--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -214,9 +214,25 @@
             return
         entry.ask.handover = None
         if entry.outcome is Outcome.PLACED:
-            self._hand_over_known(entry, handover)
+            if self.ledger.current(entry.name) is entry:  # it has not ended in the same turn
+                self._hand_over_known(entry, handover)
         elif not handover.owner.closed:
-            self.admit(handover.setup, handover.owner, 0.0)
+            self._admit_kept(handover)
+
+    def _admit_kept(self, handover: HandOver) -> None:
+        result = self.admit(handover.setup, handover.owner, 0.0)
+        if result is SetUpResult.OVER_SHARE:
+            handover.owner.refuse(handover.setup.sid, CAUSE_REFUSED, 0.0)
+
+    def _end_kept_handover(self, entry: Entry) -> None:
+        """Have the task ended that the owner has handed over and now ends, where another host has it than the attempt's."""
+        handover: HandOver | None = entry.ask.handover
+        if handover is None:
+            return
+        entry.ask.handover = None
+        host, attempt = handover.setup.current_host, entry.ask.attempt
+        if attempt is None or attempt.host != host:
+            self.hosts.end_task(host, entry.name)
 
     def _has_ended_at_host(self, setup: SetUp, now: float) -> bool:
         """Whether the task has ended at the host that the set-up names, so that its owner has been sent the release.
@@ -271,6 +287,7 @@
         if entry.outcome is Outcome.OPEN:
             was_queued: bool = entry.ask.queued
             entry.ask.owner.discard_set_up(sid)
+            self._end_kept_handover(entry)
             self._cancel(entry, "by its owner")
             return not was_queued
         self.counters["ended_by_owner"] += 1
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -15,7 +15,7 @@
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.parsing import InvalidSetUp, SetUp, SetUpParser
 from sprucepost.node.process_identity import ListedStart, ProcessConnection
-from sprucepost.node.tasks import SETTLED_RETENTION_MS, Tasks
+from sprucepost.node.tasks import CAUSE_REFUSED, SETTLED_RETENTION_MS, Tasks
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 from tests.node.platform import settings, setup
 from tests.placing.support import VirtualLoop
@@ -330,6 +330,48 @@
     assert harness.events[-1] == ("release", SID, 16) and not harness.tasks.placed
 
 
+# Guards against a process that ends with an error: the task has ended in the turn in which it was placed.
+@pytest.mark.parametrize("at", ["the host of the attempt", "another host"])
+def test_a_kept_hand_over_of_a_task_that_has_ended_at_once_changes_nothing(at: str) -> None:
+    harness = TaskHarness()
+    harness.submit()
+    [attempt] = harness.offers()
+    host = attempt.machine if at == "the host of the attempt" else {"m0": "m1", "m1": "m0"}[attempt.machine]
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{host}")
+    harness.closed = True  # the connection of the set-up: its task counts for it no more
+    harness.tasks.handle_answer(attempt, Line(MessageType.CLOSE, SID, {}, 16, "made"))
+    harness.loop.pass_ms(5.0)
+    assert harness.event_kinds() == ["open", "answer", "release"]
+    assert not harness.tasks.placed and not harness.placed_count and len(harness.tasks.ledger) == 0
+
+
+# Guards against a task that stands for ever, or runs on, since its owner has ended it while its hand-over was kept.
+@pytest.mark.parametrize("at", ["the host of the attempt", "another host"])
+def test_an_owners_end_of_a_task_whose_hand_over_is_kept_ends_it_at_its_host(at: str) -> None:
+    harness = TaskHarness()
+    harness.submit()
+    [attempt] = harness.offers()
+    host = attempt.machine if at == "the host of the attempt" else {"m0": "m1", "m1": "m0"}[attempt.machine]
+    harness.submit(FIGURES=f"cores:1;memory:2;service:s;at:{host}")
+    harness.tasks.owner_cancelled(SID)
+    harness.loop.pass_ms(5.0)
+    assert not harness.tasks.placed and not harness.placed_count
+    told = [event[1].machine for event in harness.events if event[0] == "withdraw"]
+    told += [event[1] for event in harness.events if event[0] == "end task"]
+    assert sorted(told) == sorted({attempt.machine, host})
+
+
+# Guards against a task that nobody looks after: its hand-over is beyond its client's share, and the client is not told.
+def test_a_kept_hand_over_beyond_its_clients_share_is_refused() -> None:
+    harness = TaskHarness()
+    harness.submit()
+    harness.submit(FIGURES="cores:1;memory:2;service:s;at:m1")
+    harness.tasks._handed_over._limit = 0
+    harness.tasks.owner_disconnected([SID])
+    harness.loop.pass_ms(5.0)
+    assert harness.events[-1] == ("refuse", SID, CAUSE_REFUSED, 0.0) and not harness.tasks.placed
+
+
 # Guards against the end of a task that its host reports under another id than that at which its owner has handed it over.
 @pytest.mark.parametrize("order", ["release first", "hand-over first"])
 def test_the_end_of_a_task_at_a_host_that_is_not_listed_yet_is_told(order: str) -> None:
