Node: hand-overs of known tasks in a module of their own

Change: handovers holds what an owner's word of an open or placed task means; causes for owners stand with the other causes in releases; no behaviour changes.

--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -35,7 +35,8 @@
 from sprucepost.node.owner_input import READ_BYTES, OwnerInput
 from sprucepost.node.owner_link import OwnerLink
 from sprucepost.node.parsing import InvalidSetUp, SetUpParser
-from sprucepost.node.tasks import CAUSE_REFUSED, RELEASE_RETENTION_MS, Tasks
+from sprucepost.node.releases import CAUSE_REFUSED
+from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
 
 ARRIVAL_GRACE_MS = 50.0  # data in flight when a connection is accepted, or crossing its close, arrives within that time
 MIN_OPEN_TASKS = 4  # set-ups that each connection may have open, however many there are in all
--- a/sprucepost/node/releases.py
+++ b/sprucepost/node/releases.py
@@ -7,6 +7,7 @@
 from sprucepost.node.attempt import Attempt, Withdrawal
 from sprucepost.node.jsonl import Line
 
+CAUSE_REFUSED, CAUSE_FAILED = 34, 41  # sent to owners
 CAUSE_ENDED, CAUSE_CANCELLED = 16, 31  # of a task that has come to its end, and of one that was moved or ended
 # Causes with which a host says that it has never accepted the set-up.
 NOT_ACCEPTED = {34: i.Ending.FULL, 47: i.Ending.ERROR, 102: i.Ending.VOID}
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -86,6 +86,7 @@
 )
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
+from sprucepost.node.handovers import HandOvers, is_handed_over_at
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.new_tasks import NewTasks
 from sprucepost.node.parsing import SetUp
@@ -94,8 +95,6 @@
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
-# Causes sent to owners.
-CAUSE_REFUSED, CAUSE_FAILED = 34, 41
 CAUSE_WITHDRAWN = 16  # sent to a host to withdraw a set-up or to end a placed task
 RELEASE_RETENTION_MS = 8000.0  # how long a release that found no connection is kept for its owner
 # A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
@@ -139,6 +138,14 @@
             lambda: self.owners,
             self._trace,
         )
+        self._handovers = HandOvers(
+            self.ledger,
+            self._placed,
+            counters,
+            lambda: self.hosts,
+            lambda setup, owner: self.admit(setup, owner, 0.0),
+            self._trace,
+        )
         self._new_tasks = NewTasks(loop, driver, counters, lambda: self.hosts, self._refuse)
         # Requests settled since the last batch, and between that one and the one before: decisions on them may still come.
         self._recently_settled: set[int] = set()
@@ -165,7 +172,7 @@
         if entry is not None:
             if not setup.current_host:
                 return SetUpResult.DUPLICATE_ID
-            self._hand_over_known(entry, HandOver(setup, owner))
+            self._handovers.take(entry, HandOver(setup, owner))
             return SetUpResult.ADMITTED
         now = self.loop.now()
         if setup.current_host and self._has_ended_at_host(setup, now):
@@ -195,45 +202,6 @@
         self._driver.schedule_batch()
         return SetUpResult.ADMITTED
 
-    def _hand_over_known(self, entry: Entry, handover: HandOver) -> None:
-        """Handle a hand-over of a task that is open or placed here. Its owner knows best which host has it."""
-        host = handover.setup.current_host
-        if entry.outcome is Outcome.OPEN:
-            entry.ask.handover = handover  # until the set-up has its outcome
-            self.counters["handovers_kept"] += 1
-            self.trace(entry.name, "handover_kept", host=host, why="its set-up is open")
-            return
-        self._placed.change_owner(entry, handover.owner)
-        if entry.machine != host:
-            self._placed.name_host(entry, host, self.hosts.is_listed(host))
-
-    def _take_kept_handover(self, entry: Entry) -> None:
-        """Handle the hand-over that was read while the set-up was open, now that it has its outcome."""
-        handover: HandOver | None = entry.ask.handover
-        if handover is None:
-            return
-        entry.ask.handover = None
-        if entry.outcome is Outcome.PLACED:
-            if self.ledger.current(entry.name) is entry:  # it has not ended in the same turn
-                self._hand_over_known(entry, handover)
-        elif not handover.owner.closed:
-            self._admit_kept(handover)
-
-    def _admit_kept(self, handover: HandOver) -> None:
-        result = self.admit(handover.setup, handover.owner, 0.0)
-        if result is SetUpResult.OVER_SHARE:
-            handover.owner.refuse(handover.setup.sid, CAUSE_REFUSED, 0.0)
-
-    def _end_kept_handover(self, entry: Entry) -> None:
-        """Have the task ended that the owner has handed over and now ends, where another host has it than the attempt's."""
-        handover: HandOver | None = entry.ask.handover
-        if handover is None:
-            return
-        entry.ask.handover = None
-        host, attempt = handover.setup.current_host, entry.ask.attempt
-        if attempt is None or attempt.host != host:
-            self.hosts.end_task(host, entry.name)
-
     def _has_ended_at_host(self, setup: SetUp, now: float) -> bool:
         """Whether the task has ended at the host that the set-up names, so that its owner has been sent the release.
 
@@ -287,7 +255,7 @@
         if entry.outcome is Outcome.OPEN:
             was_queued: bool = entry.ask.queued
             entry.ask.owner.discard_set_up(sid)
-            self._end_kept_handover(entry)
+            self._handovers.ended_by_owner(entry)
             self._cancel(entry, "by its owner")
             return not was_queued
         self.counters["ended_by_owner"] += 1
@@ -341,7 +309,7 @@
 
     def _fail(self, entry: Entry, why: str) -> None:
         self._cancel(entry, why)
-        entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
+        entry.ask.owner.refuse(entry.name, releases.CAUSE_FAILED, 0.0)
 
     # The scheduler
 
@@ -363,7 +331,7 @@
             return
         self._settle(entry, Outcome.FAILED)
         self._withdraw(entry)
-        entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
+        entry.ask.owner.refuse(entry.name, releases.CAUSE_FAILED, 0.0)
         self.counters["failed"] += 1
         self.trace(entry.name, "failed", why="decided")
 
@@ -371,7 +339,7 @@
         """Refuse an open task: no host has it, and none will get it."""
         self._settle(entry, Outcome.REFUSED)
         self._withdraw(entry)
-        entry.ask.owner.refuse(entry.name, CAUSE_REFUSED, stay_away_ms)
+        entry.ask.owner.refuse(entry.name, releases.CAUSE_REFUSED, stay_away_ms)
         self.counters["refused"] += 1
         self.trace(entry.name, "refused", why=why)
 
@@ -379,22 +347,16 @@
         self.ledger.settle(entry, outcome, self.loop.now())
         entry.ask.setup = replace(entry.ask.setup, description="")  # it is offered to no host again
         if entry.ask.handover is not None:
-            self.loop.call_soon(lambda: self._take_kept_handover(entry))
+            self.loop.call_soon(lambda: self._handovers.take_kept(entry))
         self.on_settled()
 
     def _withdraw(self, entry: Entry) -> None:
         """Withdraw the open attempt of a task that is settled, if there is one."""
         attempt: Attempt | None = entry.ask.attempt
         if attempt is not None:
-            self.hosts.withdraw(attempt, tell_host=not self._is_handed_over_at(attempt))
+            self.hosts.withdraw(attempt, tell_host=not is_handed_over_at(attempt))
             self.end_attempt(attempt, i.Ending.CANCELLED)
 
-    @staticmethod
-    def _is_handed_over_at(attempt: Attempt) -> bool:
-        """Return whether the owner has handed the task over at the host that has the attempt: it runs there."""
-        handover: HandOver | None = attempt.entry.ask.handover
-        return handover is not None and handover.setup.current_host == attempt.host
-
     def _offer(self, entry: Entry, action: i.Offer) -> None:
         now = self.loop.now()
         attempt = Attempt(entry, entry.attempts, action.machine, now, now + action.timeout)
@@ -439,7 +401,7 @@
     def _expire(self, attempt: Attempt) -> None:
         if attempt.entry.ask.attempt is not attempt:
             return
-        if self._is_handed_over_at(attempt):
+        if is_handed_over_at(attempt):
             self._fail(attempt.entry, "handed over at that host, whose answer has not come")
             return
         was_sent = self.hosts.was_sent(attempt)
@@ -507,7 +469,7 @@
         self._settle(entry, Outcome.FAILED)
         self.early_messages.record(entry.name, EarlyMessage.TASK_ENDED, self.loop.now(), attempt.host)
         self.end_attempt(attempt, i.Ending.RESET, reason, report)
-        entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
+        entry.ask.owner.refuse(entry.name, releases.CAUSE_FAILED, 0.0)
 
     def _accept(self, attempt: Attempt, text: str) -> None:
         entry, now = attempt.entry, self.loop.now()
@@ -600,7 +562,7 @@
         self._withdraw(entry)
         if not entry.ask.queued:
             self._driver.push(i.RequestAbandoned(entry.request))
-        entry.ask.owner.refuse(entry.name, CAUSE_FAILED, 0.0)
+        entry.ask.owner.refuse(entry.name, releases.CAUSE_FAILED, 0.0)
 
     # The host list and expiry
 
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -15,7 +15,8 @@
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.parsing import InvalidSetUp, SetUp, SetUpParser
 from sprucepost.node.process_identity import ListedStart, ProcessConnection
-from sprucepost.node.tasks import CAUSE_REFUSED, SETTLED_RETENTION_MS, Tasks
+from sprucepost.node.releases import CAUSE_REFUSED
+from sprucepost.node.tasks import SETTLED_RETENTION_MS, Tasks
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 from tests.node.platform import settings, setup
 from tests.placing.support import VirtualLoop
