Tests: what plays on the virtual platform share has a module of its own

The variants of the plays of an address that changes hands, their tasks and the run of a play in each variant are wanted by plays of other faults too. New beside them: an owner that closes its connection and reads nothing more, the order in which what one poll finds is handled, and placers on a third of a core in slices. tests/node/test_replaced_processes.py: 5 passed.

--- a/tests/node/test_replaced_processes.py
+++ b/tests/node/test_replaced_processes.py
@@ -3,70 +3,26 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
 from sprucepost.loop import Co
 from sprucepost.node.binary import Kind
+from tests.node.plays import (
+    END_DUE_MS,
+    RELEASE_DUE_MS,
+    TASKS,
+    Play,
+    PlayFailure,
+    Variant,
+    failures,
+    sids,
+    start,
+    tasks_of,
+)
 from tests.node.virtual import host_address
-from tests.node.virtual_platform import OwnerConnection, Process, VirtualPlatform, run_on_virtual_platform
+from tests.node.virtual_platform import OwnerConnection, Process, VirtualPlatform
 
 LIST_DELAY_MS = 1000.0  # from a start to its entry in the list
-END_DUE_MS = 8050.0  # from the end of a task to its release, where its host could not tell
-RELEASE_DUE_MS = 1050.0  # from a host's release to that of the owner
-TASKS = 6
-
-Play = Callable[[VirtualPlatform, "Variant"], Co[None]]
-
-
-@dataclass(frozen=True)
-class Variant:
-    """How a play is varied: the number of placers, how late their loop is, how often the address changes hands."""
-
-    placers: int = 1
-    late_ms: float = 0.0
-    replacements: int = 1
-
-
-VARIANTS = (
-    Variant(),
-    Variant(placers=3),
-    *(Variant(late_ms=late_ms) for late_ms in (50.0, 150.0, 350.0, 500.0)),
-    Variant(replacements=2),
-    Variant(placers=3, late_ms=350.0, replacements=2),
-)
-
-
-class PlayFailure(Exception):
-    """What was seen where the play expected something else."""
-
-
-def failures(folder: Path, plays: dict[str, Play]) -> list[str]:
-    """Run each play in each variant; return what failed."""
-    found = []
-    for name, play in plays.items():
-        for number, variant in enumerate(VARIANTS):
-            place = folder / name.replace(" ", "-") / str(number)
-            place.mkdir(parents=True)
-            try:
-                run_on_virtual_platform(place, lambda platform: play(platform, variant))  # noqa: B023
-            except PlayFailure as failure:
-                found.append(f"{name}, {variant}: {failure}")
-    return found
-
-
-def sids(first: int, number: int = TASKS) -> list[str]:
-    return [f"c0655aa5c7e{first + n:05x}" for n in range(number)]
-
-
-def start(platform: VirtualPlatform, variant: Variant) -> tuple[Process, list[OwnerConnection]]:
-    """Start the one host of the list and the placers, with an owner at each."""
-    process = platform.start_process("s-0")
-    platform.publish(process.entry(boot_ms=0), everything=True)
-    for _ in range(variant.placers):
-        platform.start_placer()
-    return process, [platform.connect(placer) for placer in platform.placers]
 
 
 def replace(platform: VirtualPlatform, process: Process, variant: Variant, uid: str = "") -> Co[list[Process]]:
@@ -96,12 +52,6 @@
                 raise PlayFailure(f"{sid} ended at {since:.0f} and was released at {times}")
 
 
-def tasks_of(owner: OwnerConnection, tasks: list[str]) -> list[str]:
-    """Return the tasks of an owner: each one has its own, by the number of its placer."""
-    number = owner.platform.placers.index(owner.placer)
-    return [f"{number:x}{sid[1:]}" for sid in tasks]
-
-
 def hand_over(platform: VirtualPlatform, owners: list[OwnerConnection], tasks: list[str], at: str) -> None:
     for owner in owners:
         owner.submit(*tasks_of(owner, tasks), at=at)
--- a/tests/node/virtual.py
+++ b/tests/node/virtual.py
@@ -73,6 +73,7 @@
         super().__init__()
         self.listeners: dict[Address, VirtualListener] = {}
         self.dialled: list[tuple[Address, VirtualSock]] = []
+        self.reverses_order = False  # whether what one poll finds is handled in the reverse order
         self._watched: dict[Sock | Listener, tuple[Call | None, Call | None]] = {}
 
     def listen(self, address: Address, backlog: int = 512) -> Listener:
@@ -117,7 +118,7 @@
                 found.append((sock, readable))
             elif writable is not None and getattr(sock, "up", True):
                 found.append((sock, writable))
-        return found
+        return found[::-1] if self.reverses_order else found
 
 
 def host_address(number: int) -> tuple[str, int]:
--- a/tests/node/virtual_platform.py
+++ b/tests/node/virtual_platform.py
@@ -20,6 +20,7 @@
 from tests.node.virtual import DISCOVERY, Placer, SocketLoop, VirtualSock, host_address
 
 STEP_MS = 5.0
+SLICE_MS, STOPPED_MS = 30.0, 60.0  # of placers that have a third of a core
 ACCEPT_MS = 20.0  # from a set-up's arrival at a host to its answer
 FIRST_ADDRESS = host_address(0)
 FIGURES = "cores:1;memory:2;service:00000000b4d65521"
@@ -55,6 +56,7 @@
     def __init__(self, platform: VirtualPlatform, placer: Placer, sock: VirtualSock) -> None:
         self.platform, self.placer, self.sock = platform, placer, sock
         self.told: list[tuple[float, str, int, int | None]] = []
+        self.closed = False  # whether the owner has ended it: it reads nothing more
         self._decoder = binary.Decoder()
 
     def submit(self, *sids: str, at: str = "", **changes: Any) -> None:
@@ -67,9 +69,16 @@
         cause = [(Code.CAUSE, bytes([16]))]
         self.sock.inbox.append(b"".join(binary.encode(Kind.RELEASE, sid, cause) for sid in sids))
 
+    def close(self, how: str = "close") -> None:
+        """Close the connection, or reset it; what lies unread is not read."""
+        self.closed = True
+        self.sock.inbox.append(ConnectionResetError(104, "reset") if how == "reset" else b"")
+
     def read(self) -> None:
         """Note what the placer has sent."""
         data, self.sock.sent = bytes(self.sock.sent), bytearray()
+        if self.closed:
+            return
         now = self.platform.loop.time
         self.told += [(now, message.task, message.kind, message.cause) for message in self._decoder.feed(data)]
 
@@ -96,6 +105,8 @@
         self._vanished: set[Address] = set()  # addresses at which no machine answers
         self._decoders: dict[VirtualSock, jsonl.Decoder] = {}
         self._owner_ports = self._placers_started = 0
+        self.is_sliced = False  # whether the placers have a third of a core
+        self._slice_ends_at = 0.0
 
     # Placers and owners
 
@@ -269,6 +280,9 @@
             for owner in self.owners:
                 owner.read()
             yield from sleep(STEP_MS)
+            if self.is_sliced and self.loop.time >= self._slice_ends_at:
+                self.be_late(STOPPED_MS)
+                self._slice_ends_at = self.loop.time + SLICE_MS
 
     def be_late(self, duration_ms: float) -> None:
         """Let time pass without a turn of the placers' loop: hosts go on."""
