Node: the log says which messages were in doubt when their connection ended

With it a released line names the connection that brought the task where it is another one, owner_ended counts releases in doubt and answers that were not sent, a host's disconnected counts ends of tasks in doubt, let_go names its connection.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -54,7 +54,7 @@
         self._linger_timer: Timer | None = None
         self._delivering = False  # within on_data()
         self.sent = 0  # total bytes accepted by the system
-        self.waited_ms = 0.0  # how long, at most, the data delivered last had waited to be read
+        self.waited_ms = 0.0  # how long, at most, the data or the end that was read last had waited
         self.continued = False  # whether the data delivered last had arrived behind a read that left data unread
         self._partial_read_at = 0.0  # when a read that may have left more data unread took place; 0 if none was left
         self._unread_at_poll = -1  # number of the latest poll after which data may have been left unread
@@ -69,6 +69,11 @@
         """Total bytes passed to :meth:`write`; all of them have been sent once ``sent`` reaches this value."""
         return self.sent + self.buffered
 
+    @property
+    def open_until(self) -> float:
+        """The end that was read last, or that a write met, has not arrived before that time, in ms of the loop's clock."""
+        return min(self._loop.now() - self.waited_ms, self._loop.polled_at - self._loop.unpolled_ms)
+
     @property
     def blocked(self) -> bool:
         """Whether the system accepts no more bytes for now."""
@@ -209,20 +214,16 @@
         try:
             data = self._sock.recv(self.max_read_bytes)
         except OSError as error:
+            self._note_wait(unpolled_ms)
             self._connection_lost(error)
             return True
         if data is None:
             self._partial_read_at, self._unread_at_poll = 0.0, -1
             return False
+        self._note_wait(unpolled_ms)
         if data:
-            now, polls = self._loop.now(), self._loop.polls
-            self.continued = self._unread_at_poll >= polls - 1 and self._unread_at_poll >= 0
-            if self._paused_at is not None:
-                unpolled_ms, self._paused_at = max(unpolled_ms, now - self._paused_at), None
-            left_behind = self._partial_read_at > 0.0 and self.continued
-            self.waited_ms = self.waited_ms + now - self._partial_read_at if left_behind else unpolled_ms
             is_full = len(data) >= self.max_read_bytes
-            self._partial_read_at, self._unread_at_poll = (now, polls) if is_full else (0.0, -1)
+            self._partial_read_at, self._unread_at_poll = (self._loop.now(), self._loop.polls) if is_full else (0.0, -1)
             self._delivering = True
             try:
                 self.on_data(data)
@@ -234,6 +235,15 @@
             self.on_end()
         return True
 
+    def _note_wait(self, unpolled_ms: float) -> None:
+        """Note how long what is read now may have waited, and whether it continues what was left unread."""
+        now = self._loop.now()
+        self.continued = self._unread_at_poll >= self._loop.polls - 1 and self._unread_at_poll >= 0
+        if self._paused_at is not None:
+            unpolled_ms, self._paused_at = max(unpolled_ms, now - self._paused_at), None
+        left_behind = self._partial_read_at > 0.0 and self.continued
+        self.waited_ms = self.waited_ms + now - self._partial_read_at if left_behind else unpolled_ms
+
     def _writable(self) -> None:
         self._blocked = False
         self._flush()
@@ -266,6 +276,7 @@
                 sent += accepted
                 self.sent += accepted
         except OSError as error:
+            self._note_wait(self._loop.since_poll_ms)
             self._connection_lost(error)
             return
         self.buffered -= sent
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -7,6 +7,7 @@
 from sprucepost.loop import Timer, Transport
 from sprucepost.node.address_holders import Address, Age
 from sprucepost.node.attempt import Attempt
+from sprucepost.node.delivery import Deliveries
 from sprucepost.node.jsonl import Decoder
 from sprucepost.node.process_identity import ProcessConnection
 
@@ -32,6 +33,7 @@
         self.ended_unanswered: deque[str] = deque(maxlen=ENDED_SETUPS_MAX)  # set-ups that ended here without an answer
         self.withdrawn: set[str] = set()  # set-ups withdrawn here: messages about them are not about a later attempt
         self.last_used = now  # ms of the loop's clock, like all times here
+        self.ends: Deliveries[None] = Deliveries()  # of placed tasks, which the host has been told here
         self.check_sent: float | None = None  # when the unanswered health check was sent
         self.retired = False  # whether it takes no more set-ups
 
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -33,6 +33,7 @@
 from sprucepost.node.tasks import CAUSE_WITHDRAWN, Tasks
 
 REDIAL_MS = 200.0  # between dials of a host; doubled for each failed dial unless the host is suspected
+ENDED_BY_PEER = ("ended", "reset")
 REDIAL_MAX_MS = 1600.0  # five dials until the host counts as silent: one that is back is found in time
 
 
@@ -195,12 +196,23 @@
             return
         link = next((link for link in host.links if not link.transport.closed and not link.retired), None)
         if link is not None:
-            link.transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
-            self._tasks.trace(sid, "let_go", host=machine)
+            self._write_end(link, sid)
+            self._tasks.trace(sid, "let_go", host=machine, link=link.number)
         else:
             self._tasks.trace(sid, "let_go", host=machine, why="when it can be reached")
             host.pending_releases[sid] = self.loop.now() + health.SILENT_AFTER_MS
 
+    def _write_end(self, link: HostLink, sid: str) -> None:
+        """Tell the host on that connection to end a running task."""
+        link.transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
+        link.ends.record(sid, None, self.loop.polled_at)
+
+        def all_sent() -> None:
+            link.transport.on_drained = None
+            link.ends.all_sent(self.loop.now())
+
+        link.transport.on_drained = all_sent
+
     def adopt(self, machine: str, sid: str) -> bool:
         """Keep a task that its owner has handed back: cancel a pending release of it. False where the host is not listed."""
         host = self.hosts.get(machine)
@@ -280,7 +292,7 @@
         transport.on_lost = lambda error: self.end(link.host, link, "reset")
         transport.start()
         for sid in host.pending_releases:
-            transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
+            self._write_end(link, sid)
         host.pending_releases.clear()
         self._serve(host)
         if self._health.suspected(host):
@@ -339,7 +351,16 @@
             return
         host.links.remove(link)
         self.counters[f"host_link_{why}"] += 1
-        self._log.host(host.uid, "disconnected", link=link.number, why=why, open=len(link.open) or None)
+        open_until = link.transport.open_until if why in ENDED_BY_PEER else self.loop.now()
+        in_doubt = len(link.ends.undelivered(open_until))
+        self._log.host(
+            host.uid,
+            "disconnected",
+            link=link.number,
+            why=why,
+            open=len(link.open) or None,
+            ends_in_doubt=in_doubt or None,
+        )
         if why in ("retired", "idle", "room"):
             link.transport.on_linger_data = lambda data: self._handle_late_data(host, link, data)
             self._descriptors.close(link.transport)
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
-from dataclasses import dataclass
+from collections import Counter
 from typing import Protocol
 
 from sprucepost.loop import Loop, Transport
 from sprucepost.node.binary import Code, Decoder, Kind, encode
 from sprucepost.node.connection_states import ConnectionFacts
+from sprucepost.node.delivery import Deliveries
 from sprucepost.node.framing import MAX_MESSAGE_BYTES
 from sprucepost.node.log import Log
+from sprucepost.node.owner_releases import OwedRelease
 from sprucepost.node.useless_messages import UselessMessages
 
 MAX_UNREAD_BYTES = 16 * MAX_MESSAGE_BYTES  # unsent output after which an owner that does not read is disconnected
@@ -20,15 +21,6 @@
 FLOODING_AFTER_MS = 50.0
 
 
-@dataclass(frozen=True, slots=True)
-class WrittenRelease:
-    """A release that has been written to a connection and may not have been sent completely."""
-
-    end_offset: int  # bytes sent on the connection once it has been
-    sid: str
-    cause: int
-
-
 class OwnersContext(Protocol):
     """What a connection needs of the owner of all connections."""
 
@@ -72,7 +64,8 @@
         self.read_at = now  # time of the latest read, in ms of the loop's clock
         self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
         self.useless_messages = UselessMessages(now)
-        self._unconfirmed_releases: deque[WrittenRelease] = deque()
+        self.releases: Deliveries[OwedRelease] = Deliveries()
+        self.unsent_answers: list[str] = []  # tasks whose answers the system has not taken
         self._releases_to_confirm = 0  # releases and refusals sent here that the owner has not confirmed
 
     @property
@@ -148,6 +141,8 @@
         self.was_answered = True
         self.open.discard(sid)
         self._send(encode(Kind.ANSWER, sid, [(Code.DESCRIPTION, text.encode("utf-8"))]))
+        self.unsent_answers.append(sid)
+        self.transport.on_drained = self._all_sent
 
     def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
         """Tell the owner that the task was refused or has failed; ``stay_away_ms`` asks it to back off."""
@@ -158,23 +153,26 @@
             parameters.append((Code.STAY_AWAY, str(round(stay_away_ms)).encode()))
         self._send(encode(Kind.RELEASE, sid, parameters))
 
-    def release(self, sid: str, cause: int) -> None:
+    def release(self, owed: OwedRelease) -> None:
         """Tell the owner that its placed task has ended."""
-        if not self.transport.buffered:
-            self._unconfirmed_releases.clear()
-        self.refuse(sid, cause, 0.0)
-        self._unconfirmed_releases.append(WrittenRelease(self.transport.written, sid, cause))
-        self._owners.log.task(sid, "released", owner=self.transport.peer)
-
-    def confirm_release(self) -> bool:
+        self.refuse(owed.sid, owed.cause, 0.0)
+        self.releases.record(owed.sid, owed, self._owners.loop.polled_at)
+        self.transport.on_drained = self._all_sent
+        brought_by = owed.owner.transport.peer if owed.owner is not self else None
+        self._owners.log.task(owed.sid, "released", owner=self.transport.peer, brought_by=brought_by)
+
+    def _all_sent(self) -> None:
+        """Note that the system has taken all that was written."""
+        self.transport.on_drained = None
+        self.unsent_answers.clear()
+        self.releases.all_sent(self._owners.loop.now())
+
+    def confirm_release(self, sid: str) -> bool:
         """Note that the owner has heard a release or refusal; return whether one was sent to it here."""
+        self.releases.confirm(sid)
         self._releases_to_confirm -= 1
         return self._releases_to_confirm >= 0
 
-    def unsent_releases(self) -> list[WrittenRelease]:
-        """Return the releases that the owner cannot have read, since they were not sent completely."""
-        return [release for release in self._unconfirmed_releases if release.end_offset > self.transport.sent]
-
     def answer_health_check(self, sid: str, passed: bool) -> None:
         """Reply to a health check of the owner."""
         self._send(encode(Kind.TESTED, sid, [(Code.CAUSE, bytes([passed]))]))
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -22,7 +22,6 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from sprucepost.loop import Acceptor, Co, Listener, Loop, Sock, Transport, sleep
 from sprucepost.node.attempt import OwnerPort, SetUpResult
@@ -34,6 +33,7 @@
 from sprucepost.node.log import Log
 from sprucepost.node.owner_input import READ_BYTES, OwnerInput
 from sprucepost.node.owner_link import OwnerLink
+from sprucepost.node.owner_releases import OwedRelease
 from sprucepost.node.parsing import InvalidSetUp, SetUpParser
 from sprucepost.node.releases import CAUSE_REFUSED
 from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
@@ -42,20 +42,11 @@
 MIN_OPEN_TASKS = 4  # set-ups that each connection may have open, however many there are in all
 STOP_READ_MS = 50.0  # for handling what has arrived on all connections before the process ends
 CLOSE_POLL_MS = 5.0  # interval of the checks whether all connections have ended
+ENDED_BY_PEER = ("ended", "lost")
 # Ends for what the peer has sent, or not sent: the peer gets the outcome of its open set-ups first.
 ENDED_FOR_INPUT = ("useless", "malformed", "cut")
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingRelease:
-    """A release without a connection to send it on."""
-
-    expires_at: float  # in ms of the loop's clock
-    owner_address: str
-    sid: str
-    cause: int
-
-
 def _closing_order(link: OwnerLink) -> tuple[bool, float]:
     """Sort key of idle connections to close: unproven ones first, then the longest idle first."""
     return link.proven, link.used
@@ -91,7 +82,7 @@
         self._pruned_at_poll = -1  # number of the poll after which connections without unread input were dropped there
         self.fails_health_checks = False  # owners then stop sending set-ups
         self.refuses_set_ups = False  # set-ups that arrive now are refused
-        self._waiting_releases: list[WaitingRelease] = []
+        self._waiting_releases: list[OwedRelease] = []
         self._input = OwnerInput(loop, self._on_message, self._after_visit)
         self._acceptor = Acceptor(loop, listener, self._accept_connection)
 
@@ -248,8 +239,14 @@
             state=state.value,
             open=len(link.open) or None,
             standing=link.placed_tasks or None,
+            releases_in_doubt=len(link.releases.undelivered(self._open_until(link, why))) or None,
+            answers_unsent=len(link.unsent_answers) or None,
         )
 
+    def _open_until(self, link: OwnerLink, why: str) -> float:
+        """Return until when a connection that ends now is known to have been open, in ms of the loop's clock."""
+        return link.transport.open_until if why in ENDED_BY_PEER else self.loop.now()
+
     def _remove(self, link: OwnerLink) -> None:
         if self.links.pop(link, self) is not None:
             return
@@ -260,8 +257,8 @@
             sids, link.open = sorted(link.open), set()
             self._tasks.owner_disconnected(sids)
         if link.transport.closed:
-            for release in link.unsent_releases():
-                self.release(link, release.sid, release.cause)
+            for message in link.releases.unsent():
+                self._send_release(message.content)
 
     def tick(self) -> None:
         """End the connections whose deadline has passed; drop expired releases."""
@@ -357,7 +354,7 @@
         elif message.kind == Kind.TEST:
             link.answer_health_check(message.task, not self.fails_health_checks)
         elif message.kind == Kind.RELEASED:
-            useful = link.confirm_release()
+            useful = link.confirm_release(message.task)
         if useful:
             return
         if not link.was_written_to:
@@ -404,6 +401,10 @@
     def release(self, link: OwnerPort, sid: str, cause: int) -> None:
         """Send the release on this connection, else on another of that owner, else on the next one that it uses."""
         assert isinstance(link, OwnerLink)
+        self._send_release(OwedRelease(sid, cause, link, self.loop.now() + RELEASE_RETENTION_MS))
+
+    def _send_release(self, owed: OwedRelease) -> None:
+        link = owed.owner
         if link.closed:
             others = [
                 other
@@ -412,12 +413,11 @@
             ]
             if not others:
                 self.counters["releases_waiting"] += 1
-                self.log.task(sid, "release_waits", owner=link.owner_address, why="no connection to its owner")
-                expires_at = self.loop.now() + RELEASE_RETENTION_MS
-                self._waiting_releases.append(WaitingRelease(expires_at, link.owner_address, sid, cause))
+                self.log.task(owed.sid, "release_waits", owner=link.owner_address, why="no connection to its owner")
+                self._waiting_releases.append(owed)
                 return
             link = max(others, key=lambda other: (other.was_answered, other.proven, other.used))
-        link.release(sid, cause)
+        link.release(owed)
 
     def cancel_release(self, sid: str) -> None:
         """Drop the release of that task if it still waits for a connection: the task has been handed over."""
@@ -426,7 +426,7 @@
     def _send_waiting_releases(self, link: OwnerLink) -> None:
         waiting, self._waiting_releases = self._waiting_releases, []
         for release in waiting:
-            if release.owner_address == link.owner_address:
-                link.release(release.sid, release.cause)
+            if release.owner.owner_address == link.owner_address:
+                link.release(release)
             else:
                 self._waiting_releases.append(release)
