Node: a release reaches its owner beside other clients at the owner's address

Seen by callers: an owner whose connection had ended was never told of its tasks' end when another client had a connection from its address. Cause: Owners.release took any open connection of the address that had sent a message for the owner's and was done with it. Class: an address is taken for an identity.

Now a release whose connection has ended is a guess on any other one: it goes to the likeliest at once, to the others of the address if none has confirmed it after 100 ms, and to each that comes within the 8 s, once on each, at most 256 copies a check. What tells who the owner is (a hand-over of the task, its end, its confirmation) ends that: node.owner_releases has the table. An owner that hands over a task whose end it has not heard is told there.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -61,7 +61,11 @@
         ...
 
     def cancel_release(self, sid: str) -> None:
-        """Drop the release of that task if it still waits for a connection: the task has been handed over."""
+        """Send the release of that task no more: the task has been handed over, or its owner knows of the end."""
+        ...
+
+    def release_again(self, link: OwnerPort, sid: str) -> None:
+        """Send the release of a task that its owner hands over on this connection, if the owner may not have heard of it."""
         ...
 
 
--- a/sprucepost/node/health.py
+++ b/sprucepost/node/health.py
@@ -32,7 +32,8 @@
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.jsonl import MessageType, encode
 from sprucepost.node.log import Log
-from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
+from sprucepost.node.owner_releases import RELEASE_RETENTION_MS
+from sprucepost.node.tasks import Tasks
 
 CHECK_TIMEOUT_MS = 1000.0  # a connection without an answer to its health check by then is ended
 # A release must be sent within RELEASE_RETENTION_MS of the task's end, and the silence may begin with the end; the rest
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -46,7 +46,7 @@
         self.owner_address = transport.peer.rpartition(":")[0]  # owners are told apart by the address they connect from
         self.open: set[str] = set()  # ids of set-ups without an answer
         self.placed_tasks = 0  # tasks that it brought and that are still placed
-        self.has_sent_message = False  # whether a complete message has arrived
+        self.first_message_number = 0  # of the connections in the order of their first messages, from 1; 0: none yet
         self.got_waiting_releases = False  # whether releases that waited for a connection of its owner were sent here
         self.was_written_to = False  # while the message that is handled now has been handled
         self.was_answered = False  # whether a task of its owner was answered here
@@ -68,6 +68,16 @@
         self.unsent_answers: list[str] = []  # tasks whose answers the system has not taken
         self._releases_to_confirm = 0  # releases and refusals sent here that the owner has not confirmed
 
+    @property
+    def peer(self) -> str:
+        """Address and port of the owner."""
+        return self.transport.peer
+
+    @property
+    def has_sent_message(self) -> bool:
+        """Whether a complete message has arrived."""
+        return self.first_message_number > 0
+
     @property
     def closed(self) -> bool:
         """Whether nothing more is handled or sent here; what was written before may still be on its way."""
@@ -153,13 +163,13 @@
             parameters.append((Code.STAY_AWAY, str(round(stay_away_ms)).encode()))
         self._send(encode(Kind.RELEASE, sid, parameters))
 
-    def release(self, owed: OwedRelease) -> None:
-        """Tell the owner that its placed task has ended."""
+    def release(self, owed: OwedRelease, state: str = "released") -> None:
+        """Tell the owner that its placed task has ended; ``state`` is what the log says of the task."""
         self.refuse(owed.sid, owed.cause, 0.0)
         self.releases.record(owed.sid, owed, self._owners.loop.polled_at)
         self.transport.on_drained = self._all_sent
-        brought_by = owed.owner.transport.peer if owed.owner is not self else None
-        self._owners.log.task(owed.sid, "released", owner=self.transport.peer, brought_by=brought_by)
+        brought_by = owed.owner.peer if owed.owner is not self else None
+        self._owners.log.task(owed.sid, state, owner=self.peer, brought_by=brought_by)
 
     def _all_sent(self) -> None:
         """Note that the system has taken all that was written."""
--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -1,19 +1,183 @@
-"""Releases that are owed to owners whose tasks have ended."""
+"""Releases that are owed to owners whose tasks have ended: on which connections they are sent, and for how long.
+
+A release is owed to the owner that brought the task, and the platform tells owners by nothing but what they send: several
+clients may have one address, and another one may come to the address of one that has gone.
+
+==================================== ================================ ====================================================
+evidence that a connection is the    what it tells                    the release
+owner's
+==================================== ================================ ====================================================
+it has brought the task, and is open it is the owner's                is sent there alone
+it hands the task over, ends it, or  it is the owner's, who knows the is sent there alone (handed over), or nowhere any
+confirms its release                 task, or its end                 more
+it comes from the owner's address,   it may be the owner's            is a *guess* there: it is sent to the likeliest one
+and has brought a message                                             at once, to the others of that address if none has
+                                                                      confirmed it after ``CONFIRMATION_MS``, and to each
+                                                                      that comes until ``RELEASE_RETENTION_MS`` have passed;
+                                                                      once on each
+it comes from another address        it is not the owner's            is not sent there
+==================================== ================================ ====================================================
+
+A client that is sent a release of a task which it doesn't know drops it, as placers do with what hosts repeat. Copies of
+guesses are bounded for each check, oldest releases first.
+"""
 
 from __future__ import annotations
 
+from collections import Counter, defaultdict
+from collections.abc import Collection
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
+
+from sprucepost.loop import Loop
+from sprucepost.node.log import Log
+
+RELEASE_RETENTION_MS = 8000.0  # how long a release that is not known to have reached its owner is kept
+CONFIRMATION_MS = 100.0  # within which a peer confirms a release, if it confirms any
+COPIES_PER_CHECK = 256  # of guesses, each a message of some 20 bytes
+
+
+class OwnerConnection(Protocol):
+    """A connection of an owner, open or ended. Times are ms of the loop's clock."""
 
-if TYPE_CHECKING:
-    from sprucepost.node.owner_link import OwnerLink
+    owner_address: str
+    first_message_number: int  # of the connections in the order of their first messages, from 1; 0: none yet
+    was_answered: bool  # whether a task was answered here
+    proven: bool  # whether it has brought a task that was admitted
+    used: float  # time of the last admitted task or of the last write
+
+    @property
+    def peer(self) -> str: ...
+    @property
+    def closed(self) -> bool: ...
+    def release(self, owed: OwedRelease, state: str = "released") -> None:
+        """Send the release; ``state`` is what the log says of the task."""
+        ...
 
 
 @dataclass(slots=True, eq=False)
 class OwedRelease:
-    """The release of a task that has ended, owed to the owner whose connection brought it."""
+    """The release of a task that has ended, owed to the owner whose connection brought it. Times are ms of the loop's
+    clock."""
 
     sid: str
     cause: int
-    owner: OwnerLink
-    expires_at: float  # in ms of the loop's clock
+    owner: OwnerConnection
+    expires_at: float
+    is_cancelled: bool = False  # the task has been handed over since, or its owner knows of the end
+    first_guess: OwnerConnection | None = None  # the connection to which it was sent first, where the owner's has ended
+    first_guess_at: float = 0.0
+    next_guess: int = (
+        0  # of the connections in order of their first messages, those before this number have been sent it
+    )
+
+
+class OwnerReleases:
+    """The releases owed to owners; ``links`` has the open connections."""
+
+    def __init__(self, loop: Loop, links: Collection[OwnerConnection], log: Log, counters: Counter[str]) -> None:
+        self._loop, self._links, self._log, self._counters = loop, links, log, counters
+        self._owed: dict[str, OwedRelease] = {}  # by task, for ``RELEASE_RETENTION_MS``
+        self._pending: dict[str, OwedRelease] = {}  # those not known to have been sent to their owners, oldest first
+
+    @property
+    def pending(self) -> int:
+        """The number of releases that are not known to have been sent to their owners."""
+        return len(self._pending)
+
+    def oldest_pending_ms(self) -> float:
+        """Return for how long the oldest of them has been owed, in ms; 0 where there is none."""
+        oldest = min((owed.expires_at for owed in self._pending.values()), default=None)
+        return 0.0 if oldest is None else self._loop.now() + RELEASE_RETENTION_MS - oldest
+
+    def owe(self, link: OwnerConnection, sid: str, cause: int) -> None:
+        """Send the release of a task that this connection has brought: there, or where its owner may be."""
+        owed = OwedRelease(sid, cause, link, self._loop.now() + RELEASE_RETENTION_MS)
+        self._owed[sid] = owed
+        self._send(owed)
+
+    def send_again(self, owed: OwedRelease) -> None:
+        """Send a release again whose connection has ended before the owner can have read it."""
+        if not owed.is_cancelled:
+            self._send(owed)
+
+    def _send(self, owed: OwedRelease) -> None:
+        if owed.owner.closed:
+            self._guess(owed)
+        else:
+            owed.owner.release(owed)
+
+    def _guess(self, owed: OwedRelease) -> None:
+        """Send a release on the likeliest connection of its owner's address, and keep it for the others."""
+        self._pending[owed.sid] = owed
+        candidates = [link for link in self._links if _may_be_owners(link, owed)]
+        if candidates:
+            self._send_first_guess(owed, max(candidates, key=lambda link: (link.was_answered, link.proven, link.used)))
+            return
+        self._counters["releases_waiting"] += 1
+        self._log.task(owed.sid, "release_waits", owner=owed.owner.peer, why="no connection to its owner")
+
+    def _send_first_guess(self, owed: OwedRelease, link: OwnerConnection) -> None:
+        owed.first_guess, owed.first_guess_at = link, self._loop.now()
+        self._counters["releases_guessed"] += 1
+        link.release(owed)
+
+    def send_waiting(self, link: OwnerConnection) -> None:
+        """Send the releases for which there was no connection so far, on one that has brought its first message."""
+        for owed in list(self._pending.values()):
+            if owed.first_guess is None and _may_be_owners(link, owed):
+                self._send_first_guess(owed, link)
+
+    def handed_over_again(self, link: OwnerConnection, sid: str) -> None:
+        """Send the release on the connection that hands over the task, as its owner hasn't heard of the end."""
+        owed = self._pending.pop(sid, None)
+        if owed is not None and owed.first_guess is not link:
+            owed.owner = link
+            link.release(owed)
+
+    def cancel(self, sid: str) -> None:
+        """Send the release of that task no more: the task has been handed over, or its owner knows of the end."""
+        self._pending.pop(sid, None)
+        owed = self._owed.pop(sid, None)
+        if owed is not None:
+            owed.is_cancelled = True
+
+    def check(self) -> None:
+        """Drop expired releases; send copies of guesses that nobody has confirmed. Called periodically."""
+        now = self._loop.now()
+        for sid in [sid for sid, owed in self._owed.items() if owed.expires_at <= now]:
+            del self._owed[sid]
+            if self._pending.pop(sid, None) is not None:
+                self._counters["releases_expired"] += 1
+        self._send_copies(
+            [
+                owed
+                for owed in self._pending.values()
+                if owed.first_guess is not None and now - owed.first_guess_at >= CONFIRMATION_MS
+            ]
+        )
+
+    def _send_copies(self, guesses: list[OwedRelease]) -> None:
+        """Send guesses on the connections of their addresses that have not been sent them, as many as a check may."""
+        if not guesses:
+            return
+        by_address: defaultdict[str, list[OwnerConnection]] = defaultdict(list)
+        for link in sorted(self._links, key=lambda link: link.first_message_number):
+            by_address[link.owner_address].append(link)
+        copies = 0
+        for owed in guesses:
+            for link in by_address[owed.owner.owner_address]:
+                if link.first_message_number < owed.next_guess or not _may_be_owners(link, owed):
+                    continue
+                if link is not owed.first_guess:
+                    if copies == COPIES_PER_CHECK:
+                        return
+                    copies += 1
+                    self._counters["releases_copied"] += 1
+                    link.release(owed, "release_copied")
+                owed.next_guess = link.first_message_number + 1
+
+
+def _may_be_owners(link: OwnerConnection, owed: OwedRelease) -> bool:
+    """Return whether a connection may be of the owner to whom a release is owed."""
+    return link.first_message_number > 0 and not link.closed and link.owner_address == owed.owner.owner_address
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -33,10 +33,10 @@
 from sprucepost.node.log import Log
 from sprucepost.node.owner_input import READ_BYTES, OwnerInput
 from sprucepost.node.owner_link import OwnerLink
-from sprucepost.node.owner_releases import OwedRelease
+from sprucepost.node.owner_releases import OwnerReleases
 from sprucepost.node.parsing import InvalidSetUp, SetUpParser
 from sprucepost.node.releases import CAUSE_REFUSED
-from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
+from sprucepost.node.tasks import Tasks
 
 ARRIVAL_GRACE_MS = 50.0  # data in flight when a connection is accepted, or crossing its close, arrives within that time
 MIN_OPEN_TASKS = 4  # set-ups that each connection may have open, however many there are in all
@@ -82,7 +82,8 @@
         self._pruned_at_poll = -1  # number of the poll after which connections without unread input were dropped there
         self.fails_health_checks = False  # owners then stop sending set-ups
         self.refuses_set_ups = False  # set-ups that arrive now are refused
-        self._waiting_releases: list[OwedRelease] = []
+        self.releases = OwnerReleases(loop, self.links.keys(), log, counters)
+        self._first_messages = 0  # number of connections that have brought a message so far
         self._input = OwnerInput(loop, self._on_message, self._after_visit)
         self._acceptor = Acceptor(loop, listener, self._accept_connection)
 
@@ -258,10 +259,11 @@
             self._tasks.owner_disconnected(sids)
         if link.transport.closed:
             for message in link.releases.unsent():
-                self._send_release(message.content)
+                self.releases.send_again(message.content)
 
     def tick(self) -> None:
-        """End the connections whose deadline has passed; drop expired releases."""
+        """End the connections whose deadline has passed; send releases on, or drop them. Called periodically."""
+        self.releases.check()
         now, last_links = self.loop.now(), self._last_links()
         for link in list(self.links):
             found = self._review(link, last_links)
@@ -269,7 +271,6 @@
                 found = self._review(link, last_links)  # what has arrived may be of use
             if found.ends_at < now:
                 self.disconnect(link, found.reason.value)
-        self._waiting_releases = [release for release in self._waiting_releases if release.expires_at > now]
 
     def stop_listening(self) -> None:
         """Accept the connections that wait in the backlog, then no more."""
@@ -341,10 +342,12 @@
             link.partial_since = self.loop.now()
         if link.has_sent_message and not (link.got_waiting_releases or has_more or link.closed):
             link.got_waiting_releases = True  # now: a task that is handed over first is not released
-            self._send_waiting_releases(link)
+            self.releases.send_waiting(link)
 
     def _on_message(self, link: OwnerLink, message: Message) -> None:
-        link.has_sent_message = True
+        if not link.first_message_number:
+            self._first_messages += 1
+            link.first_message_number = self._first_messages
         link.partial_since = None  # reads from a busy owner may each end within another message
         useful, link.was_written_to = False, False
         if message.kind == Kind.SETUP:
@@ -354,6 +357,7 @@
         elif message.kind == Kind.TEST:
             link.answer_health_check(message.task, not self.fails_health_checks)
         elif message.kind == Kind.RELEASED:
+            self.releases.cancel(message.task)
             useful = link.confirm_release(message.task)
         if useful:
             return
@@ -399,34 +403,15 @@
     # Releases
 
     def release(self, link: OwnerPort, sid: str, cause: int) -> None:
-        """Send the release on this connection, else on another of that owner, else on the next one that it uses."""
+        """Send the release on this connection, or on those that may be of the same owner."""
         assert isinstance(link, OwnerLink)
-        self._send_release(OwedRelease(sid, cause, link, self.loop.now() + RELEASE_RETENTION_MS))
-
-    def _send_release(self, owed: OwedRelease) -> None:
-        link = owed.owner
-        if link.closed:
-            others = [
-                other
-                for other in self.links
-                if other.has_sent_message and not other.closed and other.owner_address == link.owner_address
-            ]
-            if not others:
-                self.counters["releases_waiting"] += 1
-                self.log.task(owed.sid, "release_waits", owner=link.owner_address, why="no connection to its owner")
-                self._waiting_releases.append(owed)
-                return
-            link = max(others, key=lambda other: (other.was_answered, other.proven, other.used))
-        link.release(owed)
+        self.releases.owe(link, sid, cause)
 
     def cancel_release(self, sid: str) -> None:
-        """Drop the release of that task if it still waits for a connection: the task has been handed over."""
-        self._waiting_releases = [release for release in self._waiting_releases if release.sid != sid]
-
-    def _send_waiting_releases(self, link: OwnerLink) -> None:
-        waiting, self._waiting_releases = self._waiting_releases, []
-        for release in waiting:
-            if release.owner.owner_address == link.owner_address:
-                link.release(release)
-            else:
-                self._waiting_releases.append(release)
+        """Send the release of that task no more: the task has been handed over, or its owner knows of the end."""
+        self.releases.cancel(sid)
+
+    def release_again(self, link: OwnerPort, sid: str) -> None:
+        """Send the release of a task that its owner hands over on this connection, if the owner may not have heard of it."""
+        assert isinstance(link, OwnerLink)
+        self.releases.handed_over_again(link, sid)
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -187,6 +187,8 @@
             owner_links=len(self.owners.links),
             owner_links_waiting=sum(bool(link.open) for link in self.owners.links),
             owner_link_states={state.value: number for state, number in self.owners.states().items()},
+            releases_pending=self.owners.releases.pending,
+            releases_oldest_ms=round(self.owners.releases.oldest_pending_ms()),
             host_links=sum(len(host.links) for host in self.hosts.hosts.values()),
             closing=self.descriptors.closing,
             accepts_failed=self.owners.accepts_failed,
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -89,6 +89,7 @@
 from sprucepost.node.handovers import HandOvers, is_handed_over_at
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.new_tasks import NewTasks
+from sprucepost.node.owner_releases import RELEASE_RETENTION_MS
 from sprucepost.node.parsing import SetUp
 from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
 from sprucepost.node.process_identity import ProcessConnection, TaskEnd
@@ -96,7 +97,6 @@
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
 CAUSE_WITHDRAWN = 16  # sent to a host to withdraw a set-up or to end a placed task
-RELEASE_RETENTION_MS = 8000.0  # how long a release that found no connection is kept for its owner
 # A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
 RELEASE_CROSSING_MS = 50.0
 SETTLED_RETENTION_MS = 1000.0  # what its owner sent before it had read a refusal or failure has arrived by then
@@ -178,6 +178,7 @@
         if setup.current_host and self._has_ended_at_host(setup, now):
             self.counters["repeats_of_ended"] += 1
             self.trace(setup.sid, "repeat_of_ended", host=setup.current_host)
+            self.owners.release_again(owner, setup.sid)
             return SetUpResult.ADMITTED
         if self.early_messages.get(setup.sid, now) is not None:
             self.counters["unwanted"] += 1
@@ -273,6 +274,7 @@
         for host in self.early_messages.hosts_with(sid, EarlyMessage.PRESUMED_LOST, now):
             self.hosts.end_task(host, sid)
             self.early_messages.record(sid, EarlyMessage.TASK_ENDED, now, host)
+        self.owners.cancel_release(sid)
         if self.early_messages.hosts_with(sid, EarlyMessage.TASK_ENDED, now):
             return True
         self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now, source=client)
--- /dev/null
+++ b/tests/node/test_deliveries.py
@@ -0,0 +1,121 @@
+"""Messages that must take effect at a peer whose connection ends: releases, ends of tasks and answers."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from sprucepost.loop import Co
+from sprucepost.node import binary
+from sprucepost.node.binary import Kind
+from tests.node.plays import (
+    DELIVERY_VARIANTS,
+    END_DUE_MS,
+    RELEASE_DUE_MS,
+    Play,
+    PlayFailure,
+    Variant,
+    failures,
+    sids,
+    start,
+    tasks_of,
+)
+from tests.node.virtual_platform import OwnerConnection, Process, VirtualPlatform
+
+WATCHED_MS = 9500.0
+SETTLE_MS = 500.0  # after which nothing is on its way, also where placers have a third of a core
+
+
+def submit_all(platform: VirtualPlatform, owners: list[OwnerConnection], tasks: list[str]) -> Co[None]:
+    """Have each owner set up its tasks, and wait until they stand."""
+    for owner in owners:
+        owner.submit(*tasks_of(owner, tasks))
+    yield from platform.run(SETTLE_MS)
+
+
+def connect_others(platform: VirtualPlatform, uses: str, process: Process, first: int) -> Co[list[OwnerConnection]]:
+    """Connect to each placer from the owners' address; each connection has had a task, or has only sent a test."""
+    others = [platform.connect(placer) for placer in platform.placers]
+    if uses == "tests":
+        for other in others:
+            other.sock.inbox.append(binary.encode(Kind.TEST, "0" * 16, []))
+        yield from platform.run(SETTLE_MS)
+        return others
+    tasks = sids(first, 1)
+    yield from submit_all(platform, others, tasks)
+    end_all(platform, process, others, tasks)
+    yield from platform.run(SETTLE_MS)
+    return others
+
+
+def end_all(platform: VirtualPlatform, process: Process, owners: list[OwnerConnection], tasks: list[str]) -> float:
+    """End the owners' tasks at their process; return when that was."""
+    for owner in owners:
+        for sid in tasks_of(owner, tasks):
+            platform.end_task(process, sid)
+    return platform.loop.time
+
+
+def check_told(clients: list[list[OwnerConnection]], tasks: list[str], due: float) -> None:
+    """Check that each client, with all its connections, has been told of the end of its tasks, once on each at the most."""
+    for connections in clients:
+        for sid in tasks_of(connections[0], tasks):
+            found = [
+                [at for at, task, kind, _ in each.told if task == sid and kind == Kind.RELEASE] for each in connections
+            ]
+            times = sorted(at for each in found for at in each)
+            if not times or times[0] > due or max(map(len, found)) > 1:
+                raise PlayFailure(f"{sid} was due by {due:.0f} and released at {found}")
+
+
+# A stranger at the owner's address
+
+
+def stranger(how: str, uses: str, returns_after_ms: float) -> Play:
+    """An owner's connection ends while its tasks stand; another client has one from its address. The owner comes again
+    some time after the end of the tasks."""
+
+    def play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+        process, owners = start(platform, variant)
+        tasks = sids(0)
+        yield from submit_all(platform, owners, tasks)
+        yield from connect_others(platform, uses, process, first=100)
+        for owner in owners:
+            owner.close(how)
+        yield from platform.run(50.0)
+        ended_at = end_all(platform, process, owners, tasks)
+        platform.be_late(variant.late_ms)
+        yield from platform.run(returns_after_ms)
+        again = [platform.connect(placer) for placer in platform.placers]
+        yield from submit_all(platform, again, sids(200, 1))
+        yield from platform.run(WATCHED_MS)
+        check_told([[owner] for owner in again], tasks, ended_at + END_DUE_MS)
+
+    return play
+
+
+def stranger_beside_second_connection(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """As before, but the owner has a second connection, which was used before that of the stranger."""
+    process, owners = start(platform, variant)
+    tasks = sids(0)
+    yield from submit_all(platform, owners, tasks)
+    second = yield from connect_others(platform, "has had a task", process, first=300)
+    yield from connect_others(platform, "has had a task", process, first=100)
+    for owner in owners:
+        owner.close()
+    yield from platform.run(50.0)
+    ended_at = end_all(platform, process, owners, tasks)
+    platform.be_late(variant.late_ms)
+    yield from platform.run(WATCHED_MS)
+    check_told([[owner] for owner in second], tasks, ended_at + RELEASE_DUE_MS)
+
+
+# Guards against an owner that is never told of its tasks' end, since another client at its address was taken for it.
+def test_a_release_reaches_its_owner_beside_other_clients_at_its_address(tmp_path: Path) -> None:
+    plays = {
+        f"{how}, the other {uses}, returns after {returns_after_ms:.0f}": stranger(how, uses, returns_after_ms)
+        for how in ("close", "reset")
+        for uses in ("has had a task", "tests")
+        for returns_after_ms in (200.0, 1900.0)
+    }
+    plays["has a second connection"] = stranger_beside_second_connection
+    assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -13,8 +13,9 @@
 from sprucepost.node.binary import Kind
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.jsonl import Line, MessageType
+from sprucepost.node.owner_releases import RELEASE_RETENTION_MS
 from sprucepost.node.process_identity import ProcessEnd
-from sprucepost.node.tasks import RELEASE_RETENTION_MS, Tasks
+from sprucepost.node.tasks import Tasks
 from tests.node.handover_schedules import HandoverSchedule
 from tests.node.platform import setup
 from tests.node.test_tasks import SID, harness_with_placed_task
--- a/tests/node/test_silent_hosts.py
+++ b/tests/node/test_silent_hosts.py
@@ -10,7 +10,7 @@
 from sprucepost.node import binary, health, jsonl, service
 from sprucepost.node.binary import Kind
 from sprucepost.node.jsonl import MessageType
-from sprucepost.node.tasks import RELEASE_RETENTION_MS
+from sprucepost.node.owner_releases import RELEASE_RETENTION_MS
 from tests.node.platform import Platform, run_on_platform, setup, wait_for_message
 from tests.node.virtual import LISTEN, Placer, host_address, run_virtual
 from tests.wire.support import wait_for
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -97,6 +97,7 @@
         self.events.append(("release", sid, cause))
 
     def cancel_release(self, sid: str) -> None: ...
+    def release_again(self, link: Any, sid: str) -> None: ...
 
     def send_offer(self, attempt: Attempt) -> None:
         data = None if self.disconnected else self.tasks.encode_offer(attempt)
