Node: a release that crosses the end of its connection reaches its owner

Seen by callers: an owner that closed its connection when its task ended was never told, also on another connection of its own; the log said released. Cause: a release counted as delivered once the system had taken it, and it was written while the end of the connection lay unread. Class: written is taken for delivered, and the order within one turn decides.

Releases are sent after all that the latest poll has found is handled; with an older poll than 1 ms the sockets are polled again first.

--- a/sprucepost/node/descriptors.py
+++ b/sprucepost/node/descriptors.py
@@ -55,17 +55,24 @@
         """How many more connections there may be; negative where there are too many."""
         return self._max_connections - self._connections()
 
-    def close(self, transport: Transport) -> None:
-        """Close a connection that ``connections`` counts no longer; a lingering close is counted here until it is done."""
+    def close(self, transport: Transport, on_closed: Callable[[], None] = lambda: None) -> None:
+        """Close a connection that ``connections`` counts no longer; a lingering close is counted here until it is done.
+
+        ``on_closed`` is called then.
+        """
         transport.close()
-        if not transport.socket_closed:
-            self._closing[transport] = None
-            transport.on_socket_closed = lambda: self._forget(transport)
+        if transport.socket_closed:
+            on_closed()
+            return
+        self._closing[transport] = None
+
+        def closed() -> None:
+            self._closing.pop(transport, None)
+            on_closed()
+
+        transport.on_socket_closed = closed
 
     def reclaim(self) -> None:
         """Cut off the oldest lingering closes until one more connection fits. Called before a connection is opened."""
         while self._closing and self._connections() + len(self._closing) >= self._for_connections_and_closes:
             next(iter(self._closing)).end_linger()
-
-    def _forget(self, transport: Transport) -> None:
-        self._closing.pop(transport, None)
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -46,6 +46,7 @@
         self.owner_address = transport.peer.rpartition(":")[0]  # owners are told apart by the address they connect from
         self.open: set[str] = set()  # ids of set-ups without an answer
         self.placed_tasks = 0  # tasks that it brought and that are still placed
+        self.owed_releases = 0  # of such tasks that have ended in this turn of the loop
         self.first_message_number = 0  # of the connections in the order of their first messages, from 1; 0: none yet
         self.got_waiting_releases = False  # whether releases that waited for a connection of its owner were sent here
         self.was_written_to = False  # while the message that is handled now has been handled
@@ -138,7 +139,7 @@
             self.has_sent_message,
             self.proven,
             len(self.open),
-            self.placed_tasks,
+            self.placed_tasks + self.owed_releases,
             is_last_of_owner,
             self.partial_since,
             self.unanswered_since,
--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -18,6 +18,9 @@
 it comes from another address        it is not the owner's            is not sent there
 ==================================== ================================ ====================================================
 
+A release is sent after all is handled that the latest poll has found: an end of its connection that had arrived by then is
+not written to. A release that is in doubt when its connection ends (see ``delivery``) is a guess from then on.
+
 A client that is sent a release of a task which it doesn't know drops it, as placers do with what hosts repeat. Copies of
 guesses are bounded for each check, oldest releases first.
 """
@@ -34,6 +37,7 @@
 
 RELEASE_RETENTION_MS = 8000.0  # how long a release that is not known to have reached its owner is kept
 CONFIRMATION_MS = 100.0  # within which a peer confirms a release, if it confirms any
+MAX_POLL_AGE_MS = 1.0  # with an older one, the sockets are polled before releases are sent
 COPIES_PER_CHECK = 256  # of guesses, each a message of some 20 bytes
 
 
@@ -45,6 +49,7 @@
     was_answered: bool  # whether a task was answered here
     proven: bool  # whether it has brought a task that was admitted
     used: float  # time of the last admitted task or of the last write
+    owed_releases: int  # that will be sent here in this turn of the loop: it is kept for them
 
     @property
     def peer(self) -> str: ...
@@ -78,6 +83,7 @@
     def __init__(self, loop: Loop, links: Collection[OwnerConnection], log: Log, counters: Counter[str]) -> None:
         self._loop, self._links, self._log, self._counters = loop, links, log, counters
         self._owed: dict[str, OwedRelease] = {}  # by task, for ``RELEASE_RETENTION_MS``
+        self._due: list[OwedRelease] = []  # to be sent in this turn of the loop, or in the next
         self._pending: dict[str, OwedRelease] = {}  # those not known to have been sent to their owners, oldest first
 
     @property
@@ -94,28 +100,46 @@
         """Send the release of a task that this connection has brought: there, or where its owner may be."""
         owed = OwedRelease(sid, cause, link, self._loop.now() + RELEASE_RETENTION_MS)
         self._owed[sid] = owed
-        self._send(owed)
-
-    def send_again(self, owed: OwedRelease) -> None:
-        """Send a release again whose connection has ended before the owner can have read it."""
-        if not owed.is_cancelled:
-            self._send(owed)
-
-    def _send(self, owed: OwedRelease) -> None:
-        if owed.owner.closed:
-            self._guess(owed)
-        else:
-            owed.owner.release(owed)
+        link.owed_releases += 1
+        if not self._due:
+            self._loop.call_soon(self.send_due)
+        self._due.append(owed)
+
+    def send_due(self) -> None:
+        """Send the releases that have been owed since the latest call, where their connections are still open."""
+        if self._due and self._loop.since_poll_ms > MAX_POLL_AGE_MS:
+            self._loop.poll_now()
+        due, self._due = self._due, []
+        for owed in due:
+            owed.owner.owed_releases -= 1
+            if owed.is_cancelled:
+                continue
+            if owed.owner.closed:
+                self._guess(owed)
+            else:
+                owed.owner.release(owed)
+
+    def send_again(self, owed: OwedRelease, link: OwnerConnection, why: str) -> None:
+        """Send a release elsewhere that is in doubt on a connection which has ended."""
+        is_guessed_elsewhere = self._pending.get(owed.sid) is owed and owed.first_guess is not link
+        if owed.is_cancelled or is_guessed_elsewhere or owed.expires_at <= self._loop.now():
+            return
+        self._counters[f"releases_in_doubt_{why}"] += 1
+        self._log.task(owed.sid, "release_in_doubt", owner=link.peer, why=f"its connection has ended: {why}")
+        self._guess(owed)
 
     def _guess(self, owed: OwedRelease) -> None:
         """Send a release on the likeliest connection of its owner's address, and keep it for the others."""
         self._pending[owed.sid] = owed
-        candidates = [link for link in self._links if _may_be_owners(link, owed)]
+        candidates = [
+            link for link in self._links if _may_be_owners(link, owed) and link.first_message_number >= owed.next_guess
+        ]
         if candidates:
             self._send_first_guess(owed, max(candidates, key=lambda link: (link.was_answered, link.proven, link.used)))
-            return
-        self._counters["releases_waiting"] += 1
-        self._log.task(owed.sid, "release_waits", owner=owed.owner.peer, why="no connection to its owner")
+        elif not owed.next_guess:
+            owed.first_guess = None
+            self._counters["releases_waiting"] += 1
+            self._log.task(owed.sid, "release_waits", owner=owed.owner.peer, why="no connection to its owner")
 
     def _send_first_guess(self, owed: OwedRelease, link: OwnerConnection) -> None:
         owed.first_guess, owed.first_guess_at = link, self._loop.now()
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -28,12 +28,13 @@
 from sprucepost.node.binary import Kind, Message
 from sprucepost.node.client_shares import has_share_left
 from sprucepost.node.connection_states import ConnectionState, EndReason, Review, is_kept, review
+from sprucepost.node.delivery import WrittenMessage
 from sprucepost.node.descriptors import Descriptors
 from sprucepost.node.framing import LINGER_MS
 from sprucepost.node.log import Log
 from sprucepost.node.owner_input import READ_BYTES, OwnerInput
 from sprucepost.node.owner_link import OwnerLink
-from sprucepost.node.owner_releases import OwnerReleases
+from sprucepost.node.owner_releases import OwedRelease, OwnerReleases
 from sprucepost.node.parsing import InvalidSetUp, SetUpParser
 from sprucepost.node.releases import CAUSE_REFUSED
 from sprucepost.node.tasks import Tasks
@@ -42,6 +43,7 @@
 MIN_OPEN_TASKS = 4  # set-ups that each connection may have open, however many there are in all
 STOP_READ_MS = 50.0  # for handling what has arrived on all connections before the process ends
 CLOSE_POLL_MS = 5.0  # interval of the checks whether all connections have ended
+LINGERING = ("ended", "idle", "stopped", "useless", "unanswered")
 ENDED_BY_PEER = ("ended", "lost")
 # Ends for what the peer has sent, or not sent: the peer gets the outcome of its open set-ups first.
 ENDED_FOR_INPUT = ("useless", "malformed", "cut")
@@ -211,23 +213,36 @@
             link.transport.on_linger_data = lambda data: None
         if why in (*ENDED_FOR_INPUT, "unanswered"):
             self._tasks.fail_open(sorted(link.open), f"its connection is ended: {why}")
-        if why in ("ended", "idle", "stopped", "useless", "unanswered"):
-            self._descriptors.close(link.transport)
-        elif why in ("room", "silent"):
-            if not link.transport.buffered:  # its descriptor is needed, or it sent nothing useful: no lingering
-                link.transport.linger_ms = 0.0
-            self._descriptors.close(link.transport)
-        elif why in ENDED_FOR_INPUT and link.transport.buffered:  # answers are still to be sent
-            self._descriptors.close(link.transport)
+        open_until = self._open_until(link, why)
+        is_short_of_descriptors = why in ("room", "silent")  # its descriptor is needed, or it sent nothing useful
+        if is_short_of_descriptors and not link.transport.buffered:
+            link.transport.linger_ms = 0.0
+        if why in LINGERING or is_short_of_descriptors or (why in ENDED_FOR_INPUT and link.transport.buffered):
+            total = link.transport.written
+            self._descriptors.close(link.transport, lambda: self._closed(link, total, why))
         else:
             link.transport.abort()
         self._remove(link)
+        if why in ENDED_BY_PEER or link.transport.socket_closed:
+            self._send_again(link, link.releases.undelivered(open_until), why)
+
+    def _closed(self, link: OwnerLink, total: int, why: str) -> None:
+        """Send releases again that were left, of ``total`` bytes in all, when this side has closed the connection."""
+        if link.transport.sent < total and why not in ENDED_BY_PEER:
+            self._send_again(link, link.releases.unsent(), why)
+
+    def _send_again(self, link: OwnerLink, messages: list[WrittenMessage[OwedRelease]], why: str) -> None:
+        for message in messages:
+            self.releases.send_again(message.content, link, why)
 
     def _lose(self, link: OwnerLink) -> None:
         """Cancel the open set-ups of a connection that broke."""
-        if link in self.links:
-            self._record_end(link, "lost")
+        if link not in self.links:
+            return
+        self._record_end(link, "lost")
+        open_until = self._open_until(link, "lost")
         self._remove(link)
+        self._send_again(link, link.releases.undelivered(open_until), "lost")
 
     def _record_end(self, link: OwnerLink, why: str) -> None:
         """Count and log why a connection has ended, and in which state."""
@@ -257,9 +272,6 @@
         if link.open:
             sids, link.open = sorted(link.open), set()
             self._tasks.owner_disconnected(sids)
-        if link.transport.closed:
-            for message in link.releases.unsent():
-                self.releases.send_again(message.content)
 
     def tick(self) -> None:
         """End the connections whose deadline has passed; send releases on, or drop them. Called periodically."""
@@ -278,6 +290,7 @@
 
     def close_connections(self) -> Co[None]:
         """Close all connections: unread set-ups are refused and buffered output is sent, within ``LINGER_MS``."""
+        self.releases.send_due()
         links, reads_until = list(self.links), self.loop.now() + STOP_READ_MS
         for link in links:
             self._read_arrived(link)
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -19,7 +19,7 @@
     start,
     tasks_of,
 )
-from tests.node.virtual_platform import OwnerConnection, Process, VirtualPlatform
+from tests.node.virtual_platform import STEP_MS, OwnerConnection, Process, VirtualPlatform
 
 WATCHED_MS = 9500.0
 SETTLE_MS = 500.0  # after which nothing is on its way, also where placers have a third of a core
@@ -119,3 +119,45 @@
     }
     plays["has a second connection"] = stranger_beside_second_connection
     assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
+
+
+# A release that crosses the end of its connection
+
+
+def crossed_release(how: str, second: str, closes_after_ms: float) -> Play:
+    """Hosts release tasks; their owners end their connections before the placers read either, or a moment after the placers
+    have sent the releases, which they have not read."""
+
+    def play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+        process, owners = start(platform, variant)
+        tasks = sids(0)
+        yield from submit_all(platform, owners, tasks)
+        others: list[OwnerConnection] = []
+        if second == "is there":
+            others = yield from connect_others(platform, "has had a task", process, first=100)
+        ended_at = end_all(platform, process, owners, tasks)
+        yield from platform.run(closes_after_ms)
+        for owner in owners:
+            owner.close(how)
+        platform.be_late(variant.late_ms)
+        yield from platform.run(SETTLE_MS)
+        if second == "comes later":
+            others = [platform.connect(placer) for placer in platform.placers]
+            yield from submit_all(platform, others, sids(200, 1))
+        yield from platform.run(WATCHED_MS)
+        due = ended_at + (RELEASE_DUE_MS if second == "is there" else END_DUE_MS)
+        check_told([[owner] for owner in others], tasks, due)
+
+    return play
+
+
+# Guards against an owner that is never told of its tasks' end, since the release was written to a connection that the owner
+# had closed by then.
+def test_a_release_that_crosses_the_end_of_its_connection_reaches_its_owner(tmp_path: Path) -> None:
+    plays = {
+        f"{how} after {after_ms:.0f}, another connection {second}": crossed_release(how, second, after_ms)
+        for how in ("close", "reset")
+        for after_ms in (0.0, STEP_MS)
+        for second in ("is there", "comes later")
+    }
+    assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
