Node: a task ends whose owner ends it while its host closes connections

Seen by callers: a task that its owner had ended ran on at its host, and ran twice once the owner came again. Cause: the end was written to a connection that the host had closed or reset, and nothing remembered it; pending ends were kept only where there was no connection at all. Class: written is taken for delivered, as for releases.

Ends are tracked by node.delivery too: one that is in doubt when its connection ends goes on another connection to the host, or on the next, for which the host is dialled, until the host confirms it (its own release, or closed).

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -33,7 +33,7 @@
 from sprucepost.node.tasks import CAUSE_WITHDRAWN, Tasks
 
 REDIAL_MS = 200.0  # between dials of a host; doubled for each failed dial unless the host is suspected
-ENDED_BY_PEER = ("ended", "reset")
+ENDED_BY_PEER, LINGERING = ("ended", "reset"), ("retired", "idle", "room")  # why connections end, and how
 REDIAL_MAX_MS = 1600.0  # five dials until the host counts as silent: one that is back is found in time
 
 
@@ -192,14 +192,16 @@
     def end_task(self, machine: str, sid: str) -> None:
         """Have the host end a running task, now or once there is a connection to it."""
         host = self.hosts.get(machine)
-        if host is None:
-            return
+        if host is not None:
+            self._end_task(host, sid)
+
+    def _end_task(self, host: Host, sid: str) -> None:
         link = next((link for link in host.links if not link.transport.closed and not link.retired), None)
         if link is not None:
             self._write_end(link, sid)
-            self._tasks.trace(sid, "let_go", host=machine, link=link.number)
+            self._tasks.trace(sid, "let_go", host=host.uid, link=link.number)
         else:
-            self._tasks.trace(sid, "let_go", host=machine, why="when it can be reached")
+            self._tasks.trace(sid, "let_go", host=host.uid, why="when it can be reached")
             host.pending_releases[sid] = self.loop.now() + health.SILENT_AFTER_MS
 
     def _write_end(self, link: HostLink, sid: str) -> None:
@@ -352,16 +354,17 @@
         host.links.remove(link)
         self.counters[f"host_link_{why}"] += 1
         open_until = link.transport.open_until if why in ENDED_BY_PEER else self.loop.now()
-        in_doubt = len(link.ends.undelivered(open_until))
+        is_lingering = why in LINGERING
+        in_doubt = link.ends.unsent() if is_lingering else link.ends.undelivered(open_until)
         self._log.host(
             host.uid,
             "disconnected",
             link=link.number,
             why=why,
             open=len(link.open) or None,
-            ends_in_doubt=in_doubt or None,
+            ends_in_doubt=len(in_doubt) or None,
         )
-        if why in ("retired", "idle", "room"):
+        if is_lingering:
             link.transport.on_linger_data = lambda data: self._handle_late_data(host, link, data)
             self._descriptors.close(link.transport)
         else:
@@ -370,6 +373,9 @@
         attempts, link.open = list(link.open.values()), {}
         for attempt in attempts:
             self._tasks.end_attempt(attempt, i.Ending.RESET if self.was_sent(attempt) else i.Ending.VOID)
+        for message in in_doubt:
+            self.counters["ends_in_doubt"] += 1
+            self._end_task(host, message.sid)
         if why != "room":
             self._serve(host)
             self._reconnect(host)
@@ -400,6 +406,8 @@
 
     def _handle_line(self, link: HostLink, host: Host, line: Line) -> None:
         """Handle one message: of a set-up that is open on this connection, or of any other task."""
+        if link.ends and line.type in (MessageType.CLOSE, MessageType.CLOSED):
+            link.ends.confirm(line.sid)
         attempt = link.open.get(line.sid)
         if attempt is not None and (
             line.type is MessageType.CLOSE or (line.type is MessageType.READY and line.text is not None)
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -11,6 +11,7 @@
     DELIVERY_VARIANTS,
     END_DUE_MS,
     RELEASE_DUE_MS,
+    TASKS,
     Play,
     PlayFailure,
     Variant,
@@ -161,3 +162,37 @@
         for second in ("is there", "comes later")
     }
     assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
+
+
+# An owner's end of a task that crosses the end of the host's connections
+
+
+def crossed_end(how: str, closes_after_ms: float) -> Play:
+    """Owners end standing tasks; the host ends its connections before the placers read either, or a moment after the placers
+    have told it, which it has not read."""
+
+    def play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+        process, owners = start(platform, variant)
+        tasks = sids(0)
+        yield from submit_all(platform, owners, tasks)
+        for owner in owners:
+            owner.end_tasks(*tasks_of(owner, tasks))
+        yield from platform.run(closes_after_ms)
+        platform.end_connections(process, how)
+        platform.be_late(variant.late_ms)
+        yield from platform.run(WATCHED_MS)
+        if process.standing:
+            raise PlayFailure(f"{len(process.standing)} of {TASKS * len(owners)} tasks run on")
+
+    return play
+
+
+# Guards against tasks that run on after their owners have ended them, since their host has closed the connection on which it
+# was to be told.
+def test_a_task_ends_whose_owner_ends_it_while_its_host_ends_connections(tmp_path: Path) -> None:
+    plays = {
+        f"{how} after {after_ms:.0f}": crossed_end(how, after_ms)
+        for how in ("close", "reset")
+        for after_ms in (0.0, STEP_MS)
+    }
+    assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
