Node: a task whose answer was not sent before its owner's connection ended is given up

Seen by callers: a task stood at its host and belonged to nobody. Cause: the host's answer and the end of the owner's connection were found by one poll; where the answer was handled first, the task was placed, and its answer was dropped with the connection. In the other order it was given up, so the order within one turn decided.

An answer that the system has not taken when its connection ends is a give-up: the host is told to end the task, the scheduler that it was cancelled, and answers_unread counts it. An answer that was sent stands, as its owner may have read it before it closed. A task that its owner has handed over meanwhile stays.

--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -224,16 +224,20 @@
             link.transport.abort()
         self._remove(link)
         if why in ENDED_BY_PEER or link.transport.socket_closed:
-            self._send_again(link, link.releases.undelivered(open_until), why)
+            self._account_for_unread(link, link.releases.undelivered(open_until), why)
 
     def _closed(self, link: OwnerLink, total: int, why: str) -> None:
-        """Send releases again that were left, of ``total`` bytes in all, when this side has closed the connection."""
+        """Account for what was left, of ``total`` bytes in all, when this side has closed the connection."""
         if link.transport.sent < total and why not in ENDED_BY_PEER:
-            self._send_again(link, link.releases.unsent(), why)
+            self._account_for_unread(link, link.releases.unsent(), why)
 
-    def _send_again(self, link: OwnerLink, messages: list[WrittenMessage[OwedRelease]], why: str) -> None:
-        for message in messages:
+    def _account_for_unread(self, link: OwnerLink, releases: list[WrittenMessage[OwedRelease]], why: str) -> None:
+        """Send releases again that are in doubt on a connection that has ended; end tasks whose answers were not sent."""
+        for message in releases:
             self.releases.send_again(message.content, link, why)
+        unsent_answers, link.unsent_answers = link.unsent_answers, []
+        for sid in unsent_answers:
+            self._tasks.answer_unread(sid, link)
 
     def _lose(self, link: OwnerLink) -> None:
         """Cancel the open set-ups of a connection that broke."""
@@ -242,7 +246,7 @@
         self._record_end(link, "lost")
         open_until = self._open_until(link, "lost")
         self._remove(link)
-        self._send_again(link, link.releases.undelivered(open_until), "lost")
+        self._account_for_unread(link, link.releases.undelivered(open_until), "lost")
 
     def _record_end(self, link: OwnerLink, why: str) -> None:
         """Count and log why a connection has ended, and in which state."""
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -31,7 +31,9 @@
 placed    note                               ``StatusNote``
 placed    release: ok, reset                 ``Outcome``; the owner is sent the release                 (ended)
 placed    release: cancelled                 ``Outcome``; nobody needs a release                        (ended)
-placed    release by the owner               the host is told; ``Outcome`` cancelled                    (ended)
+placed    release by the owner, or its       the host is told; ``Outcome`` cancelled                    (ended)
+          connection ends before the answer
+          was sent
 placed    the list has another host at the   ``Outcome`` cancelled, ``TaskFound`` at that host            placed
           address, and its process has
           accepted the task
@@ -287,6 +289,17 @@
             if entry is not None and entry.outcome is Outcome.OPEN:
                 self._cancel(entry, "its owner's connection ended")
 
+    def answer_unread(self, sid: str, owner: OwnerPort) -> None:
+        """End a task whose answer was not sent before its owner's connection ended: nobody knows that it is placed."""
+        entry = self.ledger.current(sid)
+        if entry is None or entry.outcome is not Outcome.PLACED or entry.ask.owner is not owner:
+            return
+        if entry.ask.handover is not None:  # its owner knows that the task runs
+            return
+        self.counters["answers_unread"] += 1
+        self.hosts.end_task(entry.machine, sid)
+        self._placed.end(entry, i.Ending.CANCELLED, None, "its answer was not sent before its owner's connection ended")
+
     def _cancel(self, entry: Entry, why: str) -> None:
         self.counters["given_up"] += 1
         self.trace(entry.name, "given_up", why=why)
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -196,3 +196,35 @@
         for after_ms in (0.0, STEP_MS)
     }
     assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
+
+
+# Answers that nobody can have read
+
+
+def unread_answer(how: str) -> Play:
+    """Hosts answer and owners end their connections before the placers read either."""
+
+    def play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+        process, owners = start(platform, variant)
+        tasks = sids(0)
+        process.accept_ms = 200.0
+        for owner in owners:
+            owner.submit(*tasks_of(owner, tasks))
+        while len(process.answers_due) < TASKS * len(owners):
+            yield from platform.run(5.0)
+        while process.answers_due:
+            platform.be_late(5.0)
+        for owner in owners:
+            owner.close(how)
+        platform.be_late(variant.late_ms)
+        yield from platform.run(WATCHED_MS)
+        if process.standing:
+            raise PlayFailure(f"{len(process.standing)} of {TASKS * len(owners)} tasks run, and nobody knows of them")
+
+    return play
+
+
+# Guards against tasks that run and belong to nobody, since their answers were written to connections that had ended.
+def test_a_task_whose_answer_nobody_can_have_read_is_ended(tmp_path: Path) -> None:
+    plays: dict[str, Play] = {how: unread_answer(how) for how in ("close", "reset")}
+    assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
