--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -74,6 +75,11 @@
         """The end that was read last, or that a write met, has not arrived before that time, in ms of the loop's clock."""
         return min(self._loop.now() - self.waited_ms, self._loop.polled_at - self._loop.unpolled_ms)
 
+    @property
+    def known_open_at(self) -> float:
+        """An end that had arrived by that time, in ms of the loop's clock, would have been read by now."""
+        return -math.inf if self.has_unread_backlog else self._loop.polled_at - self._loop.unpolled_ms
+
     @property
     def blocked(self) -> bool:
         """Whether the system accepts no more bytes for now."""
--- a/sprucepost/node/delivery.py
+++ b/sprucepost/node/delivery.py
@@ -54,7 +54,7 @@
         return iter(self._messages)
 
     def record(self, sid: str, content: Content, open_at: float) -> None:
-        """Record a message that has just been written; the connection was open at that time."""
+        """Record a message that has just been written; the connection is known to have been open at that time."""
         if self._messages:
             self.found_open(open_at)
         self._messages.append(WrittenMessage(sid, content))
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -33,7 +33,8 @@
 from sprucepost.node.tasks import CAUSE_WITHDRAWN, Tasks
 
 REDIAL_MS = 200.0  # between dials of a host; doubled for each failed dial unless the host is suspected
-ENDED_BY_PEER, LINGERING = ("ended", "reset"), ("retired", "idle", "room")  # why connections end, and how
+# Why connections end: by the host; by this side, which sends what is written; and only after it has read what has arrived.
+ENDED_BY_PEER, LINGERING, READ_BEFORE = ("ended", "reset"), ("retired", "idle", "room"), ("idle", "room")
 REDIAL_MAX_MS = 1600.0  # five dials until the host counts as silent: one that is back is found in time
 
 
@@ -207,7 +208,7 @@
     def _write_end(self, link: HostLink, sid: str) -> None:
         """Tell the host on that connection to end a running task."""
         link.transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
-        link.ends.record(sid, None, self.loop.polled_at)
+        link.ends.record(sid, None, link.transport.known_open_at)
 
         def all_sent() -> None:
             link.transport.on_drained = None
@@ -353,9 +354,8 @@
             return
         host.links.remove(link)
         self.counters[f"host_link_{why}"] += 1
-        open_until = link.transport.open_until if why in ENDED_BY_PEER else self.loop.now()
-        is_lingering = why in LINGERING
-        in_doubt = link.ends.unsent() if is_lingering else link.ends.undelivered(open_until)
+        open_until = link.transport.open_until if why in ENDED_BY_PEER else link.transport.known_open_at
+        in_doubt = link.ends.unsent() if why in READ_BEFORE else link.ends.undelivered(open_until)
         self._log.host(
             host.uid,
             "disconnected",
@@ -364,7 +364,7 @@
             open=len(link.open) or None,
             ends_in_doubt=len(in_doubt) or None,
         )
-        if is_lingering:
+        if why in LINGERING:
             link.transport.on_linger_data = lambda data: self._handle_late_data(host, link, data)
             self._descriptors.close(link.transport)
         else:
--- a/tests/node/virtual_platform.py
+++ b/tests/node/virtual_platform.py
@@ -136,11 +136,11 @@
             owner_link.transport.abort()
         owners._acceptor.close()
 
-    def connect(self, placer: Placer) -> OwnerConnection:
+    def connect(self, placer: Placer, address: str = "127.0.2.1") -> OwnerConnection:
         """Have an owner connect to the placer."""
         self._owner_ports += 1
         listen = placer.service.config.listen
-        owner = OwnerConnection(self, placer, self.loop.arrive(listen, f"127.0.2.1:{self._owner_ports}"))
+        owner = OwnerConnection(self, placer, self.loop.arrive(listen, f"{address}:{self._owner_ports}"))
         self.owners.append(owner)
         return owner
 
