Node: only answers that were not sent are given up, and a peer that still reads gets none

Answers are compared with the bytes that the system has taken, and such a connection is reset. Connections that are ended for their input leave releases in doubt like those that the peer ends, and what is known of the time until which they were open is the poll before.

--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -66,7 +66,9 @@
         self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
         self.useless_messages = UselessMessages(now)
         self.releases: Deliveries[OwedRelease] = Deliveries()
-        self.unsent_answers: list[str] = []  # tasks whose answers the system has not taken
+        self._answers: dict[
+            str, int
+        ] = {}  # by task, since the system last had all: bytes sent here once it has that one
         self._releases_to_confirm = 0  # releases and refusals sent here that the owner has not confirmed
 
     @property
@@ -152,7 +154,7 @@
         self.was_answered = True
         self.open.discard(sid)
         self._send(encode(Kind.ANSWER, sid, [(Code.DESCRIPTION, text.encode("utf-8"))]))
-        self.unsent_answers.append(sid)
+        self._answers[sid] = self.transport.written
         self.transport.on_drained = self._all_sent
 
     def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
@@ -167,7 +169,7 @@
     def release(self, owed: OwedRelease, state: str = "released") -> None:
         """Tell the owner that its placed task has ended; ``state`` is what the log says of the task."""
         self.refuse(owed.sid, owed.cause, 0.0)
-        self.releases.record(owed.sid, owed, self._owners.loop.polled_at)
+        self.releases.record(owed.sid, owed, self.transport.known_open_at)
         self.transport.on_drained = self._all_sent
         brought_by = owed.owner.peer if owed.owner is not self else None
         self._owners.log.task(owed.sid, state, owner=self.peer, brought_by=brought_by)
@@ -175,9 +177,13 @@
     def _all_sent(self) -> None:
         """Note that the system has taken all that was written."""
         self.transport.on_drained = None
-        self.unsent_answers.clear()
+        self._answers.clear()
         self.releases.all_sent(self._owners.loop.now())
 
+    def unsent_answers(self) -> list[str]:
+        """Return the tasks whose answers the owner cannot have read, as the system has not taken all of them."""
+        return [sid for sid, end_offset in self._answers.items() if end_offset > self.transport.sent]
+
     def confirm_release(self, sid: str) -> bool:
         """Note that the owner has heard a release or refusal; return whether one was sent to it here."""
         self.releases.confirm(sid)
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -217,26 +217,35 @@
         is_short_of_descriptors = why in ("room", "silent")  # its descriptor is needed, or it sent nothing useful
         if is_short_of_descriptors and not link.transport.buffered:
             link.transport.linger_ms = 0.0
-        if why in LINGERING or is_short_of_descriptors or (why in ENDED_FOR_INPUT and link.transport.buffered):
+        sends_rest = why in LINGERING or (why in ENDED_FOR_INPUT and link.transport.buffered)
+        if (
+            why == "ended" and link.unsent_answers()
+        ):  # these tasks are ended: a peer that still reads is not told otherwise
+            sends_rest = False
+        if sends_rest or is_short_of_descriptors:
             total = link.transport.written
             self._descriptors.close(link.transport, lambda: self._closed(link, total, why))
         else:
             link.transport.abort()
         self._remove(link)
+        if why in (*ENDED_BY_PEER, *ENDED_FOR_INPUT) or link.transport.socket_closed:
+            self._send_again(link, link.releases.undelivered(open_until), why)
         if why in ENDED_BY_PEER or link.transport.socket_closed:
-            self._account_for_unread(link, link.releases.undelivered(open_until), why)
+            self._end_unanswered(link)
 
     def _closed(self, link: OwnerLink, total: int, why: str) -> None:
         """Account for what was left, of ``total`` bytes in all, when this side has closed the connection."""
-        if link.transport.sent < total and why not in ENDED_BY_PEER:
-            self._account_for_unread(link, link.releases.unsent(), why)
+        if link.transport.sent < total and why not in (*ENDED_BY_PEER, *ENDED_FOR_INPUT):
+            self._send_again(link, link.releases.unsent(), why)
 
-    def _account_for_unread(self, link: OwnerLink, releases: list[WrittenMessage[OwedRelease]], why: str) -> None:
-        """Send releases again that are in doubt on a connection that has ended; end tasks whose answers were not sent."""
+    def _send_again(self, link: OwnerLink, releases: list[WrittenMessage[OwedRelease]], why: str) -> None:
+        """Send releases again that are in doubt on a connection that has ended."""
         for message in releases:
             self.releases.send_again(message.content, link, why)
-        unsent_answers, link.unsent_answers = link.unsent_answers, []
-        for sid in unsent_answers:
+
+    def _end_unanswered(self, link: OwnerLink) -> None:
+        """End the tasks whose answers have not been sent on a connection that has ended."""
+        for sid in link.unsent_answers():
             self._tasks.answer_unread(sid, link)
 
     def _lose(self, link: OwnerLink) -> None:
@@ -246,7 +255,8 @@
         self._record_end(link, "lost")
         open_until = self._open_until(link, "lost")
         self._remove(link)
-        self._account_for_unread(link, link.releases.undelivered(open_until), "lost")
+        self._send_again(link, link.releases.undelivered(open_until), "lost")
+        self._end_unanswered(link)
 
     def _record_end(self, link: OwnerLink, why: str) -> None:
         """Count and log why a connection has ended, and in which state."""
@@ -260,12 +270,12 @@
             open=len(link.open) or None,
             standing=link.placed_tasks or None,
             releases_in_doubt=len(link.releases.undelivered(self._open_until(link, why))) or None,
-            answers_unsent=len(link.unsent_answers) or None,
+            answers_unsent=len(link.unsent_answers()) or None,
         )
 
     def _open_until(self, link: OwnerLink, why: str) -> float:
         """Return until when a connection that ends now is known to have been open, in ms of the loop's clock."""
-        return link.transport.open_until if why in ENDED_BY_PEER else self.loop.now()
+        return link.transport.open_until if why in ENDED_BY_PEER else link.transport.known_open_at
 
     def _remove(self, link: OwnerLink) -> None:
         if self.links.pop(link, self) is not None:
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -759,6 +759,31 @@
     run_on_platform(tmp_path, body)
 
 
+# Guards against a task that is ended although its owner has read the answer, since a later answer could not be sent.
+def test_only_a_task_whose_answer_was_not_sent_is_given_up_with_its_owners_connection(tmp_path: Path) -> None:
+    def body(platform: Platform) -> Co[None]:
+        host = platform.host("s-1")
+        platform.start()
+        owner = yield from two_connections(platform, host)
+        [link] = platform.service.owners.links
+        host.on_open = lambda link, line: None
+        for sid in SIDS[2:4]:
+            owner.transport.write(setup(sid, FIGURES=OTHER_SERVICE_FIGURES))
+        yield from wait_for(lambda: len(offered_sids(host)) == 4)
+        answer = binary.encode(Kind.ANSWER, SIDS[2], [(Code.DESCRIPTION, b"x")])
+        limit_writes(link, len(answer) + 5)
+        for sid in SIDS[2:4]:
+            host_link = next(link for link in host.links if any(line.sid == sid for line in link.received))
+            host_link.send(MessageType.READY, sid, text="x")
+            yield from wait_for(lambda: sid in str(platform.service.tasks.placed))  # noqa: B023
+        yield from wait_for_message(owner, SIDS[2], Kind.ANSWER)
+        owner.transport.abort()
+        yield from wait_for(lambda: [line.sid for line in host.lines(MessageType.CLOSE)] == [SIDS[3]])
+        assert platform.standing() == 3 and platform.service.counters["answers_unread"] == 1
+
+    run_on_platform(tmp_path, body)
+
+
 def test_a_flood_of_silent_connections_takes_no_descriptors_from_hosts(tmp_path: Path) -> None:
     def body(platform: Platform) -> Co[None]:
         found = [platform.host(f"s-{n}") for n in range(12)]
