Node: owners' ends keep their lines in a flood; what has been sent is compared by bytes

The state of written messages took a call at each flush; it is compared with the bytes that the system has taken, and with the time at which it took what it had not taken at once.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -55,6 +55,7 @@
         self._linger_timer: Timer | None = None
         self._delivering = False  # within on_data()
         self.sent = 0  # total bytes accepted by the system
+        self.drained_at = -math.inf  # when it last accepted what it had not accepted at once, in ms of the loop's clock
         self.waited_ms = 0.0  # how long, at most, the data or the end that was read last had waited
         self.continued = False  # whether the data delivered last had arrived behind a read that left data unread
         self._partial_read_at = 0.0  # when a read that may have left more data unread took place; 0 if none was left
@@ -253,8 +254,10 @@
     def _writable(self) -> None:
         self._blocked = False
         self._flush()
-        if not self._blocked and not self.closed:
-            self._rewatch()
+        if not self._blocked:
+            self.drained_at = self._loop.now()
+            if not self.closed:
+                self._rewatch()
 
     def flush(self) -> None:
         """Send the buffered data now instead of at the end of the turn."""
--- a/sprucepost/node/delivery.py
+++ b/sprucepost/node/delivery.py
@@ -19,10 +19,9 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Iterator
+from collections import deque
 from dataclasses import dataclass
-from typing import Generic, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 Content = TypeVar("Content")
 
@@ -30,57 +29,71 @@
 CROSSING_MS = 50.0
 
 
+class Stream(Protocol):
+    """The connection on which messages are written, as :class:`~sprucepost.loop.Transport` has it."""
+
+    sent: int  # bytes that the system has taken
+    drained_at: float  # when the system last took what it had not taken at once, in ms of the loop's clock
+
+    @property
+    def written(self) -> int:
+        """Bytes written."""
+        ...
+
+    @property
+    def known_open_at(self) -> float:
+        """An end that had arrived by that time, in ms of the loop's clock, would have been read by now."""
+        ...
+
+
 @dataclass(slots=True, eq=False)
 class WrittenMessage(Generic[Content]):
     """A message that has been written to a connection."""
 
     sid: str  # of the task that it concerns
     content: Content
-    sent_at: float = math.inf  # when the system had taken all of it, in ms of the loop's clock
+    written_at: float  # in ms of the loop's clock
+    end_offset: int  # bytes written on the connection, up to its end
 
 
 class Deliveries(Generic[Content]):
     """The messages written to one connection that are not known to be delivered, oldest first."""
 
-    __slots__ = ("_messages",)
+    __slots__ = ("_messages", "_stream")
 
-    def __init__(self) -> None:
-        self._messages: list[WrittenMessage[Content]] = []
+    def __init__(self, stream: Stream) -> None:
+        self._stream = stream
+        self._messages: deque[WrittenMessage[Content]] = deque()
 
     def __len__(self) -> int:
         return len(self._messages)
 
-    def __iter__(self) -> Iterator[WrittenMessage[Content]]:
-        return iter(self._messages)
+    def record(self, sid: str, content: Content, now: float) -> None:
+        """Record a message that has just been written."""
+        if self._messages:
+            self._drop_delivered(self._stream.known_open_at)
+        self._messages.append(WrittenMessage(sid, content, now, self._stream.written))
 
-    def record(self, sid: str, content: Content, open_at: float) -> None:
-        """Record a message that has just been written; the connection is known to have been open at that time."""
+    def confirm(self, sid: str) -> None:
+        """Record that the peer has read what concerns that task."""
         if self._messages:
-            self.found_open(open_at)
-        self._messages.append(WrittenMessage(sid, content))
-
-    def all_sent(self, now: float) -> None:
-        """Record that the system has taken all that was written."""
-        for message in reversed(self._messages):
-            if message.sent_at <= now:
-                return
-            message.sent_at = now
-
-    def confirm(self, sid: str) -> bool:
-        """Record that the peer has read what concerns that task; return whether anything was not known to be delivered."""
-        before = len(self._messages)
-        self._messages = [message for message in self._messages if message.sid != sid]
-        return len(self._messages) < before
-
-    def found_open(self, at: float) -> None:
-        """Drop what has been delivered, as the connection was open at that time, in ms of the loop's clock."""
-        self._messages = [message for message in self._messages if message.sent_at + CROSSING_MS > at]
+            self._messages = deque(message for message in self._messages if message.sid != sid)
 
     def unsent(self) -> list[WrittenMessage[Content]]:
         """Return the messages that the peer cannot have read, as the system has not taken all of them."""
-        return [message for message in self._messages if message.sent_at == math.inf]
+        return [message for message in self._messages if message.end_offset > self._stream.sent]
 
     def undelivered(self, open_at: float) -> list[WrittenMessage[Content]]:
         """Return the messages that the peer may not have read, if the connection was open until that time and ended then."""
-        self.found_open(open_at)
+        self._drop_delivered(open_at)
         return list(self._messages)
+
+    def _drop_delivered(self, open_at: float) -> None:
+        while self._messages and self._is_delivered(self._messages[0], open_at):
+            self._messages.popleft()
+
+    def _is_delivered(self, message: WrittenMessage[Content], open_at: float) -> bool:
+        """Return whether a message has been read, if the connection was open at that time."""
+        if message.end_offset > self._stream.sent:
+            return False
+        return max(message.written_at, self._stream.drained_at) + CROSSING_MS <= open_at
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -33,7 +33,7 @@
         self.ended_unanswered: deque[str] = deque(maxlen=ENDED_SETUPS_MAX)  # set-ups that ended here without an answer
         self.withdrawn: set[str] = set()  # set-ups withdrawn here: messages about them are not about a later attempt
         self.last_used = now  # ms of the loop's clock, like all times here
-        self.ends: Deliveries[None] = Deliveries()  # of placed tasks, which the host has been told here
+        self.ends: Deliveries[None] = Deliveries(transport)  # of placed tasks, which the host has been told here
         self.check_sent: float | None = None  # when the unanswered health check was sent
         self.retired = False  # whether it takes no more set-ups
 
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -208,13 +208,7 @@
     def _write_end(self, link: HostLink, sid: str) -> None:
         """Tell the host on that connection to end a running task."""
         link.transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
-        link.ends.record(sid, None, link.transport.known_open_at)
-
-        def all_sent() -> None:
-            link.transport.on_drained = None
-            link.ends.all_sent(self.loop.now())
-
-        link.transport.on_drained = all_sent
+        link.ends.record(sid, None, self.loop.now())
 
     def adopt(self, machine: str, sid: str) -> bool:
         """Keep a task that its owner has handed back: cancel a pending release of it. False where the host is not listed."""
--- a/sprucepost/node/log.py
+++ b/sprucepost/node/log.py
@@ -1,9 +1,9 @@
 """The log: one JSON line on standard output for each event of interest to operators, and for each state change of a task.
 
-The number of lines per second is limited by event; lines above the limit are counted, not written. Some lines of each state
-are written all the same, so that a flood of one kind hides no other. Lines are written in
-batches, one system call each: events at the end of their turn, state changes within ``STATE_LINES_DELAY_MS``, since most
-turns have several of them.
+The number of lines per second is limited by event; lines above the limit are counted, not written. Some lines of each state,
+and of each reason for which connections of owners end, are written all the same: a flood of one kind hides no other.
+Lines are written in batches, one system call each: events at the end of their turn, state changes within
+``STATE_LINES_DELAY_MS``, since most turns have several of them.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 LINES_PER_SECOND = 20  # of one event: the thread that places tasks also writes the log
 STATE_LINES_PER_SECOND = 2000  # of tasks, and as many of hosts; at about 10 us each this is 2 % of a core
-RESERVED_LINES_PER_SECOND = 100  # of each state, where the lines of the others have used up the limit
+RESERVED_LINES_PER_SECOND = 100  # of each state or reason, where the lines of the others have used up the limit
 STATE_LINES_DELAY_MS = 100.0  # a kill of the process may lose the lines of that time
 UNSENT_MAX_BYTES = 256 * 1024  # lines that wait for a slow reader
 _LIMITS = {"task": STATE_LINES_PER_SECOND, "host": STATE_LINES_PER_SECOND}
@@ -95,6 +95,10 @@
         """Write that the host, or a connection to it, has entered this state."""
         self._write_limited("host", {"host": uid, "state": state, **fields}, state)
 
+    def owner_ended(self, why: str, **fields: Any) -> None:
+        """Write that an owner's connection has ended, and why."""
+        self._write_limited("owner_ended", {"why": why, **fields}, why)
+
     def _write_limited(self, event: str, fields: dict[str, Any], state: str = "") -> None:
         """Write the event unless the limit of this second has been reached, for all of its states and for this one."""
         now = self._loop.now()
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -65,10 +65,9 @@
         self.read_at = now  # time of the latest read, in ms of the loop's clock
         self.read_waited_ms = 0.0  # how long, at most, the data of that read had waited
         self.useless_messages = UselessMessages(now)
-        self.releases: Deliveries[OwedRelease] = Deliveries()
-        self._answers: dict[
-            str, int
-        ] = {}  # by task, since the system last had all: bytes sent here once it has that one
+        self.releases: Deliveries[OwedRelease] = Deliveries(transport)
+        # By task, since nothing was buffered: bytes written here, up to the end of its answer.
+        self._answers: dict[str, int] = {}
         self._releases_to_confirm = 0  # releases and refusals sent here that the owner has not confirmed
 
     @property
@@ -153,9 +152,10 @@
         """Send the answer: the task is placed."""
         self.was_answered = True
         self.open.discard(sid)
+        if not self.transport.buffered:
+            self._answers.clear()
         self._send(encode(Kind.ANSWER, sid, [(Code.DESCRIPTION, text.encode("utf-8"))]))
         self._answers[sid] = self.transport.written
-        self.transport.on_drained = self._all_sent
 
     def refuse(self, sid: str, cause: int, stay_away_ms: float) -> None:
         """Tell the owner that the task was refused or has failed; ``stay_away_ms`` asks it to back off."""
@@ -169,17 +169,10 @@
     def release(self, owed: OwedRelease, state: str = "released") -> None:
         """Tell the owner that its placed task has ended; ``state`` is what the log says of the task."""
         self.refuse(owed.sid, owed.cause, 0.0)
-        self.releases.record(owed.sid, owed, self.transport.known_open_at)
-        self.transport.on_drained = self._all_sent
+        self.releases.record(owed.sid, owed, self._owners.loop.now())
         brought_by = owed.owner.peer if owed.owner is not self else None
         self._owners.log.task(owed.sid, state, owner=self.peer, brought_by=brought_by)
 
-    def _all_sent(self) -> None:
-        """Note that the system has taken all that was written."""
-        self.transport.on_drained = None
-        self._answers.clear()
-        self.releases.all_sent(self._owners.loop.now())
-
     def unsent_answers(self) -> list[str]:
         """Return the tasks whose answers the owner cannot have read, as the system has not taken all of them."""
         return [sid for sid, end_offset in self._answers.items() if end_offset > self.transport.sent]
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -262,10 +262,9 @@
         """Count and log why a connection has ended, and in which state."""
         self.counters[f"owner_{why}"] += 1
         state = self._review(link, self._last_links()).state
-        self.log(
-            "owner_ended",
-            peer=link.transport.peer,
-            why=why,
+        self.log.owner_ended(
+            why,
+            peer=link.peer,
             state=state.value,
             open=len(link.open) or None,
             standing=link.placed_tasks or None,
--- a/tests/node/test_delivery_schedules.py
+++ b/tests/node/test_delivery_schedules.py
@@ -56,7 +56,7 @@
         Hosts, "_write_end", _write_and_forget
     ),
     "what has been delivered is sent again": lambda patch: patch.setattr(
-        Deliveries, "found_open", lambda self, at: None
+        Deliveries, "_drop_delivered", lambda self, open_at: None
     ),
     "an address is an owner": lambda patch: patch.setattr(OwnerReleases, "_send_copies", lambda self, guesses: None),
 }
--- a/tests/node/test_log.py
+++ b/tests/node/test_log.py
@@ -67,6 +67,16 @@
     assert lines[-2]["event"] == "log_held_back" and lines[-2]["task"] == 5 + 7
 
 
+# Guards against an owner's connection whose end leaves no line, since rude clients' connections end by the hundreds.
+def test_a_flood_of_ends_of_connections_for_one_reason_hides_no_other() -> None:
+    loop, lines = VirtualLoop(), list[dict[str, Any]]()
+    writer = Log(loop, "n0", lambda line: lines.append(json.loads(line)))
+    for _ in range(log.RESERVED_LINES_PER_SECOND + 5):
+        writer.owner_ended("silent")
+    writer.owner_ended("lost", peer="127.0.0.1:1")
+    assert len(lines) == log.RESERVED_LINES_PER_SECOND + 1 and lines[-1]["peer"] == "127.0.0.1:1"
+
+
 # Guards against a replacement that leaves no line: what was counted to which process, and since when tasks stand.
 def test_a_replacement_and_the_tasks_that_stand_are_logged(tmp_path: Path) -> None:
     def body(platform: VirtualPlatform) -> Co[None]:
