Node: a placer that ends tells all who may be the owners of what has ended

Seen by callers: a release that was a guess when the placer was about to end went to one connection only, as the copies for the others wait 100 ms for a confirmation and the connections were closed before. Now what is due and these copies are sent before the connections are closed.

--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -37,7 +37,9 @@
 
 RELEASE_RETENTION_MS = 8000.0  # how long a release that is not known to have reached its owner is kept
 CONFIRMATION_MS = 100.0  # within which a peer confirms a release, if it confirms any
-MAX_POLL_AGE_MS = 1.0  # with an older one, the sockets are polled before releases are sent
+MAX_POLL_AGE_MS = (
+    5.0  # a tenth of what crosses an end; with an older one, the sockets are polled before releases are sent
+)
 COPIES_PER_CHECK = 256  # of guesses, each a message of some 20 bytes
 
 
@@ -99,6 +101,7 @@
     def owe(self, link: OwnerConnection, sid: str, cause: int) -> None:
         """Send the release of a task that this connection has brought: there, or where its owner may be."""
         owed = OwedRelease(sid, cause, link, self._loop.now() + RELEASE_RETENTION_MS)
+        self._owed.pop(sid, None)  # the latest comes last
         self._owed[sid] = owed
         link.owed_releases += 1
         if not self._due:
@@ -169,17 +172,17 @@
     def check(self) -> None:
         """Drop expired releases; send copies of guesses that nobody has confirmed. Called periodically."""
         now = self._loop.now()
-        for sid in [sid for sid, owed in self._owed.items() if owed.expires_at <= now]:
-            del self._owed[sid]
-            if self._pending.pop(sid, None) is not None:
+        while self._owed and (owed := next(iter(self._owed.values()))).expires_at <= now:
+            del self._owed[owed.sid]
+            if self._pending.pop(owed.sid, None) is not None:
                 self._counters["releases_expired"] += 1
-        self._send_copies(
-            [
-                owed
-                for owed in self._pending.values()
-                if owed.first_guess is not None and now - owed.first_guess_at >= CONFIRMATION_MS
-            ]
-        )
+        guesses = [owed for owed in self._pending.values() if owed.first_guess is not None]
+        self._send_copies([owed for owed in guesses if now - owed.first_guess_at >= CONFIRMATION_MS])
+
+    def finish(self) -> None:
+        """Send what is due, and copies of guesses without waiting for confirmations: the connections end."""
+        self.send_due()
+        self._send_copies([owed for owed in self._pending.values() if owed.first_guess is not None])
 
     def _send_copies(self, guesses: list[OwedRelease]) -> None:
         """Send guesses on the connections of their addresses that have not been sent them, as many as a check may."""
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -303,7 +303,7 @@
 
     def close_connections(self) -> Co[None]:
         """Close all connections: unread set-ups are refused and buffered output is sent, within ``LINGER_MS``."""
-        self.releases.send_due()
+        self.releases.finish()
         links, reads_until = list(self.links), self.loop.now() + STOP_READ_MS
         for link in links:
             self._read_arrived(link)
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -110,6 +110,25 @@
     check_told([[owner] for owner in second], tasks, ended_at + RELEASE_DUE_MS)
 
 
+def end_while_stopping(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """As before, but the placers are about to end when the tasks do: nobody can confirm in time."""
+    process, owners = start(platform, variant)
+    tasks = sids(0)
+    yield from submit_all(platform, owners, tasks)
+    second = yield from connect_others(platform, "has had a task", process, first=300)
+    yield from connect_others(platform, "has had a task", process, first=100)
+    for owner in owners:
+        owner.close()
+    for placer in platform.placers:
+        placer.service.begin_shutdown()
+    while not all(placer.service.owners.refuses_set_ups for placer in platform.placers):
+        yield from platform.run(STEP_MS)
+    yield from platform.run(200.0)  # of the 250 ms that are left
+    ended_at = end_all(platform, process, owners, tasks)
+    yield from platform.run(RELEASE_DUE_MS)
+    check_told([[owner] for owner in second], tasks, ended_at + RELEASE_DUE_MS)
+
+
 # Guards against an owner that is never told of its tasks' end, since another client at its address was taken for it.
 def test_a_release_reaches_its_owner_beside_other_clients_at_its_address(tmp_path: Path) -> None:
     plays = {
@@ -120,6 +139,7 @@
     }
     plays["has a second connection"] = stranger_beside_second_connection
     assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
+    assert failures(tmp_path, {"has one when the placer ends": end_while_stopping}) == []
 
 
 # A release that crosses the end of its connection
