--- a/sprucepost/node/connection_states.py
+++ b/sprucepost/node/connection_states.py
@@ -63,7 +63,7 @@
     """What is known of a connection. Times are ms of one clock."""
 
     opened_at: float
-    is_answered: bool  # whether anything has been sent on it
+    is_answered: bool  # whether anything has been sent on it but releases that may be another client's
     used_at: float  # when it was opened, brought a task that was admitted, or was last written to
     has_sent_message: bool
     proven: bool  # it has brought a task that was admitted
--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -50,6 +50,7 @@
         self.first_message_number = 0  # of the connections in the order of their first messages, from 1; 0: none yet
         self.got_waiting_releases = False  # whether releases that waited for a connection of its owner were sent here
         self.was_written_to = False  # while the message that is handled now has been handled
+        self._has_reacted = False  # whether anything has been sent here that is not for another client, perhaps
         self.was_answered = False  # whether a task of its owner was answered here
         self.ended = False  # whether this side has ended it, or found that it has ended
         self.proven = False
@@ -135,7 +136,7 @@
         """Return what decides on its state."""
         return ConnectionFacts(
             self._opened_at,
-            self.transport.written > 0,
+            self._has_reacted,
             self.used,
             self.has_sent_message,
             self.proven,
@@ -167,10 +168,15 @@
         self._send(encode(Kind.RELEASE, sid, parameters))
 
     def release(self, owed: OwedRelease, state: str = "released") -> None:
-        """Tell the owner that its placed task has ended; ``state`` is what the log says of the task."""
-        self.refuse(owed.sid, owed.cause, 0.0)
+        """Tell the owner that its placed task has ended; ``state`` is what the log says of the task.
+
+        On a connection that may be another client's this is no reaction to what that client has sent.
+        """
+        is_guess = owed.owner is not self
+        self._releases_to_confirm += 1
+        self._send(encode(Kind.RELEASE, owed.sid, [(Code.CAUSE, bytes([owed.cause]))]), is_reaction=not is_guess)
         self.releases.record(owed.sid, owed, self._owners.loop.now())
-        brought_by = owed.owner.peer if owed.owner is not self else None
+        brought_by = owed.owner.peer if is_guess else None
         self._owners.log.task(owed.sid, state, owner=self.peer, brought_by=brought_by)
 
     def unsent_answers(self) -> list[str]:
@@ -187,11 +193,13 @@
         """Reply to a health check of the owner."""
         self._send(encode(Kind.TESTED, sid, [(Code.CAUSE, bytes([passed]))]))
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes, is_reaction: bool = True) -> None:
         if self.closed:
             return
-        self.used, self.unanswered_since, self.was_written_to = self._owners.loop.now(), None, True
-        self.useless_messages.since_answer = 0
+        if is_reaction:
+            self.used, self.unanswered_since, self.was_written_to = self._owners.loop.now(), None, True
+            self._has_reacted = True
+            self.useless_messages.since_answer = 0
         self.transport.write(data)
         if self.transport.buffered > MAX_UNREAD_BYTES:  # deferred: other answers of this batch follow
             self._owners.loop.call_soon(lambda: self._owners.disconnect(self, "unread"))
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -20,7 +20,7 @@
     start,
     tasks_of,
 )
-from tests.node.virtual_platform import STEP_MS, OwnerConnection, Process, VirtualPlatform
+from tests.node.virtual_platform import STEP_MS, OwnerConnection, Process, VirtualPlatform, run_on_virtual_platform
 
 WATCHED_MS = 9500.0
 SETTLE_MS = 500.0  # after which nothing is on its way, also where placers have a third of a core
@@ -142,6 +142,26 @@
     assert failures(tmp_path, {"has one when the placer ends": end_while_stopping}) == []
 
 
+# Guards against a client that gets no reaction, since releases of another client's tasks count as one.
+def test_releases_that_may_be_another_clients_are_no_reaction(tmp_path: Path) -> None:
+    def body(platform: VirtualPlatform) -> Co[None]:
+        process, [owner] = start(platform, Variant())
+        tasks = sids(0, 20)
+        for sid in tasks:
+            platform.run_task(process, sid)
+        owner.submit(*tasks, at=process.uid)
+        yield from platform.run(100.0)
+        owner.close()
+        other = platform.connect(platform.placers[0])
+        other.end_tasks("c0655aa5c7effff0")  # is not known
+        for sid in tasks:
+            yield from platform.run(150.0)
+            platform.end_task(process, sid)
+        assert other.told and other.sock.ended
+
+    run_on_virtual_platform(tmp_path, body)
+
+
 # A release that crosses the end of its connection
 
 
