Node: ends of tasks that a host has not been told yet are called so; reads cost less

pending_releases at a host held ends of tasks, not releases: pending_ends. What a read had waited is computed once in Transport._read again, where a method had taken a call for each, and a host's line is compared by its type before its connection's ends are looked at.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -218,19 +218,25 @@
 
     def _read(self, unpolled_ms: float) -> bool:
         """Read once; the data may have waited for ``unpolled_ms``. Returns False when there was nothing."""
+        failure: OSError | None = None
         try:
             data = self._sock.recv(self.max_read_bytes)
         except OSError as error:
-            self._note_wait(unpolled_ms)
-            self._connection_lost(error)
-            return True
+            data, failure = b"", error
         if data is None:
             self._partial_read_at, self._unread_at_poll = 0.0, -1
             return False
-        self._note_wait(unpolled_ms)
-        if data:
+        now, polls = self._loop.now(), self._loop.polls
+        self.continued = self._unread_at_poll >= polls - 1 and self._unread_at_poll >= 0
+        if self._paused_at is not None:
+            unpolled_ms, self._paused_at = max(unpolled_ms, now - self._paused_at), None
+        left_behind = self._partial_read_at > 0.0 and self.continued
+        self.waited_ms = self.waited_ms + now - self._partial_read_at if left_behind else unpolled_ms
+        if failure is not None:
+            self._connection_lost(failure)
+        elif data:
             is_full = len(data) >= self.max_read_bytes
-            self._partial_read_at, self._unread_at_poll = (self._loop.now(), self._loop.polls) if is_full else (0.0, -1)
+            self._partial_read_at, self._unread_at_poll = (now, polls) if is_full else (0.0, -1)
             self._delivering = True
             try:
                 self.on_data(data)
@@ -242,15 +248,6 @@
             self.on_end()
         return True
 
-    def _note_wait(self, unpolled_ms: float) -> None:
-        """Note how long what is read now may have waited, and whether it continues what was left unread."""
-        now = self._loop.now()
-        self.continued = self._unread_at_poll >= self._loop.polls - 1 and self._unread_at_poll >= 0
-        if self._paused_at is not None:
-            unpolled_ms, self._paused_at = max(unpolled_ms, now - self._paused_at), None
-        left_behind = self._partial_read_at > 0.0 and self.continued
-        self.waited_ms = self.waited_ms + now - self._partial_read_at if left_behind else unpolled_ms
-
     def _writable(self) -> None:
         self._blocked = False
         self._flush()
@@ -285,7 +282,9 @@
                 sent += accepted
                 self.sent += accepted
         except OSError as error:
-            self._note_wait(self._loop.since_poll_ms)
+            self.waited_ms = self._loop.since_poll_ms
+            if self._paused_at is not None:
+                self.waited_ms = max(self.waited_ms, self._loop.now() - self._paused_at)
             self._connection_lost(error)
             return
         self.buffered -= sent
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -58,5 +58,5 @@
         self.redial_at = 0.0  # not before
         self.last_heard = 0.0  # when its last message came; 0 while no task of ours runs there
         self.silence_timer: Timer | None = None  # fires when the host counts as silent
-        self.pending_releases: dict[str, float] = {}  # tasks ended by their owners: until when to tell it
+        self.pending_ends: dict[str, float] = {}  # tasks ended by their owners: until when to tell it
         self.gone = False
--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -107,7 +107,7 @@
         for link in kept:
             link.host = host
         host.links += kept
-        host.pending_releases |= other.pending_releases
+        host.pending_ends |= other.pending_ends
         kept_tasks = self._tasks.move_to_replacement(other.uid, host.uid) if other.uid != host.uid else 0
         self._log.host(
             host.uid,
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -203,7 +203,7 @@
             self._tasks.trace(sid, "let_go", host=host.uid, link=link.number)
         else:
             self._tasks.trace(sid, "let_go", host=host.uid, why="when it can be reached")
-            host.pending_releases[sid] = self.loop.now() + health.SILENT_AFTER_MS
+            host.pending_ends[sid] = self.loop.now() + health.SILENT_AFTER_MS
 
     def _write_end(self, link: HostLink, sid: str) -> None:
         """Tell the host on that connection to end a running task."""
@@ -214,7 +214,7 @@
         """Keep a task that its owner has handed back: cancel a pending release of it. False where the host is not listed."""
         host = self.hosts.get(machine)
         if host is not None:
-            host.pending_releases.pop(sid, None)
+            host.pending_ends.pop(sid, None)
         return host is not None
 
     def is_listed(self, machine: str) -> bool:
@@ -288,9 +288,9 @@
         transport.on_end = lambda: self.end(link.host, link, "ended")
         transport.on_lost = lambda error: self.end(link.host, link, "reset")
         transport.start()
-        for sid in host.pending_releases:
+        for sid in host.pending_ends:
             self._write_end(link, sid)
-        host.pending_releases.clear()
+        host.pending_ends.clear()
         self._serve(host)
         if self._health.suspected(host):
             self._health.check(host, link)
@@ -334,7 +334,7 @@
         messages. Also dial where a connection broke that may have held a release: a host repeats a release only on its
         next connection."""
         now = self.loop.now()
-        wanted = self._listed(host) and (host.uid in self._tasks.placed or bool(host.pending_releases))
+        wanted = self._listed(host) and (host.uid in self._tasks.placed or bool(host.pending_ends))
         may_answer = bool(self._health.answering(host))
         due = wanted and (host.needs_reconnect or not may_answer) and not host.dialing and now >= host.redial_at
         if due and (
@@ -400,7 +400,7 @@
 
     def _handle_line(self, link: HostLink, host: Host, line: Line) -> None:
         """Handle one message: of a set-up that is open on this connection, or of any other task."""
-        if link.ends and line.type in (MessageType.CLOSE, MessageType.CLOSED):
+        if line.type in (MessageType.CLOSE, MessageType.CLOSED) and link.ends:
             link.ends.confirm(line.sid)
         attempt = link.open.get(line.sid)
         if attempt is not None and (
@@ -442,12 +442,12 @@
                 )
                 if idle and not link.transport.read_now():
                     self.end(host, link, "idle")
-            host.pending_releases = {sid: until for sid, until in host.pending_releases.items() if until > now}
+            host.pending_ends = {sid: until for sid, until in host.pending_ends.items() if until > now}
             self._health.review(host)
             if not has_tasks:
                 host.needs_reconnect = False
                 self._list.remove_if_unused(host)
-                if not host.pending_releases:
+                if not host.pending_ends:
                     continue
             self._reconnect(host)
 
--- a/tests/node/test_service.py
+++ b/tests/node/test_service.py
@@ -350,7 +350,7 @@
         platform.start()
         owner = yield from platform.owner()
         known = platform.service.hosts.hosts["s-1"]
-        known.pending_releases = dict.fromkeys(SIDS[:2], platform.loop.now() + 5000)  # ended by their owner
+        known.pending_ends = dict.fromkeys(SIDS[:2], platform.loop.now() + 5000)  # ended by their owner
         owner.transport.write(setup(SIDS[0], FIGURES="cores:1;memory:2;service:s;at:s-1"))
         yield from wait_for(lambda: host.lines(MessageType.CLOSE))
         assert [line.sid for line in host.lines(MessageType.CLOSE)] == [SIDS[1]] and platform.standing() == 1
