Node: releases of one client's many tasks do not hold up those of others

Connections that have brought the tasks take turns now, those that were ended for what their client had sent get no copies, and the likeliest connection is looked for once for all releases of a turn. A guess that is in doubt goes out with the next check and not at once.

Test: a client's six tasks end beside 2,000 of another one whose connection has ended, ten connections at the address; its releases came late before, within a second now.

--- a/sprucepost/node/owner_link.py
+++ b/sprucepost/node/owner_link.py
@@ -52,6 +52,7 @@
         self.was_written_to = False  # while the message that is handled now has been handled
         self._has_reacted = False  # whether anything has been sent here that is not for another client, perhaps
         self.was_answered = False  # whether a task of its owner was answered here
+        self.misused = False  # whether it has been ended for what its client has sent, or not read
         self.ended = False  # whether this side has ended it, or found that it has ended
         self.proven = False
         self._opened_at = now
--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -16,19 +16,23 @@
                                                                       that comes until ``RELEASE_RETENTION_MS`` have passed;
                                                                       once on each
 it comes from another address        it is not the owner's            is not sent there
+the owner's was ended for its input  its client misuses the placer    is sent to the likeliest one, and to no other
 ==================================== ================================ ====================================================
 
 A release is sent after all is handled that the latest poll has found: an end of its connection that had arrived by then is
 not written to. A release that is in doubt when its connection ends (see ``delivery``) is a guess from then on.
 
 A client that is sent a release of a task which it doesn't know drops it, as placers do with what hosts repeat. Copies of
-guesses are bounded for each check, oldest releases first.
+guesses are bounded for each check, and connections that have brought the tasks take turns: one that had thousands does not
+hold up the others.
 """
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
-from collections.abc import Collection
+import math
+from bisect import bisect_left
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -52,6 +56,7 @@
     proven: bool  # whether it has brought a task that was admitted
     used: float  # time of the last admitted task or of the last write
     owed_releases: int  # that will be sent here in this turn of the loop: it is kept for them
+    misused: bool  # whether it has been ended for what its client has sent, or not read
 
     @property
     def peer(self) -> str: ...
@@ -113,33 +118,48 @@
         if self._due and self._loop.since_poll_ms > MAX_POLL_AGE_MS:
             self._loop.poll_now()
         due, self._due = self._due, []
+        guesses = []
         for owed in due:
             owed.owner.owed_releases -= 1
             if owed.is_cancelled:
                 continue
             if owed.owner.closed:
-                self._guess(owed)
+                guesses.append(owed)
             else:
                 owed.owner.release(owed)
-
-    def send_again(self, owed: OwedRelease, link: OwnerConnection, why: str) -> None:
-        """Send a release elsewhere that is in doubt on a connection which has ended."""
-        is_guessed_elsewhere = self._pending.get(owed.sid) is owed and owed.first_guess is not link
-        if owed.is_cancelled or is_guessed_elsewhere or owed.expires_at <= self._loop.now():
-            return
-        self._counters[f"releases_in_doubt_{why}"] += 1
-        self._log.task(owed.sid, "release_in_doubt", owner=link.peer, why=f"its connection has ended: {why}")
-        self._guess(owed)
-
-    def _guess(self, owed: OwedRelease) -> None:
-        """Send a release on the likeliest connection of its owner's address, and keep it for the others."""
-        self._pending[owed.sid] = owed
-        candidates = [
-            link for link in self._links if _may_be_owners(link, owed) and link.first_message_number >= owed.next_guess
-        ]
-        if candidates:
-            self._send_first_guess(owed, max(candidates, key=lambda link: (link.was_answered, link.proven, link.used)))
-        elif not owed.next_guess:
+        self._guess(guesses)
+
+    def send_again(self, doubtful: list[OwedRelease], link: OwnerConnection, why: str) -> None:
+        """Send releases elsewhere that are in doubt on a connection which has ended."""
+        now, guesses = self._loop.now(), list[OwedRelease]()
+        for owed in doubtful:
+            is_known = self._pending.get(owed.sid) is owed  # copies go to other connections anyway
+            if owed.is_cancelled or owed.expires_at <= now or (is_known and owed.first_guess is not link):
+                continue
+            self._counters[f"releases_in_doubt_{why}"] += 1
+            self._log.task(owed.sid, "release_in_doubt", owner=link.peer, why=f"its connection has ended: {why}")
+            if not is_known:
+                guesses.append(owed)
+            elif owed.owner.misused:
+                owed.first_guess = None  # it waits for the next connection
+            else:
+                owed.first_guess_at = -math.inf  # copies go out with the next check
+        self._guess(guesses)
+
+    def _guess(self, guesses: list[OwedRelease]) -> None:
+        """Send releases on the likeliest connections of their owners' addresses, and keep them for the others."""
+        likeliest: dict[str, OwnerConnection] = {}
+        if guesses:
+            for link in self._links:
+                best = likeliest.get(link.owner_address)
+                if _may_be_owners(link) and (best is None or _likelihood(link) > _likelihood(best)):
+                    likeliest[link.owner_address] = link
+        for owed in guesses:
+            self._pending[owed.sid] = owed
+            found = likeliest.get(owed.owner.owner_address)
+            if found is not None:
+                self._send_first_guess(owed, found)
+                continue
             owed.first_guess = None
             self._counters["releases_waiting"] += 1
             self._log.task(owed.sid, "release_waits", owner=owed.owner.peer, why="no connection to its owner")
@@ -152,7 +172,7 @@
     def send_waiting(self, link: OwnerConnection) -> None:
         """Send the releases for which there was no connection so far, on one that has brought its first message."""
         for owed in list(self._pending.values()):
-            if owed.first_guess is None and _may_be_owners(link, owed):
+            if owed.first_guess is None and owed.owner.owner_address == link.owner_address:
                 self._send_first_guess(owed, link)
 
     def handed_over_again(self, link: OwnerConnection, sid: str) -> None:
@@ -176,35 +196,47 @@
             del self._owed[owed.sid]
             if self._pending.pop(owed.sid, None) is not None:
                 self._counters["releases_expired"] += 1
-        guesses = [owed for owed in self._pending.values() if owed.first_guess is not None]
-        self._send_copies([owed for owed in guesses if now - owed.first_guess_at >= CONFIRMATION_MS])
+        self._send_copies(lambda owed: now - owed.first_guess_at >= CONFIRMATION_MS)
 
     def finish(self) -> None:
         """Send what is due, and copies of guesses without waiting for confirmations: the connections end."""
         self.send_due()
-        self._send_copies([owed for owed in self._pending.values() if owed.first_guess is not None])
+        self._send_copies(lambda owed: True)
 
-    def _send_copies(self, guesses: list[OwedRelease]) -> None:
+    def _send_copies(self, is_due: Callable[[OwedRelease], bool]) -> None:
         """Send guesses on the connections of their addresses that have not been sent them, as many as a check may."""
-        if not guesses:
+        by_owner: defaultdict[OwnerConnection, list[OwedRelease]] = defaultdict(list)
+        for owed in self._pending.values():
+            if owed.first_guess is not None and not owed.owner.misused and is_due(owed):
+                by_owner[owed.owner].append(owed)
+        if not by_owner:
             return
-        by_address: defaultdict[str, list[OwnerConnection]] = defaultdict(list)
-        for link in sorted(self._links, key=lambda link: link.first_message_number):
-            by_address[link.owner_address].append(link)
+        candidates = sorted(filter(_may_be_owners, self._links), key=lambda link: link.first_message_number)
+        turns = deque(self._copy(guesses, candidates) for guesses in by_owner.values())
         copies = 0
+        while turns and copies < COPIES_PER_CHECK:
+            turn = turns.popleft()
+            if next(turn, False):
+                copies += 1
+                turns.append(turn)
+        self._counters["releases_copied"] += copies
+
+    def _copy(self, guesses: list[OwedRelease], candidates: list[OwnerConnection]) -> Iterator[bool]:
+        """Send copies of guesses for one owner; True after each. ``candidates`` are in the order of their first messages."""
         for owed in guesses:
-            for link in by_address[owed.owner.owner_address]:
-                if link.first_message_number < owed.next_guess or not _may_be_owners(link, owed):
-                    continue
-                if link is not owed.first_guess:
-                    if copies == COPIES_PER_CHECK:
-                        return
-                    copies += 1
-                    self._counters["releases_copied"] += 1
-                    link.release(owed, "release_copied")
+            begin = bisect_left(candidates, owed.next_guess, key=lambda link: link.first_message_number)
+            for link in candidates[begin:]:
                 owed.next_guess = link.first_message_number + 1
+                if link is not owed.first_guess and link.owner_address == owed.owner.owner_address:
+                    link.release(owed, "release_copied")
+                    yield True
+
+
+def _may_be_owners(link: OwnerConnection) -> bool:
+    """Return whether releases may be sent on a connection: it is open, and has brought a message."""
+    return link.first_message_number > 0 and not link.closed
 
 
-def _may_be_owners(link: OwnerConnection, owed: OwedRelease) -> bool:
-    """Return whether a connection may be of the owner to whom a release is owed."""
-    return link.first_message_number > 0 and not link.closed and link.owner_address == owed.owner.owner_address
+def _likelihood(link: OwnerConnection) -> tuple[bool, bool, float]:
+    """Return how likely it is that a connection is a certain owner's, as a key to compare with others."""
+    return link.was_answered, link.proven, link.used
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -213,6 +213,7 @@
             link.transport.on_linger_data = lambda data: None
         if why in (*ENDED_FOR_INPUT, "unanswered"):
             self._tasks.fail_open(sorted(link.open), f"its connection is ended: {why}")
+        link.misused = why in ENDED_FOR_INPUT or why == "unread"
         open_until = self._open_until(link, why)
         is_short_of_descriptors = why in ("room", "silent")  # its descriptor is needed, or it sent nothing useful
         if is_short_of_descriptors and not link.transport.buffered:
@@ -240,8 +241,7 @@
 
     def _send_again(self, link: OwnerLink, releases: list[WrittenMessage[OwedRelease]], why: str) -> None:
         """Send releases again that are in doubt on a connection that has ended."""
-        for message in releases:
-            self.releases.send_again(message.content, link, why)
+        self.releases.send_again([message.content for message in releases], link, why)
 
     def _end_unanswered(self, link: OwnerLink) -> None:
         """End the tasks whose answers have not been sent on a connection that has ended."""
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -110,6 +110,30 @@
     check_told([[owner] for owner in second], tasks, ended_at + RELEASE_DUE_MS)
 
 
+def beside_many(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """As with a second connection, but thousands of another client's tasks end at that time whose connection has ended."""
+    process, owners = start(platform, variant)
+    tasks = sids(0)
+    yield from submit_all(platform, owners, tasks)
+    second = yield from connect_others(platform, "has had a task", process, first=300)
+    for number in range(8):
+        yield from connect_others(platform, "has had a task", process, first=400 + number)
+    others = [platform.connect(placer) for placer in platform.placers]
+    many = sids(0x1000, 2000)
+    for other in others:
+        for sid in tasks_of(other, many):
+            platform.run_task(process, sid)
+        other.submit(*tasks_of(other, many), at=process.uid)
+    yield from platform.run(SETTLE_MS)
+    for each in (*others, *owners):
+        each.close()
+    yield from platform.run(50.0)
+    ended_at = end_all(platform, process, [*others], many)
+    end_all(platform, process, owners, tasks)
+    yield from platform.run(2 * RELEASE_DUE_MS)
+    check_told([[owner] for owner in second], tasks, ended_at + RELEASE_DUE_MS)
+
+
 def end_while_stopping(platform: VirtualPlatform, variant: Variant) -> Co[None]:
     """As before, but the placers are about to end when the tasks do: nobody can confirm in time."""
     process, owners = start(platform, variant)
@@ -140,6 +164,7 @@
     plays["has a second connection"] = stranger_beside_second_connection
     assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
     assert failures(tmp_path, {"has one when the placer ends": end_while_stopping}) == []
+    assert failures(tmp_path, {"has one beside thousands of ends": beside_many}, DELIVERY_VARIANTS[:1]) == []
 
 
 # Guards against a client that gets no reaction, since releases of another client's tasks count as one.
