Node: copies of releases go to connections of clients that were served first

All releases go to the connections on which a task was answered first, then to the others, by turns as before; which connections a release has been sent to is kept with it.

--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -23,17 +23,16 @@
 not written to. A release that is in doubt when its connection ends (see ``delivery``) is a guess from then on.
 
 A client that is sent a release of a task which it doesn't know drops it, as placers do with what hosts repeat. Copies of
-guesses are bounded for each check, and connections that have brought the tasks take turns: one that had thousands does not
-hold up the others.
+guesses are bounded for each check. Connections on which a task was answered come before the others, and those that have
+brought the tasks take turns: one that had thousands does not hold up the others.
 """
 
 from __future__ import annotations
 
 import math
-from bisect import bisect_left
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from sprucepost.loop import Loop
@@ -79,9 +78,7 @@
     is_cancelled: bool = False  # the task has been handed over since, or its owner knows of the end
     first_guess: OwnerConnection | None = None  # the connection to which it was sent first, where the owner's has ended
     first_guess_at: float = 0.0
-    next_guess: int = (
-        0  # of the connections in order of their first messages, those before this number have been sent it
-    )
+    guessed: set[OwnerConnection] = field(default_factory=set)  # connections to which it has been sent as a guess
 
 
 class OwnerReleases:
@@ -157,7 +154,7 @@
         for owed in guesses:
             self._pending[owed.sid] = owed
             found = likeliest.get(owed.owner.owner_address)
-            if found is not None:
+            if found is not None and found not in owed.guessed:
                 self._send_first_guess(owed, found)
                 continue
             owed.first_guess = None
@@ -166,13 +163,15 @@
 
     def _send_first_guess(self, owed: OwedRelease, link: OwnerConnection) -> None:
         owed.first_guess, owed.first_guess_at = link, self._loop.now()
+        owed.guessed.add(link)
         self._counters["releases_guessed"] += 1
         link.release(owed)
 
     def send_waiting(self, link: OwnerConnection) -> None:
         """Send the releases for which there was no connection so far, on one that has brought its first message."""
         for owed in list(self._pending.values()):
-            if owed.first_guess is None and owed.owner.owner_address == link.owner_address:
+            is_told = owed.first_guess is not None or link in owed.guessed
+            if not is_told and owed.owner.owner_address == link.owner_address:
                 self._send_first_guess(owed, link)
 
     def handed_over_again(self, link: OwnerConnection, sid: str) -> None:
@@ -211,25 +210,35 @@
                 by_owner[owed.owner].append(owed)
         if not by_owner:
             return
-        candidates = sorted(filter(_may_be_owners, self._links), key=lambda link: link.first_message_number)
-        turns = deque(self._copy(guesses, candidates) for guesses in by_owner.values())
+        candidates = [link for link in self._links if _may_be_owners(link)]
         copies = 0
-        while turns and copies < COPIES_PER_CHECK:
-            turn = turns.popleft()
-            if next(turn, False):
-                copies += 1
-                turns.append(turn)
+        for is_likely in (True, False):  # all releases go to the likely ones first
+            links = [link for link in candidates if link.was_answered is is_likely]
+            copies += _send_in_turns(
+                [_copy(guesses, links) for guesses in by_owner.values()], COPIES_PER_CHECK - copies
+            )
         self._counters["releases_copied"] += copies
 
-    def _copy(self, guesses: list[OwedRelease], candidates: list[OwnerConnection]) -> Iterator[bool]:
-        """Send copies of guesses for one owner; True after each. ``candidates`` are in the order of their first messages."""
-        for owed in guesses:
-            begin = bisect_left(candidates, owed.next_guess, key=lambda link: link.first_message_number)
-            for link in candidates[begin:]:
-                owed.next_guess = link.first_message_number + 1
-                if link is not owed.first_guess and link.owner_address == owed.owner.owner_address:
-                    link.release(owed, "release_copied")
-                    yield True
+
+def _send_in_turns(owners: list[Iterator[None]], most: int) -> int:
+    """Let each owner's releases be sent in turn, one at a time and ``most`` in all; return how many were sent."""
+    turns, copies = deque(owners), 0
+    while turns and copies < most:
+        turn = turns.popleft()
+        if next(turn, turns) is None:
+            copies += 1
+            turns.append(turn)
+    return copies
+
+
+def _copy(guesses: list[OwedRelease], links: list[OwnerConnection]) -> Iterator[None]:
+    """Send guesses for one owner on those of the connections that have not been sent them, one at each step."""
+    for owed in guesses:
+        for link in links:
+            if link not in owed.guessed and link.owner_address == owed.owner.owner_address:
+                owed.guessed.add(link)
+                link.release(owed, "release_copied")
+                yield
 
 
 def _may_be_owners(link: OwnerConnection) -> bool:
