--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -16,7 +16,7 @@
                                                                       that comes until ``RELEASE_RETENTION_MS`` have passed;
                                                                       once on each
 it comes from another address        it is not the owner's            is not sent there
-the owner's was ended for its input  its client misuses the placer    is sent to the likeliest one, and to no other
+the owner's was ended for its input  its client misuses the placer    is sent once, to the likeliest one or to the next
 ==================================== ================================ ====================================================
 
 A release is sent after all is handled that the latest poll has found: an end of its connection that had arrived by then is
@@ -133,12 +133,12 @@
             is_known = self._pending.get(owed.sid) is owed  # copies go to other connections anyway
             if owed.is_cancelled or owed.expires_at <= now or (is_known and owed.first_guess is not link):
                 continue
+            if owed.owner.misused:
+                continue
             self._counters[f"releases_in_doubt_{why}"] += 1
             self._log.task(owed.sid, "release_in_doubt", owner=link.peer, why=f"its connection has ended: {why}")
             if not is_known:
                 guesses.append(owed)
-            elif owed.owner.misused:
-                owed.first_guess = None  # it waits for the next connection
             else:
                 owed.first_guess_at = -math.inf  # copies go out with the next check
         self._guess(guesses)
@@ -164,6 +164,8 @@
     def _send_first_guess(self, owed: OwedRelease, link: OwnerConnection) -> None:
         owed.first_guess, owed.first_guess_at = link, self._loop.now()
         owed.guessed.add(link)
+        if owed.owner.misused:
+            del self._pending[owed.sid]
         self._counters["releases_guessed"] += 1
         link.release(owed)
 
@@ -206,7 +208,7 @@
         """Send guesses on the connections of their addresses that have not been sent them, as many as a check may."""
         by_owner: defaultdict[OwnerConnection, list[OwedRelease]] = defaultdict(list)
         for owed in self._pending.values():
-            if owed.first_guess is not None and not owed.owner.misused and is_due(owed):
+            if owed.first_guess is not None and is_due(owed):
                 by_owner[owed.owner].append(owed)
         if not by_owner:
             return
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -187,6 +187,30 @@
     run_on_virtual_platform(tmp_path, body)
 
 
+# Guards against a placer that is busy with the releases of a client which misuses it, each time that the client comes again.
+def test_releases_of_a_client_that_misuses_the_placer_are_sent_once(tmp_path: Path) -> None:
+    def body(platform: VirtualPlatform) -> Co[None]:
+        process, [client] = start(platform, Variant())
+        tasks = sids(0, 50)
+        for sid in tasks:
+            platform.run_task(process, sid)
+        connections = [client]
+        client.submit(*tasks, at=process.uid)
+        yield from platform.run(100.0)
+        for number in range(4):
+            connections[-1].sock.inbox.append(b"\x00\x01\x07")  # no message has that length
+            yield from platform.run(20.0)
+            for sid in list(process.standing) if not number else []:
+                platform.end_task(process, sid)
+            connections.append(platform.connect(platform.placers[0]))
+            connections[-1].submit(*sids(0x100 + number, 1))
+            yield from platform.run(20.0)
+        yield from platform.run(500.0)
+        assert [sum(each.kinds(sid).count(Kind.RELEASE) for each in connections) for sid in tasks] == [1] * len(tasks)
+
+    run_on_virtual_platform(tmp_path, body)
+
+
 # A release that crosses the end of its connection
 
 
