Node: data that a poll has found does not show that its connection was open

The end lies behind the data and is read in the next turn.

A connection is known to have been open at the latest poll that left nothing unread on it: the one before any that has found data, and the one before the latest of all, as what that has found may not be handled yet.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -60,6 +60,8 @@
         self.continued = False  # whether the data delivered last had arrived behind a read that left data unread
         self._partial_read_at = 0.0  # when a read that may have left more data unread took place; 0 if none was left
         self._unread_at_poll = -1  # number of the latest poll after which data may have been left unread
+        self._data_at_poll = -math.inf  # number of the latest poll that found data
+        self._nothing_unread_before_data = -math.inf  # when the latest poll was that found nothing before that one
         self._paused_at: float | None = None  # since when the socket has not been polled
 
     def start(self) -> None:
@@ -74,12 +76,19 @@
     @property
     def open_until(self) -> float:
         """The end that was read last, or that a write met, has not arrived before that time, in ms of the loop's clock."""
-        return min(self._loop.now() - self.waited_ms, self._loop.polled_at - self._loop.unpolled_ms)
+        return min(self._loop.now() - self.waited_ms, self._nothing_unread_at())
 
     @property
     def known_open_at(self) -> float:
         """An end that had arrived by that time, in ms of the loop's clock, would have been read by now."""
-        return -math.inf if self.has_unread_backlog else self._loop.polled_at - self._loop.unpolled_ms
+        return -math.inf if self.has_unread_backlog else self._nothing_unread_at()
+
+    def _nothing_unread_at(self) -> float:
+        """Return when the latest poll was that left nothing unread: what the latest one of all has found may not be handled
+        yet, and behind data that a poll has found its end may have arrived too."""
+        if self._data_at_poll >= self._loop.polls - 1:
+            return self._nothing_unread_before_data
+        return self._loop.polled_at - self._loop.unpolled_ms
 
     @property
     def blocked(self) -> bool:
@@ -235,6 +244,9 @@
         if failure is not None:
             self._connection_lost(failure)
         elif data:
+            if self._data_at_poll < polls - 1:
+                self._nothing_unread_before_data = self._loop.polled_at - self._loop.unpolled_ms
+            self._data_at_poll = polls
             is_full = len(data) >= self.max_read_bytes
             self._partial_read_at, self._unread_at_poll = (now, polls) if is_full else (0.0, -1)
             self._delivering = True
