Node: a release goes once to a connection that hands its task over, and one end at a time is owed

Found on reading: a copy that a connection had got already was sent once more there when it handed the task over, and a release that was still pending when its task ended a second time would have stayed pending for good.

Test: an owner whose connection has ended comes again with hand-overs of tasks that have ended beside another client's connection: told at once, on that connection.

--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -40,9 +40,8 @@
 
 RELEASE_RETENTION_MS = 8000.0  # how long a release that is not known to have reached its owner is kept
 CONFIRMATION_MS = 100.0  # within which a peer confirms a release, if it confirms any
-MAX_POLL_AGE_MS = (
-    5.0  # a tenth of what crosses an end; with an older one, the sockets are polled before releases are sent
-)
+# With an older poll, the sockets are polled again before releases are sent: a tenth of what may cross an end.
+MAX_POLL_AGE_MS = 5.0
 COPIES_PER_CHECK = 256  # of guesses, each a message of some 20 bytes
 
 
@@ -102,9 +101,8 @@
 
     def owe(self, link: OwnerConnection, sid: str, cause: int) -> None:
         """Send the release of a task that this connection has brought: there, or where its owner may be."""
-        owed = OwedRelease(sid, cause, link, self._loop.now() + RELEASE_RETENTION_MS)
-        self._owed.pop(sid, None)  # the latest comes last
-        self._owed[sid] = owed
+        self.cancel(sid)  # of an end before this one
+        owed = self._owed[sid] = OwedRelease(sid, cause, link, self._loop.now() + RELEASE_RETENTION_MS)
         link.owed_releases += 1
         if not self._due:
             self._loop.call_soon(self.send_due)
@@ -179,7 +177,7 @@
     def handed_over_again(self, link: OwnerConnection, sid: str) -> None:
         """Send the release on the connection that hands over the task, as its owner hasn't heard of the end."""
         owed = self._pending.pop(sid, None)
-        if owed is not None and owed.first_guess is not link:
+        if owed is not None and link not in owed.guessed:
             owed.owner = link
             link.release(owed)
 
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -110,6 +110,25 @@
     check_told([[owner] for owner in second], tasks, ended_at + RELEASE_DUE_MS)
 
 
+def returns_with_hand_overs(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """The owner comes again and hands the tasks over, of whose end it has not heard."""
+    process, owners = start(platform, variant)
+    tasks = sids(0)
+    yield from submit_all(platform, owners, tasks)
+    yield from connect_others(platform, "has had a task", process, first=100)
+    for owner in owners:
+        owner.close()
+    yield from platform.run(50.0)
+    end_all(platform, process, owners, tasks)
+    platform.be_late(variant.late_ms)
+    yield from platform.run(200.0)
+    again, came_at = [platform.connect(placer) for placer in platform.placers], platform.loop.time
+    for owner in again:
+        owner.submit(*tasks_of(owner, tasks), at=process.uid)
+    yield from platform.run(WATCHED_MS)
+    check_told([[owner] for owner in again], tasks, came_at + 200.0 + variant.late_ms)
+
+
 def beside_many(platform: VirtualPlatform, variant: Variant) -> Co[None]:
     """As with a second connection, but thousands of another client's tasks end at that time whose connection has ended."""
     process, owners = start(platform, variant)
@@ -162,6 +181,7 @@
         for returns_after_ms in (200.0, 1900.0)
     }
     plays["has a second connection"] = stranger_beside_second_connection
+    plays["hands the tasks over"] = returns_with_hand_overs
     assert failures(tmp_path, plays, DELIVERY_VARIANTS) == []
     assert failures(tmp_path, {"has one when the placer ends": end_while_stopping}) == []
     assert failures(tmp_path, {"has one beside thousands of ends": beside_many}, DELIVERY_VARIANTS[:1]) == []
