--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -16,7 +16,7 @@
                                                                       that comes until ``RELEASE_RETENTION_MS`` have passed;
                                                                       once on each
 it comes from another address        it is not the owner's            is not sent there
-the owner's was ended for its input  its client misuses the placer    is sent once, to the likeliest one or to the next
+the owner's was ended for its input  its client misuses the placer    is a guess once, on the likeliest one or the next
 ==================================== ================================ ====================================================
 
 A release is sent after all is handled that the latest poll has found: an end of its connection that had arrived by then is
@@ -131,7 +131,7 @@
             is_known = self._pending.get(owed.sid) is owed  # copies go to other connections anyway
             if owed.is_cancelled or owed.expires_at <= now or (is_known and owed.first_guess is not link):
                 continue
-            if owed.owner.misused:
+            if owed.owner.misused and owed.first_guess is not None:
                 continue
             self._counters[f"releases_in_doubt_{why}"] += 1
             self._log.task(owed.sid, "release_in_doubt", owner=link.peer, why=f"its connection has ended: {why}")
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -218,12 +218,10 @@
         is_short_of_descriptors = why in ("room", "silent")  # its descriptor is needed, or it sent nothing useful
         if is_short_of_descriptors and not link.transport.buffered:
             link.transport.linger_ms = 0.0
-        sends_rest = why in LINGERING or (why in ENDED_FOR_INPUT and link.transport.buffered)
-        if (
-            why == "ended" and link.unsent_answers()
-        ):  # these tasks are ended: a peer that still reads is not told otherwise
-            sends_rest = False
-        if sends_rest or is_short_of_descriptors:
+        # With an answer that was not sent, its task is ended: a peer that still reads is not told otherwise.
+        is_given_up = why == "ended" and bool(link.unsent_answers())
+        sends_rest = why in LINGERING or (why in ENDED_FOR_INPUT and link.transport.buffered > 0)
+        if (sends_rest and not is_given_up) or is_short_of_descriptors:
             total = link.transport.written
             self._descriptors.close(link.transport, lambda: self._closed(link, total, why))
         else:
--- a/tests/node/test_deliveries.py
+++ b/tests/node/test_deliveries.py
@@ -231,6 +231,26 @@
     run_on_virtual_platform(tmp_path, body)
 
 
+# Guards against an owner that is never told, since its connection was ended for its input before it had read the release.
+def test_a_release_in_doubt_on_a_connection_that_is_ended_for_its_input_is_sent_again(tmp_path: Path) -> None:
+    def body(platform: VirtualPlatform) -> Co[None]:
+        process, [owner] = start(platform, Variant())
+        tasks = tasks_of(owner, sids(0))
+        yield from submit_all(platform, [owner], sids(0))
+        for sid in tasks:
+            platform.end_task(process, sid)
+        yield from platform.run(STEP_MS)
+        owner.closed = True  # it reads nothing more
+        owner.sock.inbox.append(b"\x00\x01\x07")  # no message has that length
+        yield from platform.run(100.0)
+        again = platform.connect(platform.placers[0])
+        again.submit(*sids(200, 1))
+        yield from platform.run(SETTLE_MS)
+        assert [again.kinds(sid) for sid in tasks] == [[Kind.RELEASE]] * len(tasks)
+
+    run_on_virtual_platform(tmp_path, body)
+
+
 # A release that crosses the end of its connection
 
 
