--- a/tests/node/virtual_platform.py
+++ b/tests/node/virtual_platform.py
@@ -103,6 +103,7 @@
         self._dials_waiting: list[tuple[Address, VirtualSock]] = []  # of hosts that are cut off
         self._half_open: list[tuple[Address, VirtualSock]] = []  # connections of processes that have vanished
         self._vanished: set[Address] = set()  # addresses at which no machine answers
+        self.resets_unknown_connections = True  # whether a machine answers what comes on one of the process before it
         self._decoders: dict[VirtualSock, jsonl.Decoder] = {}
         self._owner_ports = self._placers_started = 0
         self.is_sliced = False  # whether the placers have a third of a core
@@ -154,14 +155,16 @@
         self.processes.append(process)
         return process
 
-    def kill(self, process: Process, how: str = "reset") -> None:
-        """End a process; its connections are reset, closed, or stay open and silent."""
+    def kill(self, process: Process, how: str = "reset", refuses_dials: bool = True) -> None:
+        """End a process; its connections are reset, closed, or stay open and silent. Without ``refuses_dials`` dials wait
+        until another process starts at the address, as they do where the connections are silent."""
         process.alive = False
         ended = list(process.standing)
         process.standing.clear()
         process.answers_due.clear()
-        if how == "silence":
+        if how == "silence" or not refuses_dials:
             self._vanished.add(process.address)
+        if how == "silence":
             self._half_open += [(process.address, sock) for sock in process.connections]
             process.connections.clear()
         else:
@@ -187,6 +190,14 @@
         process.unsent.append(sid)
         return bool(targets)
 
+    def note(self, process: Process, sid: str) -> None:
+        """Have a process send a note on a task that stands there, on the connection of its set-up or else on an open one."""
+        sock = process.standing[sid]
+        targets = [sock] if sock in process.connections else process.connections[-1:]
+        for each in targets:
+            assert each is not None
+            each.inbox.append(jsonl.encode(MessageType.EVENT, sid, {"note": "cores", "value": "1"}))
+
     def _step_hosts(self) -> None:
         dials, self._dials_waiting = self._dials_waiting + self.loop.dialled[self._dials_seen :], []
         self._dials_seen = len(self.loop.dialled)
@@ -194,7 +205,7 @@
             if address != DISCOVERY and not sock.closed:
                 self._take_dial(address, sock)
         for address, sock in list(self._half_open):
-            if sock.sent and address not in self._vanished:
+            if sock.sent and address not in self._vanished and self.resets_unknown_connections:
                 sock.inbox.append(ConnectionResetError(104, "reset"))  # the machine knows no such connection
                 self._half_open.remove((address, sock))
         for process in self.processes:
