Node: silence is counted by process, so one that came back empty answers for nobody else

Callers saw: an owner is told late (9 to 14 s) or never of tasks whose machine vanished, or died with resets, and came back empty at its address.

Cause: HealthChecks kept the last word, the check and the silence of a host. What the new process said on a new connection ended the suspicion, the check ended the old connection as untested, and with it went the last evidence. Only the list ended such tasks: late, or never where it gives no start.

Change: a process is what its connections show (process_identity): connections that were alive at one moment lead to one process, since an address has one at a time; an answer to what was written proves that moment, a time of reading doesn't. host_processes keeps tasks by process. A process with tasks and without a connection is in doubt from its last sign of life; a message about one of its tasks, or an answer on a connection that was up beside one of its own, shows it again; else its owners are told after SILENT_AFTER_MS and, where the host answers on another connection, it is told to end the tasks, so that nothing runs on. The last connection that may still speak is kept: an overdue check, idleness or a retirement no longer ends it, want of descriptors ends it last, and then the next connection counts as its own, as before. New lines: in_doubt, shown, process_shown; heard in host_lost; in_doubt, in_doubt_oldest_ms, processes_in_doubt, lost_in_doubt in counts.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -179,6 +179,7 @@
         "offered_at",
         "ready_at",
         "timer",
+        "written_at",
     )
 
     def __init__(self, entry: Entry, number: int, machine: str, offered_at: float, deadline: float) -> None:
@@ -191,6 +192,7 @@
         )
         self.timer: Timer | None = None
         self.link: HostConnection | None = None  # the connection to the host on which the offer was written
+        self.written_at = 0.0  # when the offer was written there
         self.end_offset = 0  # bytes sent on that connection once the offer has been sent completely
         self.ready_at: float | None = None  # when it could have been sent first, but for unread input of its owner
         self.held_back = False  # whether it waited for unread input of its owner, although there was a connection
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from sprucepost.loop import Timer, Transport
+from sprucepost.loop import Transport
 from sprucepost.node.address_holders import Address, Age
 from sprucepost.node.attempt import Attempt
 from sprucepost.node.delivery import Deliveries
@@ -24,9 +24,10 @@
     seeds, and on join).
     """
 
-    def __init__(self, host: Host, transport: Transport, now: float, number: int) -> None:
+    def __init__(self, host: Host, transport: Transport, now: float, number: int, dialled_at: float) -> None:
         self.host, self.transport = host, transport
-        self.process = ProcessConnection(now)
+        self.process = ProcessConnection(now, dialled_at)
+        self.process.process.connections = 1
         self.number = number  # counts the connections to this host, from 1
         self.decoder = Decoder()
         self.open: dict[str, Attempt] = {}  # set-ups without an answer, by task id
@@ -35,6 +36,7 @@
         self.last_used = now  # ms of the loop's clock, like all times here
         self.ends: Deliveries[None] = Deliveries(transport)  # of placed tasks, which the host has been told here
         self.check_sent: float | None = None  # when the unanswered health check was sent
+        self.checks_sent: deque[float] = deque()  # when those were that have had no answer of their own
         self.retired = False  # whether it takes no more set-ups
 
     @property
@@ -56,7 +58,5 @@
         self.dial_failed_locally = False  # whether the last dial failed on this machine, for want of a resource
         self.needs_reconnect = False  # a connection broke while a task of ours ran here, and none was opened since
         self.redial_at = 0.0  # not before
-        self.last_heard = 0.0  # when its last message came; 0 while no task of ours runs there
-        self.silence_timer: Timer | None = None  # fires when the host counts as silent
         self.pending_ends: dict[str, float] = {}  # tasks ended by their owners: until when to tell it
         self.gone = False
--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -85,9 +85,7 @@
         self._at_address.setdefault(address, {})[host] = None
         for other in replaced:
             self._replace(other, host)
-        since = self._tasks.host_listed(uid)
-        if since is not None:
-            host.last_heard = since if host.last_heard == 0.0 else min(host.last_heard, since)
+        self._tasks.host_listed(uid)
         if started:
             self.lose_tasks(host, "restarted", FirstListing(self._start_times.to_loop_time(started)))
         return host
@@ -120,8 +118,6 @@
             tasks_kept=kept_tasks,
             tasks_ended=ended_tasks,
         )
-        if kept_tasks:
-            host.last_heard = max([other.last_heard, *(link.process.came_up_at for link in kept)])
 
     def _restart(self, host: Host) -> None:
         """Handle that the list has another process of the same id at the same address."""
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -28,7 +28,7 @@
 from sprucepost.node.host_list import HostList
 from sprucepost.node.jsonl import Line, MessageType, encode
 from sprucepost.node.log import Log
-from sprucepost.node.process_identity import NeverListed, RefusedDial
+from sprucepost.node.process_identity import HostProcess, NeverListed, RefusedDial
 from sprucepost.node.start_times import StartTimes
 from sprucepost.node.tasks import CAUSE_WITHDRAWN, Tasks
 
@@ -56,7 +56,7 @@
         self.loop, self._scope, self._tasks, self._log, self.counters = loop, scope, tasks, log, counters
         self._descriptors, self._connect_ms, self._idle_ms = descriptors, connect_ms, idle_ms
         self._list = HostList(tasks, start_times, log, self)
-        self._health = HealthChecks(loop, tasks, counters, log, self._listed, self.end, self._release_silent_host)
+        self._health = HealthChecks(loop, tasks, counters, log, self.end, self._release_silent)
         self._dispatcher: Dispatcher[Host] = Dispatcher(loop, self._serve, counters)
 
     # The list of hosts
@@ -122,7 +122,11 @@
         """Return the connections to choose from for the next offer: the free ones, or where no more may be opened, those
         with open set-ups."""
         now = self.loop.now()
-        usable = [link for link in host.links if link.usable and now - link.last_used < self._idle_ms / 2]
+        usable = [
+            link
+            for link in host.links
+            if link.usable and now - link.last_used < self._idle_ms / 2 and not health.is_overdue(link, now)
+        ]
         free = [link for link in usable if not link.open]
         if free or not usable:
             return free
@@ -141,7 +145,7 @@
             return
         attempt.link = link
         link.open[attempt.sid] = attempt
-        link.last_used = self.loop.now()
+        link.last_used = attempt.written_at = self.loop.now()
         link.transport.write(data)
         attempt.end_offset = link.transport.written
         self._tasks.trace(attempt.sid, "sent", host=host.uid, link=link.number)
@@ -186,8 +190,12 @@
         self._end_if_retired(host, link)
 
     def _end_if_retired(self, host: Host, link: HostLink) -> None:
-        """End a connection that takes no more set-ups once none is open on it."""
-        if link.retired and not link.open:
+        """End a connection that takes no more set-ups once none is open on it, and nothing else may be heard there alone."""
+        if not link.retired or link.open or link not in host.links:
+            return
+        if self._health.is_needed(link):
+            self._reconnect(host)
+        else:
             self.end(host, link, "retired")
 
     def end_task(self, machine: str, sid: str) -> None:
@@ -197,7 +205,8 @@
             self._end_task(host, sid)
 
     def _end_task(self, host: Host, sid: str) -> None:
-        link = next((link for link in host.links if not link.transport.closed and not link.retired), None)
+        links = self._health.answering(host) or [link for link in host.links if not link.retired]
+        link = next((link for link in links if not link.transport.closed), None)
         if link is not None:
             self._write_end(link, sid)
             self._tasks.trace(sid, "let_go", host=host.uid, link=link.number)
@@ -243,12 +252,12 @@
         Connections to hosts with running tasks are closed last: such a host sends its messages on the next connection.
         """
         idle = [
-            (host.uid in self._tasks.placed, link.last_used, host, link)
+            (host.uid in self._tasks.placed, self._health.is_needed(link), link.last_used, host, link)
             for host in self.hosts.values()
             for link in host.links
             if not link.open and not host.waiting
         ]
-        for _, _, host, link in sorted(idle, key=lambda item: item[:2]):
+        for _, _, _, host, link in sorted(idle, key=lambda item: item[:3]):
             if not link.transport.read_now() and link in host.links:
                 self.end(host, link, "room")
                 return True
@@ -281,7 +290,7 @@
             return
         transport.linger_ms = LINGER_MS
         host.connections_opened += 1
-        link = HostLink(host, transport, self.loop.now(), host.connections_opened)
+        link = HostLink(host, transport, self.loop.now(), host.connections_opened, began)
         host.links.append(link)
         self._log.host(host.uid, "connected", link=link.number)
         transport.on_data = lambda data: self._handle_data(link.host, link, data)
@@ -292,8 +301,7 @@
             self._write_end(link, sid)
         host.pending_ends.clear()
         self._serve(host)
-        if self._health.suspected(host):
-            self._health.check(host, link)
+        self._health.connected(host, link)
 
     def _not_connected(self, host: Host, error: Exception, began: float) -> None:
         """Handle a failed dial that ``began`` at that time of the loop's clock, in ms."""
@@ -347,6 +355,7 @@
         if link not in host.links:
             return
         host.links.remove(link)
+        self._health.disconnected(host, link, why)
         self.counters[f"host_link_{why}"] += 1
         open_until = link.transport.open_until if why in ENDED_BY_PEER else link.transport.known_open_at
         in_doubt = link.ends.unsent() if why in READ_BEFORE else link.ends.undelivered(open_until)
@@ -400,6 +409,8 @@
 
     def _handle_line(self, link: HostLink, host: Host, line: Line) -> None:
         """Handle one message: of a set-up that is open on this connection, or of any other task."""
+        if line.type is MessageType.PROBED:
+            self._health.check_answered(host, link)
         if line.type in (MessageType.CLOSE, MessageType.CLOSED) and link.ends:
             link.ends.confirm(line.sid)
         attempt = link.open.get(line.sid)
@@ -409,6 +420,7 @@
             del link.open[line.sid]
             if line.type is MessageType.CLOSE:
                 link.ended_unanswered.append(line.sid)
+            self._health.replied(host, link, attempt.written_at)
             self._tasks.handle_answer(attempt, line)
             self._end_if_retired(host, link)
             self._serve(host)
@@ -439,9 +451,12 @@
                     not link.open
                     and now - link.last_used > self._idle_ms / 2
                     and (len(host.links) > 1 or not has_tasks)
+                    and not self._health.is_needed(link)
                 )
                 if idle and not link.transport.read_now():
                     self.end(host, link, "idle")
+                else:
+                    self._end_if_retired(host, link)
             host.pending_ends = {sid: until for sid, until in host.pending_ends.items() if until > now}
             self._health.review(host)
             if not has_tasks:
@@ -465,16 +480,34 @@
         if self._listed(host):
             self._health.check_all(host)
 
-    def _release_silent_host(self, host: Host) -> None:
-        """Release the tasks of a silent host towards their owners. Its unused connections end.
+    def in_doubt(self) -> tuple[int, float]:
+        """Return how many processes with tasks no open connection leads to, and the longest silence of one, in ms."""
+        return self._health.in_doubt()
 
-        The tasks may run on. The host is not asked to end them once it can be reached: by then their owners may have
-        handed them over, to this placer or to another one.
+    def _release_silent(self, process: HostProcess) -> None:
+        """Release the tasks of a silent process towards their owners. Its unused connections end.
+
+        Where another connection to the host answers, the host is told to end them: whichever process is there, what it runs
+        of them belongs to nobody any more. Else they may run on, and the host is not asked to end them once it can be
+        reached: by then their owners may have handed them over, to this placer or to another one.
         """
-        silent_ms = self.loop.now() - host.last_heard
-        self._log.host(host.uid, "silent", heard=round(silent_ms), late=round(self.loop.late_ms, 1))
-        self._list.lose_tasks(host, "silent")
-        for link in [link for link in host.links if not link.open]:
+        for uid in self._tasks.processes.hosts_of(process):
+            host = self.hosts.get(uid)
+            if host is not None:
+                self._release_silent_at(host, process)
+
+    def _release_silent_at(self, host: Host, process: HostProcess) -> None:
+        now = self.loop.now()
+        answers = self._health.answers_beside(host, process)
+        why = "in_doubt" if answers else "silent"
+        self._log.host(
+            host.uid, "silent", heard=round(now - process.heard_at), late=round(self.loop.late_ms, 1), why=why
+        )
+        ended = self._tasks.process_lost(process, host.uid, answers)
+        self._log("host_lost", host=host.uid, why=why, tasks=len(ended), heard=round(now - process.heard_at))
+        for sid in ended if answers else ():
+            self._end_task(host, sid)
+        for link in [link for link in host.links if link.process.process is process and not link.open]:
             self.end(host, link, "silent")
 
 
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -10,7 +10,8 @@
 from sprucepost.node.attempt import OwnerPort, OwnersPort
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
-from sprucepost.node.process_identity import ProcessConnection, TaskEnd, TaskProcess
+from sprucepost.node.host_processes import HostProcesses
+from sprucepost.node.process_identity import HostProcess, ProcessConnection, TaskEnd, TaskProcess
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
@@ -34,6 +35,7 @@
         self._loop, self._driver, self._ledger, self._early_messages = loop, driver, ledger, early_messages
         self._handed_over, self._counters, self._owners, self._trace = handed_over, counters, owners, trace
         self.by_host: dict[str, dict[str, Entry]] = {}  # by host and task id
+        self.processes = HostProcesses()
         self._named: dict[str, dict[str, Entry]] = {}  # by the host at which they were handed over, until it is listed
 
     def find(self, machine: str, sid: str) -> Entry | None:
@@ -62,8 +64,24 @@
         """Record a task that has been placed at ``entry.machine``: accepted on that connection, or handed over by a message
         that has waited for ``waited_ms``."""
         now = self._loop.now()
-        entry.ask.process = TaskProcess(now, now - waited_ms, connection)
+        if connection is not None:
+            identity = connection.process
+        else:
+            identity = self.processes.unheard_at(entry.machine, now - waited_ms)
+        entry.ask.process = TaskProcess(now, now - waited_ms, connection, identity)
         self.by_host.setdefault(entry.machine, {})[entry.name] = entry
+        self.processes.add(entry)
+
+    def shown_at(self, entry: Entry, connection: ProcessConnection) -> None:
+        """Take in that the process to which a connection leads runs the task."""
+        process: TaskProcess = entry.ask.process
+        identity = process.identity.current()
+        if identity is connection.process:
+            return
+        if not (identity.connections or identity.is_unheard):
+            since = round(self._loop.now() - identity.heard_at)
+            self._trace(entry.name, "process_shown", host=entry.machine, since=since)
+        self.processes.merge(identity, connection.process)
 
     def keep_connection(self, entry: Entry, owner: OwnerPort) -> None:
         """Have the owner's connection kept open for the release of the task."""
@@ -92,21 +110,14 @@
         self._counters["handovers_kept"] += 1
         self._trace(entry.name, "handover_kept", host=host, why=f"not listed, placed at {entry.machine}")
 
-    def host_listed(self, host: str) -> float | None:
-        """Place the tasks at a host that is listed now and at which owners have handed them over; keep their connections.
-
-        Returns since when one has been there that its host has not been heard of, in ms of the loop's clock.
-        """
+    def host_listed(self, host: str) -> None:
+        """Place the tasks at a host that is listed now and at which owners have handed them over; keep their connections."""
         for entry in self._named.pop(host, {}).values():
             if entry.machine != host and self.find(entry.machine, entry.name) is entry:
                 self.move(entry, host, f"handed over there, placed at {entry.machine}")
-        entries = self.by_host.get(host, {}).values()
-        for entry in entries:
+        for entry in self.by_host.get(host, {}).values():
             if not entry.ask.keeps_connection:
                 self.keep_connection(entry, entry.ask.owner)
-        return min(
-            (entry.ask.process.arrived_at for entry in entries if entry.ask.process.connection is None), default=None
-        )
 
     def lose(self, machine: str, why: str, end: TaskEnd | None = None) -> int:
         """End the tasks of a host that is presumed lost, and return their number.
@@ -120,6 +131,20 @@
             self.end(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=EarlyMessage.PRESUMED_LOST)
         return len(entries)
 
+    def lose_process(self, process: HostProcess, machine: str, ended_at_host: bool) -> list[str]:
+        """End the tasks of a process at a host whose silence has lasted for too long; return their ids.
+
+        ``ended_at_host``: whether the host is told to end them, so that none runs on.
+        """
+        why, early_message = "silent", EarlyMessage.PRESUMED_LOST
+        if ended_at_host:
+            why, early_message = "in_doubt", EarlyMessage.TASK_ENDED
+        entries = self.processes.tasks_of(process, machine)
+        for entry in entries:
+            self._counters[f"lost_{why}"] += 1
+            self.end(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=early_message)
+        return [entry.name for entry in entries]
+
     def move_all(self, machine: str, replacement: str) -> int:
         """Account for the tasks of a host under the id of the host that has taken its place; return their number."""
         entries = list(self.by_host.get(machine, {}).values())
@@ -138,9 +163,11 @@
         self._ledger.renumber(entry)
         entry.machine, entry.attempt = machine, 0
         self.by_host.setdefault(machine, {})[entry.name] = entry
+        self.processes.add(entry)
         self._driver.push(i.TaskFound(entry.ask.setup.request(entry.request, 0.0), machine))
 
     def _remove(self, entry: Entry) -> None:
+        self.processes.remove(entry)
         at_host = self.by_host[entry.machine]
         del at_host[entry.name]
         if not at_host:
--- a/sprucepost/node/process_identity.py
+++ b/sprucepost/node/process_identity.py
@@ -33,14 +33,80 @@
 an owner names an id that is   the connection on which the task was  that the id has this address: the list tells
 not the one which the task     accepted leads to a process of that
 was accepted under             id
-silence                        nothing; see ``health``
+two connections bring          both lead to one process: an address  anything where what one has brought may have been
+something that was sent while  is not listened on by two at a time   sent before the other came up, or before its dial
+both were up                                                         began: only an answer to what was written later tells
+a note, an answer or a         the process that has the task is the  anything about tasks of another process
+release of a task              one to which this connection leads
+an orderly end                 its process lived at that moment      that it still does; a reset does not prove even that
+an answered health check       the process to which its connection   that tasks of connections before it stand: the
+                               leads lives                           process may have come back without them
+an owner hands a task over     the task's process lived then; from   that the process heard next is the one that has the
+                               then on it is the one that is heard   task: what the list tells of a start comes first
+                               next at the address
+an entry of a known id without which id has the address              whether its process is the one before: it comes alike
+a start, or no entry                                                 after a return
+silence                        nothing until it has lasted too       that the tasks have ended: see ``health``
+                               long, counted by process
 ============================== ===================================== ===================================================
 """
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, eq=False)
+class HostProcess:
+    """One process of a host, as far as is known: what is shown to belong to one process shares one object.
+
+    It was alive from ``alive_from`` to ``alive_until``, if these are in that order. Its latest connection leads to whatever
+    listened at some moment between ``dialled_at`` and ``came_up_at``. Times are ms of the loop's clock.
+    """
+
+    heard_at: float  # when the latest sign of life arrived, at the earliest
+    alive_from: float = math.inf
+    alive_until: float = -math.inf
+    dialled_at: float = math.inf
+    came_up_at: float = math.inf
+    connections: int = 0  # that are open
+    is_resumed: bool = False  # whether the next connection counts as its own: this side has ended the last one
+    merged_into: HostProcess | None = None
+
+    def current(self) -> HostProcess:
+        """Return the process that this one has been shown to be."""
+        process = self
+        while process.merged_into is not None:
+            process = process.merged_into
+        return process
+
+    @property
+    def is_unheard(self) -> bool:
+        """Whether only an owner has told of it: no connection is known to lead to it."""
+        return self.alive_from == math.inf
+
+    def lived_with(self, other: HostProcess) -> bool:
+        """Return whether both were alive at one moment, so that they are one: an address has one process at a time."""
+        both_from, both_until = max(self.alive_from, other.alive_from), min(self.alive_until, other.alive_until)
+        return both_from <= both_until or self._saw_dial_of(other) or other._saw_dial_of(self)
+
+    def _saw_dial_of(self, other: HostProcess) -> bool:
+        return self.alive_from <= other.dialled_at and other.came_up_at <= self.alive_until
+
+    def absorb(self, other: HostProcess) -> None:
+        """Take in that the other one is this one."""
+        self.heard_at = max(self.heard_at, other.heard_at)
+        # It was alive at some time after each dial began, so from the one to the other.
+        self.alive_until = max(self.alive_until, other.alive_until)
+        if not (self.is_unheard or other.is_unheard):
+            self.alive_until = max(self.alive_until, self.dialled_at, other.dialled_at)
+        self.alive_from = min(self.alive_from, other.alive_from)
+        if self.dialled_at == math.inf or self.dialled_at < other.dialled_at < math.inf:
+            self.dialled_at, self.came_up_at = other.dialled_at, other.came_up_at
+        self.connections += other.connections
+        self.is_resumed = self.is_resumed or other.is_resumed
+        other.merged_into = self
 
 
 @dataclass(slots=True, eq=False)
@@ -48,8 +114,24 @@
     """What is known of the process to which one connection leads. Times are ms of the loop's clock."""
 
     came_up_at: float  # not before it really has
+    dialled_at: float = -math.inf
     heard_at: float = -math.inf  # when the latest message arrived, at the earliest
     named_uid: str = ""  # the id of its process, where an owner has named it
+    _process: HostProcess = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._process = HostProcess(
+            heard_at=self.came_up_at,
+            alive_from=self.came_up_at,
+            dialled_at=self.dialled_at,
+            came_up_at=self.came_up_at,
+        )
+
+    @property
+    def process(self) -> HostProcess:
+        """The process to which the connection leads."""
+        self._process = self._process.current()
+        return self._process
 
 
 @dataclass(slots=True)
@@ -59,6 +141,7 @@
     placed_at: float  # when its answer or its hand-over was handled, in ms of the loop's clock like all times here
     arrived_at: float  # when that may have arrived, at the earliest
     connection: ProcessConnection | None  # on which it was accepted or noted last; None: handed over, and silent since
+    identity: HostProcess
     named_uid: str = ""  # the id at which its owner has handed it over, if it is placed under another one
 
 
--- a/sprucepost/node/service.py
+++ b/sprucepost/node/service.py
@@ -175,6 +175,7 @@
     def log_counters(self) -> None:
         """Log the current sizes and the counters since the start."""
         scheduler = self.driver.scheduler
+        in_doubt, oldest_doubt_ms = self.hosts.in_doubt()
         self.log(
             "counts",
             open=self.tasks.ledger.open,
@@ -184,6 +185,8 @@
             standing_unlisted=sum(
                 len(placed) for uid, placed in self.tasks.placed.items() if not self.hosts.is_listed(uid)
             ),
+            in_doubt=in_doubt,
+            in_doubt_oldest_ms=round(oldest_doubt_ms),
             owner_links=len(self.owners.links),
             owner_links_waiting=sum(bool(link.open) for link in self.owners.links),
             owner_link_states={state.value: number for state, number in self.owners.states().items()},
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -89,12 +89,13 @@
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.handovers import HandOvers, is_handed_over_at
+from sprucepost.node.host_processes import HostProcesses
 from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.new_tasks import NewTasks
 from sprucepost.node.owner_releases import RELEASE_RETENTION_MS
 from sprucepost.node.parsing import SetUp
 from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
-from sprucepost.node.process_identity import ProcessConnection, TaskEnd
+from sprucepost.node.process_identity import HostProcess, ProcessConnection, TaskEnd
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
@@ -159,6 +160,11 @@
         """Placed tasks by host and task id."""
         return self._placed.by_host
 
+    @property
+    def processes(self) -> HostProcesses:
+        """The processes that run placed tasks."""
+        return self._placed.processes
+
     def oldest_placed_ms(self) -> int:
         """Return for how long the oldest placed task has been placed, in ms; 0 where there is none."""
         return round(self._placed.oldest_age_ms())
@@ -517,11 +523,15 @@
 
     def _handle_message_for_placed(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
         if line.type is MessageType.EVENT:
-            entry.ask.process.connection = connection or entry.ask.process.connection
+            if connection is not None:
+                entry.ask.process.connection = connection
+                self._placed.shown_at(entry, connection)
             kind, value = parsing.NOTES.get(line.attrs.get("note", "")), parsing.parse_number(line.attrs.get("value"))
             if kind is not None and value is not None:
                 self._driver.push(i.StatusNote(entry.request, entry.attempt, kind, value))
         elif line.type is MessageType.CLOSE:
+            if connection is not None:
+                self._placed.shown_at(entry, connection)
             ending, reason = releases.ending_of_placed(line), releases.reason_of(line)
             cause = {i.Ending.OK: releases.CAUSE_ENDED, i.Ending.RESET: CAUSE_LOST}.get(ending)
             report = self._parse_load_report(line.attrs.get("load"))
@@ -588,6 +598,13 @@
         """
         return self._placed.lose(machine, why, end)
 
+    def process_lost(self, process: HostProcess, machine: str, ended_at_host: bool) -> list[str]:
+        """End the tasks of a process at a host whose silence has lasted for too long; return their ids.
+
+        ``ended_at_host``: whether the host is told to end them; else a task may run on all the same.
+        """
+        return self._placed.lose_process(process, machine, ended_at_host)
+
     def move_to_replacement(self, machine: str, replacement: str) -> int:
         """Account for a host's tasks under the id of the one that has taken its place and runs them; return their number.
 
@@ -601,12 +618,9 @@
         """Exclude the host from new tasks, or include it again."""
         (self.closed_hosts.add if closed else self.closed_hosts.discard)(machine)
 
-    def host_listed(self, machine: str) -> float | None:
-        """Place the tasks at a host that is listed now and at which owners have handed them over.
-
-        Returns since when one has been there that its host has not been heard of, in ms of the loop's clock.
-        """
-        return self._placed.host_listed(machine)
+    def host_listed(self, machine: str) -> None:
+        """Place the tasks at a host that is listed now and at which owners have handed them over."""
+        self._placed.host_listed(machine)
 
     def expire_records(self) -> None:
         """Drop refused and failed tasks, and early messages, that no message can concern any more."""
--- a/tests/node/test_returned_processes.py
+++ b/tests/node/test_returned_processes.py
@@ -13,10 +13,13 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import pytest
+
 from sprucepost.loop import Co, sleep
 from sprucepost.node.binary import Kind
+from sprucepost.node.process_identity import RefusedDial
 from tests.node.platform import Link, Platform, messages_for, run_on_platform, setup, wait_for_message
-from tests.node.plays import END_DUE_MS, Play, PlayFailure, Variant, failures, sids, start, tasks_of
+from tests.node.plays import END_DUE_MS, RELEASE_DUE_MS, Play, PlayFailure, Variant, failures, sids, start, tasks_of
 from tests.node.program import connected, passes_test, running
 from tests.node.virtual_platform import OwnerConnection, VirtualPlatform
 
@@ -187,6 +190,67 @@
     assert found == []
 
 
+def refused_play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+    """A process dies, its connections are reset and the next dial is refused; then another one has the address."""
+    stage = Stage(platform, variant, Work())
+    yield from stage.place()
+    died = platform.loop.time
+    platform.kill(stage.process)
+    platform.be_late(variant.late_ms)
+    yield from stage.run(RELEASE_DUE_MS)
+    platform.start_process("s-0")
+    for _, sid, times in stage.releases():
+        if not times or times[0] > died + variant.late_ms + RELEASE_DUE_MS:
+            raise PlayFailure(f"{sid} was released at {times}, {died:.0f} its process died")
+
+
+# Guards against owners that wait for as long as a silence may last, although a refused dial has shown that nothing runs.
+def test_a_refused_dial_ends_at_once_what_stood_there(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    assert failures(tmp_path / "kept", {"refused": refused_play}, VARIANTS) == []
+    monkeypatch.setattr(RefusedDial, "ends_task", lambda self, task: False)
+    assert len(failures(tmp_path / "planted", {"refused": refused_play}, VARIANTS)) == len(VARIANTS)
+
+
+def living_play(how: str, work: Work) -> Play:
+    """A process lives, and its connections break, or it is cut off for a while; its tasks stand."""
+
+    def play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
+        stage = Stage(platform, variant, work)
+        yield from stage.place()
+        yield from stage.run(2000.0)
+        what, _, length = how.partition(" ")
+        if what == "cut":
+            stage.process.is_cut_off = True
+            yield from stage.run(float(length))
+            stage.process.is_cut_off = False
+        elif what == "all":
+            platform.end_connections(stage.process, length)
+        elif what == "one":
+            for _ in range(3):
+                if len(stage.process.connections) > len(platform.placers):
+                    platform.end_connection(stage.process, length)
+                yield from stage.run(3000.0)
+        platform.be_late(variant.late_ms)
+        yield from stage.run(40_000.0 if how == "idle" else PLAYED_MS)
+        if any(times for _, _, times in stage.releases()):
+            raise PlayFailure("tasks that stand are told to be over")
+        if any(sid not in stage.process.standing for owner in stage.owners for sid in tasks_of(owner, stage.tasks)):
+            raise PlayFailure("tasks that nobody wanted to end have been ended")
+
+    return play
+
+
+# Guards against tasks that are ended although their process lives, where notes, an answer on another connection or what was
+# under way shows it.
+def test_what_stands_at_a_living_process_stays(tmp_path: Path) -> None:
+    plays = {f"cut {ms}": living_play(f"cut {ms}", Work()) for ms in (1000, 3000, 5000, 6000)}
+    plays |= {f"{name}, no traffic": living_play(name, Work(has_traffic=False)) for name in ("idle", "cut 3000")}
+    plays |= {f"all {how}": living_play(f"all {how}", Work(has_notes=True)) for how in ("reset", "close")}
+    plays |= {f"one {how}": living_play(f"one {how}", Work()) for how in ("reset", "close", "forget")}
+    plays["handed over, cut"] = living_play("cut 5000", Work(is_handed_over=True))
+    assert failures(tmp_path, plays, VARIANTS) == []
+
+
 # Guards against the same on a process over loopback: one host's connections are reset and the next process listens at once,
 # another one's stay silent.
 def test_a_placer_releases_what_stood_at_processes_that_have_returned_empty(tmp_path: Path) -> None:
