Node: a host is told the end of a task on the connection that was heard last

Cause: the end was written to the first connection without an overdue check, which had been forgotten, beside one that had just answered. Now the one that was heard last is taken.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -206,7 +206,7 @@
 
     def _end_task(self, host: Host, sid: str) -> None:
         links = self._health.answering(host) or [link for link in host.links if not link.retired]
-        link = next((link for link in links if not link.transport.closed), None)
+        link = max(links, key=lambda link: link.process.heard_at, default=None)
         if link is not None:
             self._write_end(link, sid)
             self._tasks.trace(sid, "let_go", host=host.uid, link=link.number)
