Node: a task that is handed over runs at the process that is reached next

Cause: the task's process was the one whose first message came after the hand-over. A connection that came up after it and was reset unheard, or was ended in order before it had said anything, counted for nothing; the next process was then heard first and taken for the one that has the task.

Now a connection that comes up after the hand-over, and the orderly end of one, count too, and an open connection is checked at the next tick. Where the last links to a suspected process are all overdue, another connection is checked, so that its host can be told.

The soak draws returns too.

--- a/sprucepost/node/health.py
+++ b/sprucepost/node/health.py
@@ -87,7 +87,9 @@
             if process.is_resumed and not process.connections:
                 process.is_resumed = False
                 self._processes.merge(process, link.process.process)
-        if not self.suspected(host):
+        is_suspected = self.suspected(host)
+        self._bind_unheard(host, link)
+        if not is_suspected:
             return
         self.check(host, link)
         for process in self._processes.at(host.uid):
@@ -101,6 +103,7 @@
         process.connections -= 1
         if why == "ended":
             process.heard_at = max(process.heard_at, self._loop.now() - link.transport.waited_ms)
+            process = self._bind_unheard(host, link)
         process.is_resumed = why == "room" and not process.connections
         if process.connections or not self._processes.has_tasks(process):
             return
@@ -117,9 +120,16 @@
         process = link.process.process
         process.heard_at = max(process.heard_at, self._loop.now() - link.transport.waited_ms)
         link.check_sent = None
+        self._bind_unheard(host, link)
+
+    def _bind_unheard(self, host: Host, link: HostLink) -> HostProcess:
+        """Take in that tasks which have been handed over, and of whose process nothing has been heard, run at the process to
+        which that connection leads: it has shown that it lives since. Return that process."""
+        process = link.process.process
         for other in self._processes.at(host.uid):
             if other.is_unheard and other.heard_at <= process.heard_at:
                 process = self._processes.merge(process, other)
+        return process
 
     def check_answered(self, host: Host, link: HostLink) -> None:
         """Take in the answer to the oldest health check that has had none on that connection."""
@@ -201,6 +211,8 @@
             links = self._links_to(host, process)
             if self._is_suspected(process):
                 self._review_suspected(host, process, links)
+            elif process.is_unheard:
+                self._check_one(host, self.answering(host))
             elif links:
                 self._compare(host, links[0])
 
@@ -209,9 +221,13 @@
             # At least the time of one check: while this process was stopped, the host could not be heard.
             left_ms = process.heard_at + SILENT_AFTER_MS - self._loop.now()
             self._set_timer(process, max(left_ms, CHECK_TIMEOUT_MS))
-        if not links and (process.is_unheard or not self.answers_beside(host, process)):
-            links = self.answering(host)
-        links = [link for link in links if not link.retired] or links
+        self._check_one(host, [link for link in links if not link.retired] or links)
+        now = self._loop.now()
+        if all(is_overdue(link, now) for link in links) and not self.answers_beside(host, process):
+            self._check_one(host, self.answering(host))
+
+    def _check_one(self, host: Host, links: list[HostLink]) -> None:
+        """Check the first of these connections, unless one of them has a check in flight."""
         if links and all(link.check_sent is None for link in links) and links[0].transport.buffered < MAX_MESSAGE_BYTES:
             self.check(host, links[0])
 
--- a/tests/node/replacement_schedules.py
+++ b/tests/node/replacement_schedules.py
@@ -57,6 +57,7 @@
     """One random schedule; ``play`` returns what the oracle has found."""
 
     platform: VirtualPlatform
+    length_ms = LENGTH_MS
 
     def __init__(self, seed: int) -> None:
         self.seed, self.rng = seed, random.Random(seed)
@@ -91,7 +92,7 @@
         self._connect()
         self._draw()
         began = platform.loop.time
-        while platform.loop.time < began + LENGTH_MS + QUIET_MS and not self.faults:
+        while platform.loop.time < began + self.length_ms + QUIET_MS and not self.faults:
             self.actions.sort(key=lambda action: action[:2])
             while self.actions and self.actions[0][0] <= platform.loop.time - began:
                 self.actions.pop(0)[2]()
@@ -108,7 +109,13 @@
 
     def _draw(self) -> None:
         rng = self.rng
-        kinds: list[tuple[Callable[[], None], int]] = [
+        for call, number in self._kinds(rng):
+            for _ in range(number):
+                self._at(rng.uniform(100.0, self.length_ms), call)
+
+    def _kinds(self, rng: random.Random) -> list[tuple[Callable[[], None], int]]:
+        """Return what is drawn, with the number of each."""
+        return [
             (self._submit, rng.randint(3, 14)),
             (self._run_elsewhere, rng.randint(0, 4)),
             (self._replace, rng.randint(1, 4)),
@@ -123,9 +130,6 @@
             (self._repeat_entries, rng.randint(0, 4)),
             (self._restart_placer, rng.choice((0, 0, 0, 1))),
         ]
-        for call, number in kinds:
-            for _ in range(number):
-                self._at(rng.uniform(100.0, LENGTH_MS), call)
 
     # Owners
 
@@ -422,6 +426,10 @@
         )
         return due + LATE_MAX_MS if read_late else due
 
+    def _may_be_in_doubt(self, task: Task, at: float) -> bool:
+        """Return whether nothing may have shown that the task's process lives."""
+        return task.process is not None and task.process.may_be_in_doubt(at - self._lateness())
+
     def _told(self, task: Task, kind: int, at: float) -> None:
         if kind == Kind.ANSWER:
             task.has_outcome = task.is_known = True
@@ -432,8 +440,7 @@
         elif kind == Kind.RELEASE:
             stands = task.process is not None and not task.ended_by_owner
             has_start = task.process is not None and task.process.address not in self.without_start
-            in_doubt = task.process is not None and task.process.may_be_in_doubt(at - self._lateness())
-            if stands and has_start and not (task.may_be_told_over or in_doubt):
+            if stands and has_start and not (task.may_be_told_over or self._may_be_in_doubt(task, at)):
                 self.faults.append(f"{task.sid} runs, and its owner is told that it is over")
             task.due = None
             if stands:
--- a/tests/node/soak.py
+++ b/tests/node/soak.py
@@ -3,16 +3,18 @@
 One run is made for each seed from ``FROM`` up to, but not including, ``TO``. Several owners at one address send a steady
 load, and each has its own record of what it has read. The seed decides which system calls fail, how the wall clock is
 stepped, when hosts reset connections, hang, drain or die and come back without their tasks, under their id or a new one,
-with tasks that are handed over at the old one and with late entries of it, when the bulletin stays silent or breaks off,
-when the process gets SIGHUP or is stopped for a moment, when owners leave, cancel or end tasks, or close their connections
-as tasks end, when hosts end connections as they are told to end tasks, whether owners confirm releases, and which rude
-clients (:mod:`benchmarks.rude_client_kinds`) or what crowd of silent ones there are beside them. At the end the process gets
-SIGTERM, while owners go on using their connections until it ends or may be killed. The simulated hosts record what they did;
-:class:`Verdict` lists what an owner or a host did not get in time.
+with tasks that are handed over at the old one and with late entries of it, when they vanish and others listen at once that
+the list tells of late or never, when the bulletin stays silent or breaks off, when the process gets SIGHUP or is stopped for
+a moment, when owners leave, cancel or end tasks, or close their connections as tasks end, when hosts end connections as they
+are told to end tasks, whether owners confirm releases, and which rude clients (:mod:`benchmarks.rude_client_kinds`) or what
+crowd of silent ones there are beside them. At the end the process gets SIGTERM, while owners go on using their connections
+until it ends or may be killed. The simulated hosts record what they did; :class:`Verdict` lists what an owner or a host did
+not get in time.
 """
 
 from __future__ import annotations
 
+import json
 import os
 import random
 import signal
@@ -239,6 +241,31 @@
 
         self.platform.loop.call_later(self.soak.rng.choice((30.0, 600.0)), restart)
 
+    def return_empty(self, rng: random.Random) -> None:
+        """Have the process vanish without a word, or with resets, and another one listen at once, without its tasks.
+
+        The list tells of it late, or not at all where the id stays.
+        """
+        self.incarnation += 1
+        for sid in self.running:
+            self.soak.record_task_end(sid, self.uid)
+        self.running = {}
+        is_silent = rng.random() < 0.6
+        for link in self.host.links:
+            link.ended = True
+            (link.transport.pause if is_silent else link.transport.abort)()
+        before, boot_ms_before = self.host.entry(state="DELETED"), self.boot_ms
+        told_after_ms = rng.choice((500.0, 4000.0, 9000.0))
+        if rng.random() < 0.5:
+            self.uid = self.host.uid = f"{self.uid.partition('.')[0]}.{self.incarnation}"
+            self.draining_since = None
+            self.platform.loop.call_later(told_after_ms, lambda: self.platform.bulletin.publish(before))
+        if self.uid != before["uid"] or rng.random() < 0.5:
+            self.boot_ms = self.soak.platform.loop.wall()
+        self.soak.verdict.counts[f"returns, {'silent' if is_silent else 'reset'}"] += 1
+        self.soak.verdict.counts["returns that the list never tells"] += self.boot_ms == boot_ms_before
+        self.platform.loop.call_later(told_after_ms, self.publish_entry)
+
     def _publish_gone(self, old: Host, late_entry: dict[str, Any] | None) -> None:
         """Publish that an id has left the list; in some cases an entry of it comes once more before that."""
         if late_entry is not None:
@@ -538,6 +565,16 @@
             elif kind == "pause":
                 self._pause_process()
 
+    def inject_returns(self) -> Co[None]:
+        """Have processes vanish and come back empty at their addresses, in some runs."""
+        rng = random.Random(f"returns of {self.seed}")
+        if rng.random() < 0.2:
+            return
+        while not self.finished:
+            yield from sleep(rng.uniform(1500.0, 6000.0))
+            if not (self.quiet or self.shutting_down):
+                rng.choice(self.hosts).return_empty(rng)
+
     def _hand_over_some(self, host: SoakHost) -> None:
         """Have some tasks of a host that is about to die handed over there, a moment after its death."""
         links = [link for link in self.links if not link.ended]
@@ -627,6 +664,13 @@
                     f"over {first - record.ended:.0f} ms before its release, reported {record.reported is not None}",
                 )
 
+    def count_doubts(self, log: Path) -> None:
+        """Count what the placer's log says of processes in doubt."""
+        lines = [line for line in log.read_text().splitlines() if '"counts"' in line]
+        found = json.loads(lines[-1]) if lines else {}
+        for name in ("processes_in_doubt", "lost_in_doubt", "lost_silent", "tests"):
+            self.verdict.counts[f"log: {name}"] += found.get(name, 0)
+
     def _has_too_many_releases(self, record: TaskRecord) -> bool:
         """Return whether an owner has been sent more releases than one for each connection that may have been its."""
         allowed = 2 if record.answers else 1
@@ -659,6 +703,7 @@
             for number in range(OWNER_COUNT):
                 spawn(soak.run_owner(number), f"owner {number}")
             spawn(soak.inject_faults(), "faults")
+            spawn(soak.inject_returns(), "returns")
             soak.start_rude_clients()
             yield from soak.run_phases()
             soak.check_outcomes(soak.terminated_at or platform.loop.now())
@@ -666,6 +711,7 @@
             soak.finished = True
             soak.stop_processes()
             soak.log.close()
+            soak.count_doubts(folder / f"log-{seed}")
 
     run_on_platform(folder, body)
     return found[0]
--- /dev/null
+++ b/tests/node/test_return_schedules.py
@@ -0,0 +1,80 @@
+"""Random schedules of processes that come back empty at their addresses, and planted defects that they must find.
+
+To run more seeds: ``python -m tests.node.test_return_schedules FROM TO``.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+import pytest
+
+from sprucepost.node.health import HealthChecks
+from sprucepost.node.host import Host, HostLink
+from sprucepost.node.process_identity import HostProcess
+from tests.node.return_schedules import ReturnSchedule
+
+SCHEDULES = 300
+DEFECT_SCHEDULES = 60
+TIME_ALONE_MS = 500.0
+
+
+def faults(seeds: Iterable[int]) -> list[str]:
+    found = []
+    for seed in seeds:
+        with tempfile.TemporaryDirectory() as folder:
+            found += ReturnSchedule(seed).play(Path(folder))
+    return found
+
+
+# Guards against owners that are told late or never of what ran at a process that is gone, and of the end of what runs where
+# something shows it, in any order of deaths, returns, cuts, broken connections, entries of the list and hand-overs.
+def test_in_every_random_schedule_silence_is_that_of_the_process_that_runs_a_task() -> None:
+    assert faults(range(SCHEDULES)) == []
+
+
+def _hear_by_host(patch: pytest.MonkeyPatch) -> None:
+    real = HealthChecks.message_received
+
+    def message_received(self: HealthChecks, host: Host, link: HostLink) -> None:
+        real(self, host, link)
+        for process in self._processes.at(host.uid):
+            process.heard_at = max(process.heard_at, link.process.process.heard_at)
+
+    patch.setattr(HealthChecks, "message_received", message_received)
+
+
+def _bind_all(self: HealthChecks, host: Host, link: HostLink) -> HostProcess:
+    process = link.process.process
+    for other in self._processes.at(host.uid):
+        process = self._processes.merge(process, other)
+    return process
+
+
+DEFECTS: dict[str, Callable[[pytest.MonkeyPatch], None]] = {
+    "silence is that of the host": _hear_by_host,
+    "an answer on a new connection shows the tasks of before": lambda patch: patch.setattr(
+        HealthChecks, "_bind_unheard", _bind_all
+    ),
+    "connections that follow each other lead to one process": lambda patch: patch.setattr(
+        HostProcess, "lived_with", lambda self, other: abs(self.alive_from - other.heard_at) < TIME_ALONE_MS
+    ),
+    "a host is not told to end what is in doubt": lambda patch: patch.setattr(
+        HealthChecks, "answers_beside", lambda self, host, process: False
+    ),
+}
+
+
+@pytest.mark.parametrize("defect", DEFECTS)
+def test_planted_defects_are_found(monkeypatch: pytest.MonkeyPatch, defect: str) -> None:
+    DEFECTS[defect](monkeypatch)
+    assert any(faults([seed]) for seed in range(DEFECT_SCHEDULES))
+
+
+if __name__ == "__main__":
+    found = faults(range(int(sys.argv[1]), int(sys.argv[2])))
+    print("\n".join(found) or "no fault")
+    sys.exit(bool(found))
--- a/tests/node/test_returned_processes.py
+++ b/tests/node/test_returned_processes.py
@@ -17,6 +17,7 @@
 
 from sprucepost.loop import Co, sleep
 from sprucepost.node.binary import Kind
+from sprucepost.node.health import HealthChecks
 from sprucepost.node.process_identity import RefusedDial
 from tests.node.platform import Link, Platform, messages_for, run_on_platform, setup, wait_for_message
 from tests.node.plays import END_DUE_MS, RELEASE_DUE_MS, Play, PlayFailure, Variant, failures, sids, start, tasks_of
@@ -26,6 +27,7 @@
 PLAYED_MS = END_DUE_MS + 1500.0
 TRAFFIC_MS = 250.0  # between set-ups of tasks that are short
 NOTE_MS = 1500.0
+LONE_AFTER_MS = 27_500.0  # one connection to a host is left by then, and a check is due in the next 3 s
 PLACED = [f"e0655aa5c7e{n:05x}" for n in range(8)]
 VARIANTS = (
     Variant(),
@@ -217,8 +219,8 @@
     def play(platform: VirtualPlatform, variant: Variant) -> Co[None]:
         stage = Stage(platform, variant, work)
         yield from stage.place()
-        yield from stage.run(2000.0)
-        what, _, length = how.partition(" ")
+        yield from stage.run(LONE_AFTER_MS if how.startswith("lone") else 2000.0)
+        what, _, length = how.removeprefix("lone ").partition(" ")
         if what == "cut":
             stage.process.is_cut_off = True
             yield from stage.run(float(length))
@@ -240,10 +242,21 @@
     return play
 
 
+lone_cut = living_play("lone cut 3000", Work(has_traffic=False))
+
+
+# Guards against a process that is cut off for a moment and cannot be told from its successor, since the last connection that
+# may still bring its words has been ended.
+def test_a_defect_that_ends_the_last_connection_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(HealthChecks, "is_needed", lambda self, link: False)
+    assert len(failures(tmp_path, {"lone connection, cut": lone_cut}, VARIANTS)) == len(VARIANTS)
+
+
 # Guards against tasks that are ended although their process lives, where notes, an answer on another connection or what was
 # under way shows it.
 def test_what_stands_at_a_living_process_stays(tmp_path: Path) -> None:
     plays = {f"cut {ms}": living_play(f"cut {ms}", Work()) for ms in (1000, 3000, 5000, 6000)}
+    plays["lone connection, cut"] = lone_cut
     plays |= {f"{name}, no traffic": living_play(name, Work(has_traffic=False)) for name in ("idle", "cut 3000")}
     plays |= {f"all {how}": living_play(f"all {how}", Work(has_notes=True)) for how in ("reset", "close")}
     plays |= {f"one {how}": living_play(f"one {how}", Work()) for how in ("reset", "close", "forget")}
--- a/tests/node/virtual_platform.py
+++ b/tests/node/virtual_platform.py
@@ -110,6 +110,7 @@
         self._half_open: list[tuple[Address, VirtualSock]] = []  # connections of processes that have vanished
         self._vanished: set[Address] = set()  # addresses at which no machine answers
         self.resets_unknown_connections = True  # whether a machine answers what comes on one of the process before it
+        self.came_up_at: dict[VirtualSock, float] = {}  # when each connection to a host came up
         self._decoders: dict[VirtualSock, jsonl.Decoder] = {}
         self._owner_ports = self._placers_started = 0
         self.is_sliced = False  # whether the placers have a third of a core
@@ -237,6 +238,7 @@
             sock.error = ConnectionRefusedError(111, "Connection refused")
             return
         process.connections.append(sock)
+        self.came_up_at[sock] = self.loop.time
         self._decoders[sock] = jsonl.Decoder()
         for sid in process.unsent:
             sock.inbox.append(jsonl.encode(MessageType.CLOSE, sid, code=16))
