Loop: pausing a closed connection no longer stops the reading of another one

The soak paused a host's connections, some of which had been closed.

Cause: Transport.pause() of a closed connection took its descriptor out of the poll; by then the descriptor was another connection's, which nothing read from then on. In the node every path to pause() checks for the end first (read: owner_input, transport), so no placer is shown to have met it; what it looks like to a peer is a connection that is kept open and never answered.

Now pause() of a closed connection does nothing, at the mechanism; the test failed before. The soak pauses open connections only.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -96,8 +96,8 @@
         return self._blocked
 
     def pause(self) -> None:
-        """Stop reading: the system's receive buffer fills up and the peer has to wait."""
-        if self._reading:
+        """Stop reading: the system's receive buffer fills up and the peer has to wait. Ignored once the stream is closed."""
+        if self._reading and not self.closed:  # its descriptor may be another connection's by then
             self._reading = False
             self._paused_at = self._loop.now()
             self._rewatch()
--- a/tests/node/soak.py
+++ b/tests/node/soak.py
@@ -252,8 +252,9 @@
         self.running = {}
         is_silent = rng.random() < 0.6
         for link in self.host.links:
+            if not link.ended:
+                (link.transport.pause if is_silent else link.transport.abort)()
             link.ended = True
-            (link.transport.pause if is_silent else link.transport.abort)()
         before, boot_ms_before = self.host.entry(state="DELETED"), self.boot_ms
         told_after_ms = rng.choice((500.0, 4000.0, 9000.0))
         if rng.random() < 0.5:
