Node: at its end a placer closes connections that leave nothing unread first

Cause: connections were read and closed in the order in which they had been accepted, so the floods of some used up the 50 ms for reading, and beside much load the 60 ms that are left before the kill, while owners who had sent nothing waited to be closed behind them.

Now those without unread input are closed first. The test of the order failed before.

--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -300,9 +300,13 @@
         self._acceptor.drain(self._acceptor.close)
 
     def close_connections(self) -> Co[None]:
-        """Close all connections: unread set-ups are refused and buffered output is sent, within ``LINGER_MS``."""
+        """Close all connections: unread set-ups are refused and buffered output is sent, within ``LINGER_MS``.
+
+        Those that leave nothing unread come first: what the others have sent may take all the time that is left.
+        """
         self.releases.finish()
-        links, reads_until = list(self.links), self.loop.now() + STOP_READ_MS
+        links = sorted(self.links, key=lambda link: link.has_unread_input)
+        reads_until = self.loop.now() + STOP_READ_MS
         for link in links:
             self._read_arrived(link)
             while link.is_queued and self.loop.now() < reads_until:
--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -46,6 +46,24 @@
     return True
 
 
+# Guards against usual clients whose connections are still open at the earliest kill, since a client's flood is read first.
+def test_connections_that_leave_nothing_unread_are_closed_before_floods(tmp_path: Path) -> None:
+    def body(placer: Placer) -> Co[None]:
+        yield from sleep(1)
+        for n in range(4):
+            placer.loop.arrive(LISTEN, f"127.0.2.{n}:1", binary.encode(Kind.TEST, "0" * 16, []))
+        yield from sleep(5)
+        for link in list(placer.service.owners.links)[:2]:
+            link.transport.pause()
+            assert link.has_unread_input
+        placer.service._finish()
+        yield from sleep(LINGER_MS + 10)
+        ended = [line["peer"] for line in placer.lines if line["event"] == "owner_ended" and line["why"] == "stopped"]
+        assert ended == [f"127.0.2.{n}:1" for n in (2, 3, 0, 1)]
+
+    run_virtual(tmp_path, body)
+
+
 def test_connections_not_yet_accepted_when_the_listener_closes_are_answered(tmp_path: Path) -> None:
     def body(platform: Platform) -> Co[None]:
         host, _ = yield from start_with_placed_task(platform)
