--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -4,9 +4,9 @@
 be parsed ends its connection, and every set-up open there may then have run. A connection on which a set-up timed out
 carries no other one: a late message there could not be told from one about a second offer of the same task to that host.
 
-A running task does not belong to a connection, so one connection is kept to every host that runs tasks of this placer.
-What the end of a connection proves: a refused dial proves that the host's process, and with it every task there, is gone;
-a reset or a close proves nothing about running tasks. Silence and health checks are described in ``health``.
+A running task does not belong to a connection, so one connection is kept to every process that runs tasks of this placer.
+What the end of a connection proves stands in ``process_identity``. Silence and health checks are described in ``health``,
+ends of tasks in ``task_ends``.
 """
 
 from __future__ import annotations
@@ -30,11 +30,11 @@
 from sprucepost.node.log import Log
 from sprucepost.node.process_identity import HostProcess, NeverListed, RefusedDial
 from sprucepost.node.start_times import StartTimes
+from sprucepost.node.task_ends import TaskEnds
 from sprucepost.node.tasks import CAUSE_WITHDRAWN, Tasks
 
 REDIAL_MS = 200.0  # between dials of a host; doubled for each failed dial unless the host is suspected
-# Why connections end: by the host; by this side, which sends what is written; and only after it has read what has arrived.
-ENDED_BY_PEER, LINGERING, READ_BEFORE = ("ended", "reset"), ("retired", "idle", "room"), ("idle", "room")
+LINGERING = ("retired", "idle", "room")  # why this side ends connections and sends what is written before
 REDIAL_MAX_MS = 1600.0  # five dials until the host counts as silent: one that is back is found in time
 
 
@@ -57,6 +57,7 @@
         self._descriptors, self._connect_ms, self._idle_ms = descriptors, connect_ms, idle_ms
         self._list = HostList(tasks, start_times, log, self)
         self._health = HealthChecks(loop, tasks, counters, log, self.end, self._release_silent)
+        self._task_ends = TaskEnds(loop, tasks, self._health, log, self.end)
         self._dispatcher: Dispatcher[Host] = Dispatcher(loop, self._serve, counters)
 
     # The list of hosts
@@ -202,22 +203,7 @@
         """Have the host end a running task, now or once there is a connection to it."""
         host = self.hosts.get(machine)
         if host is not None:
-            self._end_task(host, sid)
-
-    def _end_task(self, host: Host, sid: str) -> None:
-        links = self._health.answering(host) or [link for link in host.links if not link.retired]
-        link = max(links, key=lambda link: link.process.heard_at, default=None)
-        if link is not None:
-            self._write_end(link, sid)
-            self._tasks.trace(sid, "let_go", host=host.uid, link=link.number)
-        else:
-            self._tasks.trace(sid, "let_go", host=host.uid, why="when it can be reached")
-            host.pending_ends[sid] = self.loop.now() + health.SILENT_AFTER_MS
-
-    def _write_end(self, link: HostLink, sid: str) -> None:
-        """Tell the host on that connection to end a running task."""
-        link.transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
-        link.ends.record(sid, None, self.loop.now())
+            self._task_ends.tell(host, sid)
 
     def adopt(self, machine: str, sid: str) -> bool:
         """Keep a task that its owner has handed back: cancel a pending release of it. False where the host is not listed."""
@@ -297,9 +283,7 @@
         transport.on_end = lambda: self.end(link.host, link, "ended")
         transport.on_lost = lambda error: self.end(link.host, link, "reset")
         transport.start()
-        for sid in host.pending_ends:
-            self._write_end(link, sid)
-        host.pending_ends.clear()
+        self._task_ends.tell_pending(link)
         self._serve(host)
         self._health.connected(host, link)
 
@@ -357,8 +341,7 @@
         host.links.remove(link)
         self._health.disconnected(host, link, why)
         self.counters[f"host_link_{why}"] += 1
-        open_until = link.transport.open_until if why in ENDED_BY_PEER else link.transport.known_open_at
-        in_doubt = link.ends.unsent() if why in READ_BEFORE else link.ends.undelivered(open_until)
+        in_doubt = self._task_ends.in_doubt(link, why)
         self._log.host(
             host.uid,
             "disconnected",
@@ -376,9 +359,9 @@
         attempts, link.open = list(link.open.values()), {}
         for attempt in attempts:
             self._tasks.end_attempt(attempt, i.Ending.RESET if self.was_sent(attempt) else i.Ending.VOID)
-        for message in in_doubt:
+        for sid in in_doubt:
             self.counters["ends_in_doubt"] += 1
-            self._end_task(host, message.sid)
+            self._task_ends.tell(host, sid)
         if why != "room":
             self._serve(host)
             self._reconnect(host)
@@ -485,30 +468,11 @@
         return self._health.in_doubt()
 
     def _release_silent(self, process: HostProcess) -> None:
-        """Release the tasks of a silent process towards their owners. Its unused connections end.
-
-        Where another connection to the host answers, the host is told to end them: whichever process is there, what it runs
-        of them belongs to nobody any more. Else they may run on, and the host is not asked to end them once it can be
-        reached: by then their owners may have handed them over, to this placer or to another one.
-        """
+        """Release the tasks of a silent process, at each host where it has some."""
         for uid in self._tasks.processes.hosts_of(process):
             host = self.hosts.get(uid)
             if host is not None:
-                self._release_silent_at(host, process)
-
-    def _release_silent_at(self, host: Host, process: HostProcess) -> None:
-        now = self.loop.now()
-        answers = self._health.answers_beside(host, process)
-        why = "in_doubt" if answers else "silent"
-        self._log.host(
-            host.uid, "silent", heard=round(now - process.heard_at), late=round(self.loop.late_ms, 1), why=why
-        )
-        ended = self._tasks.process_lost(process, host.uid, answers)
-        self._log("host_lost", host=host.uid, why=why, tasks=len(ended), heard=round(now - process.heard_at))
-        for sid in ended if answers else ():
-            self._end_task(host, sid)
-        for link in [link for link in host.links if link.process.process is process and not link.open]:
-            self.end(host, link, "silent")
+                self._task_ends.release_silent(host, process)
 
 
 def _link_of(attempt: Attempt) -> HostLink | None:
--- a/tests/node/test_delivery_schedules.py
+++ b/tests/node/test_delivery_schedules.py
@@ -15,9 +15,9 @@
 from sprucepost.loop import Transport
 from sprucepost.node.delivery import Deliveries
 from sprucepost.node.host import HostLink
-from sprucepost.node.hosts import Hosts
 from sprucepost.node.jsonl import MessageType, encode
 from sprucepost.node.owner_releases import OwnerReleases
+from sprucepost.node.task_ends import TaskEnds
 from tests.node.delivery_schedules import DeliverySchedule
 
 SCHEDULES = 300
@@ -38,7 +38,7 @@
     assert faults(range(SCHEDULES)) == []
 
 
-def _write_and_forget(self: Hosts, link: HostLink, sid: str) -> None:
+def _write_and_forget(self: TaskEnds, link: HostLink, sid: str) -> None:
     link.transport.write(encode(MessageType.CLOSE, sid, code=16))
 
 
@@ -53,7 +53,7 @@
         Transport, "known_open_at", property(lambda self: self._loop.polled_at)
     ),
     "an end of a task is forgotten when its host closes": lambda patch: patch.setattr(
-        Hosts, "_write_end", _write_and_forget
+        TaskEnds, "_write", _write_and_forget
     ),
     "what has been delivered is sent again": lambda patch: patch.setattr(
         Deliveries, "_drop_delivered", lambda self, open_at: None
