--- a/tests/node/return_schedules.py
+++ b/tests/node/return_schedules.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -15,10 +16,12 @@
 
 EMPTY_MS = (0.0, 20.0, 200.0, 1000.0, 2000.0, 3500.0, 5000.0, 7000.0, 9000.0, 12_000.0)
 CUT_MS = (1000.0, 3000.0, 5000.0, 6000.0, 8000.0, 12_000.0)
+HEARD_AGAIN_MS = 300.0  # from the end of a cut until something has come through
 HEARD_MS = 2500.0  # a process was heard so shortly before a cut that it is not told over any sooner
 ENDED_MS = 500.0  # from the release of a task in doubt until it has ended at its host
 COMPARED_MS = 2000.0  # after which connections that are up are known to lead to one process
 HAND_OVER_HEARD_MS = 600.0  # from a hand-over until its process has been heard, where it can be
+REDIALLED_MS = 2000.0  # likewise where the connections that are there may have been forgotten
 SETTLED_MS = 4000.0  # a connection that has been up for so long is known to answer
 
 
@@ -93,12 +96,15 @@
         if not reachable:
             return
         process, length_ms = self.rng.choice(reachable), self.rng.choice(CUT_MS)
-        now = self.platform.loop.time
+        cuts, began = self.cuts.setdefault(process, []), self.platform.loop.time
+        if cuts and cuts[-1][1] > began - HEARD_AGAIN_MS:
+            began, _ = cuts.pop()  # nothing may have come through in between
         process.is_cut_off = True
-        self.cuts.setdefault(process, []).append((now, now + length_ms))
+        cuts.append((began, math.inf))
 
         def heal() -> None:
             process.is_cut_off = False
+            cuts[-1] = began, self.platform.loop.time
 
         self._later(length_ms, heal)
 
@@ -147,7 +153,7 @@
     def _task_ended(self, process: Process, sid: str) -> None:
         super()._task_ended(process, sid)
         task, now = self.tasks[sid], self.platform.loop.time
-        heard_by = task.handed_over_at + HAND_OVER_HEARD_MS
+        heard_by = task.handed_over_at + (REDIALLED_MS if process.broken_at else HAND_OVER_HEARD_MS)
         was_unheard = now < heard_by or any(
             began < heard_by and now <= ended for began, ended in self.cuts.get(process, [])
         )
@@ -174,7 +180,11 @@
             self._check_ended(task, process, at)
             return True
         cuts = self.cuts.get(process, [])
-        return any(began + HEARD_MS <= at <= ended + self._lateness() + 50.0 for began, ended in cuts)
+        listed_at = self.told_at.get(process, 0.0)  # before that no connection to it is opened
+        return any(
+            (began + HEARD_MS <= at or began <= listed_at) and at <= ended + self._lateness() + 50.0
+            for began, ended in cuts
+        )
 
     def _check_ended(self, task: Task, process: Process, at: float) -> None:
         """Check that a task that is told over in doubt does not run on, where its host could be told."""
