Node: two connections are kept to a host that runs tasks, where descriptors are plenty

Callers saw, since silence is counted by process: tasks that are ended though they run, where a network resets connections one by one. With one connection to a host nothing is left that shows its process when that one breaks.

Now a host with tasks gets a second connection once the first has been up for a second, while a third of the descriptors is free; idle ones are closed down to two; checks take turns between the oldest two, so a forgotten one is found.

--- a/sprucepost/node/health.py
+++ b/sprucepost/node/health.py
@@ -28,8 +28,9 @@
 time for the others. A task survives a network cut shorter than ``SILENT_AFTER_MS`` if its host sent something shortly
 before the cut and can be reached again right after it.
 
-Where several connections to a host with tasks are open, and nothing that was sent on them has shown that they lead to one
-process, one of them is checked for that once they have been up for ``CHECK_TIMEOUT_MS``.
+To a host with tasks two connections are kept where descriptors are plenty: the one shows whether the process lives when the
+other breaks. Where nothing that was sent on several connections has shown that they lead to one process, one of them is
+checked for that once they have been up for ``CHECK_TIMEOUT_MS``.
 """
 
 from __future__ import annotations
@@ -52,6 +53,7 @@
 SILENT_AFTER_MS = RELEASE_RETENTION_MS - 200.0
 # Leaves time for three checks in a row that get lost.
 SUSPECT_AFTER_MS = SILENT_AFTER_MS - 3 * CHECK_TIMEOUT_MS
+KEPT_CONNECTIONS = 2  # to a host that runs tasks, where descriptors are plenty
 SILENCE_SLACK_MS = 1.0  # a timer may fire that much early
 NO_TASK = "0" * 16  # the task id that a health check carries
 
@@ -227,9 +229,12 @@
             self._check_one(host, self.answering(host))
 
     def _check_one(self, host: Host, links: list[HostLink]) -> None:
-        """Check the first of these connections, unless one of them has a check in flight."""
-        if links and all(link.check_sent is None for link in links) and links[0].transport.buffered < MAX_MESSAGE_BYTES:
-            self.check(host, links[0])
+        """Check that of the oldest two which was heard least recently, unless one of all has a check in flight."""
+        if not links or any(link.check_sent is not None for link in links):
+            return
+        link = min(links[:KEPT_CONNECTIONS], key=lambda link: link.process.heard_at)
+        if link.transport.buffered < MAX_MESSAGE_BYTES:
+            self.check(host, link)
 
     def _compare(self, host: Host, link: HostLink) -> None:
         """Check a connection that may show that this one and another one lead to the same process."""
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -433,7 +433,7 @@
                 idle = (
                     not link.open
                     and now - link.last_used > self._idle_ms / 2
-                    and (len(host.links) > 1 or not has_tasks)
+                    and (len(host.links) > health.KEPT_CONNECTIONS or not has_tasks)
                     and not self._health.is_needed(link)
                 )
                 if idle and not link.transport.read_now():
@@ -448,6 +448,18 @@
                 if not host.pending_ends:
                     continue
             self._reconnect(host)
+            if has_tasks:
+                self._open_second(host)
+
+    def _open_second(self, host: Host) -> None:
+        """Open a second connection to a host that runs tasks, where descriptors are plenty: if the only one breaks, nothing
+        shows whether the process that it led to is still there."""
+        now = self.loop.now()
+        links = self._health.answering(host)
+        is_alone = len(links) == 1 and len(host.links) + host.dialing < health.KEPT_CONNECTIONS
+        is_settled = is_alone and now - links[0].process.came_up_at >= health.CHECK_TIMEOUT_MS
+        if is_settled and now >= host.redial_at and self._descriptors.available() > self._descriptors.guaranteed_share:
+            self._dial(host)
 
     def _listed(self, host: Host) -> bool:
         """Whether the host has not been removed, or replaced by another one with its id."""
