--- a/sprucepost/node/health.py
+++ b/sprucepost/node/health.py
@@ -122,12 +122,15 @@
         process = link.process.process
         process.heard_at = max(process.heard_at, self._loop.now() - link.transport.waited_ms)
         link.check_sent = None
-        self._bind_unheard(host, link)
+        if self._processes.unheard:
+            self._bind_unheard(host, link)
 
     def _bind_unheard(self, host: Host, link: HostLink) -> HostProcess:
         """Take in that tasks which have been handed over, and of whose process nothing has been heard, run at the process to
         which that connection leads: it has shown that it lives since. Return that process."""
         process = link.process.process
+        if not self._processes.unheard:
+            return process
         for other in self._processes.at(host.uid):
             if other.is_unheard and other.heard_at <= process.heard_at:
                 process = self._processes.merge(process, other)
@@ -140,12 +143,13 @@
 
     def replied(self, host: Host, link: HostLink, sent_at: float) -> None:
         """Take in a message that answers what was written to the connection at that time, in ms of the loop's clock."""
-        if len(host.links) == 1 and host.uid not in self._tasks.placed:
-            link.process.process.alive_until = sent_at
+        process = link.process.process
+        if process.connections == len(host.links) and self._processes.is_alone(process, host.uid):
+            process.alive_until = max(process.alive_until, sent_at)
             return
         others = [other.process.process for other in host.links] + self._processes.at(host.uid)
-        for process in self._processes.replied(link.process.process, sent_at, others):
-            self._log.host(host.uid, "shown", link=link.number, since=self._silent_ms(process))
+        for shown in self._processes.replied(process, sent_at, others):
+            self._log.host(host.uid, "shown", link=link.number, since=self._silent_ms(shown))
 
     def _silent_ms(self, process: HostProcess) -> int:
         return round(self._loop.now() - process.heard_at)
--- a/sprucepost/node/host_processes.py
+++ b/sprucepost/node/host_processes.py
@@ -24,11 +24,17 @@
     def __init__(self) -> None:
         self._tasks: dict[HostProcess, dict[str, Entry]] = {}  # by task id
         self._at: dict[str, dict[HostProcess, int]] = {}  # by host: its processes, with the number of their tasks there
+        self.unheard: set[HostProcess] = set()  # processes with tasks of which only owners have told
 
     def at(self, uid: str) -> list[HostProcess]:
         """Return the processes that run tasks placed at that host."""
         return list(self._at.get(uid, ()))
 
+    def is_alone(self, process: HostProcess, uid: str) -> bool:
+        """Return whether no other process runs tasks placed at that host."""
+        at_host = self._at.get(uid)
+        return not at_host or (len(at_host) == 1 and process in at_host)
+
     def has_tasks(self, process: HostProcess) -> bool:
         """Return whether tasks are placed at that process."""
         return process in self._tasks
@@ -58,6 +64,8 @@
         """Record a task that has been placed."""
         process = entry.ask.process.identity.current()
         self._tasks.setdefault(process, {})[entry.name] = entry
+        if process.is_unheard:
+            self.unheard.add(process)
         self._count(entry.machine, process, 1)
 
     def remove(self, entry: Entry) -> None:
@@ -67,6 +75,7 @@
         del tasks[entry.name]
         if not tasks:
             del self._tasks[process]
+            self.unheard.discard(process)
         self._count(entry.machine, process, -1)
 
     def _count(self, uid: str, process: HostProcess, number: int) -> None:
@@ -93,6 +102,7 @@
         if moved:
             self._tasks.setdefault(process, {}).update(moved)
         process.absorb(other)
+        self.unheard -= {process, other}
         return process
 
     def replied(self, process: HostProcess, sent_at: float, others: Iterable[HostProcess]) -> list[HostProcess]:
