--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -14,8 +14,6 @@
 ``PRESUMED_LOST``      the end of a placed task was only   with ``at`` of that host: the task runs on, so it is
                        concluded, from its host's silence  placed again; none if the set-up crosses the release
                        or from the list of hosts
-``ENDED_IN_DOUBT``     the same, and its host has been  with ``at`` of that host: its owner is told once more that
-                       told to end it                      it is over, unless the set-up crosses the release
 ``CANCELLED_BY_OWNER`` an owner cancels or ends a task     not placed and not answered; with ``at``: the host is
                        that is not known                   told to end the task
 ``RELEASED_BY_HOST``   a host releases a task that is not  with ``at`` of that host: recorded as placed, and ended
@@ -39,15 +37,10 @@
 
     TASK_ENDED = "over"
     PRESUMED_LOST = "presumed_lost"
-    ENDED_IN_DOUBT = "ended_in_doubt"
     CANCELLED_BY_OWNER = "unwanted"
     RELEASED_BY_HOST = "ended"
 
 
-ENDS = (EarlyMessage.TASK_ENDED, EarlyMessage.ENDED_IN_DOUBT, EarlyMessage.RELEASED_BY_HOST)
-"""What tells that a task does not run at a host any more, or not for long."""
-
-
 @dataclass(frozen=True, slots=True)
 class Record:
     """One message, when it was recorded, in ms of the loop's clock, and the line of the host that released the task."""
@@ -87,8 +80,8 @@
         """
         known = self.get(sid, now, host)
         by_host = self._remove(sid) if sid in self._records else {}
-        if known is not None and known.message in (EarlyMessage.TASK_ENDED, EarlyMessage.ENDED_IN_DOUBT):
-            message, line = known.message, None
+        if known is not None and known.message is EarlyMessage.TASK_ENDED:
+            message, line = EarlyMessage.TASK_ENDED, None
         by_host[host] = Record(message, now, line)
         if len(self._records) >= self._max_tasks:
             largest = max(self._by_source.values(), key=len)
@@ -133,7 +126,7 @@
         """Have what is recorded of the ends of tasks at a host count for the one that has taken its place."""
         for by_host in self._records.values():
             record = by_host.get(host)
-            if record is not None and record.message in ENDS:
+            if record is not None and record.message in (EarlyMessage.TASK_ENDED, EarlyMessage.RELEASED_BY_HOST):
                 by_host.setdefault(replacement, record)
 
     def expire(self, now: float) -> None:
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -138,7 +138,7 @@
         """
         why, early_message = "silent", EarlyMessage.PRESUMED_LOST
         if ended_at_host:
-            why, early_message = "in_doubt", EarlyMessage.ENDED_IN_DOUBT
+            why, early_message = "in_doubt", EarlyMessage.TASK_ENDED
         entries = self.processes.tasks_of(process, machine)
         for entry in entries:
             self._counters[f"lost_{why}"] += 1
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -183,11 +183,6 @@
             self._handovers.take(entry, HandOver(setup, owner))
             return SetUpResult.ADMITTED
         now = self.loop.now()
-        if setup.current_host and self._is_to_be_told_again(setup, now):
-            self.counters["repeats_of_ended"] += 1
-            self.trace(setup.sid, "repeat_of_ended", host=setup.current_host, why="ended in doubt")
-            self.owners.release(owner, setup.sid, CAUSE_LOST)
-            return SetUpResult.ADMITTED
         if setup.current_host and self._has_ended_at_host(setup, now):
             self.counters["repeats_of_ended"] += 1
             self.trace(setup.sid, "repeat_of_ended", host=setup.current_host)
@@ -216,14 +211,6 @@
         self._driver.schedule_batch()
         return SetUpResult.ADMITTED
 
-    def _is_to_be_told_again(self, setup: SetUp, now: float) -> bool:
-        """Whether the task has been ended in doubt at the host that the set-up names, so long ago that its owner, which has
-        been sent the release, takes it to run there: it may still have done so, and its host is told to end it."""
-        record = self.early_messages.get(setup.sid, now, setup.current_host)
-        if record is None or record.message is not EarlyMessage.ENDED_IN_DOUBT:
-            return False
-        return now - record.at > RELEASE_CROSSING_MS
-
     def _has_ended_at_host(self, setup: SetUp, now: float) -> bool:
         """Whether the task has ended at the host that the set-up names, so that its owner has been sent the release.
 
@@ -296,8 +283,7 @@
             self.hosts.end_task(host, sid)
             self.early_messages.record(sid, EarlyMessage.TASK_ENDED, now, host)
         self.owners.cancel_release(sid)
-        ended = (EarlyMessage.TASK_ENDED, EarlyMessage.ENDED_IN_DOUBT)
-        if any(self.early_messages.hosts_with(sid, message, now) for message in ended):
+        if self.early_messages.hosts_with(sid, EarlyMessage.TASK_ENDED, now):
             return True
         self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now, source=client)
         return False
