Soak: the planted defect of a host's end covers silence by process too

The defect had Tasks.host_lost end nothing, through which silence went as well; silence has a way of its own since (process_lost) and told the owners in time.

--- a/tests/node/planted_defects.py
+++ b/tests/node/planted_defects.py
@@ -49,6 +49,15 @@
     self._finish()
 
 
+def _end_no_task_with_its_host() -> None:
+    _replace_method(Tasks, "host_lost", _return_zero)
+    _replace_method(Tasks, "process_lost", _return_nothing)
+
+
+def _return_nothing(*arguments: Any) -> list[str]:
+    return []
+
+
 def _disconnect_any_link(self: Owners) -> None:
     for link in list(self.links)[:1]:
         self.disconnect(link, "idle")
@@ -62,7 +71,7 @@
     "a cancelled task runs on": lambda: _replace_method(Tasks, "owner_cancelled", _do_nothing),
     "an owner's disconnect is ignored": lambda: _replace_method(Tasks, "owner_disconnected", _do_nothing),
     "a draining host gets new tasks": lambda: STATES.update(DRAINING=MachineState.READY),
-    "a host's restart ends no task": lambda: _replace_method(Tasks, "host_lost", _return_zero),
+    "a host's restart ends no task": _end_no_task_with_its_host,
     "a host's message is ignored": lambda: _replace_some_calls(Tasks, "handle_message", _do_nothing),
     "shutdown does not wait": lambda: _replace_method(Service, "begin_shutdown", _finish_at_once),
     "shutdown does not happen": lambda: _replace_method(Service, "begin_shutdown", _do_nothing),
