--- a/review/cluster.py
+++ b/review/cluster.py
@@ -115,10 +115,11 @@
         self.on_made: Callable[[Peer], None] = lambda peer: None
         self.on_data: Callable[[Peer], None] = lambda peer: None
         self.on_end: Callable[[Peer], None] = lambda peer: None
-        self.closed = False
+        self.closed = True  # until it has come up
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        self.closed = False
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.on_made(self)
@@ -133,7 +134,7 @@
 
     def send(self, data: bytes) -> None:
         """Write, unless the connection has ended."""
-        if not self.closed:
+        if not (self.closed or self.transport.is_closing()):
             self.transport.write(data)
 
     def close(self) -> None:
@@ -549,7 +550,8 @@
     def ip(self) -> str:
         """A loopback address that no other part of this run has."""
         self._ips += 1
-        return f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 250}.{1 + self._ips}"
+        number, process = self._ips, os.getpid()
+        return f"127.{64 + process % 64}.{process // 64 % 60 * 4 + number // 250}.{1 + number % 250}"
 
     async def add_host(self, uid: str, rack: int, room: str, address: tuple[str, int] | None = None) -> Host:
         """Start a host; it is listed by an event of the bulletin."""
