--- a/review/7/case.py
+++ b/review/7/case.py
@@ -67,9 +67,9 @@
         died_at = now_ms()
         dying.die()
         await asyncio.sleep(0.5)
-        # Another host comes up at the address; the tasks of other placers have filled it.
-        new = await cluster.add_host("s-b", 0, room, dying.address)
-        new.boot_ms, new.free, new.refuses = int(now_ms()), FULL, "no_cores"
+        # Another host comes up at the address, in the other rack. It is empty: nobody has been told of it yet.
+        new = await cluster.add_host("s-b", 1, room, dying.address)
+        new.boot_ms = int(now_ms())
         await asyncio.sleep(ADDED_S - (now_ms() - died_at) / 1000.0)
         cluster.bulletin.publish(new)
         await asyncio.sleep(NOTICED_S - (now_ms() - died_at) / 1000.0)
--- a/review/cluster.py
+++ b/review/cluster.py
@@ -173,6 +173,8 @@
         self.state, self.boot_ms, self.admit_ms, self.life_s = "SERVING", 0, 15.0, 20.0
         self.free: tuple[float, float] | None = None  # as listed; None: what its tasks leave
         self.refuses = ""  # the note of its refusals, where it has no room
+        self.notes_s = (1.0, 1.0)  # between two notes on what a task uses
+        self.note_rng = random.Random(f"73 {uid}")
         self._looks_until = 0.0
         self.holds_answers = False  # whether set-ups wait unanswered
         self.peers: list[Peer] = []
@@ -264,10 +266,12 @@
         task = self.running.get(sid)
         if task is not None:
             value = {"runs": 1, "cores": task.ask.cores / 2}[note]
-            self._tell(task.peer, self.line("event", sid, attrs={"note": note, "value": value}))
+            sent = self._tell(task.peer, self.line("event", sid, attrs={"note": note, "value": value}))
+            self.cluster.record("host-notes", host=self.uid, sid=sid, note=note, sent=sent)
             if not self.cluster.settings["family_info"]["use_notes"]:
                 return
-            task.timers[1] = asyncio.get_running_loop().call_later(1.0, self._note, sid, "cores")
+            next_s = self.note_rng.uniform(*self.notes_s)
+            task.timers[1] = asyncio.get_running_loop().call_later(next_s, self._note, sid, "cores")
 
     def _tell(self, peer: Peer, line: bytes) -> bool:
         """Send on the connection of the set-up, or else on any open one."""
