A task that was ended in doubt is kept once its owner hands it over

Cause: PlacedTasks.lose_process recorded TASK_ENDED, the word of the host or the owner, for an end that was only concluded, because the host was told to end the task. A forgotten connection takes what is written to it, so that shows nothing.

Change: such an end is recorded as END_REQUESTED. A hand-over that may have crossed the release (50 ms) is still dropped; a later one is placed again. Where the host says, before or after it, that it was told to end the task, or where that message is on its way when the hand-over comes, the owner is told: else the task would stand here for ever.

--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -100,6 +100,10 @@
         """Take over a task that runs there, and cancel a pending :meth:`end_task`; False if the host is not listed."""
         ...
 
+    def is_being_ended(self, machine: str, sid: str) -> bool:
+        """Return whether the host may be about to read an :meth:`end_task` that was sent before."""
+        ...
+
     def is_listed(self, machine: str) -> bool:
         """Return whether the host is on the list, or has left it and still matters."""
         ...
@@ -141,6 +145,7 @@
 
     __slots__ = (
         "attempt",
+        "end_requested",
         "handed_over_by",
         "handover",
         "keeps_connection",
@@ -159,6 +164,7 @@
         self.process: TaskProcess | None = None  # the process that runs it, once it is placed
         self.handover: HandOver | None = None  # of the same task, read while its set-up was open
         self.keeps_connection = False  # whether the owner's connection is kept open for the release
+        self.end_requested = False  # whether its host was asked to end it before it was handed over
         self.queued = False  # whether the scheduler has not been told of the task yet
         self.withdrawals: dict[str, Withdrawal] = {}  # the latest attempt withdrawn on timeout, by host
         self.may_run_since: float | None = None  # offer time of the first attempt that a host may have run
--- a/sprucepost/node/early_messages.py
+++ b/sprucepost/node/early_messages.py
@@ -14,6 +14,8 @@
 ``PRESUMED_LOST``      the end of a placed task was only   with ``at`` of that host: the task runs on, so it is
                        concluded, from its host's silence  placed again; none if the set-up crosses the release
                        or from the list of hosts
+``END_REQUESTED``      likewise, and its host was asked    with ``at`` of that host: as after ``PRESUMED_LOST``;
+                       to end the task                     when the host says that it has, its owner is told
 ``CANCELLED_BY_OWNER`` an owner cancels or ends a task     not placed and not answered; with ``at``: the host is
                        that is not known                   told to end the task
 ``RELEASED_BY_HOST``   a host releases a task that is not  with ``at`` of that host: recorded as placed, and ended
@@ -23,7 +25,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Container
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from sprucepost.node.jsonl import Line
@@ -37,10 +40,16 @@
 
     TASK_ENDED = "over"
     PRESUMED_LOST = "presumed_lost"
+    END_REQUESTED = "end_requested"
     CANCELLED_BY_OWNER = "unwanted"
     RELEASED_BY_HOST = "ended"
 
 
+ENDED = (EarlyMessage.TASK_ENDED, EarlyMessage.END_REQUESTED)
+CONCLUDED = (EarlyMessage.PRESUMED_LOST, EarlyMessage.END_REQUESTED)
+"""Ends that neither the host nor the owner has told."""
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """One message, when it was recorded, in ms of the loop's clock, and the line of the host that released the task."""
@@ -74,21 +83,31 @@
         line: Line | None = None,
         source: str = "",
     ) -> None:
-        """Record a message; a host's release of a task whose end is known says nothing new.
+        """Record a message; a host's release of a task whose end is known says nothing new, and one of a task that it was
+        asked to end is kept beside that.
 
         ``source`` is the client that the message came from; by default it is the host.
         """
         known = self.get(sid, now, host)
         by_host = self._remove(sid) if sid in self._records else {}
+        recorded = Record(message, now, line)
         if known is not None and known.message is EarlyMessage.TASK_ENDED:
-            message, line = EarlyMessage.TASK_ENDED, None
-        by_host[host] = Record(message, now, line)
+            recorded = Record(EarlyMessage.TASK_ENDED, now)
+        elif known is not None and known.message is EarlyMessage.END_REQUESTED and line is not None:
+            recorded = replace(known, line=line)
+        by_host[host] = recorded
         if len(self._records) >= self._max_tasks:
             largest = max(self._by_source.values(), key=len)
             self._remove(next(iter(largest)))
         self._records[sid], self._sources[sid] = by_host, source or host
         self._by_source.setdefault(source or host, {})[sid] = None
 
+    def confirm_requested_end(self, line: Line, now: float, host: str) -> None:
+        """Record a host's message that it has read the end of a task which it was asked to end."""
+        known = self.get(line.sid, now, host)
+        if known is not None and known.message is EarlyMessage.END_REQUESTED and known.line is None:
+            self._records[line.sid][host] = replace(known, line=line)
+
     def _remove(self, sid: str) -> dict[str, Record]:
         """Remove a task and return its records."""
         source = self._sources.pop(sid, None)
@@ -103,12 +122,12 @@
         record = self._records.get(sid, {}).get(host)
         return record if record is not None and record.at + self._retention_ms > now else None
 
-    def hosts_with(self, sid: str, message: EarlyMessage, now: float) -> list[str]:
-        """Return the hosts for which that message about the task is recorded."""
+    def hosts_with(self, sid: str, messages: Container[EarlyMessage], now: float) -> list[str]:
+        """Return the hosts for which one of those messages about the task is recorded."""
         return [
             host
             for host in self._records.get(sid, {})
-            if (record := self.get(sid, now, host)) is not None and record.message is message
+            if (record := self.get(sid, now, host)) is not None and record.message in messages
         ]
 
     def release_of(self, sid: str, now: float, host: str | None) -> Line | None:
@@ -118,15 +137,15 @@
         return next((record.line for record in records if record is not None and record.line is not None), None)
 
     def ended_since(self, sid: str, since: float) -> bool:
-        """Return whether the task has ended at any host since that time."""
+        """Return whether the task has ended at any host since that time, or a host was asked to end it."""
         records = self._records.get(sid, {}).values()
-        return any(record.message is EarlyMessage.TASK_ENDED and record.at >= since for record in records)
+        return any(record.message in ENDED and record.at >= since for record in records)
 
     def copy_ends(self, host: str, replacement: str) -> None:
         """Have what is recorded of the ends of tasks at a host count for the one that has taken its place."""
         for by_host in self._records.values():
             record = by_host.get(host)
-            if record is not None and record.message in (EarlyMessage.TASK_ENDED, EarlyMessage.RELEASED_BY_HOST):
+            if record is not None and record.message in (*ENDED, EarlyMessage.RELEASED_BY_HOST):
                 by_host.setdefault(replacement, record)
 
     def expire(self, now: float) -> None:
--- a/sprucepost/node/health.py
+++ b/sprucepost/node/health.py
@@ -20,8 +20,9 @@
            and it runs a task of this       connection that was up beside one of its own; once it is suspected, a check
            placer                           shows whether the host answers
 silent     its last message is older than   the owners of its tasks are notified at that moment. Where another connection
-           ``SILENT_AFTER_MS``              to the host answers, the host is told to end them; else they may run on, and
-                                            their owners may hand them over
+           ``SILENT_AFTER_MS``              to the host answers, the host is told to end them. They may run on all the
+                                            same, as nothing shows that it has read that, and their owners may hand them
+                                            over
 ========== ================================ ==========================================================================
 
 A check costs the host work, and every placer of the fleet checks the same hosts, so the first check is as late as leaves
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -212,6 +212,11 @@
             host.pending_ends.pop(sid, None)
         return host is not None
 
+    def is_being_ended(self, machine: str, sid: str) -> bool:
+        """Return whether the host may be about to read that it is to end the task."""
+        host = self.hosts.get(machine)
+        return host is not None and self._task_ends.is_in_flight(host, sid)
+
     def is_listed(self, machine: str) -> bool:
         """Return whether the host is on the list, or has left it and still matters."""
         return machine in self.hosts
@@ -409,6 +414,8 @@
             self._serve(host)
         elif attempt is not None and line.type is MessageType.EVENT:
             attempt.noted = True
+        elif attempt is None and line.type is MessageType.CLOSED:
+            self._tasks.handle_confirmed_end(host.uid, line, link.process)
         elif attempt is None and line.type in (MessageType.READY, MessageType.CLOSE, MessageType.EVENT):
             self._handle_message(host, link, line)
 
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -134,11 +134,11 @@
     def lose_process(self, process: HostProcess, machine: str, ended_at_host: bool) -> list[str]:
         """End the tasks of a process at a host whose silence has lasted for too long; return their ids.
 
-        ``ended_at_host``: whether the host is told to end them, so that none runs on.
+        ``ended_at_host``: whether the host is told to end them. One runs on where the host doesn't read that.
         """
         why, early_message = "silent", EarlyMessage.PRESUMED_LOST
         if ended_at_host:
-            why, early_message = "in_doubt", EarlyMessage.TASK_ENDED
+            why, early_message = "in_doubt", EarlyMessage.END_REQUESTED
         entries = self.processes.tasks_of(process, machine)
         for entry in entries:
             self._counters[f"lost_{why}"] += 1
--- a/sprucepost/node/task_ends.py
+++ b/sprucepost/node/task_ends.py
@@ -49,6 +49,12 @@
         link.transport.write(encode(MessageType.CLOSE, sid, code=CAUSE_WITHDRAWN))
         link.ends.record(sid, None, self._loop.now())
 
+    def is_in_flight(self, host: Host, sid: str) -> bool:
+        """Return whether the host may be about to read the end of that task on one of its connections."""
+        return any(
+            message.sid == sid for link in host.links for message in link.ends.undelivered(link.transport.known_open_at)
+        )
+
     def in_doubt(self, link: HostLink, why: str) -> list[str]:
         """Return the tasks of which the host may not have read the end on a connection that ends for that cause."""
         if why in READ_BEFORE:
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -30,7 +30,8 @@
 offered   its connection broke               ``Outcome`` reset                                          waiting
 placed    note                               ``StatusNote``
 placed    release: ok, reset                 ``Outcome``; the owner is sent the release                 (ended)
-placed    release: cancelled                 ``Outcome``; nobody needs a release                        (ended)
+placed    release: cancelled                 ``Outcome``; nobody needs a release, unless the host was   (ended)
+                                             asked to end the task before it was handed over
 placed    release by the owner, or its       the host is told; ``Outcome`` cancelled                    (ended)
           connection ends before the answer
           was sent
@@ -87,7 +88,7 @@
     Withdrawal,
 )
 from sprucepost.node.client_shares import ClientShares
-from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
+from sprucepost.node.early_messages import CONCLUDED, EarlyMessage, EarlyMessageCache
 from sprucepost.node.handovers import HandOvers, is_handed_over_at
 from sprucepost.node.host_processes import HostProcesses
 from sprucepost.node.jsonl import Line, MessageType
@@ -227,6 +228,8 @@
     def _adopt(self, entry: Entry, setup: SetUp, owner: OwnerPort, waited_ms: float) -> SetUpResult:
         """Place a new entry for a task that its host runs already."""
         host, now = setup.current_host, self.loop.now()
+        record = self.early_messages.get(setup.sid, now, host)
+        entry.ask.end_requested = record is not None and record.message is EarlyMessage.END_REQUESTED
         self.counters["found"] += 1
         self.trace(setup.sid, "found", host=host)
         entry.machine = host
@@ -241,8 +244,13 @@
         if is_listed:
             self._placed.keep_connection(entry, owner)
         release = self.early_messages.release_of(setup.sid, now, host if is_listed else None)
-        if release is not None:
+        if release is not None and release.type is MessageType.CLOSED:
+            self._end_as_confirmed(entry)
+        elif release is not None:
             self._handle_message_for_placed(entry, release, None)
+        elif self.hosts.is_being_ended(host, setup.sid):
+            why, message = "its host is being told to end it", EarlyMessage.END_REQUESTED
+            self._placed.end(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=message)
         return SetUpResult.ADMITTED if is_listed else SetUpResult.HOST_UNKNOWN
 
     def _before_batch(self) -> None:
@@ -279,11 +287,11 @@
         Returns whether the end of the task was known."""
         now = self.loop.now()
         self.trace(sid, "unknown", why="released by its owner")
-        for host in self.early_messages.hosts_with(sid, EarlyMessage.PRESUMED_LOST, now):
+        for host in self.early_messages.hosts_with(sid, CONCLUDED, now):
             self.hosts.end_task(host, sid)
             self.early_messages.record(sid, EarlyMessage.TASK_ENDED, now, host)
         self.owners.cancel_release(sid)
-        if self.early_messages.hosts_with(sid, EarlyMessage.TASK_ENDED, now):
+        if self.early_messages.hosts_with(sid, (EarlyMessage.TASK_ENDED,), now):
             return True
         self.early_messages.record(sid, EarlyMessage.CANCELLED_BY_OWNER, now, source=client)
         return False
@@ -513,14 +521,26 @@
 
     def handle_message(self, machine: str, line: Line, connection: ProcessConnection | None = None) -> None:
         """Handle a host's message about a task on a connection without an open set-up of that task."""
-        entry = self._placed.find(machine, line.sid) or self._placed.find_by_connection(
-            line.sid, connection, self.hosts.is_listed
-        )
+        entry = self._find_placed(machine, line.sid, connection)
         if entry is None:
             self._handle_message_for_unplaced(machine, line)
         else:
             self._handle_message_for_placed(entry, line, connection)
 
+    def _find_placed(self, machine: str, sid: str, connection: ProcessConnection | None) -> Entry | None:
+        return self._placed.find(machine, sid) or self._placed.find_by_connection(sid, connection, self.hosts.is_listed)
+
+    def handle_confirmed_end(self, machine: str, line: Line, connection: ProcessConnection) -> None:
+        """Handle a host's word that it has read the end of a task: one that is handed over all the same does not run."""
+        entry = self._find_placed(machine, line.sid, connection)
+        if entry is None:
+            self.early_messages.confirm_requested_end(line, self.loop.now(), machine)
+        elif entry.ask.end_requested:
+            self._end_as_confirmed(entry)
+
+    def _end_as_confirmed(self, entry: Entry) -> None:
+        self._placed.end(entry, i.Ending.RESET, CAUSE_LOST, "host has confirmed that it was told to end it")
+
     def _handle_message_for_placed(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
         if line.type is MessageType.EVENT:
             if connection is not None:
@@ -534,6 +554,8 @@
                 self._placed.shown_at(entry, connection)
             ending, reason = releases.ending_of_placed(line), releases.reason_of(line)
             cause = {i.Ending.OK: releases.CAUSE_ENDED, i.Ending.RESET: CAUSE_LOST}.get(ending)
+            if ending is i.Ending.CANCELLED and entry.ask.end_requested:
+                cause = CAUSE_LOST  # not by its owner, who has handed it over since
             report = self._parse_load_report(line.attrs.get("load"))
             self._placed.end(entry, ending, cause, f"host said {line.code}", reason, report)
         else:
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -193,7 +193,7 @@
     cache.record(TASK, EarlyMessage.TASK_ENDED, 0.0, "m0")
     cache.record(OTHER, EarlyMessage.CANCELLED_BY_OWNER, 10.0)
     cache.record(TASK, EarlyMessage.RELEASED_BY_HOST, 50.0, "m1")
-    assert cache.get(TASK, 120.0, "m0") is None and cache.hosts_with(TASK, EarlyMessage.RELEASED_BY_HOST, 120.0) == [
+    assert cache.get(TASK, 120.0, "m0") is None and cache.hosts_with(TASK, [EarlyMessage.RELEASED_BY_HOST], 120.0) == [
         "m1"
     ]
     cache.expire(120.0)
@@ -211,7 +211,7 @@
     cache.record(TASK, EarlyMessage.TASK_ENDED, 0.0, "m0")
     cache.record(TASK, EarlyMessage.TASK_ENDED, 90.0, "m1")  # keeps the task in the cache
     cache.record(TASK, EarlyMessage.PRESUMED_LOST, 150.0, "m0")
-    assert cache.hosts_with(TASK, EarlyMessage.PRESUMED_LOST, 150.0) == ["m0"]
+    assert cache.hosts_with(TASK, [EarlyMessage.PRESUMED_LOST], 150.0) == ["m0"]
 
 
 # Guards against an owner that hears, right after its hand-over, of the loss that was presumed before.
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -120,6 +120,9 @@
     def adopt(self, machine: str, sid: str) -> bool:
         return self.is_listed(machine)
 
+    def is_being_ended(self, machine: str, sid: str) -> bool:
+        return False
+
     def is_listed(self, machine: str) -> bool:
         return machine in self.listed
 
