A task whose answer was not sent is kept once its owner hands it over

Tasks.answer_unread has the host end a task of which its owner has had no answer, and recorded TASK_ENDED, though neither host nor owner had said so. A hand-over within 8 s was dropped as a repeat, and no release was owed. Change: it is recorded as END_REQUESTED.

--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -312,7 +312,8 @@
             return
         self.counters["answers_unread"] += 1
         self.hosts.end_task(entry.machine, sid)
-        self._placed.end(entry, i.Ending.CANCELLED, None, "its answer was not sent before its owner's connection ended")
+        why = "its answer was not sent before its owner's connection ended"
+        self._placed.end(entry, i.Ending.CANCELLED, None, why, early_message=EarlyMessage.END_REQUESTED)
 
     def _cancel(self, entry: Entry, why: str) -> None:
         self.counters["given_up"] += 1
--- a/tests/node/test_ends_in_doubt.py
+++ b/tests/node/test_ends_in_doubt.py
@@ -137,6 +137,20 @@
     assert harness.events[-1] == ("end task", host, SID)
 
 
+# Guards against a task whose answer its owner has not had, which runs on at a host that has not read its end: handed over, it
+# was dropped.
+def test_a_task_whose_answer_was_not_sent_is_kept_once_handed_over() -> None:
+    harness = harness_with_placed_task()
+    host = harness.offers()[0].machine
+    harness.tasks.answer_unread(SID, harness)
+    assert harness.events[-1] == ("end task", host, SID)
+    harness.loop.pass_ms(600.0)
+    hand_over(harness, host)
+    assert harness.count_placed_tasks() == 1
+    harness.tasks.handle_message(host, Line(MessageType.CLOSE, SID, {}, 16))
+    assert harness.events[-1] == ("release", SID, 16)
+
+
 # Guards against plays that could not fail: a concluded end that counts as one that was heard is found.
 def test_a_planted_defect_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     real = PlacedTasks.lose_process
