--- a/tests/node/test_ends_in_doubt.py
+++ b/tests/node/test_ends_in_doubt.py
@@ -137,8 +137,7 @@
     assert harness.events[-1] == ("end task", host, SID)
 
 
-# Guards against a task whose answer its owner has not had, which runs on at a host that has not read its end: handed over, it
-# was dropped.
+# Guards against a task whose answer its owner has not had and whose host has not read its end: handed over, it was dropped.
 def test_a_task_whose_answer_was_not_sent_is_kept_once_handed_over() -> None:
     harness = harness_with_placed_task()
     host = harness.offers()[0].machine
