A keyed task that may have run stays in the group of its first try

Cause: the scheduler read where a task may have run from the latest entry of its machine. The DELETED entry had lost its rack, since the list's reader had dropped the host when another one took its address, and MachineEntry.shares_scope takes an unknown location as matching any. Evidence: the second try comes 33 ms after the DELETED entry, none comes before it, and the module alone shows it without sockets.

Change: an attempt keeps the machine's entry of the time of the offer; shares_group, where an unknown location is in no group; a gone machine keeps the location known before, for the spread.

Scheduler tests pass (57).

--- a/sprucepost/interface.py
+++ b/sprucepost/interface.py
@@ -219,12 +219,19 @@
     free_memory: float = 0.0
 
     def shares_scope(self, scope: Scope, other: MachineEntry) -> bool:
-        """Whether both machines are in the same domain of this scope; an unknown location matches any."""
+        """Whether both machines may be in the same domain of this scope; an unknown location matches any."""
         if scope is Scope.MACHINE:
             return self.machine == other.machine
-        own, others = (self.cell, other.cell) if scope is Scope.CELL else (self.zone, other.zone)
+        own, others = self._domain(scope), other._domain(scope)
         return scope is Scope.ALL or own == others or -1 in (own, others)
 
+    def shares_group(self, scope: Scope, other: MachineEntry) -> bool:
+        """Whether both machines are known to be in the same group of this scope; an unknown location matches none."""
+        return scope is Scope.ALL or self._domain(scope) == other._domain(scope) != -1
+
+    def _domain(self, scope: Scope) -> int:
+        return self.cell if scope is Scope.CELL else self.zone
+
 
 @dataclass(frozen=True)
 class MachineList:
--- a/sprucepost/scheduler.py
+++ b/sprucepost/scheduler.py
@@ -126,6 +126,7 @@
     task: Task
     machine: Machine
     offered_at: float
+    offered_to: i.MachineEntry  # the machine as it was listed then: the list may change before the outcome
     accepted: bool = False
     running: bool = False
 
@@ -198,7 +199,7 @@
     def _on_task_found(self, event: i.TaskFound) -> None:
         task = Task(event.request, self.settings.classes[event.request.task_class], math.inf, 1)
         machine = self.machines.setdefault(event.machine, Machine(i.MachineEntry(event.machine)))
-        self._register_attempt(Attempt(task, machine, self.now, accepted=True, running=True), 0)
+        self._register_attempt(Attempt(task, machine, self.now, machine.entry, accepted=True, running=True), 0)
 
     def _on_accepted(self, event: i.Accepted) -> None:
         attempt = self.attempts.get((event.request, event.attempt))
@@ -278,6 +279,8 @@
 
     def _update_entry(self, entry: i.MachineEntry) -> None:
         machine = self.machines.setdefault(entry.machine, Machine(i.MachineEntry(entry.machine)))
+        if entry.state is i.MachineState.GONE and -1 in (entry.zone, entry.cell):  # where it was is known from before
+            entry = replace(entry, zone=machine.entry.zone, cell=machine.entry.cell, kind=machine.entry.kind)
         gone = i.MachineState.GONE in (machine.entry.state, entry.state)
         if machine.entry.kind != entry.kind or (gone and machine.entry.state is not entry.state):
             self._record_order_change(machine.entry)
@@ -434,7 +437,7 @@
         if over and not preempting:
             return False
         if (task.uncertain_attempt is not None and task_class.effect is not Effect.SAFE
-                and not machine.entry.shares_scope(task_class.group, task.uncertain_attempt.machine.entry)):
+                and not machine.entry.shares_group(task_class.group, task.uncertain_attempt.offered_to)):
             return False
         placed = self.services[ask.service].attempts.values()
         return task_class.spread is Scope.NONE or task_class.most > sum(
@@ -595,7 +598,7 @@
         machine = self._choose_machine(task)
         if machine is None:
             return False
-        attempt = task.open_attempt = Attempt(task, machine, self.now)
+        attempt = task.open_attempt = Attempt(task, machine, self.now, machine.entry)
         if machine.reported_free is not None:  # without any view there is nothing to correct
             machine.record_change(self.now, 1, attempt)
         self._register_attempt(attempt, task.offer_count)
