A keyed task's second try is not written where another host may answer

Callers saw: before the list names the new host at an address, the second try of a keyed task goes to the old address, where every connection was reset and another rack's host answers now.

Cause: an address was taken for a host. Resets were no sign to anybody that the next connection may lead elsewhere; and a first try read by that other host counted as one in the rack of the id it was offered to.

Change: Host.doubted_at, set by a reset, a failed dial and an unanswered check, ended by a later start in the list or 8 s without one; a connection that came up meanwhile counts again once its process is shown to be the one before. A keyed task that may have run is not written to such a connection (the attempt ends as connect_failed, so other hosts of the group get it), and Outcome.is_located tells the scheduler that a first try there ran at an unknown place.

--- a/sprucepost/interface.py
+++ b/sprucepost/interface.py
@@ -301,7 +301,11 @@
 
 @dataclass(frozen=True)
 class Outcome:
-    """The end of an attempt; ``closed`` if the request is finished as well."""
+    """The end of an attempt; ``closed`` if the request is finished as well.
+
+    Without ``is_located`` another machine than the one of the offer may have had the attempt: where it may have run is not
+    known.
+    """
 
     request: int
     attempt: int
@@ -309,6 +313,7 @@
     closed: bool
     reason: Reason = Reason.UNTOLD
     report: LoadReport | None = None
+    is_located: bool = True
 
 
 @dataclass(frozen=True)
--- a/sprucepost/node/attempt.py
+++ b/sprucepost/node/attempt.py
@@ -120,6 +120,10 @@
 
     process: ProcessConnection
 
+    def leads_to_listed_host(self, now: float) -> bool:
+        """Whether the host that the list has at the address is the one at its other end, for all that is known."""
+        ...
+
     @property
     def host(self) -> ConnectedHost: ...
 
--- a/sprucepost/node/health.py
+++ b/sprucepost/node/health.py
@@ -89,6 +89,7 @@
         for process in self._processes.at(host.uid):
             if process.is_resumed and not process.connections:
                 process.is_resumed = False
+                process.is_listed_host = process.is_listed_host and link.process.process.is_listed_host
                 self._processes.merge(process, link.process.process)
         is_suspected = self.suspected(host)
         self._bind_unheard(host, link)
--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from sprucepost.loop import Transport
@@ -11,6 +12,7 @@
 from sprucepost.node.jsonl import Decoder
 from sprucepost.node.process_identity import ProcessConnection
 
+LIST_LATE_MS = 8000.0  # a list that has not told by then of another host at an address has none to tell of
 ENDED_SETUPS_MAX = 64  # set-ups; copies of answers come within milliseconds
 
 
@@ -28,6 +30,7 @@
         self.host, self.transport = host, transport
         self.process = ProcessConnection(now, dialled_at)
         self.process.process.connections = 1
+        self.process.process.is_listed_host = not host.is_doubted(now)
         self.number = number  # counts the connections to this host, from 1
         self.decoder = Decoder()
         self.open: dict[str, Attempt] = {}  # set-ups without an answer, by task id
@@ -44,6 +47,10 @@
         """Whether a whole set-up may be written now."""
         return not (self.retired or self.transport.closed or self.transport.blocked or self.decoder.buffered_bytes)
 
+    def leads_to_listed_host(self, now: float) -> bool:
+        """Whether nothing speaks against it that the host which the list has at the address is the one at its other end."""
+        return self.process.process.is_listed_host or not self.host.is_doubted(now)
+
 
 class Host:
     """One host of the list. ``started`` is in Unix ms of the platform, other times are in ms of the loop's clock."""
@@ -60,3 +67,31 @@
         self.redial_at = 0.0  # not before
         self.pending_ends: dict[str, float] = {}  # tasks ended by their owners: until when to tell it
         self.gone = False
+        # When something last spoke for it that its process has gone. Another host may have had the address since, and the
+        # list tells of that later: connections that come up meanwhile may lead to it.
+        self.doubted_at = -math.inf
+        self.doubts_process_at = -math.inf  # when that process had the address: its connection came up, or a dial began
+
+    def is_doubted(self, now: float) -> bool:
+        """Whether a connection that comes up now may lead to another host, of which the list has not told yet."""
+        return now - self.doubted_at <= LIST_LATE_MS
+
+    def doubt(self, now: float, process_at: float) -> None:
+        """Take in that the process may have gone that had the address at that time."""
+        self.doubted_at, self.doubts_process_at = now, max(self.doubts_process_at, process_at)
+
+    def inherit_doubt(self, other: Host) -> None:
+        """Take over what speaks against the host before it at the same address."""
+        self.doubted_at = max(self.doubted_at, other.doubted_at)
+        self.doubts_process_at = max(self.doubts_process_at, other.doubts_process_at)
+
+    def confirm(self, started_at: float | None) -> None:
+        """Take in that by the list its process has started at that time, in ms of the loop's clock; None: not told when.
+
+        Its connections came up after that, and what spoke against a process before it no longer counts.
+        """
+        if started_at is None or started_at < self.doubts_process_at:
+            return
+        self.doubted_at = -math.inf
+        for link in self.links:
+            link.process.process.is_listed_host = True
--- a/sprucepost/node/host_list.py
+++ b/sprucepost/node/host_list.py
@@ -105,6 +105,9 @@
         for link in kept:
             link.host = host
         host.links += kept
+        if other.address == host.address:
+            host.inherit_doubt(other)
+            host.confirm(end.started_at)
         host.pending_ends |= other.pending_ends
         kept_tasks = self._tasks.move_to_replacement(other.uid, host.uid) if other.uid != host.uid else 0
         self._log.host(
@@ -124,6 +127,7 @@
         connections = len(host.links)
         end = ListedStart(self._start_times.to_loop_time(host.started))
         ended_tasks = self.process_gone(host, "restarted", end)
+        host.confirm(end.started_at)
         self._log.host(
             host.uid,
             "restarted",
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -35,6 +35,7 @@
 
 REDIAL_MS = 200.0  # between dials of a host; doubled for each failed dial unless the host is suspected
 LINGERING = ("retired", "idle", "room")  # why this side ends connections and sends what is written before
+SHOWS_DEATH = ("reset", "untested")  # why connections end, perhaps since the host's process has gone
 REDIAL_MAX_MS = 1600.0  # five dials until the host counts as silent: one that is back is found in time
 
 
@@ -112,10 +113,7 @@
                 host.waiting.append(attempt)
                 self._dispatcher.postpone(host)
                 continue
-            link = max(
-                links,
-                key=lambda link: (-len(link.open), attempt.sid not in link.ended_unanswered, link.last_used),
-            )
+            link = self._best_link(links, attempt)
             self._write(host, link, attempt)
             links = []  # that one is no longer free
 
@@ -133,12 +131,27 @@
             return free
         return usable if self._has_all_links(host) and host.dialing < len(host.waiting) else []
 
+    def _best_link(self, links: list[HostLink], attempt: Attempt) -> HostLink:
+        """Return the connection on which the offer is written."""
+        if self._tasks.is_bound_to_group(attempt):
+            now = self.loop.now()
+            links = [link for link in links if link.leads_to_listed_host(now)] or links
+        return max(
+            links,
+            key=lambda link: (-len(link.open), attempt.sid not in link.ended_unanswered, link.last_used),
+        )
+
     def _has_all_links(self, host: Host) -> bool:
         """Whether no more connections to the host may be opened."""
         return len(host.links) + host.dialing >= max(2, self._descriptors.guaranteed_share // max(1, len(self.hosts)))
 
     def _write(self, host: Host, link: HostLink, attempt: Attempt) -> None:
         """Write the offer to that connection, or end the attempt where the offer must not be sent any more."""
+        if self._tasks.is_bound_to_group(attempt) and not link.leads_to_listed_host(self.loop.now()):
+            self.counters["hosts_in_doubt"] += 1
+            self._tasks.trace(attempt.sid, "host_in_doubt", host=host.uid, link=link.number)
+            self._tasks.end_attempt(attempt, i.Ending.CONNECT_FAILED)
+            return
         data = self._tasks.encode_offer(attempt)
         if data is None:
             blames_host = attempt.machine not in self._tasks.closed_hosts and self.unwritten_by_fault_of_host(attempt)
@@ -301,6 +314,7 @@
         host.redial_at = self.loop.now() + pause
         refused = isinstance(error, ConnectionRefusedError)
         self.counters["connect_refused" if refused else "connect_failed"] += 1
+        host.doubt(self.loop.now(), began)
         self._log("host_not_connected", host=host.uid, why=str(error) or type(error).__name__)
         if not host.dialing and host not in self._dispatcher:
             waiting, host.waiting = host.waiting, []
@@ -344,6 +358,8 @@
         if link not in host.links:
             return
         host.links.remove(link)
+        if why in SHOWS_DEATH:
+            host.doubt(self.loop.now(), link.process.came_up_at)
         self._health.disconnected(host, link, why)
         self.counters[f"host_link_{why}"] += 1
         in_doubt = self._task_ends.in_doubt(link, why)
--- a/sprucepost/node/process_identity.py
+++ b/sprucepost/node/process_identity.py
@@ -39,6 +39,8 @@
 a note, an answer or a         the process that has the task is the  anything about tasks of another process
 release of a task              one to which this connection leads
 an orderly end                 its process lived at that moment      that it still does; a reset does not prove even that
+a reset, a dial that fails or  nothing                               that the next connection leads to the host that the
+a check without an answer                                            list has at the address: see ``Host.doubted_at``
 an answered health check       the process to which its connection   that tasks of connections before it stand: the
                                leads lives                           process may have come back without them
 an owner hands a task over     the task's process lived then; from   that the process heard next is the one that has the
@@ -72,6 +74,7 @@
     came_up_at: float = math.inf
     connections: int = 0  # that are open
     is_resumed: bool = False  # whether the next connection counts as its own: this side has ended the last one
+    is_listed_host: bool = False  # whether it is the process of the host that the list has at its address
     merged_into: HostProcess | None = None
 
     def current(self) -> HostProcess:
@@ -106,6 +109,7 @@
             self.dialled_at, self.came_up_at = other.dialled_at, other.came_up_at
         self.connections += other.connections
         self.is_resumed = self.is_resumed or other.is_resumed
+        self.is_listed_host = self.is_listed_host or other.is_listed_host
         other.merged_into = self
 
 
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -125,6 +125,7 @@
         self._tick_ms = settings.tick
         # Time after the first attempt in which hosts remember the key of a keyed task, by class.
         self._windows = [cls.window if cls.effect is i.Effect.KEYED else None for cls in settings.classes]
+        self._has_groups = [cls.effect is i.Effect.KEYED and cls.group is not i.Scope.ALL for cls in settings.classes]
         self.ledger = Ledger()
         self.counters = counters
         self.closed_hosts: set[str] = set()  # hosts that get no new tasks: they drain, or have gone
@@ -407,6 +408,10 @@
         owner: OwnerPort = attempt.entry.ask.owner
         return owner.input_read(attempt.ready_at)
 
+    def is_bound_to_group(self, attempt: Attempt) -> bool:
+        """Return whether the task may have run, so that only a host of the group of that attempt may get it again."""
+        return attempt.entry.ask.may_run_since is not None and self._has_groups[attempt.entry.task_class]
+
     def encode_offer(self, attempt: Attempt) -> bytes | None:
         """Return the offer to send now, with its remaining time; None if it must not be sent any more."""
         now, state = self.loop.now(), attempt.entry.ask
@@ -462,7 +467,13 @@
         if ending not in (i.Ending.FULL, i.Ending.CONNECT_FAILED, i.Ending.VOID) and entry.ask.may_run_since is None:
             entry.ask.may_run_since = attempt.offered_at
         closed = entry.outcome is not Outcome.OPEN
-        self._driver.push(i.Outcome(entry.request, attempt.number, ending, closed, reason, report))
+        is_located = self._is_located(attempt)
+        self._driver.push(i.Outcome(entry.request, attempt.number, ending, closed, reason, report, is_located))
+
+    def _is_located(self, attempt: Attempt) -> bool:
+        """Return whether the host of the offer is the one that may have read it."""
+        link = attempt.link
+        return link is None or (attempt.host == attempt.machine and link.leads_to_listed_host(self.loop.now()))
 
     def handle_answer(self, attempt: Attempt, line: Line) -> None:
         """Handle a host's message on the connection of an open set-up: an answer, or how the attempt ended."""
--- a/sprucepost/scheduler.py
+++ b/sprucepost/scheduler.py
@@ -257,9 +257,10 @@
         if event.closed or attempt.accepted:
             self.tasks.pop(event.request, None)
         elif event.request in self.tasks:
-            if (event.ending not in (Ending.FULL, Ending.CONNECT_FAILED, Ending.VOID)
-                    and task.uncertain_attempt is None):
-                task.uncertain_attempt = attempt
+            if event.ending not in (Ending.FULL, Ending.CONNECT_FAILED, Ending.VOID):
+                task.uncertain_attempt = task.uncertain_attempt or attempt
+                if not event.is_located:
+                    task.uncertain_attempt.offered_to = i.MachineEntry(machine.entry.machine)
             self.to_place.append(task)
 
     def _on_list(self, event: i.MachineList) -> None:
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -48,6 +48,7 @@
         self.tasks.owners = self.tasks.hosts = self
         self.driver, self.events, self.disconnected, self.closed = driver, [], False, False
         self.placed_count, self.written = 0, set[Attempt]()
+        self.leads_to_listed_host = True
         self.listed = {"m0", "m1"}
         handle = driver.scheduler.handle
         self.scheduler_events: list[Any] = []  # events passed to the scheduler
@@ -109,7 +110,12 @@
 
     def connection(self, machine: str) -> HostConnection:
         """A connection that comes up now."""
-        return SimpleNamespace(process=ProcessConnection(self.loop.now()), host=SimpleNamespace(uid=machine))
+        process = ProcessConnection(self.loop.now())
+        return SimpleNamespace(
+            process=process,
+            host=SimpleNamespace(uid=machine),
+            leads_to_listed_host=lambda now: self.leads_to_listed_host,
+        )
 
     def withdraw(self, attempt: Attempt, tell_host: bool = True) -> None:
         self.events.append(("withdraw" if tell_host else "forget", attempt))
