A confirmation ends the search for an owner only on its own connection

Cause: Owners took each "release heard" as the word of the owner, also on a connection to which the release was sent as a guess. Evidence: the log has released with brought_by and nothing after it, releases_copied and releases_expired are 0, releases_pending is 0.

Change: OwnerReleases.confirm drops a release only where the connection has brought the task or handed it over.

--- a/sprucepost/node/owner_releases.py
+++ b/sprucepost/node/owner_releases.py
@@ -8,13 +8,17 @@
 owner's
 ==================================== ================================ ====================================================
 it has brought the task, and is open it is the owner's                is sent there alone
-it hands the task over, ends it, or  it is the owner's, who knows the is sent there alone (handed over), or nowhere any
-confirms its release                 task, or its end                 more
+it hands the task over, or ends it   it is the owner's, who knows the is sent there alone (handed over), or nowhere any
+                                     task, or its end                 more
+it has brought the task and confirms its owner knows of the end       is sent nowhere any more
+the release
 it comes from the owner's address,   it may be the owner's            is a *guess* there: it is sent to the likeliest one
-and has brought a message                                             at once, to the others of that address if none has
-                                                                      confirmed it after ``CONFIRMATION_MS``, and to each
-                                                                      that comes until ``RELEASE_RETENTION_MS`` have passed;
-                                                                      once on each
+and has brought a message                                             at once, to the others of that address after
+                                                                      ``COPY_DELAY_MS``, and to each that comes until
+                                                                      ``RELEASE_RETENTION_MS`` have passed; once on each
+it confirms a guess                  nothing: a client may confirm a  goes on to the others
+                                     release of a task that it
+                                     doesn't know
 it comes from another address        it is not the owner's            is not sent there
 the owner's was ended for its input  its client misuses the placer    is a guess once, on the likeliest one or the next
 ==================================== ================================ ====================================================
@@ -39,7 +43,7 @@
 from sprucepost.node.log import Log
 
 RELEASE_RETENTION_MS = 8000.0  # how long a release that is not known to have reached its owner is kept
-CONFIRMATION_MS = 100.0  # within which a peer confirms a release, if it confirms any
+COPY_DELAY_MS = 100.0  # from the first guess to its copies: by then the owner may have handed the task over
 # With an older poll, the sockets are polled again before releases are sent: a tenth of what may cross an end.
 MAX_POLL_AGE_MS = 5.0
 COPIES_PER_CHECK = 256  # of guesses, each a message of some 20 bytes
@@ -188,17 +192,27 @@
         if owed is not None:
             owed.is_cancelled = True
 
+    def confirm(self, link: OwnerConnection, sid: str) -> None:
+        """Take in that the client of that connection has heard the release.
+
+        Only the one that has brought the task is known to be owed it. A client may confirm a release of a task that it does
+        not know, so where the release was a guess, its owner is still to be found.
+        """
+        owed = self._owed.get(sid)
+        if owed is not None and owed.owner is link:
+            self.cancel(sid)
+
     def check(self) -> None:
-        """Drop expired releases; send copies of guesses that nobody has confirmed. Called periodically."""
+        """Drop expired releases; send copies of guesses. Called periodically."""
         now = self._loop.now()
         while self._owed and (owed := next(iter(self._owed.values()))).expires_at <= now:
             del self._owed[owed.sid]
             if self._pending.pop(owed.sid, None) is not None:
                 self._counters["releases_expired"] += 1
-        self._send_copies(lambda owed: now - owed.first_guess_at >= CONFIRMATION_MS)
+        self._send_copies(lambda owed: now - owed.first_guess_at >= COPY_DELAY_MS)
 
     def finish(self) -> None:
-        """Send what is due, and copies of guesses without waiting for confirmations: the connections end."""
+        """Send what is due, and copies of guesses without delay: the connections end."""
         self.send_due()
         self._send_copies(lambda owed: True)
 
--- a/sprucepost/node/owners.py
+++ b/sprucepost/node/owners.py
@@ -385,7 +385,7 @@
         elif message.kind == Kind.TEST:
             link.answer_health_check(message.task, not self.fails_health_checks)
         elif message.kind == Kind.RELEASED:
-            self.releases.cancel(message.task)
+            self.releases.confirm(link, message.task)
             useful = link.confirm_release(message.task)
         if useful:
             return
