A pause of a connection adds nothing to how long later data has waited

Cause: Transport.resume left _paused_at set, so the next read counted all the time since the pause, however much later it came. Evidence: a pause of 20 ms and 300 ms of silence give waited_ms over 300.

Change: the time of the pause counts until the first poll after it, which shows all that arrived meanwhile.

--- a/sprucepost/loop/transport.py
+++ b/sprucepost/loop/transport.py
@@ -62,7 +62,8 @@
         self._unread_at_poll = -1  # number of the latest poll after which data may have been left unread
         self._data_at_poll = -math.inf  # number of the latest poll that found data
         self._nothing_unread_before_data = -math.inf  # when the latest poll was that found nothing before that one
-        self._paused_at: float | None = None  # since when the socket has not been polled
+        self._paused_at: float | None = None  # since when what arrived may lie unread: reading was paused then
+        self._resumed_at_poll = -1  # number of the latest poll when it was resumed
 
     def start(self) -> None:
         """Begin to read; called once the callbacks are set."""
@@ -107,7 +108,7 @@
         if not self._reading and not self._ended and not self.closed:
             self._reading = True
             if self._paused_at is not None:  # what has arrived meanwhile shows at the next poll
-                self._unread_at_poll = self._loop.polls
+                self._unread_at_poll = self._resumed_at_poll = self._loop.polls
             self._rewatch()
 
     def write(self, data: bytes) -> None:
@@ -213,6 +214,12 @@
         """
         return not (self._reading or self._ended or self.closed) or self._unread_at_poll == self._loop.polls
 
+    def _unread_since_pause(self) -> float | None:
+        """Return when reading was paused, if what arrived meanwhile may still lie unread: the next poll shows it all."""
+        if self._reading and self._loop.polls > self._resumed_at_poll + 1:
+            self._paused_at = None
+        return self._paused_at
+
     def _readable(self) -> None:
         if self._delivering:  # polled from within on_data(): the rest is read in the next turn
             return
@@ -237,8 +244,9 @@
             return False
         now, polls = self._loop.now(), self._loop.polls
         self.continued = self._unread_at_poll >= polls - 1 and self._unread_at_poll >= 0
-        if self._paused_at is not None:
-            unpolled_ms, self._paused_at = max(unpolled_ms, now - self._paused_at), None
+        paused_at, self._paused_at = self._unread_since_pause(), None
+        if paused_at is not None:
+            unpolled_ms = max(unpolled_ms, now - paused_at)
         left_behind = self._partial_read_at > 0.0 and self.continued
         self.waited_ms = self.waited_ms + now - self._partial_read_at if left_behind else unpolled_ms
         if failure is not None:
@@ -295,8 +303,9 @@
                 self.sent += accepted
         except OSError as error:
             self.waited_ms = self._loop.since_poll_ms
-            if self._paused_at is not None:
-                self.waited_ms = max(self.waited_ms, self._loop.now() - self._paused_at)
+            paused_at = self._unread_since_pause()
+            if paused_at is not None:
+                self.waited_ms = max(self.waited_ms, self._loop.now() - paused_at)
             self._connection_lost(error)
             return
         self.buffered -= sent
--- a/tests/loop/test_net.py
+++ b/tests/loop/test_net.py
@@ -89,6 +89,41 @@
     assert loop.run(main) == [b"hello"]
 
 
+# Guards against requests that are refused unplaced as too old: their connection had been paused once, seconds before.
+@pytest.mark.parametrize("polls_between", [1, 3])
+def test_a_pause_that_is_over_adds_nothing_to_how_long_later_data_has_waited(
+    loop: EpollLoop, polls_between: int
+) -> None:
+    def main() -> Co[list[tuple[bytes, float]]]:
+        echo = EchoServer(loop)
+        assert isinstance(echo.acceptor.address, tuple)
+        client = socket.create_connection(echo.acceptor.address)
+        yield from sleep(20)
+        [transport] = echo.transports
+        seen: list[tuple[bytes, float]] = []
+        transport.on_data = lambda data: seen.append((data, transport.waited_ms))
+        transport.pause()
+        yield from sleep(20)
+        transport.resume()
+        for _ in range(polls_between):
+            yield from sleep(300 / polls_between)
+        client.sendall(b"later")
+        yield from sleep(20)
+        transport.pause()
+        client.sendall(b"meanwhile")
+        yield from sleep(200)
+        transport.resume()
+        yield from sleep(20)
+        client.close()
+        echo.acceptor.close()
+        return seen
+
+    [(later, later_waited), (meanwhile, meanwhile_waited)] = loop.run(main)
+    assert (later, meanwhile) == (b"later", b"meanwhile")
+    assert later_waited < 150.0, "less than the 300 ms since the pause"
+    assert meanwhile_waited >= 195.0, "what arrives during a pause has waited for all of it"
+
+
 def test_a_reader_that_does_not_read_stops_the_sender(loop: EpollLoop) -> None:
     def main() -> Co[tuple[int, int]]:
         accepted: list[Transport] = []
