Hand-overs of unknown tasks get a module of their own

Change: node/adoption.py takes the checks, the placing and the early end of such tasks as they were; two planted defects of tests/node/test_handed_over_tasks.py name the new module. No behaviour changes.

Measured: make check passes; tests of the node's tasks, hand-overs, crossings and messages pass.

--- a/sprucepost/node/__init__.py
+++ b/sprucepost/node/__init__.py
@@ -15,6 +15,7 @@
 ``releases``         what a host's release of a task means
 ``tasks``            states of a task from set-up to release, without sockets
 ``handovers``        hand-overs of tasks that are open or placed here
+``adoption``         hand-overs of tasks that are not known here
 ``placed_tasks``     placed tasks by host: moved, lost and ended
 ``process_identity`` which process of a host a connection leads to, and which one runs a task
 ``dispatch``         sends offers at the end of a turn of the loop, right after all sockets were polled
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -179,6 +179,10 @@
         if named.pop(entry.name, None) is not None and not named:
             del self._named[host]
 
+    def end_as_confirmed(self, entry: Entry) -> None:
+        """End a task whose host was told to end it before it was handed over, and has said that it has read that."""
+        self.end(entry, i.Ending.RESET, CAUSE_LOST, "host has confirmed that it was told to end it")
+
     def end(
         self,
         entry: Entry,
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -77,6 +77,7 @@
 from sprucepost import interface as i
 from sprucepost.loop import Loop
 from sprucepost.node import parsing, releases
+from sprucepost.node.adoption import Adoption, AdoptionPorts
 from sprucepost.node.attempt import (
     Attempt,
     HandOver,
@@ -101,8 +102,6 @@
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
 CAUSE_WITHDRAWN = 16  # sent to a host to withdraw a set-up or to end a placed task
-# A set-up with ``at`` that was sent before the release of its task was read has arrived by then.
-RELEASE_CROSSING_MS = 50.0
 SETTLED_RETENTION_MS = 1000.0  # what its owner sent before it had read a refusal or failure has arrived by then
 
 
@@ -152,6 +151,18 @@
             self._trace,
         )
         self._new_tasks = NewTasks(loop, driver, counters, lambda: self.hosts, self._refuse)
+        self._adoption = Adoption(
+            loop,
+            driver,
+            self.ledger,
+            self._placed,
+            self._new_tasks,
+            self.early_messages,
+            self._handed_over,
+            counters,
+            AdoptionPorts(lambda: self.owners, lambda: self.hosts, self._settle, self._handle_message_for_placed),
+            self._trace,
+        )
         # Requests settled since the last batch, and between that one and the one before: decisions on them may still come.
         self._recently_settled: set[int] = set()
         self._previously_settled: set[int] = set()
@@ -184,27 +195,15 @@
                 return SetUpResult.DUPLICATE_ID
             self._handovers.take(entry, HandOver(setup, owner))
             return SetUpResult.ADMITTED
+        if setup.current_host:
+            return self._adoption.admit(setup, owner, waited_ms)
         now = self.loop.now()
-        if setup.current_host and self._has_ended_at_host(setup, now):
-            self.counters["repeats_of_ended"] += 1
-            self.trace(setup.sid, "repeat_of_ended", host=setup.current_host)
-            self.owners.release_again(owner, setup.sid)
-            return SetUpResult.ADMITTED
         if self.early_messages.get(setup.sid, now) is not None:
             self.counters["unwanted"] += 1
-            self.trace(setup.sid, "unwanted", host=setup.current_host or None)
-            if setup.current_host:
-                self.hosts.end_task(setup.current_host, setup.sid)
-                self.early_messages.record(setup.sid, EarlyMessage.TASK_ENDED, now, setup.current_host)
+            self.trace(setup.sid, "unwanted")
             return SetUpResult.CANCELLED
-        if setup.current_host and not self._handed_over.admits(owner):
-            self.counters["over_share"] += 1
-            self.trace(setup.sid, "over_share", host=setup.current_host)
-            return SetUpResult.OVER_SHARE
         entry = self.ledger.take(setup.sid, setup.task_class, setup.service, now)
         entry.ask = TaskState(setup, owner)
-        if setup.current_host:
-            return self._adopt(entry, setup, owner, waited_ms)
         self.counters["taken"] += 1
         entry.deadline = now + max(0.0, setup.time_left_ms - waited_ms)
         self.trace(setup.sid, "taken", left=setup.time_left_ms, waited=round(waited_ms, 1))
@@ -213,47 +212,6 @@
         self._driver.schedule_batch()
         return SetUpResult.ADMITTED
 
-    def _has_ended_at_host(self, setup: SetUp, now: float) -> bool:
-        """Whether the task has ended at the host that the set-up names, so that its owner has been sent the release.
-
-        A presumed end counts only while the set-up may have crossed the release. One that comes later tells that the task
-        runs there, and its owner knows better.
-        """
-        if self.early_messages.ended_since(setup.sid, now - RELEASE_CROSSING_MS):  # at that host, under another id
-            return True
-        record = self.early_messages.get(setup.sid, now, setup.current_host)
-        if record is None or record.message is EarlyMessage.RELEASED_BY_HOST:
-            return False
-        return record.message is EarlyMessage.TASK_ENDED or now - record.at <= RELEASE_CROSSING_MS
-
-    def _adopt(self, entry: Entry, setup: SetUp, owner: OwnerPort, waited_ms: float) -> SetUpResult:
-        """Place a new entry for a task that its host runs already."""
-        host, now = setup.current_host, self.loop.now()
-        record = self.early_messages.get(setup.sid, now, host)
-        entry.ask.end_requested = record is not None and record.message is EarlyMessage.END_REQUESTED
-        self.counters["found"] += 1
-        self.trace(setup.sid, "found", host=host)
-        entry.machine = host
-        entry.ask.handed_over_by = owner
-        self._handed_over.add(owner)
-        self._settle(entry, Outcome.PLACED)
-        self._placed.record(entry, None, waited_ms)
-        self._driver.push(i.TaskFound(setup.request(entry.request, setup.time_left_ms), host))
-        self._new_tasks.found(setup.service, more_may_follow=not owner.is_flooding)
-        self.owners.cancel_release(setup.sid)
-        is_listed = self.hosts.adopt(host, setup.sid)
-        if is_listed:
-            self._placed.keep_connection(entry, owner)
-        release = self.early_messages.release_of(setup.sid, now, host if is_listed else None)
-        if release is not None and release.type is MessageType.CLOSED:
-            self._end_as_confirmed(entry)
-        elif release is not None:
-            self._handle_message_for_placed(entry, release, None)
-        elif self.hosts.is_being_ended(host, setup.sid):
-            why, message = "its host is being told to end it", EarlyMessage.END_REQUESTED
-            self._placed.end(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=message)
-        return SetUpResult.ADMITTED if is_listed else SetUpResult.HOST_UNKNOWN
-
     def _before_batch(self) -> None:
         self._new_tasks.before_batch()
         self._previously_settled, self._recently_settled = self._recently_settled, set()
@@ -548,10 +506,7 @@
         if entry is None:
             self.early_messages.confirm_requested_end(line, self.loop.now(), machine)
         elif entry.ask.end_requested:
-            self._end_as_confirmed(entry)
-
-    def _end_as_confirmed(self, entry: Entry) -> None:
-        self._placed.end(entry, i.Ending.RESET, CAUSE_LOST, "host has confirmed that it was told to end it")
+            self._placed.end_as_confirmed(entry)
 
     def _handle_message_for_placed(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
         if line.type is MessageType.EVENT:
--- a/tests/node/test_handed_over_tasks.py
+++ b/tests/node/test_handed_over_tasks.py
@@ -9,7 +9,8 @@
 import pytest
 
 from sprucepost.loop import Co, sleep
-from sprucepost.node import binary, jsonl, tasks
+from sprucepost.node import adoption, binary, jsonl
+from sprucepost.node.adoption import Adoption
 from sprucepost.node.binary import Kind
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.jsonl import Line, MessageType
@@ -287,10 +288,12 @@
 
 
 DEFECTS: dict[str, Callable[[pytest.MonkeyPatch], None]] = {
-    "a presumed loss counts as an end": lambda patch: patch.setattr(tasks, "RELEASE_CROSSING_MS", RELEASE_RETENTION_MS),
+    "a presumed loss counts as an end": lambda patch: patch.setattr(
+        adoption, "RELEASE_CROSSING_MS", RELEASE_RETENTION_MS
+    ),
     "a lost host is asked to end its tasks": _end_lost_tasks,
     "an end counts for all hosts": lambda patch: patch.setattr(
-        Tasks, "_has_ended_at_host", lambda self, setup, now: setup.sid in self.early_messages._records
+        Adoption, "_has_ended_at_host", lambda self, setup, now: setup.sid in self._early_messages._records
     ),
     "the owner's end of a lost task is not passed on": lambda patch: patch.setattr(
         EarlyMessageCache, "hosts_with", lambda self, sid, message, now: []
