A host whose connection came up too late is blamed for it again

Cause: also excused a host that has a free connection by now.

Change: only the pause of this process excuses the host.

--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -175,8 +175,8 @@
         """Whether the offer was not written because the host could not be connected to.
 
         It is not to blame where the last dial failed for want of something on this machine, where the offer was held back
-        for unread input although there was a connection, where there is one by now, and where this process has not polled
-        its sockets for the larger part of the attempt: it was stopped, or busy, and could not see that there was one.
+        for unread input although there was a connection, and where this process has not polled its sockets for the larger
+        part of the attempt: it was stopped, or busy, and could not see that there was one.
         """
         host = self.hosts.get(attempt.machine)
         if attempt.held_back:
@@ -184,7 +184,7 @@
         if attempt.link is not None or host is None:
             return True
         was_paused = self.loop.unpolled_ms > (self.loop.now() - attempt.offered_at) / 2
-        return not (was_paused or host.dial_failed_locally or self._links_for_offers(host))
+        return not (was_paused or host.dial_failed_locally)
 
     def withdraw(self, attempt: Attempt, tell_host: bool = True) -> None:
         """Withdraw the offer. Where it was written, the host gets a close, and the connection takes no other set-up. Where
