--- a/tests/test_key_groups.py
+++ b/tests/test_key_groups.py
@@ -85,6 +85,21 @@
     assert machines_offered(cluster, delta(entry("mate", **{scope: HOME}), entry("new", **{scope: UNKNOWN}))) == []
 
 
+# Guards against a second copy in the group of the offer, where another group's machine may have had the attempt.
+@pytest.mark.parametrize("scope", ["cell", "zone"])
+@pytest.mark.parametrize("unlocated", [0, 1])
+def test_no_attempt_follows_one_that_ran_where_nobody_knows(scope: str, unlocated: int) -> None:
+    keyed = task_class(effect=i.Effect.KEYED, group=i.Scope(scope), window=WINDOW_MS)
+    cluster = Cluster(settings(keyed, max_attempts=5), entry("first", **{scope: HOME}))
+    offer = cluster.place()
+    assert offer is not None
+    for attempt in range(unlocated + 1):
+        reset = i.Outcome(offer.request, attempt, i.Ending.RESET, False, is_located=attempt != unlocated)
+        offered = machines_offered(cluster, reset)
+        assert offered == (["first"] if attempt < unlocated else [])
+    assert machines_offered(cluster, delta(entry("mate", **{scope: HOME}))) == []
+
+
 # Guards against tasks of a service that count in every domain, since the list has forgotten where their machine was.
 def test_a_machine_that_has_gone_keeps_its_location_for_the_spread() -> None:
     spread = task_class(spread=i.Scope.ZONE, most=1)
