A connection that comes up before a host's reset is read is in doubt too

Cause: a reset may be read after a connection that came up later, as data lay before it or the loop was late. Change: Host.doubt takes until when the ended connection is known to have been open; what came up after that is in doubt.

--- a/sprucepost/node/host.py
+++ b/sprucepost/node/host.py
@@ -76,9 +76,15 @@
         """Whether a connection that comes up now may lead to another host, of which the list has not told yet."""
         return now - self.doubted_at <= LIST_LATE_MS
 
-    def doubt(self, now: float, process_at: float) -> None:
-        """Take in that the process may have gone that had the address at that time."""
+    def doubt(self, now: float, process_at: float, open_until: float) -> None:
+        """Take in that the process may have gone that had the address at that time, since ``open_until`` at the earliest.
+
+        Its end may be read late: connections that have come up meanwhile may lead to another host too.
+        """
         self.doubted_at, self.doubts_process_at = now, max(self.doubts_process_at, process_at)
+        for link in self.links:
+            if link.process.came_up_at > open_until:
+                link.process.process.is_listed_host = False
 
     def inherit_doubt(self, other: Host) -> None:
         """Take over what speaks against the host before it at the same address."""
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -323,7 +323,7 @@
         host.redial_at = self.loop.now() + pause
         refused = isinstance(error, ConnectionRefusedError)
         self.counters["connect_refused" if refused else "connect_failed"] += 1
-        host.doubt(self.loop.now(), began)
+        host.doubt(self.loop.now(), began, open_until=self.loop.now())
         self._log("host_not_connected", host=host.uid, why=str(error) or type(error).__name__)
         if not host.dialing and host not in self._dispatcher:
             waiting, host.waiting = host.waiting, []
@@ -368,7 +368,8 @@
             return
         host.links.remove(link)
         if why in SHOWS_DEATH:
-            host.doubt(self.loop.now(), link.process.came_up_at)
+            open_until = link.transport.open_until if why == "reset" else self.loop.now()
+            host.doubt(self.loop.now(), link.process.came_up_at, open_until)
         self._health.disconnected(host, link, why)
         self.counters[f"host_link_{why}"] += 1
         in_doubt = self._task_ends.in_doubt(link, why)
--- a/tests/node/test_addresses_in_doubt.py
+++ b/tests/node/test_addresses_in_doubt.py
@@ -4,13 +4,15 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from sprucepost import interface as i
 from sprucepost.loop import Co
-from sprucepost.node.host import Host
+from sprucepost.node.address_holders import Age
+from sprucepost.node.host import Host, HostLink
 from sprucepost.node.jsonl import Line, MessageType
 from tests.node.platform import settings
 from tests.node.plays import PlayFailure, Variant, failures
@@ -162,6 +164,17 @@
     assert run(tmp_path, BODIES[name], "cell") != []
 
 
+# Guards against a connection to the next host that is taken for one to the host before, whose reset is read later.
+def test_a_connection_that_came_up_before_a_reset_was_read_is_in_doubt() -> None:
+    host = Host("s-0", host_address(0), 0.0, Age())
+    links = [HostLink(host, SimpleNamespace(), now, 1, now) for now in (1000.0, 5000.0)]  # type: ignore[arg-type]
+    host.links += links
+    host.doubt(5010.0, process_at=1000.0, open_until=4990.0)
+    assert [link.leads_to_listed_host(5010.0) for link in links] == [True, False]
+    host.confirm(4995.0)  # the list tells of its start
+    assert [link.leads_to_listed_host(5010.0) for link in links] == [True, True]
+
+
 @pytest.mark.parametrize("leads_to_listed_host", [True, False])
 def test_the_scheduler_is_told_whether_the_host_of_the_offer_had_the_attempt(leads_to_listed_host: bool) -> None:
     harness = TaskHarness()
