The choice of a host's connection gets a module of its own

Change: usable_links and best_link are functions of node/host_connections.py, without I/O. No behaviour changes.

--- a/sprucepost/node/__init__.py
+++ b/sprucepost/node/__init__.py
@@ -20,6 +20,7 @@
 ``process_identity`` which process of a host a connection leads to, and which one runs a task
 ``dispatch``         sends offers at the end of a turn of the loop, right after all sockets were polled
 ``host``             state of one host and of one connection to it
+``host_connections`` which of a host's connections takes the next offer
 ``health``           health checks, and when a host is considered silent
 ``owners``           connections of owners
 ``hosts``            connections to hosts
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -25,6 +25,7 @@
 from sprucepost.node.framing import LINGER_MS
 from sprucepost.node.health import HealthChecks
 from sprucepost.node.host import Host, HostLink
+from sprucepost.node.host_connections import best_link, usable_links
 from sprucepost.node.host_list import HostList
 from sprucepost.node.jsonl import Line, MessageType, encode
 from sprucepost.node.log import Log
@@ -97,7 +98,7 @@
         else, where no more may be opened, to the one with the fewest open set-ups."""
         postponed, links = 0, list[HostLink]()
         while postponed < len(host.waiting):
-            links = links or self._links_for_offers(host)
+            links = links or usable_links(host, self.loop.now(), self._idle_ms, self._has_all_links(host))
             if not links:
                 wanted = host.dialing < len(host.waiting) and not self._has_all_links(host)
                 if wanted and (self._descriptors.available() > 0 or self.close_idle_connection()):
@@ -113,34 +114,10 @@
                 host.waiting.append(attempt)
                 self._dispatcher.postpone(host)
                 continue
-            link = self._best_link(links, attempt)
+            link = best_link(links, attempt, self._tasks.is_bound_to_group(attempt), self.loop.now())
             self._write(host, link, attempt)
             links = []  # that one is no longer free
 
-    def _links_for_offers(self, host: Host) -> list[HostLink]:
-        """Return the connections to choose from for the next offer: the free ones, or where no more may be opened, those
-        with open set-ups."""
-        now = self.loop.now()
-        usable = [
-            link
-            for link in host.links
-            if link.usable and now - link.last_used < self._idle_ms / 2 and not health.is_overdue(link, now)
-        ]
-        free = [link for link in usable if not link.open]
-        if free or not usable:
-            return free
-        return usable if self._has_all_links(host) and host.dialing < len(host.waiting) else []
-
-    def _best_link(self, links: list[HostLink], attempt: Attempt) -> HostLink:
-        """Return the connection on which the offer is written."""
-        if self._tasks.is_bound_to_group(attempt):
-            now = self.loop.now()
-            links = [link for link in links if link.leads_to_listed_host(now)] or links
-        return max(
-            links,
-            key=lambda link: (-len(link.open), attempt.sid not in link.ended_unanswered, link.last_used),
-        )
-
     def _has_all_links(self, host: Host) -> bool:
         """Whether no more connections to the host may be opened."""
         return len(host.links) + host.dialing >= max(2, self._descriptors.guaranteed_share // max(1, len(self.hosts)))
