--- a/sprucepost/scheduler.py
+++ b/sprucepost/scheduler.py
@@ -126,7 +126,7 @@
     task: Task
     machine: Machine
     offered_at: float
-    offered_to: i.MachineEntry  # the machine as it was listed then: the list may change before the outcome
+    offered_to: i.MachineEntry  # the machine as it was listed then: the list may change
     accepted: bool = False
     running: bool = False
 
@@ -280,8 +280,9 @@
 
     def _update_entry(self, entry: i.MachineEntry) -> None:
         machine = self.machines.setdefault(entry.machine, Machine(i.MachineEntry(entry.machine)))
-        if entry.state is i.MachineState.GONE and -1 in (entry.zone, entry.cell):  # where it was is known from before
-            entry = replace(entry, zone=machine.entry.zone, cell=machine.entry.cell, kind=machine.entry.kind)
+        if entry.state is i.MachineState.GONE and -1 in (entry.zone, entry.cell):  # keep where it was
+            known = machine.entry
+            entry = replace(entry, zone=known.zone, cell=known.cell, kind=known.kind)
         gone = i.MachineState.GONE in (machine.entry.state, entry.state)
         if machine.entry.kind != entry.kind or (gone and machine.entry.state is not entry.state):
             self._record_order_change(machine.entry)
