--- a/sprucepost/scheduler.py
+++ b/sprucepost/scheduler.py
@@ -199,7 +199,8 @@
     def _on_task_found(self, event: i.TaskFound) -> None:
         task = Task(event.request, self.settings.classes[event.request.task_class], math.inf, 1)
         machine = self.machines.setdefault(event.machine, Machine(i.MachineEntry(event.machine)))
-        self._register_attempt(Attempt(task, machine, self.now, machine.entry, accepted=True, running=True), 0)
+        attempt = Attempt(task, machine, self.now, machine.entry, accepted=True, running=True)
+        self._register_attempt(attempt, 0)
 
     def _on_accepted(self, event: i.Accepted) -> None:
         attempt = self.attempts.get((event.request, event.attempt))
