Rule 5 no longer counts tasks whose ends were lost with a machine's session

Cause: the checker, not the placer.

Change: MachineAttached tells which of the placer's attempts a machine has as a session begins anew, and SpreadKept drops accepted attempts on it that are not among them. A resumed session repeats the ends itself and changes nothing; an offer that waits for its answer counts on, since the machine may have taken it later than the attach.

Measured: the new test fails with the checker as it was ("assert not True").

--- a/sprucepost/rules/spread_kept.py
+++ b/sprucepost/rules/spread_kept.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from sprucepost.rules import trace as t
 from sprucepost.rules.checker import SLACK_MS, Checker, MachineLocations, RunHistory
 from sprucepost.settings import Cluster
@@ -55,11 +57,14 @@
     def _handle_attached(self, event: t.MachineAttached) -> None:
         before = self._incarnations.get((event.placer, event.machine))
         self._incarnations[event.placer, event.machine] = event.machine_incarnation
-        # The machine restarted and lost its tasks; its placer knows so before the list says it.
-        if before not in (None, event.machine_incarnation):
-            for number, incarnation in self._counted:
-                if incarnation == event.incarnation:
-                    self._drop_machine(self._counted[number, incarnation], event.machine)
+        for (_, incarnation), counted in self._counted.items():
+            if incarnation != event.incarnation:
+                continue
+            if before not in (None, event.machine_incarnation):
+                # The machine restarted and lost its tasks; its placer knows so before the list says it.
+                self._drop_machine(counted, event.machine)
+            elif event.held is not None:
+                self._drop_ended(counted, event.machine, event.held)
 
     def _handle_outcome(self, event: t.OutcomeSent) -> None:
         keys = self._attempts_without_outcome.pop((event.incarnation, event.task), ())
@@ -111,6 +116,16 @@
         # Open until its time-out at the latest; the placer's timer started a little earlier.
         held[event.key] = event.machine, event.task.service, event.at - event.late_ms + event.wait_ms - SLACK_MS
 
+    @staticmethod
+    def _drop_ended(counted: dict[t.Key, tuple[str, str, float]], machine: str, held: frozenset[t.Key]) -> None:
+        """Drop the accepted attempts that a machine no longer has: their ends were lost with the session before.
+
+        An offer that waits for its answer may have reached the machine later than the attach, and counts on.
+        """
+        for key, (holder, _, until) in list(counted.items()):
+            if holder == machine and until == math.inf and key not in held:
+                del counted[key]
+
     @staticmethod
     def _drop_machine(held: dict[t.Key, tuple[str, str, float]], machine: str) -> None:
         for key in [key for key, entry in held.items() if entry[0] == machine]:
--- a/sprucepost/rules/trace.py
+++ b/sprucepost/rules/trace.py
@@ -128,7 +128,11 @@
 
 @dataclass(frozen=True)
 class MachineAttached:
-    """A machine attached to a placer; ``machine_incarnation`` changes with each restart of the machine."""
+    """A machine attached to a placer; ``machine_incarnation`` changes with each restart of the machine.
+
+    ``held``: the placer's attempts whose tasks the machine has, all of them; None where a session was resumed, whose
+    frames report what has ended.
+    """
 
     at: float
     placer: str
@@ -137,6 +141,7 @@
     incarnation: int
     started_ms: float = 0.0
     connection_ended_at: float = math.inf
+    held: frozenset[Key] | None = None
 
 
 @dataclass(frozen=True)
@@ -285,13 +290,23 @@
         if kind == "attached":
             stream.session = answer.attached.session
             attached = answer.attached
+            keys = [
+                (stream.number, stream.incarnation, held.request, held.attempt)
+                for held in attached.held
+                if held.incarnation == stream.incarnation
+            ]
             yield MachineAttached(
-                at, placer, machine, attached.life, stream.incarnation, attached.started_ms, connection_ended_at
+                at,
+                placer,
+                machine,
+                attached.life,
+                stream.incarnation,
+                attached.started_ms,
+                connection_ended_at,
+                None if attached.resumed else frozenset(keys),
             )
-            for held in answer.attached.held:
-                if held.incarnation == stream.incarnation:
-                    key = (stream.number, stream.incarnation, held.request, held.attempt)
-                    yield AttemptReported(at, placer, machine, key, "accepted", connection_ended_at)
+            for key in keys:
+                yield AttemptReported(at, placer, machine, key, "accepted", connection_ended_at)
         elif kind is not None and answer.seq:
             is_repeat = not self._from_machine.is_new(stream.session, answer.seq)
             key = (stream.number, stream.incarnation, answer.request, answer.attempt)
--- a/tests/rules/test_checkers.py
+++ b/tests/rules/test_checkers.py
@@ -12,7 +12,8 @@
 from sprucepost.rules.checker import RuleResult, RunHistory
 from sprucepost.rules.checks import check_rules
 from sprucepost.rules.record import build_run_history
-from sprucepost.v1 import common_pb2
+from sprucepost.rules.streams import Message
+from sprucepost.v1 import common_pb2, machine_pb2
 from tests.placer.support import cluster
 
 P, M, S = "placer-0", "m1", b"s"
@@ -178,6 +179,42 @@
     assert check_rules([*first, t.MachineAttached(1000, P, M, 1, 5), again], spread, run)[4].broken
 
 
+def test_a_task_that_a_new_session_does_not_name_does_not_count_for_the_spread() -> None:
+    """Its end was lost with the session before; it was counted until the end of the run."""
+    spread = cluster(classes=[msgspec.structs.replace(cluster().classes[0], spread="machine", most=1)])
+    key, run = (0, 5, 1, 0), RunHistory(ended_at=1e6)
+    first, again = offered(10, cls="web"), offered(2000, request=2, cls="web")
+    accepted = t.AttemptReported(20, P, M, key, "accepted")
+
+    def is_broken(*events: t.Event) -> bool:
+        return bool(check_rules([first, *events, again], spread, run)[4].broken)
+
+    attached = t.MachineAttached(1000, P, M, 1, 5, held=frozenset())
+    assert not is_broken(accepted, attached)
+    assert is_broken(accepted, replace(attached, held=frozenset({key})))  # the machine still has it
+    assert is_broken(accepted, replace(attached, held=None))  # a resumed session reports the end itself
+    assert is_broken(accepted, replace(attached, machine="m2"))
+    assert is_broken(accepted, replace(attached, incarnation=6))  # to another process
+    assert is_broken(accepted, attached, t.TaskAdopted(1010, P, M, (0, 5, 3, 0), "t"))
+    # The machine may have taken an offer after it had attached.
+    assert is_broken(replace(attached, at=15), accepted)
+
+
+def test_an_attach_names_the_attempts_that_a_machine_has_unless_its_session_is_resumed() -> None:
+    def attached(resumed: bool) -> list[t.Event]:
+        tracer = t.Tracer()
+        held = [machine_pb2.Held(request=1, incarnation=5), machine_pb2.Held(request=2, incarnation=4)]
+        hello = machine_pb2.ToMachine(hello=machine_pb2.PlacerHello(number=0, incarnation=5))
+        reply = machine_pb2.FromMachine(attached=machine_pb2.Attached(machine=M, life=1, resumed=resumed, held=held))
+        frames = [(True, hello.SerializeToString()), (False, reply.SerializeToString())]
+        messages = [Message(1.0, n, 1, P, M, t.OFFERS, 1, up, data, 0.0) for n, (up, data) in enumerate(frames)]
+        return [event for message in messages for event in tracer.events_of(message)]
+
+    own = t.AttemptReported(1.0, P, M, (0, 5, 1, 0), "accepted")
+    assert attached(False) == [t.MachineAttached(1.0, P, M, 1, 5, held=frozenset({own.key})), own]
+    assert attached(True) == [t.MachineAttached(1.0, P, M, 1, 5, held=None), own]
+
+
 def test_overlapping_stops_count_as_one() -> None:
     events = [
         {"what": "placer_stopped", "placer": P, "at": 10.0},
