A task that another process of the number took over goes on for its owner

The owners submitted them again, so they ran twice; the ends of the first copies were told to nobody.

Cause: as a machine's session begins anew, Attempts.on_attached ended every placed attempt that the machine did not name, though it named the task, under the attempt of the process that had taken it over meanwhile. The task was then adopted as an unknown one, without an owner.

Change: such an attempt ends without a word, the task stays placed, and it is taken over again for the same owner under a new request number (LateAction.RECLAIM). One that its owner has cancelled meanwhile is withdrawn under that number. A machine that has restarted, or does not name the task at all, has lost it, as before.

--- a/sprucepost/placer/engine.py
+++ b/sprucepost/placer/engine.py
@@ -159,8 +159,9 @@
         own_attempts = {
             (held.request, held.attempt): held.running for held in hello.held if held.incarnation == incarnation
         }
+        held_of_others = {held.name for held in hello.held if held.incarnation != incarnation}
         known = {key for key, _ in self.attempts.on_machine(machine)}
-        self.attempts.on_attached(machine, own_attempts, restarted)
+        self.attempts.on_attached(machine, own_attempts, held_of_others, restarted)
         for held in hello.held:
             if held.incarnation != incarnation or (held.request, held.attempt) not in known:
                 self.late_messages.on_held(machine, held)
--- a/sprucepost/placing/attempts.py
+++ b/sprucepost/placing/attempts.py
@@ -66,7 +66,10 @@
 
 
 class Attempts:
-    """All attempts of a placer. ``machines`` is set by the code that assembles the placer."""
+    """All attempts of a placer. ``machines`` is set by the code that assembles the placer.
+
+    A placed task is *detached* while its machine holds it under an attempt of another process of this placer's number.
+    """
 
     machines: MachinesPort
 
@@ -265,14 +268,20 @@
 
     # Messages of a machine about all tasks that it holds
 
-    def on_attached(self, machine: str, held: dict[Key, bool], restarted: bool) -> None:
-        """Handle an attach with a new session; ``held``: the attempts that the machine names, and whether each runs."""
+    def on_attached(self, machine: str, held: dict[Key, bool], held_of_others: set[str], restarted: bool) -> None:
+        """Handle an attach with a new session.
+
+        ``held``: the attempts that the machine names, and whether each runs; ``held_of_others``: names of the tasks that
+        it has from other processes of this placer's number.
+        """
         for key, attempt in self.on_machine(machine):
             if key in held:
                 if not attempt.accepted:
                     self.accept(key, attempt)
                 if held[key] and attempt.accepted:
                     self._driver.push(i.StatusNote(key[0], key[1], i.StatusKind.RUNNING, 1.0))
+            elif attempt.accepted and attempt.entry.name in held_of_others and not restarted:
+                self.end(key, attempt, i.Ending.VOID)  # detached
             elif attempt.accepted:
                 self.report_lost(key, attempt)
             elif restarted:  # an unsent offer was for the previous incarnation and is not valid for another
@@ -308,6 +317,14 @@
 
     # Tasks found running
 
+    def is_detached(self, machine: str, entry: Entry) -> bool:
+        """Whether the task is placed on that machine and no attempt stands for it."""
+        return (
+            entry.outcome is Outcome.PLACED
+            and entry.machine == machine
+            and (entry.request, entry.attempt) not in self._by_key
+        )
+
     def adopt(self, machine: str, held: machine_pb2.Held, entry: Entry, request: i.TaskRequest) -> None:
         """Take over a task that already runs on that machine."""
         link = self.machines.get(machine)
--- a/sprucepost/placing/late_messages.py
+++ b/sprucepost/placing/late_messages.py
@@ -66,7 +66,7 @@
     def on_held(self, machine: str, held: machine_pb2.Held) -> None:
         """Handle a task that a machine holds and that no attempt of this placer waits for."""
         entry = self._ledger.by_name(held.name)
-        action = late_action(entry)
+        action = late_action(entry, entry is not None and self._attempts.is_detached(machine, entry))
         self.counters[f"late {action.value}"] += 1
         self._log("late_word", task=held.name, machine=machine, word=action.value)
         if action is LateAction.PLACE:
@@ -75,6 +75,11 @@
         elif action is LateAction.TAKE_OVER:
             waiting = self._hand_overs.get(machine, {}).pop(held.name, None)
             self._take_over(machine, held, waiting[0] if waiting is not None else None)
+        elif action is LateAction.RECLAIM:
+            assert entry is not None
+            self._adopt_renumbered(machine, held, entry)
+            if entry.cancelled:  # the machine did not know the attempt that was withdrawn then
+                self._attempts.withdraw(machine, entry.request, entry.attempt, self.machines.incarnation)
         elif action is LateAction.SURFACE:
             assert entry is not None
             self._surfaced[held.name] = machine, held
@@ -90,6 +95,9 @@
         """Bind an open task to the machine that holds it."""
         self._driver.push(i.RequestAbandoned(entry.request))
         self._reporter.settle(entry, Outcome.PLACED)
+        self._adopt_renumbered(machine, held, entry)
+
+    def _adopt_renumbered(self, machine: str, held: machine_pb2.Held, entry: Entry) -> None:
         self._ledger.renumber(entry)
         self._attempts.adopt(machine, held, entry, self._catalog.request(entry, 0.0))
 
--- a/sprucepost/placing/ledger.py
+++ b/sprucepost/placing/ledger.py
@@ -59,17 +59,20 @@
 
     PLACE = "place"  # bind it: the task is still open
     TAKE_OVER = "take_over"  # this placer does not know it, and becomes responsible for it
+    RECLAIM = "reclaim"  # another process of this number took it over, and its owner is still this placer's
     SURFACE = "surface"  # its owner was told that it failed, and may hand it over
     WITHDRAW = "withdraw"  # a duplicate: another attempt counts
 
 
-def late_action(entry: Entry | None) -> LateAction:
-    """Decide on such a task. ``entry``: the latest task of that name, or None."""
+def late_action(entry: Entry | None, is_detached: bool = False) -> LateAction:
+    """Decide on such a task. ``entry``: the latest task of that name, or None; ``is_detached``: see ``Attempts``."""
     if entry is None:
         return LateAction.TAKE_OVER
     if entry.outcome is Outcome.OPEN:
         # A pending attempt takes precedence, as two must not both be bound. Of a keyed task the group keeps one copy.
         return LateAction.PLACE if entry.pending_attempt is None and not entry.cancelled else LateAction.WITHDRAW
+    if entry.outcome is Outcome.PLACED and is_detached:
+        return LateAction.RECLAIM
     if entry.outcome is Outcome.FAILED and not entry.cancelled:
         return LateAction.SURFACE
     return LateAction.WITHDRAW
--- a/tests/placing/test_ledger.py
+++ b/tests/placing/test_ledger.py
@@ -44,20 +44,21 @@
 
 
 @pytest.mark.parametrize(
-    "outcome, pending, cancelled, action",
+    "outcome, pending, cancelled, is_detached, action",
     [
-        (None, None, False, LateAction.TAKE_OVER),
-        (Outcome.OPEN, None, False, LateAction.PLACE),
-        (Outcome.OPEN, 1, False, LateAction.WITHDRAW),
-        (Outcome.OPEN, None, True, LateAction.WITHDRAW),
-        (Outcome.PLACED, None, False, LateAction.WITHDRAW),
-        (Outcome.REFUSED, None, False, LateAction.WITHDRAW),
-        (Outcome.FAILED, None, False, LateAction.SURFACE),
-        (Outcome.FAILED, None, True, LateAction.WITHDRAW),
+        (None, None, False, False, LateAction.TAKE_OVER),
+        (Outcome.OPEN, None, False, False, LateAction.PLACE),
+        (Outcome.OPEN, 1, False, False, LateAction.WITHDRAW),
+        (Outcome.OPEN, None, True, False, LateAction.WITHDRAW),
+        (Outcome.PLACED, None, False, False, LateAction.WITHDRAW),
+        (Outcome.PLACED, None, False, True, LateAction.RECLAIM),
+        (Outcome.REFUSED, None, False, False, LateAction.WITHDRAW),
+        (Outcome.FAILED, None, False, False, LateAction.SURFACE),
+        (Outcome.FAILED, None, True, False, LateAction.WITHDRAW),
     ],
 )
 def test_the_action_for_a_late_message(
-    outcome: Outcome | None, pending: int | None, cancelled: bool, action: LateAction
+    outcome: Outcome | None, pending: int | None, cancelled: bool, is_detached: bool, action: LateAction
 ) -> None:
     entry = None if outcome is None else Entry(1, "t", 0, "s", outcome, pending_attempt=pending, cancelled=cancelled)
-    assert late_action(entry) is action
+    assert late_action(entry, is_detached) is action
