What hosts say of placed tasks is handled where those are kept

Change: the handling of a host's message about a placed task is PlacedTasks' (handle_message), and adoption calls it there.

--- a/sprucepost/node/adoption.py
+++ b/sprucepost/node/adoption.py
@@ -11,11 +11,10 @@
 from sprucepost.node.attempt import HostsPort, OwnerPort, OwnersPort, SetUpResult, TaskState
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
-from sprucepost.node.jsonl import Line, MessageType
+from sprucepost.node.jsonl import MessageType
 from sprucepost.node.new_tasks import NewTasks
 from sprucepost.node.parsing import SetUp
 from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
-from sprucepost.node.process_identity import ProcessConnection
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
 
@@ -30,7 +29,6 @@
     owners: Callable[[], OwnersPort]
     hosts: Callable[[], HostsPort]
     settle: Callable[[Entry, Outcome], None]  # records the outcome of a task
-    host_said: Callable[[Entry, Line, ProcessConnection | None], None]  # handles a host's message about a placed task
 
 
 class Adoption:
@@ -118,7 +116,7 @@
         if release is not None and release.type is MessageType.CLOSED:
             self._placed.end_as_confirmed(entry)
         elif release is not None:
-            self._ports.host_said(entry, release, None)
+            self._placed.handle_message(entry, release, None)
         elif self._ports.hosts().is_being_ended(host, sid):
             why, message = "its host is being told to end it", EarlyMessage.END_REQUESTED
             self._placed.end(entry, i.Ending.RESET, CAUSE_LOST, why, early_message=message)
--- a/sprucepost/node/placed_tasks.py
+++ b/sprucepost/node/placed_tasks.py
@@ -1,4 +1,7 @@
-"""Placed tasks by the host that runs them: how they are recorded, moved to another host's account, and ended. No I/O."""
+"""Placed tasks by the host that runs them: how they are recorded, moved to another host's account, and ended.
+
+Also what their hosts say about them. No I/O.
+"""
 
 from __future__ import annotations
 
@@ -7,10 +10,12 @@
 
 from sprucepost import interface as i
 from sprucepost.loop import Loop
+from sprucepost.node import parsing, releases
 from sprucepost.node.attempt import OwnerPort, OwnersPort
 from sprucepost.node.client_shares import ClientShares
 from sprucepost.node.early_messages import EarlyMessage, EarlyMessageCache
 from sprucepost.node.host_processes import HostProcesses
+from sprucepost.node.jsonl import Line, MessageType
 from sprucepost.node.process_identity import HostProcess, ProcessConnection, TaskEnd, TaskProcess
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
@@ -30,10 +35,12 @@
         handed_over: ClientShares,
         counters: Counter[str],
         owners: Callable[[], OwnersPort],
+        parse_load_report: Callable[[str | None], i.LoadReport | None],
         trace: Callable[..., None],
     ) -> None:
         self._loop, self._driver, self._ledger, self._early_messages = loop, driver, ledger, early_messages
         self._handed_over, self._counters, self._owners, self._trace = handed_over, counters, owners, trace
+        self._parse_load_report = parse_load_report
         self.by_host: dict[str, dict[str, Entry]] = {}  # by host and task id
         self.processes = HostProcesses()
         self._named: dict[str, dict[str, Entry]] = {}  # by the host at which they were handed over, until it is listed
@@ -179,6 +186,33 @@
         if named.pop(entry.name, None) is not None and not named:
             del self._named[host]
 
+    def handle_message(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
+        """Handle the message of a host about a task that is placed there; without ``connection`` it came before the task."""
+        if line.type is MessageType.EVENT:
+            self._handle_note(entry, line, connection)
+        elif line.type is MessageType.CLOSE:
+            self._handle_release(entry, line, connection)
+        else:
+            self._counters["late_words"] += 1
+
+    def _handle_note(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
+        if connection is not None:
+            entry.ask.process.connection = connection
+            self.shown_at(entry, connection)
+        kind, value = parsing.NOTES.get(line.attrs.get("note", "")), parsing.parse_number(line.attrs.get("value"))
+        if kind is not None and value is not None:
+            self._driver.push(i.StatusNote(entry.request, entry.attempt, kind, value))
+
+    def _handle_release(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
+        if connection is not None:
+            self.shown_at(entry, connection)
+        ending, reason = releases.ending_of_placed(line), releases.reason_of(line)
+        cause = {i.Ending.OK: releases.CAUSE_ENDED, i.Ending.RESET: CAUSE_LOST}.get(ending)
+        if ending is i.Ending.CANCELLED and entry.ask.end_requested:
+            cause = CAUSE_LOST  # not by its owner, who has handed it over since
+        report = self._parse_load_report(line.attrs.get("load"))
+        self.end(entry, ending, cause, f"host said {line.code}", reason, report)
+
     def end_as_confirmed(self, entry: Entry) -> None:
         """End a task whose host was told to end it before it was handed over, and has said that it has read that."""
         self.end(entry, i.Ending.RESET, CAUSE_LOST, "host has confirmed that it was told to end it")
--- a/sprucepost/node/tasks.py
+++ b/sprucepost/node/tasks.py
@@ -76,7 +76,7 @@
 
 from sprucepost import interface as i
 from sprucepost.loop import Loop
-from sprucepost.node import parsing, releases
+from sprucepost.node import releases
 from sprucepost.node.adoption import Adoption, AdoptionPorts
 from sprucepost.node.attempt import (
     Attempt,
@@ -96,7 +96,7 @@
 from sprucepost.node.new_tasks import NewTasks
 from sprucepost.node.owner_releases import RELEASE_RETENTION_MS
 from sprucepost.node.parsing import SetUp
-from sprucepost.node.placed_tasks import CAUSE_LOST, PlacedTasks
+from sprucepost.node.placed_tasks import PlacedTasks
 from sprucepost.node.process_identity import HostProcess, ProcessConnection, TaskEnd
 from sprucepost.placing.ledger import Entry, Ledger, Outcome
 from sprucepost.placing.scheduler_driver import SchedulerDriver
@@ -140,6 +140,7 @@
             self._handed_over,
             counters,
             lambda: self.owners,
+            parse_load_report,
             self._trace,
         )
         self._handovers = HandOvers(
@@ -160,7 +161,7 @@
             self.early_messages,
             self._handed_over,
             counters,
-            AdoptionPorts(lambda: self.owners, lambda: self.hosts, self._settle, self._handle_message_for_placed),
+            AdoptionPorts(lambda: self.owners, lambda: self.hosts, self._settle),
             self._trace,
         )
         # Requests settled since the last batch, and between that one and the one before: decisions on them may still come.
@@ -495,7 +496,7 @@
         if entry is None:
             self._handle_message_for_unplaced(machine, line)
         else:
-            self._handle_message_for_placed(entry, line, connection)
+            self._placed.handle_message(entry, line, connection)
 
     def _find_placed(self, machine: str, sid: str, connection: ProcessConnection | None) -> Entry | None:
         return self._placed.find(machine, sid) or self._placed.find_by_connection(sid, connection, self.hosts.is_listed)
@@ -508,26 +509,6 @@
         elif entry.ask.end_requested:
             self._placed.end_as_confirmed(entry)
 
-    def _handle_message_for_placed(self, entry: Entry, line: Line, connection: ProcessConnection | None) -> None:
-        if line.type is MessageType.EVENT:
-            if connection is not None:
-                entry.ask.process.connection = connection
-                self._placed.shown_at(entry, connection)
-            kind, value = parsing.NOTES.get(line.attrs.get("note", "")), parsing.parse_number(line.attrs.get("value"))
-            if kind is not None and value is not None:
-                self._driver.push(i.StatusNote(entry.request, entry.attempt, kind, value))
-        elif line.type is MessageType.CLOSE:
-            if connection is not None:
-                self._placed.shown_at(entry, connection)
-            ending, reason = releases.ending_of_placed(line), releases.reason_of(line)
-            cause = {i.Ending.OK: releases.CAUSE_ENDED, i.Ending.RESET: CAUSE_LOST}.get(ending)
-            if ending is i.Ending.CANCELLED and entry.ask.end_requested:
-                cause = CAUSE_LOST  # not by its owner, who has handed it over since
-            report = self._parse_load_report(line.attrs.get("load"))
-            self._placed.end(entry, ending, cause, f"host said {line.code}", reason, report)
-        else:
-            self.counters["late_words"] += 1
-
     def _handle_message_for_unplaced(self, machine: str, line: Line) -> None:
         """Handle a message about a task that is not known to be placed at that host."""
         entry = self.ledger.current(line.sid)
