--- a/sprucepost/node/__init__.py
+++ b/sprucepost/node/__init__.py
@@ -21,6 +21,7 @@
 ``dispatch``         sends offers at the end of a turn of the loop, right after all sockets were polled
 ``host``             state of one host and of one connection to it
 ``host_connections`` which of a host's connections takes the next offer
+``host_messages``    messages of hosts: decoded, and passed to the set-up or task that they are about
 ``health``           health checks, and when a host is considered silent
 ``owners``           connections of owners
 ``hosts``            connections to hosts
--- a/sprucepost/node/hosts.py
+++ b/sprucepost/node/hosts.py
@@ -27,7 +27,8 @@
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.host_connections import best_link, usable_links
 from sprucepost.node.host_list import HostList
-from sprucepost.node.jsonl import Line, MessageType, encode
+from sprucepost.node.host_messages import HostMessagePorts, HostMessages
+from sprucepost.node.jsonl import MessageType, encode
 from sprucepost.node.log import Log
 from sprucepost.node.process_identity import HostProcess, NeverListed, RefusedDial
 from sprucepost.node.start_times import StartTimes
@@ -61,6 +62,8 @@
         self._health = HealthChecks(loop, tasks, counters, log, self.end, self._release_silent)
         self._task_ends = TaskEnds(loop, tasks, self._health, log, self.end)
         self._dispatcher: Dispatcher[Host] = Dispatcher(loop, self._serve, counters)
+        after_answer = HostMessagePorts(self.end, self._end_if_retired, self._serve, self._listed)
+        self._messages = HostMessages(loop, tasks, self._health, log, counters, after_answer)
 
     # The list of hosts
 
@@ -283,7 +286,7 @@
         link = HostLink(host, transport, self.loop.now(), host.connections_opened, began)
         host.links.append(link)
         self._log.host(host.uid, "connected", link=link.number)
-        transport.on_data = lambda data: self._handle_data(link.host, link, data)
+        transport.on_data = lambda data: self._messages.handle_data(link.host, link, data)
         transport.on_end = lambda: self.end(link.host, link, "ended")
         transport.on_lost = lambda error: self.end(link.host, link, "reset")
         transport.start()
@@ -359,7 +362,7 @@
             ends_in_doubt=len(in_doubt) or None,
         )
         if why in LINGERING:
-            link.transport.on_linger_data = lambda data: self._handle_late_data(host, link, data)
+            link.transport.on_linger_data = lambda data: self._messages.handle_late_data(host, link, data)
             self._descriptors.close(link.transport)
         else:
             link.transport.abort()
@@ -376,59 +379,6 @@
         if why in ("reset", "ended"):
             self._check_connections(host)
 
-    # Messages
-
-    def _handle_data(self, host: Host, link: HostLink, data: bytes) -> None:
-        """Decode and handle what was read on a connection; end it where the bytes cannot be parsed."""
-        link.process.heard_at = self.loop.now() - link.transport.waited_ms
-        for line in link.decoder.feed(data):
-            link.last_used = self.loop.now()
-            self._health.message_received(host, link)
-            self._handle_line(link, host, line)
-        if link.decoder.error is not None:
-            self.counters["host_malformed"] += 1
-            self._log("host_malformed", host=host.uid, why=str(link.decoder.error), open=len(link.open))
-            self.end(host, link, "malformed")
-
-    def _handle_late_data(self, host: Host, link: HostLink, data: bytes) -> None:
-        """Handle releases and notes that were in flight when this side ended the connection. The host repeats a release only
-        on its next connection, which may be opened much later."""
-        if self._listed(host):
-            for line in link.decoder.feed(data):
-                if line.type in (MessageType.CLOSE, MessageType.EVENT):
-                    self._handle_message(host, link, line)
-
-    def _handle_line(self, link: HostLink, host: Host, line: Line) -> None:
-        """Handle one message: of a set-up that is open on this connection, or of any other task."""
-        if line.type is MessageType.PROBED:
-            self._health.check_answered(host, link)
-        if line.type in (MessageType.CLOSE, MessageType.CLOSED) and link.ends:
-            link.ends.confirm(line.sid)
-        attempt = link.open.get(line.sid)
-        if attempt is not None and (
-            line.type is MessageType.CLOSE or (line.type is MessageType.READY and line.text is not None)
-        ):
-            del link.open[line.sid]
-            if line.type is MessageType.CLOSE:
-                link.ended_unanswered.append(line.sid)
-            self._health.replied(host, link, attempt.written_at)
-            self._tasks.handle_answer(attempt, line)
-            self._end_if_retired(host, link)
-            self._serve(host)
-        elif attempt is not None and line.type is MessageType.EVENT:
-            attempt.noted = True
-        elif attempt is None and line.type is MessageType.CLOSED:
-            self._tasks.handle_confirmed_end(host.uid, line, link.process)
-        elif attempt is None and line.type in (MessageType.READY, MessageType.CLOSE, MessageType.EVENT):
-            self._handle_message(host, link, line)
-
-    def _handle_message(self, host: Host, link: HostLink, line: Line) -> None:
-        """Pass on a message about a task that has no open set-up on this connection."""
-        if line.sid in link.withdrawn:
-            self._tasks.handle_withdrawn_message(host.uid, line)
-        else:
-            self._tasks.handle_message(host.uid, line, link.process)
-
     # Running tasks
 
     def tick(self) -> None:
--- a/tests/node/test_addresses_in_doubt.py
+++ b/tests/node/test_addresses_in_doubt.py
@@ -77,11 +77,17 @@
             raise PlayFailure(f"{process.uid} has {'not ' if gets_task else ''}got the task")
 
 
-def before_the_list_names_it(stage: Stage) -> Co[None]:
+def change_hands_unlisted(stage: Stage, unlisted_ms: float) -> Co[Process]:
+    """Open the task, and have the next host take the address; return it once it has been unlisted for so long."""
     yield from stage.open_task()
     new = stage.change_hands()
-    yield from stage.platform.run(2000.0)
+    yield from stage.platform.run(unlisted_ms)
     stage.check(new, gets_task=False)
+    return new
+
+
+def before_the_list_names_it(stage: Stage) -> Co[None]:
+    new = yield from change_hands_unlisted(stage, 2000.0)
     stage.platform.tell(stage.entry(new, OTHER))
     yield from stage.platform.run(500.0)
     stage.check(new, gets_task=False)
@@ -92,10 +98,7 @@
 
 
 def a_new_host_of_the_group(stage: Stage) -> Co[None]:
-    yield from stage.open_task()
-    new = stage.change_hands()
-    yield from stage.platform.run(1000.0)
-    stage.check(new, gets_task=False)
+    new = yield from change_hands_unlisted(stage, 1000.0)
     stage.platform.tell(stage.entry(new, HOME))
     yield from stage.platform.run(1500.0)
     stage.check(new, gets_task=True)
