A killed placer of the tests' platform gives up its dials

Cause: the platform, not the placer. A dial that was under way when the placer was killed came up 5 ms later, and the killed placer went on: 1 s after its death it ended tasks in doubt at their host, which the next placer looked after.

Change: kill_placer cancels the dials of that placer and closes their sockets at once, as its docstring promises.

Only tests have changed.

--- a/tests/node/test_return_schedules.py
+++ b/tests/node/test_return_schedules.py
@@ -12,10 +12,12 @@
 
 import pytest
 
+from sprucepost.loop import Co
 from sprucepost.node.health import HealthChecks
 from sprucepost.node.host import Host, HostLink
 from sprucepost.node.process_identity import HostProcess
 from tests.node.return_schedules import ReturnSchedule
+from tests.node.virtual_platform import VirtualPlatform, run_on_virtual_platform
 
 SCHEDULES = 300
 DEFECT_SCHEDULES = 60
@@ -36,6 +38,29 @@
     assert faults(range(SCHEDULES)) == []
 
 
+# Guards against a test platform on which a killed placer lives on: a dial of it came up 5 ms after its death, and it ended
+# tasks that the next placer looked after.
+@pytest.mark.parametrize("seed", [51735, 72038])
+def test_a_killed_placer_ends_no_task_of_the_next_one(seed: int) -> None:
+    assert faults([seed]) == []
+
+
+def test_a_dial_of_a_killed_placer_does_not_come_up(tmp_path: Path) -> None:
+    def body(platform: VirtualPlatform) -> Co[None]:
+        process = platform.start_process("s-0")
+        process.is_cut_off = True
+        platform.publish(process.entry(), everything=True)
+        platform.connect(platform.start_placer()).submit("d1655aa500000000")
+        yield from platform.run(100.0)
+        assert platform.loop.dialled and not process.connections
+        platform.kill_placer(platform.placers[0])
+        process.is_cut_off = False
+        yield from platform.run(1000.0)
+        assert not platform.came_up_at and not platform.offers
+
+    run_on_virtual_platform(tmp_path, body)
+
+
 def _hear_by_host(patch: pytest.MonkeyPatch) -> None:
     real = HealthChecks.message_received
 
--- a/tests/node/virtual.py
+++ b/tests/node/virtual.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from sprucepost.loop import Address, Co, Listener, Scope, Sock, in_scope
+from sprucepost.loop import Address, Co, Listener, Scope, Sock, Task, in_scope
 from sprucepost.node import jsonl
 from sprucepost.node.config import read_config
 from sprucepost.node.jsonl import MessageType
@@ -99,6 +99,10 @@
         else:
             self._watched[sock] = readable, writable
 
+    def watched(self) -> set[Sock | Listener]:
+        """Return the sockets and listeners that are polled."""
+        return set(self._watched)
+
     def _poll(self, wait_ms: float | None) -> None:
         ready = self._ready_calls()
         if ready:
@@ -138,6 +142,20 @@
     return {"no": 1, "items": [{"no": 1, "roster": {"rev": 1, "all": True, "targets": entries}}]}
 
 
+class PlacerScope(Scope):
+    """Runs the tasks of one placer in the scope of the test; ``dials`` are those that connect to hosts."""
+
+    def __init__(self, scope: Scope) -> None:
+        self._scope = scope
+        self.dials: list[Task[Any]] = []
+
+    def spawn(self, co: Co[Any], name: str) -> Task[Any]:
+        task = self._scope.spawn(co, name)
+        if name.startswith("host "):
+            self.dials.append(task)
+        return task
+
+
 class Placer:
     """A whole placer on virtual sockets; its dials are answered only by the test."""
 
@@ -153,9 +171,18 @@
         self.path.write_text(json.dumps(self.document))
         environment = {"BALANCER_CONFIG": str(self.path)}
         log = Log(loop, "n0", lambda line: self.lines.append(json.loads(line)))
-        self.service = Service(loop, scope, environment, read_config(environment), log)
+        self._scope = PlacerScope(scope)
+        self.service = Service(loop, self._scope, environment, read_config(environment), log)
         scope.spawn(self.service.run(), "placer")
 
+    def give_up_dials(self) -> None:
+        """Close the sockets of the dials that are under way."""
+        watched = self.loop.watched()
+        for task in self._scope.dials:
+            task.cancel()
+        for sock in watched - self.loop.watched():
+            sock.close()
+
     def dialled(self, address: Address) -> list[VirtualSock]:
         """The sockets dialled to that address so far."""
         return [sock for to, sock in self.loop.dialled if to == address]
--- a/tests/node/virtual_platform.py
+++ b/tests/node/virtual_platform.py
@@ -135,6 +135,7 @@
     def kill_placer(self, placer: Placer) -> None:
         """End a placer: its connections are reset, and nothing that it still does has an effect."""
         self.placers.remove(placer)
+        placer.give_up_dials()
         hosts, owners = placer.service.hosts, placer.service.owners
         hosts._dial = lambda host: None  # type: ignore[method-assign]
         for host in list(hosts.hosts.values()):
